--- /dev/null
+++ b/wickvane/__init__.py
@@ -0,0 +1,1 @@
+"""wickvane: a workload manager that stands before analytic engines."""
--- /dev/null
+++ b/wickvane/choice.py
@@ -0,0 +1,521 @@
+"""Every decision of a gateway: which query leaves, for which engine, when to try again, when to give up.
+
+Called by an adapter (wickvane.wirehost): one Gateway for each instance, and Gateway.round(now, events, out)
+once a round with all that came in. Decisions go straight into out, the Writer of wickvane/interface.py, which
+also says what the events are. Times are whole tenths of a millisecond; work is such a time of one thread.
+
+The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct, reset,
+hash order of table groups, a thread bound under pressure. Mechanisms beside it:
+ 1 warm-up: a cold engine counts for a part of its cores, and what it is sent is held under the collapse rule
+ 2 aside: an engine that fails, or is silent while others answer, gets nothing until a single trial succeeds
+ 3 usefulness: a query that cannot earn its value in time gives way at once, also when it runs already
+ 4 fresh plan: a read-only query far behind its estimate is ended and submitted anew, in the second line
+ 5 urgency: priorities by value a unit of work, where engines heed them
+"""
+
+from collections import deque
+from hashlib import blake2b
+from random import Random
+
+from wickvane.interface import (
+    ANY_ENGINE,
+    CANCELLED,
+    ERROR,
+    FINISHED,
+    NO_ANSWER,
+    NO_CONNECTION,
+    READ_ONLY,
+    READY,
+    RESET,
+    SAME_ZONE,
+    SHARE_DONE,
+    TOKENED,
+    TURNED_AWAY,
+)
+
+SECOND = 10_000
+FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
+BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
+PRESSED = 2.0  # latency above its best at which the bound binds
+QUANTUM_MEANS = 2.0
+WAIT_PART = 0.2  # of a query's time that it may wait here
+SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
+FAILING = 0.4  # smoothed share of failures at which an engine is set aside
+ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
+FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
+BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
+RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
+
+
+class Query:
+    __slots__ = (
+        "q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out", "engine",
+        "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "charged", "priority", "share",
+    )
+
+
+class Gateway:
+    def __init__(self, seed, site):
+        self.chance = Random(seed)
+        self.groups, self.gateways = site.groups, site.gateways
+        self.cores_of, self.zone = site.cores, site.zone
+        self.most_tries, self.may_cancel = site.most_submissions, site.may_cancel
+        self.priorities, self.advice = site.priorities, site.longest_advice
+        self.notes = site.note_period
+        self.key_rest = site.key_rest
+        self.extra_free, self.extra_share = site.extra_free, site.extra_share
+        self.extra_window = site.extra_window
+        self.cold_from, self.cold_time = site.cold_from, site.cold_time
+        self.fall_time = site.fall_time
+        # The least that a cold engine may get of one gateway in a window, in work a core.
+        self.fall_work = FALL_SAFETY * site.fall_multiple * BUSY * site.fall_time / site.gateways
+        self.asks = site.asks_for_list
+        self.queries, self.running, self.again = {}, {}, deque()
+        self.keys, self.rests = {}, {}
+        self.taken_at, self.extra_at = deque(), deque()
+        self.mean, self.mean_all = [0.0] * len(site.groups), 0.0
+        self.longest = [0] * len(site.groups)
+        shares = [share for share, _ in site.tenants]
+        self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
+        self.lines, self.deficit = [deque() for _ in shares], [0.0] * len(shares)
+        self.ring, self.at = [], 0
+        # Engines, by index
+        self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
+        self.cores, self.started, self.mine, self.bound = [], [], [], []
+        self.pace, self.best, self.failing, self.full_at = [], [], [], []
+        self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
+        self.sent_work = []
+        self.orders = {}
+        self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
+        if self.asks:
+            self.ask_at = 0
+
+    def round(self, now, events, out):
+        self.now, self.out = now, out
+        for event in events:
+            HANDLERS[event[0]](self, *event[1:])
+        if self.asks and self.ask_at is not None and now >= self.ask_at:
+            self.ask_at = None
+            out.watch_list(True)
+        if now >= self.next_sweep:
+            self.sweep()
+        self.release()
+        self.arm()
+
+    def arm(self):
+        waiting = self.ring or self.again
+        if not waiting and not self.running and not (self.asks and self.ask_at):
+            return
+        if self.armed is None or self.armed <= self.now:
+            self.armed = self.now + (SWEEP if waiting else IDLE_SWEEP)
+            self.out.alarm(1, self.armed)
+
+    # What came in
+
+    def taken(self, q, rg, tenant, cost, memory, coord, key, left):
+        g = self.groups[rg]
+        while tenant >= len(self.lines):
+            self.lines.append(deque())
+            self.deficit.append(0.0)
+            self.weight.append(1.0)
+        qy = Query()
+        qy.q, qy.rg, qy.tenant, qy.need, qy.coord = q, rg, tenant, memory, coord
+        qy.key = key if g.ordered else None
+        qy.cost = cost or self.mean[rg] or SECOND * g.threads
+        if cost:
+            self.learn(rg, cost)
+        now = self.now
+        qy.limit = now + left
+        # A client's later try has less time than a first one has: its target runs from the first.
+        self.longest[rg] = max(self.longest[rg], left)
+        first = now if left > self.longest[rg] - SECOND // 50 else now - max(0, g.timeout - left)
+        qy.target = min(first + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
+        # A wait for its key is no wait for room: it may take all the time that is of use.
+        qy.hold = self.last_start(qy)
+        if qy.key is None:
+            qy.hold = min(qy.hold, now + int(WAIT_PART * left))
+        qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
+        qy.ran_at, qy.ran_on, qy.known_slow, qy.charged, qy.priority, qy.share = None, -1, False, 0, -1, 0.0
+        self.queries[q] = qy
+        self.taken_at.append(now)
+        if qy.key is not None:
+            self.keys.setdefault(qy.key, deque()).append(qy)
+        line = self.lines[tenant]
+        if not line:
+            self.deficit[tenant] = 0.0
+            self.ring.append(tenant)
+        line.append(qy)
+
+    def ended(self, q, submission, engine, ending, elapsed, complete, work, memory, report):
+        qy = self.queries.get(q)
+        if qy is None or not qy.out:
+            return
+        g, now = self.groups[qy.rg], self.now
+        qy.out = False
+        self.running.pop(q, None)
+        self.mine[engine] -= g.threads
+        self.judge(qy, engine, ending, elapsed)
+        if ending >= TURNED_AWAY:
+            self.deficit[qy.tenant] += qy.charged
+        else:
+            true = work or elapsed * g.threads
+            self.deficit[qy.tenant] -= true - qy.charged
+            if ending == FINISHED:
+                if work:
+                    self.learn(qy.rg, work)
+            elif qy.ran_at is None:
+                qy.ran_at, qy.ran_on = qy.sent, engine
+        if ending in (NO_ANSWER, RESET, CANCELLED) and qy.key is not None:
+            self.rests[qy.key] = now + self.key_rest
+        if complete or ending == FINISHED:
+            qy.over = True
+        if qy.over:
+            self.forget(qy)
+        elif not self.may_resubmit(qy) or now >= qy.limit:
+            self.give_up(qy)
+        else:
+            self.again.append(qy)
+
+    def left(self, q):
+        qy = self.queries.get(q)
+        if qy is not None and not qy.over:
+            self.close(qy)
+
+    def due(self, token):
+        pass
+
+    def progress(self, q, submission, engine, what, amount):
+        qy = self.queries.get(q)
+        if qy is None or not qy.out or qy.over:
+            return
+        self.heard[engine] = self.now
+        if what == SHARE_DONE:
+            qy.share = amount
+            elapsed = self.now - qy.sent
+            still = elapsed * (1 - amount) / max(amount, 0.005)
+            if still > RUNAWAY * self.runs_for(qy, engine) + SECOND // 2 and self.may_renew(qy):
+                self.out.cancel(q, qy.tries - 1)
+                qy.known_slow = True
+
+    def engine(self, e, rank, state, zone, kind, cell, started, weight):
+        while e >= len(self.rank):
+            for column in (self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started,
+                           self.mine, self.bound, self.pace, self.best, self.failing, self.full_at, self.heard,
+                           self.aside, self.aside_for, self.trial, self.moved, self.sent_work):
+                column.append(None)
+        if self.rank[e] != rank or self.started[e] != started:
+            self.cores[e] = cores = self.cores_of[kind] if kind < len(self.cores_of) else 1
+            self.bound[e] = BOUND_THREADS * cores / self.gateways
+            self.pace[e] = self.best[e] = 1.0
+            self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
+            self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
+            if self.rank[e] != rank:
+                self.mine[e], self.sent_work[e] = 0, deque()
+        self.rank[e], self.state[e], self.where[e], self.kind[e] = rank, state, zone, kind
+        self.cell[e], self.started[e] = cell, started
+        self.orders.clear()
+
+    def list_lost(self):
+        self.ask_at = self.now + SECOND
+
+    # What is known of work and engines
+
+    def learn(self, rg, work):
+        self.mean[rg] += (work - self.mean[rg]) * 0.02 if self.mean[rg] else work
+        self.mean_all += (work - self.mean_all) * 0.02 if self.mean_all else work
+
+    def runs_for(self, qy, engine=None):
+        alone = qy.cost / self.groups[qy.rg].threads
+        return alone * (self.pace[engine] if engine is not None else 1.0)
+
+    def last_start(self, qy):
+        g = self.groups[qy.rg]
+        end = qy.target if g.late_value == 0 else qy.limit
+        return int(end - qy.cost / g.threads)
+
+    def warmth(self, e):
+        age = self.now - self.started[e]
+        if not self.started[e] or age >= self.cold_time:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold_time
+
+    def judge(self, qy, e, ending, elapsed):
+        if ending == FINISHED:
+            pace = elapsed * self.groups[qy.rg].threads / max(qy.cost, 10)
+            self.pace[e] += (pace - self.pace[e]) * 0.1
+            self.best[e] = min(self.best[e] * 1.0005, max(self.pace[e], 0.5))
+            self.failing[e] *= 0.8
+            self.heard[e] = self.now
+            self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
+            if self.pressed(e) and pace < PRESSED * self.best[e] and self.now - self.moved[e] > SECOND // 4:
+                self.bound[e], self.moved[e] = self.bound[e] + 1, self.now
+        elif ending == TURNED_AWAY:
+            self.full_at[e] = self.heard[e] = self.now
+            if self.now - self.moved[e] > SECOND // 4:
+                self.bound[e], self.moved[e] = max(1.0, self.bound[e] * 0.8), self.now
+        elif ending in (ERROR, RESET, NO_CONNECTION) or (ending == NO_ANSWER and self.heard[e] < qy.sent):
+            self.failing[e] += (1 - self.failing[e]) * 0.2
+            if self.failing[e] > FAILING or self.trial[e]:
+                self.set_aside(e)
+
+    def set_aside(self, e):
+        if self.now < self.aside[e]:
+            return
+        self.aside[e] = self.now + self.aside_for[e]
+        self.aside_for[e] = min(ASIDE_MOST, self.aside_for[e] * 2)
+        self.trial[e] = True
+
+    def pressed(self, e):
+        return self.pace[e] > PRESSED * self.best[e] or self.now - self.full_at[e] < SECOND
+
+    # Where a query may go
+
+    def order_of(self, coord):
+        order = self.orders.get(coord)
+        if order is None:
+            mark = str(coord).encode()
+            ready = [e for e in range(len(self.rank)) if self.state[e] == READY]
+            order = sorted(ready, key=lambda e: blake2b(self.rank[e] + b"/" + mark, digest_size=8).digest())
+            self.orders[coord] = order
+        return order
+
+    def permitted(self, qy, e):
+        g = self.groups[qy.rg]
+        if g.zones is not None and self.where[e] not in g.zones:
+            return False
+        if g.kinds is not None and self.kind[e] not in g.kinds:
+            return False
+        if qy.ran_at is not None and g.effect == TOKENED:
+            # Only those that know the token discard the repeat.
+            if g.drops_repeats == ANY_ENGINE:
+                return True
+            same = self.where if g.drops_repeats == SAME_ZONE else self.cell
+            return same[e] == same[qy.ran_on]
+        return True
+
+    def cold_room(self, qy, e):
+        g, window = self.groups[qy.rg], self.fall_time
+        sent = self.sent_work[e]
+        while sent and sent[0][0] <= self.now - window:
+            sent.popleft()
+        work = sum(w for _, w in sent) + max(self.mean[qy.rg], 1.0)
+        return work <= self.fall_work * self.cores[e] * self.warmth(e)
+
+    def room(self, qy, e):
+        warmth = self.warmth(e)
+        if warmth < 1.0:
+            if not self.cold_room(qy, e):
+                return False
+        if self.mine[e] <= 0:
+            return True
+        if self.trial[e]:
+            return False
+        return not (warmth < 1.0 or self.pressed(e)) or self.mine[e] < self.bound[e] * warmth
+
+    def place(self, qy):
+        """The engine for a query; -1 where none may take it at all, None where none has room now."""
+        allowed = [e for e in self.order_of(qy.coord) if self.permitted(qy, e)]
+        if not allowed:
+            return -1
+        usable = [e for e in allowed if self.aside[e] <= self.now and not (qy.tries and e == qy.engine)]
+        # More than half aside at once is no fault of the engines: a common cause, and nowhere better to go.
+        if 2 * len(usable) < len(allowed):
+            usable = allowed
+        found = [e for e in usable[:FIRST_ENGINES] if self.room(qy, e)]
+        if found:
+            return min(found, key=lambda e: self.mine[e] / (self.cores[e] * self.warmth(e)))
+        for e in usable[FIRST_ENGINES:]:
+            if self.room(qy, e):
+                return e
+        return None
+
+    # What leaves
+
+    def key_free(self, qy):
+        if qy.key is None:
+            return True
+        return self.keys[qy.key][0] is qy and self.now >= self.rests.get(qy.key, 0)
+
+    def head(self, tenant):
+        for qy in self.lines[tenant]:
+            if not self.key_free(qy):
+                continue
+            e = self.place(qy)
+            if e is None:
+                return qy, None
+            if e >= 0:
+                return qy, e
+        return None, None
+
+    def release(self):
+        """Deficit round robin. A quantum is only added on a visit that finds room for its query."""
+        ring, idle = self.ring, 0
+        short = []
+        while ring and idle < len(ring):
+            self.at %= len(ring)
+            tenant = ring[self.at]
+            qy, e = self.head(tenant)
+            if e is None:
+                idle += 1
+                self.at += 1
+                continue
+            quantum = self.quantum(tenant)
+            self.deficit[tenant] += quantum
+            if qy.cost > self.deficit[tenant]:
+                idle += 1
+                self.at += 1
+                short.append((tenant, qy.cost, quantum))
+                if idle >= len(ring):
+                    # A dry lap: the laps up to the next release are taken in one step.
+                    laps = min((cost - self.deficit[t]) // quantum for t, cost, quantum in short)
+                    for t, _, quantum in short:
+                        self.deficit[t] += laps * quantum
+                    idle, short = 0, []
+                continue
+            idle, short = 0, []
+            self.deficit[tenant] -= qy.cost
+            self.lines[tenant].remove(qy)
+            self.submit(qy, e)
+            if self.lines[tenant]:
+                self.at += 1
+            else:
+                ring.remove(tenant)
+        self.release_again()
+
+    def quantum(self, tenant):
+        return (QUANTUM_MEANS * self.mean_all or SECOND) * self.weight[tenant]
+
+    def release_again(self):
+        for _ in range(len(self.again)):
+            qy = self.again.popleft()
+            if qy.over:
+                continue
+            if not self.may_resubmit(qy):
+                self.give_up(qy)
+                continue
+            e = self.place(qy) if self.budget_left() else None
+            if e is None or e < 0:
+                self.again.append(qy)
+                continue
+            self.extra_at.append(self.now)
+            self.deficit[qy.tenant] -= qy.cost
+            self.submit(qy, e)
+
+    def budget_left(self):
+        if not self.extra_window:
+            return True
+        # The ends of the window are cut against this gateway: extras count longer than queries taken.
+        while self.extra_at and self.extra_at[0] < self.now - self.extra_window - 2:
+            self.extra_at.popleft()
+        while self.taken_at and self.taken_at[0] <= self.now - self.extra_window + 4:
+            self.taken_at.popleft()
+        return len(self.extra_at) + 1 <= self.extra_free + self.extra_share * len(self.taken_at)
+
+    def submit(self, qy, e):
+        g = self.groups[qy.rg]
+        qy.engine, qy.sent, qy.out, qy.charged, qy.share = e, self.now, True, qy.cost, 0.0
+        qy.tries += 1
+        self.mine[e] += g.threads
+        if self.warmth(e) < 1.0:
+            self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
+        self.running[qy.q] = qy
+        if self.priorities:
+            self.set_priority(qy)
+        self.out.submit(qy.q, e, 0)
+
+    def set_priority(self, qy):
+        g = self.groups[qy.rg]
+        dense = [x.value / (self.mean[n] or SECOND) for n, x in enumerate(self.groups)]
+        mine = dense[qy.rg]
+        priority = 3 if mine >= max(dense) else 1
+        if self.now > qy.target and g.late_value == 0:
+            priority = 0
+        if priority != qy.priority:
+            qy.priority = priority
+            self.out.terms(qy.q, priority, 0)
+
+    # What ends
+
+    def may_resubmit(self, qy):
+        g = self.groups[qy.rg]
+        if qy.tries >= self.most_tries or self.now >= self.last_start(qy):
+            return False
+        if qy.ran_at is None or g.effect == READ_ONLY:
+            return True
+        return g.effect == TOKENED and self.now < qy.ran_at + g.repeat_window
+
+    def may_renew(self, qy):
+        return (self.may_cancel and not qy.known_slow and self.groups[qy.rg].effect == READ_ONLY
+                and qy.tries < self.most_tries and self.now + self.runs_for(qy) < qy.limit
+                and self.budget_left())
+
+    def give_up(self, qy):
+        g = self.groups[qy.rg]
+        clean = qy.ran_at is None and not qy.out
+        if clean or g.effect == READ_ONLY or (g.effect == TOKENED and g.drops_repeats == ANY_ENGINE):
+            self.out.defer(qy.q, self.advice)
+        else:
+            self.out.kill(qy.q)
+        self.close(qy)
+
+    def close(self, qy):
+        """The query has its final answer, or needs none."""
+        if qy.out:
+            qy.over = True
+            if self.may_cancel:
+                self.out.cancel(qy.q, qy.tries - 1)
+            return
+        if not qy.tries:
+            line = self.lines[qy.tenant]
+            line.remove(qy)
+            if not line:
+                self.ring.remove(qy.tenant)
+        qy.over = True
+        self.forget(qy)
+
+    def forget(self, qy):
+        if qy.key is not None:
+            line = self.keys[qy.key]
+            line.remove(qy)
+            if not line:
+                del self.keys[qy.key]
+        self.queries.pop(qy.q, None)
+
+    def sweep(self):
+        now = self.now
+        self.next_sweep = now + SWEEP
+        for tenant in list(self.ring):
+            for qy in [qy for qy in self.lines[tenant] if now >= qy.hold]:
+                self.give_up(qy)
+        for key in [key for key, until in self.rests.items() if now >= until]:
+            del self.rests[key]
+        if not self.extra_window:
+            self.taken_at.clear()
+        late = [0] * len(self.rank)
+        for qy in list(self.running.values()):
+            if qy.over:
+                continue
+            e, g = qy.engine, self.groups[qy.rg]
+            if now >= qy.limit:
+                self.out.kill(qy.q)
+                self.close(qy)
+            elif self.may_cancel and g.effect == READ_ONLY and g.late_value == 0 and now > qy.target:
+                self.give_up(qy)
+            elif now - qy.sent > 3 * self.runs_for(qy, e) + SECOND // 2 and self.heard[e] < qy.sent:
+                late[e] += 1
+        self.silent(late)
+
+    def silent(self, late):
+        for e, count in enumerate(late):
+            if count >= 2 and self.now >= self.aside[e]:
+                self.set_aside(e)
+                for qy in list(self.running.values()):
+                    if qy.engine == e and not qy.over and self.may_renew(qy):
+                        self.out.cancel(qy.q, qy.tries - 1)
+                        qy.known_slow = True
+
+
+HANDLERS = (
+    Gateway.taken, Gateway.ended, Gateway.left, Gateway.due, Gateway.progress, Gateway.engine,
+    Gateway.list_lost,
+)
--- /dev/null
+++ b/wickvane/wirehost/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from wickvane.wirehost.host import serve
+
+sys.exit(serve(sys.stdin, sys.stdout, sys.stderr))
--- /dev/null
+++ b/wickvane/wirehost/host.py
@@ -0,0 +1,230 @@
+"""Reads batches from the simulator's wire, runs each instance on its own events, writes the reply."""
+
+import json
+
+from wickvane import interface as i
+from wickvane.choice import Gateway
+from wickvane.wirehost.startup import Names, deployment, tenths
+
+ENDINGS = {
+    "served": i.FINISHED, "server_error": i.ERROR, "no_answer": i.NO_ANSWER, "connection_lost": i.RESET,
+    "called_off": i.CANCELLED, "turned_away": i.TURNED_AWAY, "no_connection": i.NO_CONNECTION,
+    "not_sent": i.NOT_SENT,
+}
+STATES = {"IN": i.READY, "LAME": i.DRAINING, "OUT": i.GONE}
+
+
+class Indices:
+    """Ids to small indices that are used again, the lowest free one last freed first."""
+
+    def __init__(self):
+        self.of, self.names, self.free = {}, [], []
+
+    def add(self, name):
+        if name in self.of:
+            return self.of[name]
+        if self.free:
+            n = self.free.pop()
+            self.names[n] = name
+        else:
+            n = len(self.names)
+            self.names.append(name)
+        self.of[name] = n
+        return n
+
+    def drop(self, name):
+        n = self.of.pop(name)
+        self.names[n] = None
+        self.free.append(n)
+
+
+class Instance:
+    """One gateway's ids and its module. It is also the writer that the module is handed."""
+
+    def __init__(self, seed, params):
+        self.zones, self.kinds = Names(params.get("zones") or ()), Names(params.get("host_types") or ())
+        self.groups = Names(c["name"] for c in params["classes"])
+        self.tenants = Names(a["name"] for a in params.get("accounts") or ())
+        self.queries, self.engines = Indices(), Indices()
+        self.open = {}  # q: submissions without an ending; the query itself counts as one until it ends
+        self.ended = set()
+        self.sent, self.listed = {}, {}
+        self.events, self.actions = [], []
+        self.gateway = Gateway(seed, deployment(params, self.zones, self.kinds))
+
+    # Events
+
+    def read(self, item, lists):
+        handler = self.READERS.get(item["type"])
+        if handler:
+            handler(self, item, lists)
+
+    def job_in(self, item, lists):
+        q = self.queries.add(item["id"])
+        self.open[q] = 0
+        tenant = item.get("client_group")
+        self.events.append((
+            i.TAKEN, q, self.groups.index[item["profile"]], self.tenants(tenant) if tenant else 0,
+            tenths(item.get("expected_ms")), item.get("ram_mb") or 0, item.get("source_set") or 0,
+            item.get("table"), tenths(item["remaining_ms"]),
+        ))
+
+    def verdict(self, item, lists):
+        q, node = self.queries.of.get(item["id"]), item["node"]
+        if q is None or node not in self.engines.of:
+            return
+        e = self.engines.of[node]
+        self.open[q] -= 1
+        self.sent[node] -= 1
+        stats = int(item.get("stats") or 0)
+        self.events.append((
+            i.ENDED, q, item["attempt"], e, ENDINGS[item["result"]], tenths(item.get("delay_seen_ms")),
+            bool(item.get("complete")), (stats >> 12) * 10, (stats & 4095) * 4, item.get("load"),
+        ))
+        if item.get("complete"):
+            self.ended.add(q)
+
+    def aborted(self, item, lists):
+        q = self.queries.of.get(item["id"])
+        if q is not None:
+            self.events.append((i.LEFT, q))
+            self.ended.add(q)
+
+    def due(self, item, lists):
+        self.events.append((i.DUE, item["token"]))
+
+    def update_of(self, item, lists):
+        q, e = self.queries.of.get(item["id"]), self.engines.of.get(item["node"])
+        if q is not None and e is not None:
+            amount = item.get("amount") or 0
+            self.events.append((i.PROGRESS, q, item["attempt"], e, item["what"], amount))
+
+    def registry(self, item, lists):
+        if item["mode"] == "refused":
+            self.events.append((i.LIST_LOST,))
+            return
+        entries = lists[item["table"]]
+        if item["mode"] != "changes":
+            named = {entry["node"] for entry in entries}
+            for node in [n for n in self.listed if n not in named]:
+                self.list_engine({**self.listed[node], "phase": "OUT"})
+        for entry in entries:
+            self.list_engine(entry)
+
+    def list_engine(self, entry):
+        node, state = entry["node"], STATES[entry["phase"]]
+        if state == i.GONE and node not in self.engines.of:
+            return
+        e = self.engines.add(node)
+        self.sent.setdefault(node, 0)
+        self.events.append((
+            i.ENGINE, e, node.encode(), state, self.zones(entry.get("failure_domain")),
+            self.kinds(entry.get("family_type")), entry.get("cohort") or 0,
+            tenths(entry.get("up_since_ms")), entry.get("heft") or 1.0,
+        ))
+        if state == i.GONE:
+            self.listed.pop(node, None)
+        else:
+            self.listed[node] = entry
+
+    READERS = {
+        "job_in": job_in, "verdict": verdict, "aborted": aborted, "due": due, "update_of": update_of,
+        "registry": registry,
+    }
+
+    def round(self, now):
+        events, self.events, self.actions = self.events, [], []
+        try:
+            self.gateway.round(now, events, self)
+        except Exception as error:
+            at = error.__traceback__
+            while at.tb_next:
+                at = at.tb_next
+            text = f"{type(error).__name__}: {error} (line {at.tb_lineno})"
+            return [{"type": "panic", "note_text": text}]
+        for q in sorted(self.ended):
+            if not self.open[q]:
+                self.ended.discard(q)
+                del self.open[q]
+                self.queries.drop(self.queries.names[q])
+        for node in [n for n, count in self.sent.items() if not count and n not in self.listed]:
+            del self.sent[node]
+            self.engines.drop(node)
+        return self.actions
+
+    # Decisions
+
+    def act(self, kind, **fields):
+        self.actions.append({"type": kind, **fields})
+
+    def submit(self, q, engine, wait):
+        node = self.engines.names[engine]
+        self.open[q] += 1
+        self.sent[node] += 1
+        self.act("hand_off", id=self.queries.names[q], node=node, max_wait_ms=wait / 10)
+
+    def defer(self, q, stay_away):
+        self.act("push_back", id=self.queries.names[q], hold_off_ms=stay_away / 10)
+        self.ended.add(q)
+
+    def kill(self, q):
+        self.act("abort", id=self.queries.names[q])
+        self.ended.add(q)
+
+    def cancel(self, q, submission):
+        self.act("recall", id=self.queries.names[q], attempt=submission)
+
+    def terms(self, q, priority, grant):
+        self.act("set_terms", id=self.queries.names[q], priority=priority, memory_grant=grant)
+
+    def alarm(self, token, at):
+        self.act("set_alarm", token=token, at_ms=at / 10)
+
+    def watch_list(self, on):
+        self.act("stream_changes", on=on)
+
+    def note(self, text):
+        self.act("journal_line", note_text=text)
+
+
+def answer(batch, instances, lists):
+    now, groups, acted = tenths(batch["now_ms"]), [], []
+    for group in batch["groups"]:
+        name = group["dispatcher"]
+        for item in group["items"]:
+            kind = item["type"]
+            if kind == "manifest":
+                lists[item["table"]] = item["entries"]
+            elif kind == "new_instance":
+                instances[name] = Instance(item["salt"], item["params"])
+            elif kind == "detach":
+                instances.pop(name, None)
+            elif name in instances:
+                instances[name].read(item, lists)
+        if name in instances and name not in acted:
+            acted.append(name)
+    for name in acted:
+        if name in instances:
+            do = instances[name].round(now)
+            if do:
+                groups.append({"dispatcher": name, "do": do})
+    return {"groups": groups}
+
+
+def serve(lines, replies, errors):
+    instances, lists = {}, {}
+    for number, line in enumerate(lines, 1):
+        try:
+            reply = answer(json.loads(line), instances, lists)
+        except ValueError as error:
+            print(f"wirehost: line {number} cannot be read: {error}", file=errors)
+            return 1
+        except (KeyError, IndexError) as error:
+            print(f"wirehost: line {number} lacks, or does not know, {error}", file=errors)
+            return 1
+        except (TypeError, AttributeError) as error:
+            print(f"wirehost: line {number} has a value of the wrong form: {error}", file=errors)
+            return 1
+        replies.write(json.dumps(reply, separators=(",", ":")) + "\n")
+        replies.flush()
+    return 0
--- /dev/null
+++ b/wickvane/wirehost/startup.py
@@ -0,0 +1,85 @@
+"""The wire's start-up settings, put into the words of wickvane.interface."""
+
+from math import ceil
+
+from wickvane import interface as i
+
+EFFECTS = {"safe": i.READ_ONLY, "keyed": i.TOKENED, "unsafe": i.MUTATING}
+REPEATS = {"all": i.ANY_ENGINE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
+
+
+def tenths(ms):
+    return int(ms * 10 + 1e-6) if ms else 0
+
+
+def at_least(ms):
+    # One tenth more: the clock itself is cut to whole tenths at both ends of a wait.
+    return ceil(ms * 10 - 1e-6) + 1 if ms else 0
+
+
+class Names:
+    """Names to small indices, in the order the wire first gave them."""
+
+    def __init__(self, names=()):
+        self.index = {}
+        for name in names:
+            self(name)
+
+    def __call__(self, name):
+        return self.index.setdefault(name, len(self.index))
+
+
+def resource_group(c, n, family, zones, kinds):
+    def flag(name):
+        return bool((family.get(name) or [False] * (n + 1))[n])
+
+    only_zones, only_kinds = c.get("zones_only"), c.get("host_types_open")
+    return i.ResourceGroup(
+        effect=EFFECTS[c["effect"]],
+        drops_repeats=REPEATS[c.get("group") or "all"],
+        repeat_window=max(0, tenths(c.get("repeat_window_ms")) - 1),
+        promise=tenths(c["promise_ms"]),
+        stretch=c.get("aim_stretch") or 0.0,
+        timeout=tenths(c["deadline_ms"]),
+        value=c.get("worth", 1.0),
+        late_value=c.get("late_worth") or 0.0,
+        ordered=bool(c.get("sequential")),
+        zones=frozenset(map(zones, only_zones)) if only_zones is not None else None,
+        kinds=frozenset(map(kinds, only_kinds)) if only_kinds is not None else None,
+        threads=(family.get("class_threads") or [1] * (n + 1))[n],
+        loads=flag("writes_tables"),
+        stands_behind_loads=flag("yields_to_loads"),
+    )
+
+
+def deployment(params, zones, kinds):
+    family, limits = params.get("family_info") or {}, params["limits"]
+    rules = params["obligations"]
+    accounts = params.get("accounts") or []
+    budgeted = "budget_window_ms" in rules
+    return i.Deployment(
+        groups=[resource_group(c, n, family, zones, kinds) for n, c in enumerate(params["classes"])],
+        tenants=[(a.get("share") or 0.0, a.get("quota_per_s") or 0.0) for a in accounts],
+        cores=family.get("size_cores") or [],
+        memory=family.get("size_mb") or [],
+        gateways=max(1, params.get("fleet_size") or 1),
+        zone=zones(params["az"]),
+        most_submissions=limits.get("max_attempts") or 1,
+        may_cancel=bool(limits.get("cancel")),
+        grants=bool(family.get("memory_heeded")),
+        priorities=bool(family.get("priorities")),
+        most_grant=family.get("most_grant") or 1.0,
+        note_period=tenths(family.get("note_period_ms")),
+        asks_for_list=params.get("membership_mode") == "subscribe",
+        ask_within=tenths(rules.get("ask_within_ms")),
+        key_rest=at_least(rules.get("key_rest_ms")),
+        extra_free=rules.get("extra_free") or 0.0,
+        extra_share=rules.get("further_ratio") or 0.0,
+        extra_window=at_least(rules["budget_window_ms"]) if budgeted else 0,
+        cold_from=rules.get("cold_from") or 1.0,
+        cold_time=at_least(rules.get("cold_ms")),
+        fall_multiple=rules.get("fall_multiple") or 1.0,
+        fall_time=at_least(rules.get("fall_ms")),
+        longest_advice=tenths(limits.get("max_retry_after_ms")) if limits.get("retry_after") else 0,
+        reports=list((params.get("report") or {}).get("fields") or []),
+    )
