--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -4,8 +4,8 @@
 once a round with all that came in. Decisions go straight into out, the Writer of wickvane/interface.py, which
 also says what the events are. Times are whole tenths of a millisecond; work is such a time of one thread.
 
-The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct, reset,
-hash order of table groups, a thread bound under pressure. Mechanisms beside it:
+The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct,
+reset, hash order of table groups, a thread bound under pressure. Mechanisms beside it:
  1 warm-up: a cold engine counts for a part of its cores, and what it is sent is held under the collapse rule
  2 aside: an engine that fails, or is silent while others answer, gets nothing until a single trial succeeds
  3 usefulness: a query that cannot earn its value in time gives way at once, also when it runs already
@@ -36,7 +36,7 @@
 SECOND = 10_000
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
 BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
-PRESSED = 2.0  # latency above its best at which the bound binds
+PRESSED = 1.5  # latency above its best at which the bound binds
 QUANTUM_MEANS = 2.0
 WAIT_PART = 0.2  # of a query's time that it may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
@@ -141,6 +141,9 @@
         if qy.key is not None:
             self.keys.setdefault(qy.key, deque()).append(qy)
         line = self.lines[tenant]
+        if now >= qy.hold:
+            self.give_up(qy)
+            return
         if not line:
             self.deficit[tenant] = 0.0
             self.ring.append(tenant)
@@ -199,9 +202,11 @@
 
     def engine(self, e, rank, state, zone, kind, cell, started, weight):
         while e >= len(self.rank):
-            for column in (self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started,
-                           self.mine, self.bound, self.pace, self.best, self.failing, self.full_at, self.heard,
-                           self.aside, self.aside_for, self.trial, self.moved, self.sent_work):
+            for column in (
+                self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
+                self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
+                self.aside_for, self.trial, self.moved, self.sent_work,
+            ):
                 column.append(None)
         if self.rank[e] != rank or self.started[e] != started:
             self.cores[e] = cores = self.cores_of[kind] if kind < len(self.cores_of) else 1
@@ -243,7 +248,7 @@
         if ending == FINISHED:
             pace = elapsed * self.groups[qy.rg].threads / max(qy.cost, 10)
             self.pace[e] += (pace - self.pace[e]) * 0.1
-            self.best[e] = min(self.best[e] * 1.0005, max(self.pace[e], 0.5))
+            self.best[e] = min(self.best[e] * 1.00002, max(self.pace[e], 0.5))
             self.failing[e] *= 0.8
             self.heard[e] = self.now
             self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
@@ -294,9 +299,8 @@
         return True
 
     def cold_room(self, qy, e):
-        g, window = self.groups[qy.rg], self.fall_time
         sent = self.sent_work[e]
-        while sent and sent[0][0] <= self.now - window:
+        while sent and sent[0][0] <= self.now - self.fall_time:
             sent.popleft()
         work = sum(w for _, w in sent) + max(self.mean[qy.rg], 1.0)
         return work <= self.fall_work * self.cores[e] * self.warmth(e)
@@ -465,8 +469,8 @@
             if self.may_cancel:
                 self.out.cancel(qy.q, qy.tries - 1)
             return
-        if not qy.tries:
-            line = self.lines[qy.tenant]
+        line = self.lines[qy.tenant]
+        if not qy.tries and qy in line:
             line.remove(qy)
             if not line:
                 self.ring.remove(qy.tenant)
