--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -37,6 +37,9 @@
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
 BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
 PRESSED = 1.5  # latency above its best at which the bound binds
+COMFORT, STRAIN = 2.0, 4.0  # latency above its best up to which the bound grows, and from which it is cut
+BOUND_LEAST, BOUND_MOST = 0.4, 1.25  # of the bound's start
+LAGGING = 0.25  # share of an engine's open threads past the latency of pressure that shows it too
 QUANTUM_MEANS = 2.0
 WAIT_PART = 0.2  # of a query's time that it may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
@@ -84,7 +87,7 @@
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work = []
+        self.sent_work, self.lagging = [], []
         self.orders = {}
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
@@ -205,7 +208,7 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
-                self.aside_for, self.trial, self.moved, self.sent_work,
+                self.aside_for, self.trial, self.moved, self.sent_work, self.lagging,
             ):
                 column.append(None)
         if self.rank[e] != rank or self.started[e] != started:
@@ -213,6 +216,7 @@
             self.bound[e] = BOUND_THREADS * cores / self.gateways
             self.pace[e] = self.best[e] = 1.0
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
+            self.lagging[e] = False
             self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e] = 0, deque()
@@ -252,17 +256,25 @@
             self.failing[e] *= 0.8
             self.heard[e] = self.now
             self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
-            if self.pressed(e) and pace < PRESSED * self.best[e] and self.now - self.moved[e] > SECOND // 4:
-                self.bound[e], self.moved[e] = self.bound[e] + 1, self.now
+            if self.pace[e] > STRAIN * self.best[e]:
+                self.cut_bound(e)
+            elif (self.pace[e] < COMFORT * self.best[e] and self.mine[e] >= self.bound[e] - 2
+                    and self.now - self.moved[e] > SECOND // 4):
+                most = BOUND_MOST * BOUND_THREADS * self.cores[e] / self.gateways
+                self.bound[e], self.moved[e] = min(most, self.bound[e] + 1), self.now
         elif ending == TURNED_AWAY:
             self.full_at[e] = self.heard[e] = self.now
-            if self.now - self.moved[e] > SECOND // 4:
-                self.bound[e], self.moved[e] = max(1.0, self.bound[e] * 0.8), self.now
+            self.cut_bound(e)
         elif ending in (ERROR, RESET, NO_CONNECTION) or (ending == NO_ANSWER and self.heard[e] < qy.sent):
             self.failing[e] += (1 - self.failing[e]) * 0.2
             if self.failing[e] > FAILING or self.trial[e]:
                 self.set_aside(e)
 
+    def cut_bound(self, e):
+        if self.now - self.moved[e] > SECOND // 4:
+            least = BOUND_LEAST * BOUND_THREADS * self.cores[e] / self.gateways
+            self.bound[e], self.moved[e] = max(least, self.bound[e] * 0.85), self.now
+
     def set_aside(self, e):
         if self.now < self.aside[e]:
             return
@@ -271,7 +283,8 @@
         self.trial[e] = True
 
     def pressed(self, e):
-        return self.pace[e] > PRESSED * self.best[e] or self.now - self.full_at[e] < SECOND
+        return (self.pace[e] > PRESSED * self.best[e] or self.lagging[e]
+                or self.now - self.full_at[e] < SECOND)
 
     # Where a query may go
 
@@ -495,11 +508,14 @@
             del self.rests[key]
         if not self.extra_window:
             self.taken_at.clear()
-        late = [0] * len(self.rank)
+        late, behind = [0] * len(self.rank), [0] * len(self.rank)
         for qy in list(self.running.values()):
+            e, g = qy.engine, self.groups[qy.rg]
+            # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
+            if now - qy.sent > PRESSED * self.best[e] * qy.cost / g.threads + SECOND // 20:
+                behind[e] += g.threads
             if qy.over:
                 continue
-            e, g = qy.engine, self.groups[qy.rg]
             if now >= qy.limit:
                 self.out.kill(qy.q)
                 self.close(qy)
@@ -507,6 +523,8 @@
                 self.give_up(qy)
             elif now - qy.sent > 3 * self.runs_for(qy, e) + SECOND // 2 and self.heard[e] < qy.sent:
                 late[e] += 1
+        for e, threads in enumerate(behind):
+            self.lagging[e] = threads > LAGGING * self.mine[e]
         self.silent(late)
 
     def silent(self, late):
