--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -13,8 +13,10 @@
  5 urgency: priorities by value a unit of work, where engines heed them
 """
 
+from bisect import insort
 from collections import deque
 from hashlib import blake2b
+from operator import attrgetter
 from random import Random
 
 from wickvane.interface import (
@@ -50,10 +52,14 @@
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
 
 
+DENSITY = attrgetter("density")
+
+
 class Query:
     __slots__ = (
         "q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out", "engine",
         "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "charged", "priority", "share",
+        "density",
     )
 
 
@@ -80,7 +86,7 @@
         self.longest = [0] * len(site.groups)
         shares = [share for share, _ in site.tenants]
         self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
-        self.lines, self.deficit = [deque() for _ in shares], [0.0] * len(shares)
+        self.lines, self.deficit = [[] for _ in shares], [0.0] * len(shares)
         self.ring, self.at = [], 0
         # Engines, by index
         self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
@@ -118,7 +124,7 @@
     def taken(self, q, rg, tenant, cost, memory, coord, key, left):
         g = self.groups[rg]
         while tenant >= len(self.lines):
-            self.lines.append(deque())
+            self.lines.append([])
             self.deficit.append(0.0)
             self.weight.append(1.0)
         qy = Query()
@@ -150,7 +156,9 @@
         if not line:
             self.deficit[tenant] = 0.0
             self.ring.append(tenant)
-        line.append(qy)
+        # A shortage falls on the least value for the work, not on whoever came behind a long query.
+        qy.density = -g.value / max(qy.cost, 10)
+        insort(line, qy, key=DENSITY)
 
     def ended(self, q, submission, engine, ending, elapsed, complete, work, memory, report):
         qy = self.queries.get(q)
