--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,6 +1,6 @@
 """The design's path, without the bench."""
 
-from bench_free import Gateways, group, site
+from bench_free import Gateways, group, i, site
 
 
 def test_a_query_reaches_an_engine_and_its_charge_is_corrected():
@@ -11,3 +11,15 @@
     g.end(q, work=1800)
     assert g.gateway.deficit[0] % 1 == 0
     assert not g.gateway.queries
+
+
+def test_a_waiting_line_is_not_sent_at_once_to_the_first_engine_at_ease():
+    g = Gateways(site([group()]))
+    g.engines(2)
+    first = [g.take() for _ in range(40)]
+    g.end(first[0], ending=i.TURNED_AWAY, elapsed=3)
+    g.end(first[1], ending=i.TURNED_AWAY, elapsed=3)
+    later = [g.take(left=200_000) for _ in range(200)]
+    assert any(not g.sent[q] for q in later)
+    g.round(after=15_000)
+    assert len(g.out) < 100
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -47,6 +47,7 @@
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
+FULL_FIRST, FULL_MOST = SECOND // 100, SECOND // 2  # rest of an engine that is full
 FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
@@ -87,13 +88,13 @@
         shares = [share for share, _ in site.tenants]
         self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
         self.lines, self.deficit = [[] for _ in shares], [0.0] * len(shares)
-        self.ring, self.at = [], 0
+        self.ring, self.at, self.short = [], 0, False
         # Engines, by index
         self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work, self.lagging = [], []
+        self.sent_work, self.lagging, self.full_until, self.full_rest = [], [], [], []
         self.orders = {}
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
@@ -216,7 +217,8 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
-                self.aside_for, self.trial, self.moved, self.sent_work, self.lagging,
+                self.aside_for, self.trial, self.moved, self.sent_work, self.lagging, self.full_until,
+                self.full_rest,
             ):
                 column.append(None)
         if self.rank[e] != rank or self.started[e] != started:
@@ -224,7 +226,7 @@
             self.bound[e] = BOUND_THREADS * cores / self.gateways
             self.pace[e] = self.best[e] = 1.0
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
-            self.lagging[e] = False
+            self.lagging[e], self.full_until[e], self.full_rest[e] = False, 0, FULL_FIRST
             self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e] = 0, deque()
@@ -263,7 +265,7 @@
             self.best[e] = min(self.best[e] * 1.00002, max(self.pace[e], 0.5))
             self.failing[e] *= 0.8
             self.heard[e] = self.now
-            self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
+            self.trial[e], self.aside_for[e], self.full_rest[e] = False, ASIDE_FIRST, FULL_FIRST
             if self.pace[e] > STRAIN * self.best[e]:
                 self.cut_bound(e)
             elif (self.pace[e] < COMFORT * self.best[e] and self.mine[e] >= self.bound[e] - 2
@@ -271,7 +273,11 @@
                 most = BOUND_MOST * BOUND_THREADS * self.cores[e] / self.gateways
                 self.bound[e], self.moved[e] = min(most, self.bound[e] + 1), self.now
         elif ending == TURNED_AWAY:
+            # An engine that turns away at once looks idle: without a rest it draws every query in turn.
+            self.full_rest[e] = min(FULL_MOST, self.full_rest[e] * 2)
             self.full_at[e] = self.heard[e] = self.now
+            self.full_until[e] = self.now + self.full_rest[e]
+            self.bound[e] = min(self.bound[e], max(self.mine[e], 1.0))
             self.cut_bound(e)
         elif ending in (ERROR, RESET, NO_CONNECTION) or (ending == NO_ANSWER and self.heard[e] < qy.sent):
             self.failing[e] += (1 - self.failing[e]) * 0.2
@@ -328,14 +334,13 @@
 
     def room(self, qy, e):
         warmth = self.warmth(e)
-        if warmth < 1.0:
-            if not self.cold_room(qy, e):
-                return False
+        if self.now < self.full_until[e] or (warmth < 1.0 and not self.cold_room(qy, e)):
+            return False
         if self.mine[e] <= 0:
             return True
         if self.trial[e]:
             return False
-        return not (warmth < 1.0 or self.pressed(e)) or self.mine[e] < self.bound[e] * warmth
+        return not (warmth < 1.0 or self.short or self.pressed(e)) or self.mine[e] < self.bound[e] * warmth
 
     def place(self, qy):
         """The engine for a query; -1 where none may take it at all, None where none has room now."""
@@ -405,6 +410,8 @@
                 self.at += 1
             else:
                 ring.remove(tenant)
+        # What waits here is pressure too. Else the first engine at ease is sent the whole line at once.
+        self.short = bool(ring)
         self.release_again()
 
     def quantum(self, tenant):
