--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -16,9 +16,9 @@
 def site(groups, tenants=1, **changes):
     usual = dict(
         groups=groups, tenants=[(1 / tenants, 10.0)] * tenants, cores=[8, 4], memory=[16384.0, 8192.0],
-        gateways=1, zone=0, most_submissions=5, may_cancel=True, grants=False, priorities=True,
-        most_grant=0.4, note_period=0, asks_for_list=False, ask_within=0, key_rest=3000, extra_free=3.0,
-        extra_share=0.1, extra_window=0, cold_from=0.3, cold_time=150_000, fall_multiple=2.5,
+        gateways=1, zone=0, crossing=0.0, most_submissions=5, may_cancel=True, grants=False,
+        priorities=True, most_grant=0.4, note_period=0, asks_for_list=False, ask_within=0, key_rest=3000,
+        extra_free=3.0, extra_share=0.1, extra_window=0, cold_from=0.3, cold_time=150_000, fall_multiple=2.5,
         fall_time=30_000, longest_advice=0, reports=[],
     )
     return i.Deployment(**usual | changes)
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -68,7 +68,7 @@
     def __init__(self, seed, site):
         self.chance = Random(seed)
         self.groups, self.gateways = site.groups, site.gateways
-        self.cores_of, self.zone = site.cores, site.zone
+        self.cores_of, self.home = site.cores, site.zone if site.crossing else None
         self.most_tries, self.may_cancel = site.most_submissions, site.may_cancel
         self.priorities, self.advice = site.priorities, site.longest_advice
         self.notes = site.note_period
@@ -308,6 +308,9 @@
             mark = str(coord).encode()
             ready = [e for e in range(len(self.rank)) if self.state[e] == READY]
             order = sorted(ready, key=lambda e: blake2b(self.rank[e] + b"/" + mark, digest_size=8).digest())
+            # Where crossing is priced, the engines at hand come first, each part in the shared order.
+            if self.home is not None:
+                order.sort(key=lambda e: self.where[e] != self.home)
             self.orders[coord] = order
         return order
 
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -58,6 +58,7 @@
     memory: list[float]
     gateways: int
     zone: int
+    crossing: float  # the price of a submission to another location
     most_submissions: int
     may_cancel: bool
     grants: bool
--- a/wickvane/wirehost/startup.py
+++ b/wickvane/wirehost/startup.py
@@ -64,6 +64,7 @@
         memory=family.get("size_mb") or [],
         gateways=max(1, params.get("fleet_size") or 1),
         zone=zones(params["az"]),
+        crossing=(params.get("tariffs") or {}).get("cross_zone") or 0.0,
         most_submissions=limits.get("max_attempts") or 1,
         may_cancel=bool(limits.get("cancel")),
         grants=bool(family.get("memory_heeded")),
