--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -48,6 +48,7 @@
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 FULL_FIRST, FULL_MOST = SECOND // 100, SECOND // 2  # rest of an engine that is full
+GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
@@ -85,6 +86,8 @@
         self.taken_at, self.extra_at = deque(), deque()
         self.mean, self.mean_all = [0.0] * len(site.groups), 0.0
         self.longest = [0] * len(site.groups)
+        self.grants = site.grants
+        self.told_over, self.told_off = [1.0] * len(site.groups), [0.25] * len(site.groups)
         shares = [share for share, _ in site.tenants]
         self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
         self.lines, self.deficit = [[] for _ in shares], [0.0] * len(shares)
@@ -95,7 +98,7 @@
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
         self.sent_work, self.lagging, self.full_until, self.full_rest = [], [], [], []
-        self.orders = {}
+        self.orders, self.told_need = {}, False
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
             self.ask_at = 0
@@ -178,6 +181,11 @@
             if ending == FINISHED:
                 if work:
                     self.learn(qy.rg, work)
+                if memory and qy.need:
+                    off = memory / qy.need - self.told_over[qy.rg]
+                    self.told_over[qy.rg] += 0.05 * off
+                    self.told_off[qy.rg] += 0.05 * (abs(off) - self.told_off[qy.rg])
+                    self.told_need = True
             elif qy.ran_at is None:
                 qy.ran_at, qy.ran_on = qy.sent, engine
         if ending in (NO_ANSWER, RESET, CANCELLED) and qy.key is not None:
@@ -454,20 +462,24 @@
         if self.warmth(e) < 1.0:
             self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
-        if self.priorities:
-            self.set_priority(qy)
+        if self.priorities or self.grants:
+            self.set_terms(qy)
         self.out.submit(qy.q, e, 0)
 
-    def set_priority(self, qy):
+    def set_terms(self, qy):
         g = self.groups[qy.rg]
         dense = [x.value / (self.mean[n] or SECOND) for n, x in enumerate(self.groups)]
         mine = dense[qy.rg]
         priority = 3 if mine >= max(dense) else 1
         if self.now > qy.target and g.late_value == 0:
             priority = 0
-        if priority != qy.priority:
+        # A group's estimates lie to one side: too small a grant spills, too large a one is lost to others.
+        grant = 0
+        if self.grants and self.told_need and qy.need:
+            grant = qy.need * (self.told_over[qy.rg] + GRANT_MARGIN * self.told_off[qy.rg])
+        if priority != qy.priority or grant:
             qy.priority = priority
-            self.out.terms(qy.q, priority, 0)
+            self.out.terms(qy.q, priority, grant)
 
     # What ends
 
