--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -48,6 +48,7 @@
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 FULL_FIRST, FULL_MOST = SECOND // 100, SECOND // 2  # rest of an engine that is full
+LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
@@ -216,9 +217,8 @@
             qy.share = amount
             elapsed = self.now - qy.sent
             still = elapsed * (1 - amount) / max(amount, 0.005)
-            if still > RUNAWAY * self.runs_for(qy, engine) + SECOND // 2 and self.may_renew(qy):
-                self.out.cancel(q, qy.tries - 1)
-                qy.known_slow = True
+            if still > RUNAWAY * self.runs_for(qy, engine) + SECOND // 2:
+                self.renew([qy])
 
     def engine(self, e, rank, state, zone, kind, cell, started, weight):
         while e >= len(self.rank):
@@ -538,6 +538,7 @@
             del self.rests[key]
         if not self.extra_window:
             self.taken_at.clear()
+        lost = []
         late, behind = [0] * len(self.rank), [0] * len(self.rank)
         for qy in list(self.running.values()):
             e, g = qy.engine, self.groups[qy.rg]
@@ -551,20 +552,32 @@
                 self.close(qy)
             elif self.may_cancel and g.effect == READ_ONLY and g.late_value == 0 and now > qy.target:
                 self.give_up(qy)
-            elif now - qy.sent > 3 * self.runs_for(qy, e) + SECOND // 2 and self.heard[e] < qy.sent:
-                late[e] += 1
+            else:
+                since = now - qy.sent
+                if since > 3 * self.runs_for(qy, e) + SECOND // 2 and self.heard[e] < qy.sent:
+                    late[e] += 1
+                # Lost, hung or badly planned, whichever: notes that show it at work speak for it.
+                alone = min(max(1.0, self.pace[e]), 2.0) * qy.cost / g.threads
+                if since > LOST * alone + SECOND // 10 and not qy.share:
+                    lost.append(qy)
         for e, threads in enumerate(behind):
             self.lagging[e] = threads > LAGGING * self.mine[e]
+        # Many at once are a slowness shared by all, and moving them would only add to it.
+        if len(lost) <= LOST_MOST * len(self.running) + 1:
+            self.renew(lost)
         self.silent(late)
 
+    def renew(self, queries):
+        for qy in queries:
+            if not qy.over and self.may_renew(qy):
+                self.out.cancel(qy.q, qy.tries - 1)
+                qy.known_slow = True
+
     def silent(self, late):
         for e, count in enumerate(late):
             if count >= 2 and self.now >= self.aside[e]:
                 self.set_aside(e)
-                for qy in list(self.running.values()):
-                    if qy.engine == e and not qy.over and self.may_renew(qy):
-                        self.out.cancel(qy.q, qy.tries - 1)
-                        qy.known_slow = True
+                self.renew([qy for qy in self.running.values() if qy.engine == e])
 
 
 HANDLERS = (
