--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -41,7 +41,8 @@
             self.engine(e, **changes)
 
     def engine(self, e, state=i.READY, zone=0, kind=0, cell=0, started=0, name=None):
-        self.round((i.ENGINE, e, f"engine-{e if name is None else name}".encode(), state, zone, kind, cell, started, 1.0))
+        rank = f"engine-{e if name is None else name}".encode()
+        self.round((i.ENGINE, e, rank, state, zone, kind, cell, started, 1.0))
 
     def take(self, rg=0, tenant=0, cost=1000, coord=1, key=None, left=70_000):
         q, self.next_q = self.next_q, self.next_q + 1
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -119,6 +119,14 @@
     assert q in g.out
 
 
+def test_a_query_with_less_time_than_others_is_not_sent_away():
+    g = Gateways(site([group()]))
+    g.engines(2)
+    g.take(left=70_000)
+    q = g.take(left=20_000)
+    assert q in g.out
+
+
 def run_host(*lines):
     replies, errors = io.StringIO(), io.StringIO()
     return serve(lines, replies, errors), replies.getvalue(), errors.getvalue()
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -49,6 +49,7 @@
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 FULL_FIRST, FULL_MOST = SECOND // 100, SECOND // 2  # rest of an engine that is full
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
+LATER_TRY = 0.2  # of its value, that a query which looks like a late later try counts for
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
@@ -140,10 +141,7 @@
             self.learn(rg, cost)
         now = self.now
         qy.limit = now + left
-        # A client's later try has less time than a first one has: its target runs from the first.
-        self.longest[rg] = max(self.longest[rg], left)
-        first = now if left > self.longest[rg] - SECOND // 50 else now - max(0, g.timeout - left)
-        qy.target = min(first + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
+        qy.target = min(now + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
         # A wait for its key is no wait for room: it may take all the time that is of use.
         qy.hold = self.last_start(qy)
         if qy.key is None:
@@ -162,7 +160,11 @@
             self.deficit[tenant] = 0.0
             self.ring.append(tenant)
         # A shortage falls on the least value for the work, not on whoever came behind a long query.
-        qy.density = -g.value / max(qy.cost, 10)
+        # Less time than others had may be a later try, whose target ran from the first. It may also be a
+        # client in a hurry, so it only comes behind, and is not sent away.
+        self.longest[rg] = max(self.longest[rg], left)
+        again = left < self.longest[rg] - SECOND // 50 and qy.target < now + g.timeout - left
+        qy.density = -g.value * (LATER_TRY if again else 1) / max(qy.cost, 10)
         insort(line, qy, key=DENSITY)
 
     def ended(self, q, submission, engine, ending, elapsed, complete, work, memory, report):
