--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -93,7 +93,7 @@
         shares = [share for share, _ in site.tenants]
         self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
         self.lines, self.deficit = [[] for _ in shares], [0.0] * len(shares)
-        self.ring, self.at, self.short = [], 0, False
+        self.ring, self.at, self.visiting, self.short = [], 0, False, False
         # Engines, by index
         self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
         self.cores, self.started, self.mine, self.bound = [], [], [], []
@@ -231,6 +231,7 @@
                 self.full_rest,
             ):
                 column.append(None)
+            self.mine[-1] = 0
         if self.rank[e] != rank or self.started[e] != started:
             self.cores[e] = cores = self.cores_of[kind] if kind < len(self.cores_of) else 1
             self.bound[e] = BOUND_THREADS * cores / self.gateways
@@ -391,42 +392,48 @@
         return None, None
 
     def release(self):
-        """Deficit round robin. A quantum is only added on a visit that finds room for its query."""
-        ring, idle = self.ring, 0
-        short = []
-        while ring and idle < len(ring):
-            self.at %= len(ring)
-            tenant = ring[self.at]
+        """Deficit round robin. A visit adds one quantum and lasts while the next query fits and finds room.
+
+        One that is cut short by want of room goes on where it was, so that waiting pumps up no deficit."""
+        ring, blocked, short = self.ring, 0, {}
+        while ring and blocked < len(ring):
+            at = (self.at + blocked) % len(ring)
+            tenant = ring[at]
             qy, e = self.head(tenant)
             if e is None:
-                idle += 1
-                self.at += 1
+                blocked += 1
                 continue
-            quantum = self.quantum(tenant)
-            self.deficit[tenant] += quantum
+            if blocked or not self.visiting:
+                self.at, blocked, self.visiting = at, 0, True
+                self.deficit[tenant] += self.quantum(tenant)
             if qy.cost > self.deficit[tenant]:
-                idle += 1
-                self.at += 1
-                short.append((tenant, qy.cost, quantum))
-                if idle >= len(ring):
-                    # A dry lap: the laps up to the next release are taken in one step.
-                    laps = min((cost - self.deficit[t]) // quantum for t, cost, quantum in short)
-                    for t, _, quantum in short:
-                        self.deficit[t] += laps * quantum
-                    idle, short = 0, []
+                self.at, self.visiting = at + 1, False
+                if tenant in short:
+                    # A dry lap: the laps up to the next release are taken in one step, against deep debts.
+                    laps = min((cost - self.deficit[t]) // self.quantum(t) for t, cost in short.items())
+                    for t in short:
+                        self.deficit[t] += max(0, laps) * self.quantum(t)
+                    short = {}
+                short[tenant] = qy.cost
                 continue
-            idle, short = 0, []
+            short = {}
             self.deficit[tenant] -= qy.cost
             self.lines[tenant].remove(qy)
             self.submit(qy, e)
-            if self.lines[tenant]:
-                self.at += 1
-            else:
-                ring.remove(tenant)
+            if not self.lines[tenant]:
+                self.leave_ring(tenant)
         # What waits here is pressure too. Else the first engine at ease is sent the whole line at once.
         self.short = bool(ring)
         self.release_again()
 
+    def leave_ring(self, tenant):
+        place = self.ring.index(tenant)
+        if place < self.at:
+            self.at -= 1
+        elif place == self.at:
+            self.visiting = False
+        del self.ring[place]
+
     def quantum(self, tenant):
         return (QUANTUM_MEANS * self.mean_all or SECOND) * self.weight[tenant]
 
@@ -518,7 +525,7 @@
         if not qy.tries and qy in line:
             line.remove(qy)
             if not line:
-                self.ring.remove(qy.tenant)
+                self.leave_ring(qy.tenant)
         qy.over = True
         self.forget(qy)
 
