The shared order is whole again; a far engine must be lighter: template_home kept, 0.452 to 0.748

Engines at hand first had broken the shared hash order that the design rests on: each group met engines of its own in each room. Now only the choice among the first three weighs the crossing.

--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -50,6 +50,7 @@
 FULL_FIRST, FULL_MOST = SECOND // 100, SECOND // 2  # rest of an engine that is full
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 LATER_TRY = 0.2  # of its value, that a query which looks like a late later try counts for
+CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
@@ -319,9 +320,6 @@
             mark = str(coord).encode()
             ready = [e for e in range(len(self.rank)) if self.state[e] == READY]
             order = sorted(ready, key=lambda e: blake2b(self.rank[e] + b"/" + mark, digest_size=8).digest())
-            # Where crossing is priced, the engines at hand come first, each part in the shared order.
-            if self.home is not None:
-                order.sort(key=lambda e: self.where[e] != self.home)
             self.orders[coord] = order
         return order
 
@@ -367,12 +365,17 @@
             usable = allowed
         found = [e for e in usable[:FIRST_ENGINES] if self.room(qy, e)]
         if found:
-            return min(found, key=lambda e: self.mine[e] / (self.cores[e] * self.warmth(e)))
+            return min(found, key=self.load)
         for e in usable[FIRST_ENGINES:]:
             if self.room(qy, e):
                 return e
         return None
 
+    def load(self, e):
+        # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
+        far = CROSSING if self.home is not None and self.where[e] != self.home else 0.0
+        return self.mine[e] / (self.cores[e] * self.warmth(e)) + far
+
     # What leaves
 
     def key_free(self, qy):
