--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -9,15 +9,15 @@
  1 warm-up: a cold engine counts for a part of its cores, and what it is sent is held under the collapse rule
  2 aside: an engine that fails, or is silent while others answer, gets nothing until a single trial succeeds
  3 usefulness: a query that cannot earn its value in time gives way at once, also when it runs already
- 4 fresh plan: a read-only query far behind its estimate is ended and submitted anew, in the second line
- 5 urgency: priorities by value a unit of work, where engines heed them
+ 4 fresh plan: a read-only query far behind its estimate, or lost, is ended and submitted anew
+ 5 worth: what waits leaves by value for its work, and so are priorities set where engines heed them
+ 6 grants: memory by what a group's answers needed over their estimates, where that is told and heeded
 """
 
 from bisect import insort
 from collections import deque
 from hashlib import blake2b
 from operator import attrgetter
-from random import Random
 
 from wickvane.interface import (
     ANY_ENGINE,
@@ -69,13 +69,12 @@
 
 
 class Gateway:
+    # The seed is taken for the sake of the border: no decision is left to chance today.
     def __init__(self, seed, site):
-        self.chance = Random(seed)
         self.groups, self.gateways = site.groups, site.gateways
         self.cores_of, self.home = site.cores, site.zone if site.crossing else None
         self.most_tries, self.may_cancel = site.most_submissions, site.may_cancel
         self.priorities, self.advice = site.priorities, site.longest_advice
-        self.notes = site.note_period
         self.key_rest = site.key_rest
         self.extra_free, self.extra_share = site.extra_free, site.extra_share
         self.extra_window = site.extra_window
