--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -481,7 +481,8 @@
         g = self.groups[qy.rg]
         dense = [x.value / (self.mean[n] or SECOND) for n, x in enumerate(self.groups)]
         mine = dense[qy.rg]
-        priority = 3 if mine >= max(dense) else 1
+        # In an ordered group a slow query keeps all of its key waiting.
+        priority = 3 if mine >= max(dense) else 2 if g.ordered else 1
         if self.now > qy.target and g.late_value == 0:
             priority = 0
         # A group's estimates lie to one side: too small a grant spills, too large a one is lost to others.
