--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -127,6 +127,31 @@
     assert q in g.out
 
 
+def test_engines_that_take_no_connection_stay_aside_though_they_are_most():
+    g = Gateways(site([group(timeout=400_000, promise=300_000)]))
+    g.engines(5)
+    q = g.take(left=390_000)
+    for _ in range(60):
+        q = q if q in g.out else g.take(left=390_000)
+        g.end(q, ending=i.FINISHED if g.out[q] == 0 else i.NO_CONNECTION, after=20)
+    before = g.now
+    for _ in range(10):
+        q = g.take(left=390_000)
+        assert g.out.get(q, 0) == 0
+        if q in g.out:
+            g.end(q)
+    assert g.now == before
+
+
+def test_an_ordered_group_runs_above_other_long_queries():
+    g = Gateways(site([group(), group(value=6.0), group(ordered=True)]))
+    g.engines(2)
+    g.take(cost=100)
+    g.take(rg=1, cost=40_000)
+    g.take(rg=2, cost=40_000, key=7)
+    assert [priority for _, priority, _ in g.log] == [3, 1, 2]
+
+
 def run_host(*lines):
     replies, errors = io.StringIO(), io.StringIO()
     return serve(lines, replies, errors), replies.getvalue(), errors.getvalue()
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -99,7 +99,7 @@
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work, self.lagging, self.full_until, self.full_rest = [], [], [], []
+        self.sent_work, self.lagging, self.full_until, self.full_rest, self.down = [], [], [], [], []
         self.orders, self.told_need = {}, False
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
@@ -228,7 +228,7 @@
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
                 self.aside_for, self.trial, self.moved, self.sent_work, self.lagging, self.full_until,
-                self.full_rest,
+                self.full_rest, self.down,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -238,6 +238,7 @@
             self.pace[e] = self.best[e] = 1.0
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
             self.lagging[e], self.full_until[e], self.full_rest[e] = False, 0, FULL_FIRST
+            self.down[e] = False
             self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e] = 0, deque()
@@ -270,6 +271,7 @@
         return self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold_time
 
     def judge(self, qy, e, ending, elapsed):
+        self.down[e] = ending == NO_CONNECTION
         if ending == FINISHED:
             pace = elapsed * self.groups[qy.rg].threads / max(qy.cost, 10)
             self.pace[e] += (pace - self.pace[e]) * 0.1
@@ -360,8 +362,9 @@
             return -1
         usable = [e for e in allowed if self.aside[e] <= self.now and not (qy.tries and e == qy.engine)]
         # More than half aside at once is no fault of the engines: a common cause, and nowhere better to go.
+        # An engine that takes no connection is down all the same, and would only use up submissions.
         if 2 * len(usable) < len(allowed):
-            usable = allowed
+            usable = [e for e in allowed if not self.down[e] or self.aside[e] <= self.now] or allowed
         found = [e for e in usable[:FIRST_ENGINES] if self.room(qy, e)]
         if found:
             return min(found, key=self.load)
