--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -131,12 +131,12 @@
     g = Gateways(site([group(timeout=400_000, promise=300_000)]))
     g.engines(5)
     q = g.take(left=390_000)
-    for _ in range(60):
-        q = q if q in g.out else g.take(left=390_000)
+    for coord in range(60):
+        q = q if q in g.out else g.take(coord=coord, left=390_000)
         g.end(q, ending=i.FINISHED if g.out[q] == 0 else i.NO_CONNECTION, after=20)
     before = g.now
-    for _ in range(10):
-        q = g.take(left=390_000)
+    for coord in range(10):
+        q = g.take(coord=coord, left=390_000)
         assert g.out.get(q, 0) == 0
         if q in g.out:
             g.end(q)
