--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -47,7 +47,6 @@
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
-FULL_FIRST, FULL_MOST = SECOND // 100, SECOND // 2  # rest of an engine that is full
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 LATER_TRY = 0.2  # of its value, that a query which looks like a late later try counts for
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
@@ -99,7 +98,7 @@
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work, self.lagging, self.full_until, self.full_rest, self.down = [], [], [], [], []
+        self.sent_work, self.lagging, self.down = [], [], []
         self.orders, self.told_need = {}, False
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
@@ -227,8 +226,7 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
-                self.aside_for, self.trial, self.moved, self.sent_work, self.lagging, self.full_until,
-                self.full_rest, self.down,
+                self.aside_for, self.trial, self.moved, self.sent_work, self.lagging, self.down,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -237,8 +235,7 @@
             self.bound[e] = BOUND_THREADS * cores / self.gateways
             self.pace[e] = self.best[e] = 1.0
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
-            self.lagging[e], self.full_until[e], self.full_rest[e] = False, 0, FULL_FIRST
-            self.down[e] = False
+            self.lagging[e] = self.down[e] = False
             self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e] = 0, deque()
@@ -278,7 +275,7 @@
             self.best[e] = min(self.best[e] * 1.00002, max(self.pace[e], 0.5))
             self.failing[e] *= 0.8
             self.heard[e] = self.now
-            self.trial[e], self.aside_for[e], self.full_rest[e] = False, ASIDE_FIRST, FULL_FIRST
+            self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
             if self.pace[e] > STRAIN * self.best[e]:
                 self.cut_bound(e)
             elif (self.pace[e] < COMFORT * self.best[e] and self.mine[e] >= self.bound[e] - 2
@@ -286,11 +283,7 @@
                 most = BOUND_MOST * BOUND_THREADS * self.cores[e] / self.gateways
                 self.bound[e], self.moved[e] = min(most, self.bound[e] + 1), self.now
         elif ending == TURNED_AWAY:
-            # An engine that turns away at once looks idle: without a rest it draws every query in turn.
-            self.full_rest[e] = min(FULL_MOST, self.full_rest[e] * 2)
             self.full_at[e] = self.heard[e] = self.now
-            self.full_until[e] = self.now + self.full_rest[e]
-            self.bound[e] = min(self.bound[e], max(self.mine[e], 1.0))
             self.cut_bound(e)
         elif ending in (ERROR, RESET, NO_CONNECTION) or (ending == NO_ANSWER and self.heard[e] < qy.sent):
             self.failing[e] += (1 - self.failing[e]) * 0.2
@@ -347,7 +340,7 @@
 
     def room(self, qy, e):
         warmth = self.warmth(e)
-        if self.now < self.full_until[e] or (warmth < 1.0 and not self.cold_room(qy, e)):
+        if warmth < 1.0 and not self.cold_room(qy, e):
             return False
         if self.mine[e] <= 0:
             return True
