--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -30,7 +30,7 @@
     def __init__(self, deployment, seed=1):
         self.gateway, self.now, self.site = Gateway(seed, deployment), 1_000_000, deployment
         self.sent, self.out, self.final, self.cancelled, self.log = {}, {}, {}, [], []
-        self.count, self.next_q = {}, 0
+        self.count, self.next_q, self.alarms, self.answered = {}, 0, [], {}
 
     def round(self, *events, after=0):
         self.now += after
@@ -61,7 +61,7 @@
         self.count[q] += 1
 
     def defer(self, q, stay_away):
-        self.final[q] = "deferred"
+        self.final[q], self.answered[q] = "deferred", self.now
 
     def kill(self, q):
         self.final[q] = "killed"
@@ -74,6 +74,14 @@
 
     def alarm(self, token, at):
         assert at > self.now
+        self.alarms.append(at)
+
+    def let_pass(self, until):
+        """Nothing comes in but the module's own alarms."""
+        while self.alarms and min(self.alarms) <= until:
+            self.now = min(self.alarms)
+            self.alarms = [at for at in self.alarms if at > self.now]
+            self.round((i.DUE, 1))
 
     def watch_list(self, on):
         self.log.append(on)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -109,6 +109,15 @@
     assert len(g.sent[mutating]) == 1
 
 
+def test_a_query_that_falls_back_into_waiting_is_answered_in_its_time():
+    g = Gateways(site([group(late_value=0.5)]))
+    g.engines(1)
+    q, end = g.take(cost=10, left=700), g.now + 700
+    g.end(q, ending=i.NO_CONNECTION, after=100)
+    g.let_pass(end + 5000)
+    assert g.answered[q] <= end
+
+
 def test_a_query_with_less_time_than_others_is_not_sent_away():
     g = Gateways(site([group()]))
     g.engines(2)
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -120,9 +120,11 @@
         waiting = self.ring or self.again
         if not waiting and not self.running and not (self.asks and self.ask_at):
             return
-        if self.armed is None or self.armed <= self.now:
-            self.armed = self.now + (SWEEP if waiting else IDLE_SWEEP)
-            self.out.alarm(1, self.armed)
+        # An alarm set while nothing waited is too late for what waits now: its time may run out before.
+        at = self.now + (SWEEP if waiting else IDLE_SWEEP)
+        if self.armed is None or self.armed <= self.now or self.armed > at:
+            self.armed = at
+            self.out.alarm(1, at)
 
     # What came in
 
@@ -259,7 +261,8 @@
     def last_start(self, qy):
         g = self.groups[qy.rg]
         end = qy.target if g.late_value == 0 else qy.limit
-        return int(end - qy.cost / g.threads)
+        # What waits is looked at once a sweep, so the last sweeps before the end are none to wait into.
+        return int(end - max(qy.cost / g.threads, 2 * SWEEP))
 
     def warmth(self, e):
         age = self.now - self.started[e]
@@ -436,6 +439,7 @@
         return (QUANTUM_MEANS * self.mean_all or SECOND) * self.weight[tenant]
 
     def release_again(self):
+        full = set()  # groups that found no room: looking again for each that waits costs more than it finds
         for _ in range(len(self.again)):
             qy = self.again.popleft()
             if qy.over:
@@ -443,8 +447,9 @@
             if not self.may_resubmit(qy):
                 self.give_up(qy)
                 continue
-            e = self.place(qy) if self.budget_left() else None
+            e = self.place(qy) if qy.rg not in full and self.budget_left() else None
             if e is None or e < 0:
+                full.add(qy.rg)
                 self.again.append(qy)
                 continue
             self.extra_at.append(self.now)
