--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -113,6 +113,7 @@
     g = Gateways(site([group(late_value=0.5)]))
     g.engines(1)
     q, end = g.take(cost=10, left=700), g.now + 700
+    g.engine(0, state=i.DRAINING)
     g.end(q, ending=i.NO_CONNECTION, after=100)
     g.let_pass(end + 5000)
     assert g.answered[q] <= end
