--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -15,7 +15,7 @@
 """
 
 from bisect import insort
-from collections import deque
+from collections import Counter, deque
 from hashlib import blake2b
 from operator import attrgetter
 
@@ -98,14 +98,19 @@
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work, self.lagging, self.down = [], [], []
+        self.sent_work, self.down, self.lagging = [], [], set()
         self.orders, self.told_need = {}, False
+        self.fit, self.fit_until = {}, 0
+        self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
             self.ask_at = 0
 
     def round(self, now, events, out):
         self.now, self.out = now, out
+        self.no_room, self.pool = set(), None
+        if now >= self.fit_until:
+            self.fit, self.fit_until = {}, now + IDLE_SWEEP
         for event in events:
             HANDLERS[event[0]](self, *event[1:])
         if self.asks and self.ask_at is not None and now >= self.ask_at:
@@ -176,6 +181,7 @@
         qy.out = False
         self.running.pop(q, None)
         self.mine[engine] -= g.threads
+        self.used -= g.threads
         self.judge(qy, engine, ending, elapsed)
         if ending >= TURNED_AWAY:
             self.deficit[qy.tenant] += qy.charged
@@ -228,7 +234,7 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
-                self.aside_for, self.trial, self.moved, self.sent_work, self.lagging, self.down,
+                self.aside_for, self.trial, self.moved, self.sent_work, self.down,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -237,13 +243,15 @@
             self.bound[e] = BOUND_THREADS * cores / self.gateways
             self.pace[e] = self.best[e] = 1.0
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
-            self.lagging[e] = self.down[e] = False
+            self.down[e] = False
+            self.lagging.discard(e)
             self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e] = 0, deque()
+                self.orders.clear()
         self.rank[e], self.state[e], self.where[e], self.kind[e] = rank, state, zone, kind
         self.cell[e], self.started[e] = cell, started
-        self.orders.clear()
+        self.fit.clear()
 
     def list_lost(self):
         self.ask_at = self.now + SECOND
@@ -302,11 +310,12 @@
         if self.now < self.aside[e]:
             return
         self.aside[e] = self.now + self.aside_for[e]
+        self.fit.clear()
         self.aside_for[e] = min(ASIDE_MOST, self.aside_for[e] * 2)
         self.trial[e] = True
 
     def pressed(self, e):
-        return (self.pace[e] > PRESSED * self.best[e] or self.lagging[e]
+        return (self.pace[e] > PRESSED * self.best[e] or e in self.lagging
                 or self.now - self.full_at[e] < SECOND)
 
     # Where a query may go
@@ -315,24 +324,34 @@
         order = self.orders.get(coord)
         if order is None:
             mark = str(coord).encode()
-            ready = [e for e in range(len(self.rank)) if self.state[e] == READY]
-            order = sorted(ready, key=lambda e: blake2b(self.rank[e] + b"/" + mark, digest_size=8).digest())
-            self.orders[coord] = order
+            by = [blake2b(rank + b"/" + mark, digest_size=8).digest() for rank in self.rank]
+            order = self.orders[coord] = sorted(range(len(by)), key=by.__getitem__)
         return order
 
-    def permitted(self, qy, e):
+    def permitted(self, rg, e):
+        g = self.groups[rg]
+        return (g.zones is None or self.where[e] in g.zones) and (g.kinds is None or self.kind[e] in g.kinds)
+
+    def knows(self, qy, e):
+        """Where a tokened query has run, only those that know the token discard the repeat."""
         g = self.groups[qy.rg]
-        if g.zones is not None and self.where[e] not in g.zones:
-            return False
-        if g.kinds is not None and self.kind[e] not in g.kinds:
-            return False
-        if qy.ran_at is not None and g.effect == TOKENED:
-            # Only those that know the token discard the repeat.
-            if g.drops_repeats == ANY_ENGINE:
-                return True
-            same = self.where if g.drops_repeats == SAME_ZONE else self.cell
-            return same[e] == same[qy.ran_on]
-        return True
+        if qy.ran_at is None or g.effect != TOKENED or g.drops_repeats == ANY_ENGINE:
+            return True
+        same = self.where if g.drops_repeats == SAME_ZONE else self.cell
+        return same[e] == same[qy.ran_on]
+
+    def usable(self, rg):
+        if rg not in self.fit:
+            ready = [e for e, state in enumerate(self.state) if state == READY and self.permitted(rg, e)]
+            fit = [e for e in ready if self.aside[e] <= self.now]
+            back = [self.aside[e] for e in ready if self.aside[e] > self.now]
+            self.fit_until = min([self.fit_until, *back])
+            # More than half aside at once is no fault of the engines: a common cause, and nowhere better to
+            # go. An engine that takes no connection is down all the same, and would only use up submissions.
+            if 2 * len(fit) < len(ready):
+                fit = [e for e in ready if not self.down[e] or self.aside[e] <= self.now] or ready
+            self.fit[rg] = frozenset(fit)
+        return self.fit[rg]
 
     def cold_room(self, qy, e):
         sent = self.sent_work[e]
@@ -345,28 +364,45 @@
         warmth = self.warmth(e)
         if warmth < 1.0 and not self.cold_room(qy, e):
             return False
-        if self.mine[e] <= 0:
+        bound = self.bound[e] * warmth
+        # With many gateways the bound is less than a query, and one from each would be far over what it
+        # stands for: an engine with none takes one while this gateway is below its bounds on all together.
+        pooled = bound < self.groups[qy.rg].threads
+        if self.mine[e] <= 0 and not pooled:
             return True
-        if self.trial[e]:
+        if self.trial[e] and self.mine[e] > 0:
             return False
-        return not (warmth < 1.0 or self.short or self.pressed(e)) or self.mine[e] < self.bound[e] * warmth
+        if not (warmth < 1.0 or self.short or self.pressed(e)):
+            return True
+        return self.pool_left() if self.mine[e] <= 0 else self.mine[e] < bound
+
+    def pool_left(self):
+        if self.pool is None:
+            bounds = [self.bound[e] * self.warmth(e) for e in range(len(self.rank)) if self.state[e] == READY]
+            self.pool, self.widest = sum(bounds), max(bounds, default=0.0)
+        return self.used <= 0 or self.used < self.pool
 
     def place(self, qy):
         """The engine for a query; -1 where none may take it at all, None where none has room now."""
-        allowed = [e for e in self.order_of(qy.coord) if self.permitted(qy, e)]
-        if not allowed:
-            return -1
-        usable = [e for e in allowed if self.aside[e] <= self.now and not (qy.tries and e == qy.engine)]
-        # More than half aside at once is no fault of the engines: a common cause, and nowhere better to go.
-        # An engine that takes no connection is down all the same, and would only use up submissions.
-        if 2 * len(usable) < len(allowed):
-            usable = [e for e in allowed if not self.down[e] or self.aside[e] <= self.now] or allowed
-        found = [e for e in usable[:FIRST_ENGINES] if self.room(qy, e)]
+        usable, found, met = self.usable(qy.rg), [], 0
+        if qy.rg in self.no_room:
+            return None
+        if self.short and not self.pool_left() and self.widest < self.groups[qy.rg].threads:
+            return None if usable else -1
+        for e in self.order_of(qy.coord):
+            if e not in usable or (qy.tries and e == qy.engine and len(usable) > 1) or not self.knows(qy, e):
+                continue
+            met += 1
+            if met > FIRST_ENGINES and found:
+                break
+            if self.room(qy, e):
+                found.append(e)
         if found:
             return min(found, key=self.load)
-        for e in usable[FIRST_ENGINES:]:
-            if self.room(qy, e):
-                return e
+        if not met:
+            return -1
+        # Looking over all engines again for each that waits costs more than it finds.
+        self.no_room.add(qy.rg)
         return None
 
     def load(self, e):
@@ -439,7 +475,6 @@
         return (QUANTUM_MEANS * self.mean_all or SECOND) * self.weight[tenant]
 
     def release_again(self):
-        full = set()  # groups that found no room: looking again for each that waits costs more than it finds
         for _ in range(len(self.again)):
             qy = self.again.popleft()
             if qy.over:
@@ -447,9 +482,8 @@
             if not self.may_resubmit(qy):
                 self.give_up(qy)
                 continue
-            e = self.place(qy) if qy.rg not in full and self.budget_left() else None
+            e = self.place(qy) if self.budget_left() else None
             if e is None or e < 0:
-                full.add(qy.rg)
                 self.again.append(qy)
                 continue
             self.extra_at.append(self.now)
@@ -471,6 +505,7 @@
         qy.engine, qy.sent, qy.out, qy.charged, qy.share = e, self.now, True, qy.cost, 0.0
         qy.tries += 1
         self.mine[e] += g.threads
+        self.used += g.threads
         if self.warmth(e) < 1.0:
             self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
@@ -552,7 +587,7 @@
         if not self.extra_window:
             self.taken_at.clear()
         lost = []
-        late, behind = [0] * len(self.rank), [0] * len(self.rank)
+        late, behind = Counter(), Counter()
         for qy in list(self.running.values()):
             e, g = qy.engine, self.groups[qy.rg]
             # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
@@ -573,8 +608,7 @@
                 alone = min(max(1.0, self.pace[e]), 2.0) * qy.cost / g.threads
                 if since > LOST * alone + SECOND // 10 and not qy.share:
                     lost.append(qy)
-        for e, threads in enumerate(behind):
-            self.lagging[e] = threads > LAGGING * self.mine[e]
+        self.lagging = {e for e, threads in behind.items() if threads > LAGGING * self.mine[e]}
         # Many at once are a slowness shared by all, and moving them would only add to it.
         if len(lost) <= LOST_MOST * len(self.running) + 1:
             self.renew(lost)
@@ -587,7 +621,7 @@
                 qy.known_slow = True
 
     def silent(self, late):
-        for e, count in enumerate(late):
+        for e, count in late.items():
             if count >= 2 and self.now >= self.aside[e]:
                 self.set_aside(e)
                 self.renew([qy for qy in self.running.values() if qy.engine == e])
