--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -43,6 +43,7 @@
 BOUND_LEAST, BOUND_MOST = 0.4, 1.0  # of the bound's start
 LAGGING = 0.25  # share of an engine's open threads past the latency of pressure that shows it too
 QUANTUM_MEANS = 2.0
+CROWD_LASTS = 3 * SECOND  # how long what was seen of an engine's crowd counts in full
 WAIT_PART = 0.2  # of a query's time that it may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
@@ -97,6 +98,7 @@
         self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
+        self.crowd, self.crowd_at, self.crowd_mean, self.per_query = [], [], 1.0, (0.0, 0.0)
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
         self.sent_work, self.down, self.lagging = [], [], set()
         self.orders, self.told_need = {}, False
@@ -155,6 +157,7 @@
         qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
         qy.ran_at, qy.ran_on, qy.known_slow, qy.charged, qy.priority, qy.share = None, -1, False, 0, -1, 0.0
         self.queries[q] = qy
+        self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
         self.taken_at.append(now)
         if qy.key is not None:
             self.keys.setdefault(qy.key, deque()).append(qy)
@@ -183,6 +186,8 @@
         self.mine[engine] -= g.threads
         self.used -= g.threads
         self.judge(qy, engine, ending, elapsed)
+        if ending == FINISHED:
+            self.see(engine, elapsed / self.usual(qy, work), report)
         if ending >= TURNED_AWAY:
             self.deficit[qy.tenant] += qy.charged
         else:
@@ -234,14 +239,15 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
-                self.aside_for, self.trial, self.moved, self.sent_work, self.down,
+                self.aside_for, self.trial, self.moved, self.sent_work, self.down, self.crowd, self.crowd_at,
             ):
                 column.append(None)
             self.mine[-1] = 0
         if self.rank[e] != rank or self.started[e] != started:
             self.cores[e] = cores = self.cores_of[kind] if kind < len(self.cores_of) else 1
             self.bound[e] = BOUND_THREADS * cores / self.gateways
-            self.pace[e] = self.best[e] = 1.0
+            self.pace[e] = self.best[e] = self.crowd[e] = 1.0
+            self.crowd_at[e] = self.now
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
             self.down[e] = False
             self.lagging.discard(e)
@@ -266,6 +272,27 @@
         alone = qy.cost / self.groups[qy.rg].threads
         return alone * (self.pace[engine] if engine is not None else 1.0)
 
+    def usual(self, qy, work=0):
+        # The addition keeps a short pause or a slow hand-shake from passing for a crowd.
+        return (work or qy.cost) / self.groups[qy.rg].threads + SECOND // 20
+
+    def see(self, e, slower, report):
+        """Threads a core that all gateways seem to have on an engine: an answer tells by how much it was
+        slower than alone, and some bring a count of what the engine holds."""
+        held, threads = report.get("inflight") if report else None, self.per_query
+        if held is not None and threads[1]:
+            slower = max(slower, held * threads[0] / threads[1] / self.cores[e])
+        # The rarer the answers, the more each of them tells.
+        share = min(1.0, max(0.3, (self.now - self.crowd_at[e]) / CROWD_LASTS))
+        self.crowd[e] += (slower - self.crowd[e]) * share
+        self.crowd_at[e] = self.now
+
+    def others(self, e):
+        # What was seen some time ago fades into what is usual over all engines now.
+        still = max(0.0, 1 - (self.now - self.crowd_at[e]) / (2 * CROWD_LASTS))
+        seen = self.crowd_mean + (self.crowd[e] - self.crowd_mean) * still
+        return max(0.0, seen - 1.0) * (1 - 1 / self.gateways)
+
     def last_start(self, qy):
         g = self.groups[qy.rg]
         end = qy.target if g.late_value == 0 else qy.limit
@@ -408,7 +435,7 @@
     def load(self, e):
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
         far = CROSSING if self.home is not None and self.where[e] != self.home else 0.0
-        return self.mine[e] / (self.cores[e] * self.warmth(e)) + far
+        return self.mine[e] / (self.cores[e] * self.warmth(e)) + self.others(e) + far
 
     # What leaves
 
@@ -590,6 +617,8 @@
         late, behind = Counter(), Counter()
         for qy in list(self.running.values()):
             e, g = qy.engine, self.groups[qy.rg]
+            if not qy.share:
+                self.crowd[e] = max(self.crowd[e], min(8.0, (now - qy.sent) / self.usual(qy)))
             # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
             if now - qy.sent > PRESSED * self.best[e] * qy.cost / g.threads + SECOND // 20:
                 behind[e] += g.threads
@@ -608,6 +637,8 @@
                 alone = min(max(1.0, self.pace[e]), 2.0) * qy.cost / g.threads
                 if since > LOST * alone + SECOND // 10 and not qy.share:
                     lost.append(qy)
+        ready = [crowd for crowd, state in zip(self.crowd, self.state) if state == READY]
+        self.crowd_mean = sum(ready) / len(ready) if ready else 1.0
         self.lagging = {e for e, threads in behind.items() if threads > LAGGING * self.mine[e]}
         # Many at once are a slowness shared by all, and moving them would only add to it.
         if len(lost) <= LOST_MOST * len(self.running) + 1:
