Cold engines take one query a window by lot where a gateway's part is less than one

Cause: the collapse budget over 30 to 140 gateways is less than one query, so a started engine got nothing for its whole warm-up. The lot keeps the expected sum under a third of the budget, less for few heavy queries, whose chance sum scatters more. Guards any cold start; harms little where gateways are few, since it does not act there.

--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -17,7 +17,9 @@
 from bisect import insort
 from collections import Counter, deque
 from hashlib import blake2b
+from math import sqrt
 from operator import attrgetter
+from random import Random
 
 from wickvane.interface import (
     ANY_ENGINE,
@@ -52,6 +54,7 @@
 LATER_TRY = 0.2  # of its value, that a query which looks like a late later try counts for
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
+LOTS = 0.35  # of the collapse budget that is drawn for, where a gateway's part is less than a query
 FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
@@ -69,8 +72,8 @@
 
 
 class Gateway:
-    # The seed is taken for the sake of the border: no decision is left to chance today.
     def __init__(self, seed, site):
+        self.chance = Random(seed)
         self.groups, self.gateways = site.groups, site.gateways
         self.cores_of, self.home = site.cores, site.zone if site.crossing else None
         self.most_tries, self.may_cancel = site.most_submissions, site.may_cancel
@@ -100,7 +103,7 @@
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
         self.crowd, self.crowd_at, self.crowd_mean, self.per_query = [], [], 1.0, (0.0, 0.0)
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work, self.down, self.lagging = [], [], set()
+        self.sent_work, self.down, self.lagging, self.lot, self.lot_until = [], [], set(), [], []
         self.orders, self.told_need = {}, False
         self.fit, self.fit_until = {}, 0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
@@ -240,6 +243,7 @@
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
                 self.aside_for, self.trial, self.moved, self.sent_work, self.down, self.crowd, self.crowd_at,
+                self.lot, self.lot_until,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -249,7 +253,7 @@
             self.pace[e] = self.best[e] = self.crowd[e] = 1.0
             self.crowd_at[e] = self.now
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
-            self.down[e] = False
+            self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
             self.lagging.discard(e)
             self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
             if self.rank[e] != rank:
@@ -381,11 +385,20 @@
         return self.fit[rg]
 
     def cold_room(self, qy, e):
-        sent = self.sent_work[e]
-        while sent and sent[0][0] <= self.now - self.fall_time:
+        sent, now = self.sent_work[e], self.now
+        while sent and sent[0][0] <= now - self.fall_time:
             sent.popleft()
-        work = sum(w for _, w in sent) + max(self.mean[qy.rg], 1.0)
-        return work <= self.fall_work * self.cores[e] * self.warmth(e)
+        weight, share = max(self.mean[qy.rg], 1.0), self.fall_work * self.cores[e] * self.warmth(e)
+        if weight <= share:
+            return sum(w for _, w in sent) + weight <= share
+        # Less than a query for each gateway: one a window goes by lot, drawn at times of each gateway's own,
+        # so that neither all send nor none. Chance lets through twice as many of a few, so fewer of those go.
+        if now >= self.lot_until[e]:
+            first = self.lot_until[e] < self.started[e]
+            self.lot_until[e] = now + int(self.fall_time * (self.chance.random() if first else 1))
+            self.lot[e] = 1.0 if first else self.chance.random()
+        most = share * self.gateways / FALL_SAFETY / weight
+        return not sent and self.lot[e] * self.gateways < min(LOTS * most, (sqrt(9 + most) - 3) ** 2)
 
     def room(self, qy, e):
         warmth = self.warmth(e)
