--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -43,6 +43,8 @@
 PRESSED = 1.5  # latency above its best at which the bound binds
 COMFORT, STRAIN = 2.0, 4.0  # latency above its best up to which the bound grows, and from which it is cut
 BOUND_LEAST, BOUND_MOST = 0.4, 1.0  # of the bound's start
+WIDEN_LEAST, WIDEN_MOST = 0.75, 2.0  # of the pooled bound's start
+CROWDED = 3.0  # the usual crowd past which it is cut
 LAGGING = 0.25  # share of an engine's open threads past the latency of pressure that shows it too
 QUANTUM_MEANS = 2.0
 CROWD_LASTS = 3 * SECOND  # how long what was seen of an engine's crowd counts in full
@@ -101,11 +103,12 @@
         self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
         self.cores, self.started, self.mine, self.bound = [], [], [], []
         self.pace, self.best, self.failing, self.full_at = [], [], [], []
-        self.crowd, self.crowd_at, self.crowd_mean, self.per_query = [], [], 1.0, (0.0, 0.0)
+        self.crowd, self.crowd_at, self.crowd_mid, self.per_query = [], [], 1.0, (0.0, 0.0)
         self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
         self.sent_work, self.down, self.lagging, self.lot, self.lot_until = [], [], set(), [], []
         self.orders, self.told_need = {}, False
         self.fit, self.fit_until = {}, 0
+        self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
         if self.asks:
@@ -286,15 +289,20 @@
         held, threads = report.get("inflight") if report else None, self.per_query
         if held is not None and threads[1]:
             slower = max(slower, held * threads[0] / threads[1] / self.cores[e])
+        slower *= self.warmth(e)  # a cold engine is slow without a crowd
         # The rarer the answers, the more each of them tells.
         share = min(1.0, max(0.3, (self.now - self.crowd_at[e]) / CROWD_LASTS))
         self.crowd[e] += (slower - self.crowd[e]) * share
         self.crowd_at[e] = self.now
+        if self.crowd_mid < COMFORT:
+            self.widen = min(WIDEN_MOST, self.widen + 1 / max(1.0, self.base))
+        elif self.crowd_mid > CROWDED and self.now - self.narrowed > SECOND // 2:
+            self.widen, self.narrowed = max(WIDEN_LEAST, self.widen * 0.85), self.now
 
     def others(self, e):
         # What was seen some time ago fades into what is usual over all engines now.
         still = max(0.0, 1 - (self.now - self.crowd_at[e]) / (2 * CROWD_LASTS))
-        seen = self.crowd_mean + (self.crowd[e] - self.crowd_mean) * still
+        seen = self.crowd_mid + (self.crowd[e] - self.crowd_mid) * still
         return max(0.0, seen - 1.0) * (1 - 1 / self.gateways)
 
     def last_start(self, qy):
@@ -405,21 +413,22 @@
         if warmth < 1.0 and not self.cold_room(qy, e):
             return False
         bound = self.bound[e] * warmth
+        binds = warmth < 1.0 or self.short or self.pressed(e)
+        if bound >= self.groups[qy.rg].threads:
+            if self.mine[e] <= 0:
+                return True
+            return not self.trial[e] and (not binds or self.mine[e] < bound)
         # With many gateways the bound is less than a query, and one from each would be far over what it
-        # stands for: an engine with none takes one while this gateway is below its bounds on all together.
-        pooled = bound < self.groups[qy.rg].threads
-        if self.mine[e] <= 0 and not pooled:
-            return True
-        if self.trial[e] and self.mine[e] > 0:
+        # stands for: its bounds on all engines are one pool then, which an engine with none needs too.
+        if self.mine[e] > 0 and (self.trial[e] or binds):
             return False
-        if not (warmth < 1.0 or self.short or self.pressed(e)):
-            return True
-        return self.pool_left() if self.mine[e] <= 0 else self.mine[e] < bound
+        return not binds or self.pool_left()
 
     def pool_left(self):
         if self.pool is None:
             bounds = [self.bound[e] * self.warmth(e) for e in range(len(self.rank)) if self.state[e] == READY]
-            self.pool, self.widest = sum(bounds), max(bounds, default=0.0)
+            self.base, self.widest = sum(bounds), max(bounds, default=0.0)
+            self.pool = self.base * self.widen
         return self.used <= 0 or self.used < self.pool
 
     def place(self, qy):
@@ -650,8 +659,8 @@
                 alone = min(max(1.0, self.pace[e]), 2.0) * qy.cost / g.threads
                 if since > LOST * alone + SECOND // 10 and not qy.share:
                     lost.append(qy)
-        ready = [crowd for crowd, state in zip(self.crowd, self.state) if state == READY]
-        self.crowd_mean = sum(ready) / len(ready) if ready else 1.0
+        ready = sorted(crowd for crowd, state in zip(self.crowd, self.state) if state == READY)
+        self.crowd_mid = ready[len(ready) // 2] if ready else 1.0
         self.lagging = {e for e, threads in behind.items() if threads > LAGGING * self.mine[e]}
         # Many at once are a slowness shared by all, and moving them would only add to it.
         if len(lost) <= LOST_MOST * len(self.running) + 1:
