--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -44,6 +44,7 @@
 COMFORT, STRAIN = 2.0, 4.0  # latency above its best up to which the bound grows, and from which it is cut
 BOUND_LEAST, BOUND_MOST = 0.4, 1.0  # of the bound's start
 WIDEN_LEAST, WIDEN_MOST = 0.75, 2.0  # of the pooled bound's start
+MID_STEP = 1.1  # by which one answer moves the median
 CROWDED = 3.0  # the usual crowd past which it is cut
 LAGGING = 0.25  # share of an engine's open threads past the latency of pressure that shows it too
 QUANTUM_MEANS = 2.0
@@ -294,6 +295,8 @@
         share = min(1.0, max(0.3, (self.now - self.crowd_at[e]) / CROWD_LASTS))
         self.crowd[e] += (slower - self.crowd[e]) * share
         self.crowd_at[e] = self.now
+        # The median over recent answers, not over engines: with many, most were last seen long ago.
+        self.crowd_mid = max(1.0, self.crowd_mid * (MID_STEP if slower > self.crowd_mid else 1 / MID_STEP))
         if self.crowd_mid < COMFORT:
             self.widen = min(WIDEN_MOST, self.widen + 1 / max(1.0, self.base))
         elif self.crowd_mid > CROWDED and self.now - self.narrowed > SECOND // 2:
@@ -639,8 +642,9 @@
         late, behind = Counter(), Counter()
         for qy in list(self.running.values()):
             e, g = qy.engine, self.groups[qy.rg]
-            if not qy.share:
-                self.crowd[e] = max(self.crowd[e], min(8.0, (now - qy.sent) / self.usual(qy)))
+            still = min(8.0, (now - qy.sent) / self.usual(qy))
+            if not qy.share and still > self.crowd[e]:
+                self.crowd[e], self.crowd_at[e] = still, now
             # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
             if now - qy.sent > PRESSED * self.best[e] * qy.cost / g.threads + SECOND // 20:
                 behind[e] += g.threads
@@ -659,8 +663,6 @@
                 alone = min(max(1.0, self.pace[e]), 2.0) * qy.cost / g.threads
                 if since > LOST * alone + SECOND // 10 and not qy.share:
                     lost.append(qy)
-        ready = sorted(crowd for crowd, state in zip(self.crowd, self.state) if state == READY)
-        self.crowd_mid = ready[len(ready) // 2] if ready else 1.0
         self.lagging = {e for e, threads in behind.items() if threads > LAGGING * self.mine[e]}
         # Many at once are a slowness shared by all, and moving them would only add to it.
         if len(lost) <= LOST_MOST * len(self.running) + 1:
