--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -44,8 +44,8 @@
 COMFORT, STRAIN = 2.0, 4.0  # latency above its best up to which the bound grows, and from which it is cut
 BOUND_LEAST, BOUND_MOST = 0.4, 1.0  # of the bound's start
 WIDEN_LEAST, WIDEN_MOST = 0.75, 2.0  # of the pooled bound's start
-MID_STEP = 1.1  # by which one answer moves the median
-CROWDED = 3.0  # the usual crowd past which it is cut
+MID_STEP = 1.2  # by which one answer moves the median
+CROWDED = 2.5  # the usual crowd past which it is cut
 LAGGING = 0.25  # share of an engine's open threads past the latency of pressure that shows it too
 QUANTUM_MEANS = 2.0
 CROWD_LASTS = 3 * SECOND  # how long what was seen of an engine's crowd counts in full
@@ -287,20 +287,20 @@
     def see(self, e, slower, report):
         """Threads a core that all gateways seem to have on an engine: an answer tells by how much it was
         slower than alone, and some bring a count of what the engine holds."""
+        slower *= self.warmth(e)  # a cold engine is slow without a crowd
+        # The median over recent answers, not over engines: with many, most were last seen long ago.
+        self.crowd_mid = max(1.0, self.crowd_mid * (MID_STEP if slower > self.crowd_mid else 1 / MID_STEP))
+        if self.crowd_mid < PRESSED:
+            self.widen = min(WIDEN_MOST, self.widen + 1 / max(1.0, self.base))
+        elif self.crowd_mid > CROWDED and self.now - self.narrowed > SECOND // 2:
+            self.widen, self.narrowed = max(WIDEN_LEAST, self.widen * 0.85), self.now
         held, threads = report.get("inflight") if report else None, self.per_query
         if held is not None and threads[1]:
             slower = max(slower, held * threads[0] / threads[1] / self.cores[e])
-        slower *= self.warmth(e)  # a cold engine is slow without a crowd
         # The rarer the answers, the more each of them tells.
         share = min(1.0, max(0.3, (self.now - self.crowd_at[e]) / CROWD_LASTS))
         self.crowd[e] += (slower - self.crowd[e]) * share
         self.crowd_at[e] = self.now
-        # The median over recent answers, not over engines: with many, most were last seen long ago.
-        self.crowd_mid = max(1.0, self.crowd_mid * (MID_STEP if slower > self.crowd_mid else 1 / MID_STEP))
-        if self.crowd_mid < COMFORT:
-            self.widen = min(WIDEN_MOST, self.widen + 1 / max(1.0, self.base))
-        elif self.crowd_mid > CROWDED and self.now - self.narrowed > SECOND // 2:
-            self.widen, self.narrowed = max(WIDEN_LEAST, self.widen * 0.85), self.now
 
     def others(self, e):
         # What was seen some time ago fades into what is usual over all engines now.
@@ -425,7 +425,7 @@
         # stands for: its bounds on all engines are one pool then, which an engine with none needs too.
         if self.mine[e] > 0 and (self.trial[e] or binds):
             return False
-        return not binds or self.pool_left()
+        return not (binds or self.crowd_mid > COMFORT) or self.pool_left()
 
     def pool_left(self):
         if self.pool is None:
