--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -10,8 +10,8 @@
  2 aside: an engine that fails, or is silent while others answer, gets nothing until a single trial succeeds
  3 usefulness: a query that cannot earn its value in time gives way at once, also when it runs already
  4 fresh plan: a read-only query far behind its estimate, or lost, is ended and submitted anew
- 5 worth: what waits leaves by value for its work, and so are priorities set where engines heed them
- 6 grants: memory by what a group's answers needed over their estimates, where that is told and heeded
+ 5 worth: what waits leaves by value for its work; priority and memory are set so, where engines heed them
+ 6 crowd: how slow answers are stands for the other gateways' threads, in routing and in the bound
 """
 
 from bisect import insort
@@ -21,40 +21,21 @@
 from operator import attrgetter
 from random import Random
 
-from wickvane.interface import (
-    ANY_ENGINE,
-    CANCELLED,
-    ERROR,
-    FINISHED,
-    NO_ANSWER,
-    NO_CONNECTION,
-    READ_ONLY,
-    READY,
-    RESET,
-    SAME_ZONE,
-    SHARE_DONE,
-    TOKENED,
-    TURNED_AWAY,
-)
+from wickvane import interface as i
 
 SECOND = 10_000
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
 BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
-PRESSED = 1.5  # latency above its best at which the bound binds
-COMFORT, STRAIN = 2.0, 4.0  # latency above its best up to which the bound grows, and from which it is cut
-BOUND_LEAST, BOUND_MOST = 0.4, 1.0  # of the bound's start
-WIDEN_LEAST, WIDEN_MOST = 0.75, 2.0  # of the pooled bound's start
-MID_STEP = 1.2  # by which one answer moves the median
-CROWDED = 2.5  # the usual crowd past which it is cut
-LAGGING = 0.25  # share of an engine's open threads past the latency of pressure that shows it too
-QUANTUM_MEANS = 2.0
-CROWD_LASTS = 3 * SECOND  # how long what was seen of an engine's crowd counts in full
-WAIT_PART = 0.2  # of a query's time that it may wait here
+PRESSED = 1.5  # latency above its best at which the bound binds, and below which it grows
+COMFORT, CROWDED = 2.0, 2.5  # the usual crowd at which a pooled bound binds, and past which bounds are cut
+WIDEN_LEAST, WIDEN_MOST = 0.75, 2.0  # of the bound's start; a bound that is no pool does not grow above it
+MID_STEP, EASY_STEP = 1.2, 1.0002  # by which one answer moves the median, and its best back up
+CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded
+QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
-LATER_TRY = 0.2  # of its value, that a query which looks like a late later try counts for
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 LOTS = 0.35  # of the collapse budget that is drawn for, where a gateway's part is less than a query
@@ -63,14 +44,12 @@
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
 
 
-DENSITY = attrgetter("density")
 
 
 class Query:
     __slots__ = (
         "q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out", "engine",
-        "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "charged", "priority", "share",
-        "density",
+        "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "priority", "share", "density",
     )
 
 
@@ -79,22 +58,17 @@
         self.chance = Random(seed)
         self.groups, self.gateways = site.groups, site.gateways
         self.cores_of, self.home = site.cores, site.zone if site.crossing else None
-        self.most_tries, self.may_cancel = site.most_submissions, site.may_cancel
-        self.priorities, self.advice = site.priorities, site.longest_advice
-        self.key_rest = site.key_rest
+        self.most_tries, self.may_cancel, self.grants = site.most_submissions, site.may_cancel, site.grants
+        self.priorities, self.advice, self.key_rest = site.priorities, site.longest_advice, site.key_rest
+        self.ask_at = 0 if site.asks_for_list else None
         self.extra_free, self.extra_share = site.extra_free, site.extra_share
         self.extra_window = site.extra_window
-        self.cold_from, self.cold_time = site.cold_from, site.cold_time
-        self.fall_time = site.fall_time
-        # The least that a cold engine may get of one gateway in a window, in work a core.
+        self.cold_from, self.cold_time, self.fall_time = site.cold_from, site.cold_time, site.fall_time
+        # What a cold engine may get of one gateway in a window, in work a core.
         self.fall_work = FALL_SAFETY * site.fall_multiple * BUSY * site.fall_time / site.gateways
-        self.asks = site.asks_for_list
         self.queries, self.running, self.again = {}, {}, deque()
-        self.keys, self.rests = {}, {}
-        self.taken_at, self.extra_at = deque(), deque()
+        self.keys, self.rests, self.taken_at, self.extra_at = {}, {}, deque(), deque()
         self.mean, self.mean_all = [0.0] * len(site.groups), 0.0
-        self.longest = [0] * len(site.groups)
-        self.grants = site.grants
         self.told_over, self.told_off = [1.0] * len(site.groups), [0.25] * len(site.groups)
         shares = [share for share, _ in site.tenants]
         self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
@@ -102,27 +76,23 @@
         self.ring, self.at, self.visiting, self.short = [], 0, False, False
         # Engines, by index
         self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
-        self.cores, self.started, self.mine, self.bound = [], [], [], []
-        self.pace, self.best, self.failing, self.full_at = [], [], [], []
-        self.crowd, self.crowd_at, self.crowd_mid, self.per_query = [], [], 1.0, (0.0, 0.0)
-        self.heard, self.aside, self.aside_for, self.trial, self.moved = [], [], [], [], []
-        self.sent_work, self.down, self.lagging, self.lot, self.lot_until = [], [], set(), [], []
+        self.cores, self.started, self.mine, self.failing, self.full_at = [], [], [], [], []
+        self.crowd, self.crowd_at, self.per_query = [], [], (0.0, 0.0)
+        self.crowd_mid = self.median = self.easy = 1.0
+        self.heard, self.aside, self.aside_for, self.trial = [], [], [], []
+        self.sent_work, self.down, self.lot, self.lot_until = [], [], [], []
         self.orders, self.told_need = {}, False
-        self.fit, self.fit_until = {}, 0
+        self.fit = {}  # found out once a sweep, and when an engine changes
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
-        if self.asks:
-            self.ask_at = 0
 
     def round(self, now, events, out):
         self.now, self.out = now, out
         self.no_room, self.pool = set(), None
-        if now >= self.fit_until:
-            self.fit, self.fit_until = {}, now + IDLE_SWEEP
         for event in events:
             HANDLERS[event[0]](self, *event[1:])
-        if self.asks and self.ask_at is not None and now >= self.ask_at:
+        if self.ask_at is not None and now >= self.ask_at:
             self.ask_at = None
             out.watch_list(True)
         if now >= self.next_sweep:
@@ -132,7 +102,7 @@
 
     def arm(self):
         waiting = self.ring or self.again
-        if not waiting and not self.running and not (self.asks and self.ask_at):
+        if not waiting and not self.running and not self.ask_at:
             return
         # An alarm set while nothing waited is too late for what waits now: its time may run out before.
         at = self.now + (SWEEP if waiting else IDLE_SWEEP)
@@ -162,7 +132,7 @@
         if qy.key is None:
             qy.hold = min(qy.hold, now + int(WAIT_PART * left))
         qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
-        qy.ran_at, qy.ran_on, qy.known_slow, qy.charged, qy.priority, qy.share = None, -1, False, 0, -1, 0.0
+        qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share = None, -1, False, -1, 0.0
         self.queries[q] = qy
         self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
         self.taken_at.append(now)
@@ -176,12 +146,8 @@
             self.deficit[tenant] = 0.0
             self.ring.append(tenant)
         # A shortage falls on the least value for the work, not on whoever came behind a long query.
-        # Less time than others had may be a later try, whose target ran from the first. It may also be a
-        # client in a hurry, so it only comes behind, and is not sent away.
-        self.longest[rg] = max(self.longest[rg], left)
-        again = left < self.longest[rg] - SECOND // 50 and qy.target < now + g.timeout - left
-        qy.density = -g.value * (LATER_TRY if again else 1) / max(qy.cost, 10)
-        insort(line, qy, key=DENSITY)
+        qy.density = -g.value / max(qy.cost, 10)
+        insort(line, qy, key=attrgetter("density"))
 
     def ended(self, q, submission, engine, ending, elapsed, complete, work, memory, report):
         qy = self.queries.get(q)
@@ -193,14 +159,14 @@
         self.mine[engine] -= g.threads
         self.used -= g.threads
         self.judge(qy, engine, ending, elapsed)
-        if ending == FINISHED:
+        if ending == i.FINISHED:
             self.see(engine, elapsed / self.usual(qy, work), report)
-        if ending >= TURNED_AWAY:
-            self.deficit[qy.tenant] += qy.charged
+        if ending >= i.TURNED_AWAY:
+            self.deficit[qy.tenant] += qy.cost
         else:
             true = work or elapsed * g.threads
-            self.deficit[qy.tenant] -= true - qy.charged
-            if ending == FINISHED:
+            self.deficit[qy.tenant] -= true - qy.cost
+            if ending == i.FINISHED:
                 if work:
                     self.learn(qy.rg, work)
                 if memory and qy.need:
@@ -210,10 +176,9 @@
                     self.told_need = True
             elif qy.ran_at is None:
                 qy.ran_at, qy.ran_on = qy.sent, engine
-        if ending in (NO_ANSWER, RESET, CANCELLED) and qy.key is not None:
+        if ending in (i.NO_ANSWER, i.RESET, i.CANCELLED) and qy.key is not None:
             self.rests[qy.key] = now + self.key_rest
-        if complete or ending == FINISHED:
-            qy.over = True
+        qy.over = qy.over or complete or ending == i.FINISHED
         if qy.over:
             self.forget(qy)
         elif not self.may_resubmit(qy) or now >= qy.limit:
@@ -234,32 +199,28 @@
         if qy is None or not qy.out or qy.over:
             return
         self.heard[engine] = self.now
-        if what == SHARE_DONE:
+        if what == i.SHARE_DONE:
             qy.share = amount
             elapsed = self.now - qy.sent
             still = elapsed * (1 - amount) / max(amount, 0.005)
-            if still > RUNAWAY * self.runs_for(qy, engine) + SECOND // 2:
+            if still > RUNAWAY * self.runs_for(qy) + SECOND // 2:
                 self.renew([qy])
 
     def engine(self, e, rank, state, zone, kind, cell, started, weight):
         while e >= len(self.rank):
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
-                self.bound, self.pace, self.best, self.failing, self.full_at, self.heard, self.aside,
-                self.aside_for, self.trial, self.moved, self.sent_work, self.down, self.crowd, self.crowd_at,
-                self.lot, self.lot_until,
+                self.failing, self.full_at, self.heard, self.aside, self.aside_for, self.trial, self.down,
+                self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until,
             ):
                 column.append(None)
             self.mine[-1] = 0
         if self.rank[e] != rank or self.started[e] != started:
-            self.cores[e] = cores = self.cores_of[kind] if kind < len(self.cores_of) else 1
-            self.bound[e] = BOUND_THREADS * cores / self.gateways
-            self.pace[e] = self.best[e] = self.crowd[e] = 1.0
-            self.crowd_at[e] = self.now
+            self.cores[e] = self.cores_of[kind] if kind < len(self.cores_of) else 1
+            self.crowd[e], self.crowd_at[e] = 1.0, self.now
             self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
             self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
-            self.lagging.discard(e)
-            self.aside[e], self.aside_for[e], self.trial[e], self.moved[e] = 0, ASIDE_FIRST, False, 0
+            self.aside[e], self.aside_for[e], self.trial[e] = 0, ASIDE_FIRST, False
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e] = 0, deque()
                 self.orders.clear()
@@ -276,9 +237,8 @@
         self.mean[rg] += (work - self.mean[rg]) * 0.02 if self.mean[rg] else work
         self.mean_all += (work - self.mean_all) * 0.02 if self.mean_all else work
 
-    def runs_for(self, qy, engine=None):
-        alone = qy.cost / self.groups[qy.rg].threads
-        return alone * (self.pace[engine] if engine is not None else 1.0)
+    def runs_for(self, qy):
+        return qy.cost / self.groups[qy.rg].threads * max(1.0, self.crowd_mid)
 
     def usual(self, qy, work=0):
         # The addition keeps a short pause or a slow hand-shake from passing for a crowd.
@@ -288,25 +248,31 @@
         """Threads a core that all gateways seem to have on an engine: an answer tells by how much it was
         slower than alone, and some bring a count of what the engine holds."""
         slower *= self.warmth(e)  # a cold engine is slow without a crowd
-        # The median over recent answers, not over engines: with many, most were last seen long ago.
-        self.crowd_mid = max(1.0, self.crowd_mid * (MID_STEP if slower > self.crowd_mid else 1 / MID_STEP))
+        # The median over recent answers, not over engines: with many, most were last seen long ago. Against
+        # its best, since estimates may all lie to one side.
+        self.median = max(0.1, self.median * (MID_STEP if slower > self.median else 1 / MID_STEP))
+        self.easy = min(self.easy * EASY_STEP, max(self.median, 0.5))
+        self.crowd_mid, slower = self.median / self.easy, slower / self.easy
         if self.crowd_mid < PRESSED:
             self.widen = min(WIDEN_MOST, self.widen + 1 / max(1.0, self.base))
-        elif self.crowd_mid > CROWDED and self.now - self.narrowed > SECOND // 2:
-            self.widen, self.narrowed = max(WIDEN_LEAST, self.widen * 0.85), self.now
+        elif self.crowd_mid > CROWDED:
+            self.narrow()
         held, threads = report.get("inflight") if report else None, self.per_query
         if held is not None and threads[1]:
             slower = max(slower, held * threads[0] / threads[1] / self.cores[e])
         # The rarer the answers, the more each of them tells.
-        share = min(1.0, max(0.3, (self.now - self.crowd_at[e]) / CROWD_LASTS))
+        share = min(1.0, max(0.3, 2 * (self.now - self.crowd_at[e]) / CROWD_LASTS))
         self.crowd[e] += (slower - self.crowd[e]) * share
         self.crowd_at[e] = self.now
 
-    def others(self, e):
+    def narrow(self):
+        if self.now - self.narrowed > SECOND // 2:
+            self.widen, self.narrowed = max(WIDEN_LEAST, self.widen * 0.85), self.now
+
+    def seen(self, e):
         # What was seen some time ago fades into what is usual over all engines now.
-        still = max(0.0, 1 - (self.now - self.crowd_at[e]) / (2 * CROWD_LASTS))
-        seen = self.crowd_mid + (self.crowd[e] - self.crowd_mid) * still
-        return max(0.0, seen - 1.0) * (1 - 1 / self.gateways)
+        still = max(0.0, 1 - (self.now - self.crowd_at[e]) / CROWD_LASTS)
+        return self.crowd_mid + (self.crowd[e] - self.crowd_mid) * still
 
     def last_start(self, qy):
         g = self.groups[qy.rg]
@@ -321,33 +287,20 @@
         return self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold_time
 
     def judge(self, qy, e, ending, elapsed):
-        self.down[e] = ending == NO_CONNECTION
-        if ending == FINISHED:
-            pace = elapsed * self.groups[qy.rg].threads / max(qy.cost, 10)
-            self.pace[e] += (pace - self.pace[e]) * 0.1
-            self.best[e] = min(self.best[e] * 1.00002, max(self.pace[e], 0.5))
+        self.down[e] = ending == i.NO_CONNECTION
+        if ending == i.FINISHED:
             self.failing[e] *= 0.8
             self.heard[e] = self.now
             self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
-            if self.pace[e] > STRAIN * self.best[e]:
-                self.cut_bound(e)
-            elif (self.pace[e] < COMFORT * self.best[e] and self.mine[e] >= self.bound[e] - 2
-                    and self.now - self.moved[e] > SECOND // 4):
-                most = BOUND_MOST * BOUND_THREADS * self.cores[e] / self.gateways
-                self.bound[e], self.moved[e] = min(most, self.bound[e] + 1), self.now
-        elif ending == TURNED_AWAY:
+        elif ending == i.TURNED_AWAY:
             self.full_at[e] = self.heard[e] = self.now
-            self.cut_bound(e)
-        elif ending in (ERROR, RESET, NO_CONNECTION) or (ending == NO_ANSWER and self.heard[e] < qy.sent):
+            self.narrow()
+        elif ending in (i.ERROR, i.RESET, i.NO_CONNECTION) or (
+                ending == i.NO_ANSWER and self.heard[e] < qy.sent):
             self.failing[e] += (1 - self.failing[e]) * 0.2
             if self.failing[e] > FAILING or self.trial[e]:
                 self.set_aside(e)
 
-    def cut_bound(self, e):
-        if self.now - self.moved[e] > SECOND // 4:
-            least = BOUND_LEAST * BOUND_THREADS * self.cores[e] / self.gateways
-            self.bound[e], self.moved[e] = max(least, self.bound[e] * 0.85), self.now
-
     def set_aside(self, e):
         if self.now < self.aside[e]:
             return
@@ -357,8 +310,7 @@
         self.trial[e] = True
 
     def pressed(self, e):
-        return (self.pace[e] > PRESSED * self.best[e] or e in self.lagging
-                or self.now - self.full_at[e] < SECOND)
+        return self.seen(e) > PRESSED or self.now - self.full_at[e] < SECOND
 
     # Where a query may go
 
@@ -377,17 +329,14 @@
     def knows(self, qy, e):
         """Where a tokened query has run, only those that know the token discard the repeat."""
         g = self.groups[qy.rg]
-        if qy.ran_at is None or g.effect != TOKENED or g.drops_repeats == ANY_ENGINE:
-            return True
-        same = self.where if g.drops_repeats == SAME_ZONE else self.cell
-        return same[e] == same[qy.ran_on]
+        same = self.where if g.drops_repeats == i.SAME_ZONE else self.cell
+        return (qy.ran_at is None or g.effect != i.TOKENED or g.drops_repeats == i.ANY_ENGINE
+                or same[e] == same[qy.ran_on])
 
     def usable(self, rg):
         if rg not in self.fit:
-            ready = [e for e, state in enumerate(self.state) if state == READY and self.permitted(rg, e)]
+            ready = [e for e, state in enumerate(self.state) if state == i.READY and self.permitted(rg, e)]
             fit = [e for e in ready if self.aside[e] <= self.now]
-            back = [self.aside[e] for e in ready if self.aside[e] > self.now]
-            self.fit_until = min([self.fit_until, *back])
             # More than half aside at once is no fault of the engines: a common cause, and nowhere better to
             # go. An engine that takes no connection is down all the same, and would only use up submissions.
             if 2 * len(fit) < len(ready):
@@ -415,21 +364,23 @@
         warmth = self.warmth(e)
         if warmth < 1.0 and not self.cold_room(qy, e):
             return False
-        bound = self.bound[e] * warmth
+        bound = self.bound(e)
         binds = warmth < 1.0 or self.short or self.pressed(e)
         if bound >= self.groups[qy.rg].threads:
-            if self.mine[e] <= 0:
-                return True
-            return not self.trial[e] and (not binds or self.mine[e] < bound)
+            few = not binds or self.mine[e] < bound * min(1.0, self.widen)
+            return self.mine[e] <= 0 or few and not self.trial[e]
         # With many gateways the bound is less than a query, and one from each would be far over what it
         # stands for: its bounds on all engines are one pool then, which an engine with none needs too.
         if self.mine[e] > 0 and (self.trial[e] or binds):
             return False
         return not (binds or self.crowd_mid > COMFORT) or self.pool_left()
 
+    def bound(self, e):
+        return BOUND_THREADS * self.cores[e] * self.warmth(e) / self.gateways
+
     def pool_left(self):
         if self.pool is None:
-            bounds = [self.bound[e] * self.warmth(e) for e in range(len(self.rank)) if self.state[e] == READY]
+            bounds = [self.bound(e) for e, state in enumerate(self.state) if state == i.READY]
             self.base, self.widest = sum(bounds), max(bounds, default=0.0)
             self.pool = self.base * self.widen
         return self.used <= 0 or self.used < self.pool
@@ -459,31 +410,25 @@
 
     def load(self, e):
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
+        others = max(0.0, self.seen(e) - 1.0) * (1 - 1 / self.gateways)
         far = CROSSING if self.home is not None and self.where[e] != self.home else 0.0
-        return self.mine[e] / (self.cores[e] * self.warmth(e)) + self.others(e) + far
+        return self.mine[e] / (self.cores[e] * self.warmth(e)) + others + far
 
     # What leaves
 
     def key_free(self, qy):
-        if qy.key is None:
-            return True
-        return self.keys[qy.key][0] is qy and self.now >= self.rests.get(qy.key, 0)
+        return qy.key is None or self.keys[qy.key][0] is qy and self.now >= self.rests.get(qy.key, 0)
 
     def head(self, tenant):
         for qy in self.lines[tenant]:
-            if not self.key_free(qy):
-                continue
-            e = self.place(qy)
-            if e is None:
-                return qy, None
-            if e >= 0:
+            e = self.place(qy) if self.key_free(qy) else -1
+            if e is None or e >= 0:
                 return qy, e
         return None, None
 
     def release(self):
-        """Deficit round robin. A visit adds one quantum and lasts while the next query fits and finds room.
-
-        One that is cut short by want of room goes on where it was, so that waiting pumps up no deficit."""
+        """Deficit round robin: a visit adds one quantum and lasts while the next query fits and finds room.
+        One cut short by want of room goes on where it was, so that waiting pumps up no deficit."""
         ring, blocked, short = self.ring, 0, {}
         while ring and blocked < len(ring):
             at = (self.at + blocked) % len(ring)
@@ -509,13 +454,14 @@
             self.deficit[tenant] -= qy.cost
             self.lines[tenant].remove(qy)
             self.submit(qy, e)
-            if not self.lines[tenant]:
-                self.leave_ring(tenant)
+            self.leave_ring(tenant)
         # What waits here is pressure too. Else the first engine at ease is sent the whole line at once.
         self.short = bool(ring)
         self.release_again()
 
     def leave_ring(self, tenant):
+        if self.lines[tenant]:
+            return
         place = self.ring.index(tenant)
         if place < self.at:
             self.at -= 1
@@ -543,30 +489,30 @@
             self.submit(qy, e)
 
     def budget_left(self):
-        if not self.extra_window:
-            return True
         # The ends of the window are cut against this gateway: extras count longer than queries taken.
         while self.extra_at and self.extra_at[0] < self.now - self.extra_window - 2:
             self.extra_at.popleft()
         while self.taken_at and self.taken_at[0] <= self.now - self.extra_window + 4:
             self.taken_at.popleft()
-        return len(self.extra_at) + 1 <= self.extra_free + self.extra_share * len(self.taken_at)
+        few = len(self.extra_at) + 1 <= self.extra_free + self.extra_share * len(self.taken_at)
+        return few or not self.extra_window
 
     def submit(self, qy, e):
         g = self.groups[qy.rg]
-        qy.engine, qy.sent, qy.out, qy.charged, qy.share = e, self.now, True, qy.cost, 0.0
+        qy.engine, qy.sent, qy.out, qy.share = e, self.now, True, 0.0
         qy.tries += 1
         self.mine[e] += g.threads
         self.used += g.threads
         if self.warmth(e) < 1.0:
             self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
-        if self.priorities or self.grants:
-            self.set_terms(qy)
+        self.set_terms(qy)
         self.out.submit(qy.q, e, 0)
 
     def set_terms(self, qy):
         g = self.groups[qy.rg]
+        if not (self.priorities or self.grants):
+            return
         dense = [x.value / (self.mean[n] or SECOND) for n, x in enumerate(self.groups)]
         mine = dense[qy.rg]
         # In an ordered group a slow query keeps all of its key waiting.
@@ -585,21 +531,14 @@
 
     def may_resubmit(self, qy):
         g = self.groups[qy.rg]
-        if qy.tries >= self.most_tries or self.now >= self.last_start(qy):
-            return False
-        if qy.ran_at is None or g.effect == READ_ONLY:
-            return True
-        return g.effect == TOKENED and self.now < qy.ran_at + g.repeat_window
-
-    def may_renew(self, qy):
-        return (self.may_cancel and not qy.known_slow and self.groups[qy.rg].effect == READ_ONLY
-                and qy.tries < self.most_tries and self.now + self.runs_for(qy) < qy.limit
-                and self.budget_left())
+        harmless = (qy.ran_at is None or g.effect == i.READ_ONLY
+                    or g.effect == i.TOKENED and self.now < qy.ran_at + g.repeat_window)
+        return harmless and qy.tries < self.most_tries and self.now < self.last_start(qy)
 
     def give_up(self, qy):
         g = self.groups[qy.rg]
         clean = qy.ran_at is None and not qy.out
-        if clean or g.effect == READ_ONLY or (g.effect == TOKENED and g.drops_repeats == ANY_ENGINE):
+        if clean or g.effect == i.READ_ONLY or (g.effect == i.TOKENED and g.drops_repeats == i.ANY_ENGINE):
             self.out.defer(qy.q, self.advice)
         else:
             self.out.kill(qy.q)
@@ -615,8 +554,7 @@
         line = self.lines[qy.tenant]
         if not qy.tries and qy in line:
             line.remove(qy)
-            if not line:
-                self.leave_ring(qy.tenant)
+            self.leave_ring(qy.tenant)
         qy.over = True
         self.forget(qy)
 
@@ -631,6 +569,7 @@
     def sweep(self):
         now = self.now
         self.next_sweep = now + SWEEP
+        self.fit.clear()
         for tenant in list(self.ring):
             for qy in [qy for qy in self.lines[tenant] if now >= qy.hold]:
                 self.give_up(qy)
@@ -638,49 +577,43 @@
             del self.rests[key]
         if not self.extra_window:
             self.taken_at.clear()
-        lost = []
-        late, behind = Counter(), Counter()
+        lost, late = [], Counter()
         for qy in list(self.running.values()):
-            e, g = qy.engine, self.groups[qy.rg]
-            still = min(8.0, (now - qy.sent) / self.usual(qy))
-            if not qy.share and still > self.crowd[e]:
-                self.crowd[e], self.crowd_at[e] = still, now
+            e, g, since = qy.engine, self.groups[qy.rg], now - qy.sent
             # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
-            if now - qy.sent > PRESSED * self.best[e] * qy.cost / g.threads + SECOND // 20:
-                behind[e] += g.threads
+            slower = min(8.0, since / self.usual(qy))
+            if not qy.share and slower > self.crowd[e]:
+                self.crowd[e], self.crowd_at[e] = slower, now
             if qy.over:
                 continue
             if now >= qy.limit:
                 self.out.kill(qy.q)
                 self.close(qy)
-            elif self.may_cancel and g.effect == READ_ONLY and g.late_value == 0 and now > qy.target:
+            elif self.may_cancel and g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target:
                 self.give_up(qy)
             else:
-                since = now - qy.sent
-                if since > 3 * self.runs_for(qy, e) + SECOND // 2 and self.heard[e] < qy.sent:
+                if since > 3 * self.runs_for(qy) + SECOND // 2 and self.heard[e] < qy.sent:
                     late[e] += 1
                 # Lost, hung or badly planned, whichever: notes that show it at work speak for it.
-                alone = min(max(1.0, self.pace[e]), 2.0) * qy.cost / g.threads
+                alone = min(max(1.0, self.crowd_mid), 2.0) * qy.cost / g.threads
                 if since > LOST * alone + SECOND // 10 and not qy.share:
                     lost.append(qy)
-        self.lagging = {e for e, threads in behind.items() if threads > LAGGING * self.mine[e]}
         # Many at once are a slowness shared by all, and moving them would only add to it.
         if len(lost) <= LOST_MOST * len(self.running) + 1:
             self.renew(lost)
-        self.silent(late)
+        for e, count in late.items():
+            if count >= 2 and now >= self.aside[e]:
+                self.set_aside(e)
+                self.renew([qy for qy in self.running.values() if qy.engine == e])
 
     def renew(self, queries):
         for qy in queries:
-            if not qy.over and self.may_renew(qy):
+            if (not qy.over and not qy.known_slow and self.may_cancel and qy.tries < self.most_tries
+                    and self.groups[qy.rg].effect == i.READ_ONLY and self.budget_left()
+                    and self.now + self.runs_for(qy) < qy.limit):
                 self.out.cancel(qy.q, qy.tries - 1)
                 qy.known_slow = True
 
-    def silent(self, late):
-        for e, count in late.items():
-            if count >= 2 and self.now >= self.aside[e]:
-                self.set_aside(e)
-                self.renew([qy for qy in self.running.values() if qy.engine == e])
-
 
 HANDLERS = (
     Gateway.taken, Gateway.ended, Gateway.left, Gateway.due, Gateway.progress, Gateway.engine,
