--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -36,6 +36,7 @@
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
+SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 LOTS = 0.35  # of the collapse budget that is drawn for, where a gateway's part is less than a query
@@ -373,6 +374,9 @@
         # stands for: its bounds on all engines are one pool then, which an engine with none needs too.
         if self.mine[e] > 0 and (self.trial[e] or binds):
             return False
+        # Past the whole bound by what others hold, and more than is usual now: later engines are tried.
+        if self.seen(e) > max(BOUND_THREADS, SPILL * self.crowd_mid):
+            return False
         return not (binds or self.crowd_mid > COMFORT) or self.pool_left()
 
     def bound(self, e):
@@ -401,7 +405,9 @@
             if self.room(qy, e):
                 found.append(e)
         if found:
-            return min(found, key=self.load)
+            # With many gateways most engines hold none of mine: ties that all break alike jam the first.
+            pooled = self.bound(found[0]) < self.groups[qy.rg].threads
+            return min(found, key=lambda e: (self.load(e), self.chance.random() if pooled else 0))
         if not met:
             return -1
         # Looking over all engines again for each that waits costs more than it finds.
