--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -405,9 +405,11 @@
             if self.room(qy, e):
                 found.append(e)
         if found:
-            # With many gateways most engines hold none of mine: ties that all break alike jam the first.
-            pooled = self.bound(found[0]) < self.groups[qy.rg].threads
-            return min(found, key=lambda e: (self.load(e), self.chance.random() if pooled else 0))
+            # With many gateways most engines hold none of mine, and ties that all break alike jam the first,
+            # unless it was heard of lately. Its warm tables are worth staying for then.
+            blind = (self.bound(found[0]) < self.groups[qy.rg].threads
+                     and self.now - self.crowd_at[found[0]] > CROWD_LASTS // 3)
+            return min(found, key=lambda e: (self.load(e), self.chance.random() if blind else 0))
         if not met:
             return -1
         # Looking over all engines again for each that waits costs more than it finds.
