--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -36,7 +36,7 @@
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
-SPILL = 2.0  # over the usual crowd, from which an engine past the whole bound counts as at its bound
+SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 LOTS = 0.35  # of the collapse budget that is drawn for, where a gateway's part is less than a query
@@ -246,8 +246,8 @@
         return (work or qy.cost) / self.groups[qy.rg].threads + SECOND // 20
 
     def see(self, e, slower, report):
-        """Threads a core that all gateways seem to have on an engine: an answer tells by how much it was
-        slower than alone, and some bring a count of what the engine holds."""
+        """How crowded all gateways together make an engine: an answer tells by how much it was slower than
+        alone, and some bring a count of what the engine holds, here against the whole bound."""
         slower *= self.warmth(e)  # a cold engine is slow without a crowd
         # The median over recent answers, not over engines: with many, most were last seen long ago. Against
         # its best, since estimates may all lie to one side.
@@ -260,7 +260,7 @@
             self.narrow()
         held, threads = report.get("inflight") if report else None, self.per_query
         if held is not None and threads[1]:
-            slower = max(slower, held * threads[0] / threads[1] / self.cores[e])
+            slower = max(slower, held * threads[0] / threads[1] / (BOUND_THREADS * self.cores[e]))
         # The rarer the answers, the more each of them tells.
         share = min(1.0, max(0.3, 2 * (self.now - self.crowd_at[e]) / CROWD_LASTS))
         self.crowd[e] += (slower - self.crowd[e]) * share
