--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -39,8 +39,7 @@
 SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
-LOTS = 0.35  # of the collapse budget that is drawn for, where a gateway's part is less than a query
-FALL_SAFETY = 0.5  # of the collapse budget; true speeds are not told
+FALL_SAFETY, LOTS = 0.5, 0.35  # of the collapse budget: true speeds are not told; where lots are drawn
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
 
@@ -126,7 +125,7 @@
         if cost:
             self.learn(rg, cost)
         now = self.now
-        qy.limit = now + left
+        qy.limit, qy.density = now + left, -g.value / max(qy.cost, 10)
         qy.target = min(now + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
         # A wait for its key is no wait for room: it may take all the time that is of use.
         qy.hold = self.last_start(qy)
@@ -139,16 +138,14 @@
         self.taken_at.append(now)
         if qy.key is not None:
             self.keys.setdefault(qy.key, deque()).append(qy)
-        line = self.lines[tenant]
         if now >= qy.hold:
             self.give_up(qy)
             return
-        if not line:
+        if not self.lines[tenant]:
             self.deficit[tenant] = 0.0
             self.ring.append(tenant)
         # A shortage falls on the least value for the work, not on whoever came behind a long query.
-        qy.density = -g.value / max(qy.cost, 10)
-        insort(line, qy, key=attrgetter("density"))
+        insort(self.lines[tenant], qy, key=attrgetter("density"))
 
     def ended(self, q, submission, engine, ending, elapsed, complete, work, memory, report):
         qy = self.queries.get(q)
@@ -218,8 +215,8 @@
             self.mine[-1] = 0
         if self.rank[e] != rank or self.started[e] != started:
             self.cores[e] = self.cores_of[kind] if kind < len(self.cores_of) else 1
-            self.crowd[e], self.crowd_at[e] = 1.0, self.now
-            self.failing[e], self.full_at[e], self.heard[e] = 0.0, -SECOND, self.now
+            self.crowd[e], self.failing[e], self.full_at[e] = 1.0, 0.0, -SECOND
+            self.crowd_at[e] = self.heard[e] = self.now
             self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
             self.aside[e], self.aside_for[e], self.trial[e] = 0, ASIDE_FIRST, False
             if self.rank[e] != rank:
@@ -375,9 +372,8 @@
         if self.mine[e] > 0 and (self.trial[e] or binds):
             return False
         # Past the whole bound by what others hold, and more than is usual now: later engines are tried.
-        if self.seen(e) > max(BOUND_THREADS, SPILL * self.crowd_mid):
-            return False
-        return not (binds or self.crowd_mid > COMFORT) or self.pool_left()
+        over = self.seen(e) > max(BOUND_THREADS, SPILL * self.crowd_mid)
+        return not over and (self.pool_left() or not (binds or self.crowd_mid > COMFORT))
 
     def bound(self, e):
         return BOUND_THREADS * self.cores[e] * self.warmth(e) / self.gateways
@@ -559,9 +555,8 @@
             if self.may_cancel:
                 self.out.cancel(qy.q, qy.tries - 1)
             return
-        line = self.lines[qy.tenant]
-        if not qy.tries and qy in line:
-            line.remove(qy)
+        if qy in self.lines[qy.tenant]:
+            self.lines[qy.tenant].remove(qy)
             self.leave_ring(qy.tenant)
         qy.over = True
         self.forget(qy)
@@ -581,8 +576,7 @@
         for tenant in list(self.ring):
             for qy in [qy for qy in self.lines[tenant] if now >= qy.hold]:
                 self.give_up(qy)
-        for key in [key for key, until in self.rests.items() if now >= until]:
-            del self.rests[key]
+        self.rests = {key: until for key, until in self.rests.items() if now < until}
         if not self.extra_window:
             self.taken_at.clear()
         lost, late = [], Counter()
