--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -152,6 +152,37 @@
     assert [priority for _, priority, _ in g.log] == [3, 1, 2]
 
 
+def test_bounds_below_one_query_are_pooled_over_all_engines():
+    g = Gateways(site([group()], gateways=40))
+    g.engines(10)
+    g.gateway.full_at = [g.now] * 10
+    for coord in range(60):
+        g.take(coord=coord)
+    # Two threads a core of ten engines with eight, over forty gateways.
+    assert len(g.out) == 4
+
+
+def test_many_gateways_go_round_an_engine_whose_answers_were_slow_and_one_gateway_need_not():
+    for gateways, stays in ((1, True), (40, False)):
+        g = Gateways(site([group()], gateways=gateways))
+        g.engines(5)
+        slow = g.gateway.order_of(1)[0]
+        g.gateway.crowd[slow], g.gateway.crowd_at[slow] = 1.4, g.now
+        assert (g.out[g.take(coord=1)] == slow) == stays
+
+
+def test_blind_ties_do_not_all_go_to_the_first_engine():
+    g = Gateways(site([group()], gateways=40))
+    g.engines(5)
+    went = set()
+    for _ in range(30):
+        g.now += 80_000
+        q = g.take(coord=1)
+        went.add(g.out[q])
+        g.end(q, elapsed=1)
+    assert went == set(g.gateway.order_of(1)[:3])
+
+
 def run_host(*lines):
     replies, errors = io.StringIO(), io.StringIO()
     return serve(lines, replies, errors), replies.getvalue(), errors.getvalue()
