--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -276,7 +276,7 @@
         g = self.groups[qy.rg]
         end = qy.target if g.late_value == 0 else qy.limit
         # What waits is looked at once a sweep, so the last sweeps before the end are none to wait into.
-        return int(end - max(qy.cost / g.threads, 2 * SWEEP))
+        return int(end - max(self.runs_for(qy), 2 * SWEEP))
 
     def warmth(self, e):
         age = self.now - self.started[e]
