--- a/wickvane/wirehost/startup.py
+++ b/wickvane/door.py
@@ -1,4 +1,4 @@
-"""The wire's start-up settings, put into the words of wickvane.interface."""
+"""What both doors share: the settings in the words of wickvane.interface, and ids as small indices."""
 
 from math import ceil
 
@@ -29,6 +29,88 @@
         return self.index.setdefault(name, len(self.index))
 
 
+class Indices:
+    """Ids to small indices that are used again, the lowest free one last freed first."""
+
+    def __init__(self):
+        self.of, self.names, self.free = {}, [], []
+
+    def add(self, name):
+        if name in self.of:
+            return self.of[name]
+        if self.free:
+            n = self.free.pop()
+            self.names[n] = name
+        else:
+            n = len(self.names)
+            self.names.append(name)
+        self.of[name] = n
+        return n
+
+    def drop(self, name):
+        n = self.of.pop(name)
+        self.names[n] = None
+        self.free.append(n)
+
+
+class Book:
+    """Which query and which engine an index stands for, and when it may stand for another."""
+
+    def __init__(self, params):
+        self.zones, self.kinds = Names(params.get("zones") or ()), Names(params.get("host_types") or ())
+        self.groups = Names(c["name"] for c in params["classes"])
+        self.tenants = Names(a["name"] for a in params.get("accounts") or ())
+        self.deployment = deployment(params, self.zones, self.kinds)
+        self.queries, self.engines = Indices(), Indices()
+        self.open = {}  # q: submissions without an ending; the query itself counts as one until it ends
+        self.over = set()
+        self.sent, self.listed = {}, {}
+
+    def take(self, name):
+        q = self.queries.add(name)
+        self.open[q] = 0
+        return q
+
+    def submitted(self, q, name):
+        self.open[q] += 1
+        self.sent[name] += 1
+
+    def ended(self, q, name):
+        self.open[q] -= 1
+        self.sent[name] -= 1
+
+    def list_engine(self, name, state, zone, kind, cell, started, weight):
+        """The event for the module; None where nothing is known of an engine that has gone."""
+        if state == i.GONE and name not in self.engines.of:
+            return None
+        e = self.engines.add(name)
+        self.sent.setdefault(name, 0)
+        if state == i.GONE:
+            self.listed.pop(name, None)
+        else:
+            self.listed[name] = (zone, kind, cell, started, weight)
+        return (i.ENGINE, e, name.encode(), state, self.zones(zone), self.kinds(kind), cell or 0,
+                tenths(started), weight or 1.0)
+
+    def unlisted(self, named):
+        """The events for engines that a whole list no longer names."""
+        for name in [name for name in self.listed if name not in named]:
+            yield self.list_engine(name, i.GONE, *self.listed[name])
+
+    def settle(self):
+        """Frees what is over; the engines that have gone for good."""
+        for q in sorted(self.over):
+            if not self.open[q]:
+                self.over.discard(q)
+                del self.open[q]
+                self.queries.drop(self.queries.names[q])
+        gone = [name for name, count in self.sent.items() if not count and name not in self.listed]
+        for name in gone:
+            del self.sent[name]
+            self.engines.drop(name)
+        return gone
+
+
 def resource_group(c, n, family, zones, kinds):
     def flag(name):
         return bool((family.get(name) or [False] * (n + 1))[n])
--- /dev/null
+++ b/wickvane/net/coordinator.py
@@ -0,0 +1,187 @@
+"""The list of engines: what the configuration knew at the start, then the coordinator's stream of events."""
+
+import math
+import socket
+import time
+from random import Random
+
+import orjson
+
+from wickvane import interface as i
+
+STATES = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
+LINE_MOST, EVENT_MOST, HEAD_MOST = 1 << 20, 1 << 21, 16_384
+CONNECT_S, SILENT_S = 1.0, 3.5  # a comment comes each second
+PAUSE_FIRST, PAUSE_MOST = 0.05, 2.0
+
+
+class Malformed(Exception):
+    pass
+
+
+def address_of(text):
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(text)
+    return host, int(port)
+
+
+def read_entry(entry):
+    try:
+        name, state = entry["name"], STATES[entry["status"]]
+        if not isinstance(name, str) or not 0 < len(name) <= 256:
+            raise ValueError("name")
+        address = address_of(entry["address"]) if state != i.GONE or "address" in entry else None
+        zone, kind = entry.get("zone"), entry.get("type")
+        if not all(text is None or isinstance(text, str) and len(text) <= 256 for text in (zone, kind)):
+            raise ValueError("zone or type")
+        cell, weight = entry.get("group") or 0, entry.get("weight") or 1.0
+        started = entry.get("since_ms") or 0
+        usual = all(math.isfinite(x) and 0 <= x < 1e14 for x in (started, weight))
+        if not usual or not isinstance(cell, int):
+            raise ValueError("a figure")
+        return name, address, state, zone, kind, cell, started, float(weight)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Malformed(f"an entry cannot be read: {error}") from None
+
+
+def read_event(event):
+    """(number, whole, entries) of one event."""
+    try:
+        number, change = event["index"], event["endpoints"]
+        if not isinstance(number, int) or isinstance(number, bool) or not 0 <= number < 1 << 62:
+            raise ValueError("index")
+        return number, bool(change.get("snapshot")), [read_entry(entry) for entry in change["endpoints"]]
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Malformed(f"an event cannot be read: {error}") from None
+
+
+class Lines:
+    """The lines of a response body, also of one that comes in chunks."""
+
+    def __init__(self, recv):
+        self.recv, self.buffer, self.chunked, self.left = recv, bytearray(), False, 0
+
+    def more(self):
+        data = self.recv(65_536)
+        if not data:
+            raise EOFError
+        self.buffer += data
+
+    def raw(self, most):
+        while (end := self.buffer.find(b"\n")) < 0:
+            if len(self.buffer) > most:
+                raise Malformed("a line is too long")
+            self.more()
+        line = bytes(self.buffer[:end]).rstrip(b"\r")
+        del self.buffer[:end + 1]
+        return line
+
+    def head(self):
+        status, total, fields = self.raw(HEAD_MOST), 0, {}
+        while line := self.raw(HEAD_MOST):
+            total += len(line)
+            if total > HEAD_MOST:
+                raise Malformed("the head is too long")
+            name, _, value = line.partition(b":")
+            fields[name.strip().lower()] = value.strip().lower()
+        words = status.split(None, 2)
+        if len(words) < 2 or not words[0].startswith(b"HTTP/1."):
+            raise Malformed("no HTTP answer")
+        if words[1] != b"200":
+            raise Malformed(f"status {words[1][:8].decode('ascii', 'replace')}")
+        self.chunked = fields.get(b"transfer-encoding") == b"chunked"
+
+    def body(self):
+        text = bytearray()
+        while True:
+            if self.chunked:
+                size = self.raw(64).split(b";")[0]
+                try:
+                    left = int(size, 16)
+                except ValueError:
+                    raise Malformed("a chunk has no length") from None
+                if left == 0:
+                    raise EOFError
+                if left > EVENT_MOST:
+                    raise Malformed("a chunk is too long")
+                while len(self.buffer) < left + 2:
+                    self.more()
+                text += self.buffer[:left]
+                del self.buffer[:left + 2]
+            else:
+                if not self.buffer:
+                    self.more()
+                text += self.buffer
+                self.buffer.clear()
+            while (end := text.find(b"\n")) >= 0:
+                yield bytes(text[:end]).rstrip(b"\r")
+                del text[:end + 1]
+            if len(text) > LINE_MOST:
+                raise Malformed("a line is too long")
+
+
+class Coordinator:
+    def __init__(self, address, known, exchange, seed, log, counters):
+        self.address, self.exchange, self.log, self.counters = address, exchange, log, counters
+        self.chance, self.last, self.pause = Random(f"{seed}/coordinator"), 0, PAUSE_FIRST
+        for event in known.get("updates") or ():
+            self.tell(read_event(event))
+        self.last = max(self.last, int(known.get("index") or 0))
+
+    def tell(self, event):
+        number, whole, entries = event
+        if number <= self.last:
+            return
+        self.last = number
+        self.exchange.inbox.put(("listed", whole, entries), always=True)
+        self.counters.add("list-events")
+
+    def run(self):
+        while True:
+            reason, detail = "closed", None
+            try:
+                self.follow()
+            except EOFError:
+                pass
+            except Malformed as error:
+                reason, detail = "malformed", str(error)
+                self.counters.add("list-events-malformed")
+            except TimeoutError:
+                reason = "silent"
+            except OSError as error:
+                reason, detail = "unreachable", error.strerror
+            except Exception as error:  # the list that stands stays, and the stream is opened again
+                reason, detail = "fault", f"{type(error).__name__}: {error}"
+            self.counters.add(f"coordinator-connections-ended-{reason}")
+            self.log.line("coordinator-connection-ended", reason=reason, detail=detail, last=self.last)
+            time.sleep(self.pause * self.chance.uniform(0.5, 1.0))
+            self.pause = min(PAUSE_MOST, self.pause * 2)
+
+    def follow(self):
+        with socket.create_connection(self.address, timeout=CONNECT_S) as sock:
+            sock.settimeout(SILENT_S)
+            sock.sendall(b"GET /v2/stream HTTP/1.1\r\nHost: %b:%d\r\nAccept: text/event-stream\r\n"
+                         b"Cache-Control: no-cache\r\nLast-Event-ID: %d\r\n\r\n"
+                         % (self.address[0].encode(), self.address[1], self.last))
+            lines = Lines(sock.recv)
+            lines.head()
+            data, size = [], 0
+            for line in lines.body():
+                if not line:
+                    if data:
+                        self.event(b"\n".join(data))
+                        data, size = [], 0
+                elif line.startswith(b"data:"):
+                    data.append(line[5:].removeprefix(b" "))
+                    size += len(line)
+                    if size > EVENT_MOST:
+                        raise Malformed("an event is too long")
+
+    def event(self, data):
+        try:
+            event = read_event(orjson.loads(data))
+        except orjson.JSONDecodeError:
+            raise Malformed("an event is no JSON") from None
+        self.tell(event)
+        self.pause = PAUSE_FIRST
--- /dev/null
+++ b/wickvane/net/decider.py
@@ -0,0 +1,157 @@
+"""The one thread that owns the module: a round for all that came in, its decisions into the exchange."""
+
+from heapq import heappop, heappush
+
+from wickvane import interface as i
+from wickvane.choice import Gateway
+from wickvane.net.exchange import DEFERRED, KILLED, Lane, Submission
+
+LONGEST_WAIT = 10_000
+
+
+class Decider:
+    """Also the writer that the module is handed: what it decides becomes an answer or an order."""
+
+    def __init__(self, exchange, book, seed, clock, log, counters):
+        self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
+        self.gateway = Gateway(seed, book.deployment)
+        self.lanes, self.addresses, self.alarms, self.events = {}, {}, [], []
+        self.now, self.longest, self.open = clock.now(), 0, 0
+
+    def run(self):
+        while True:
+            now = self.clock.now()
+            until = min(self.alarms[0][0], now + LONGEST_WAIT) if self.alarms else now + LONGEST_WAIT
+            self.round(self.exchange.inbox.take((until - now) / 10_000))
+
+    def round(self, items):
+        began = self.clock.now()
+        # Which thread woke first says nothing of which query came first: the sockets' own stamps do.
+        taken = sorted((item[1] for item in items if item[0] == "taken"), key=lambda ticket: ticket.arrived)
+        for ticket in taken:
+            self.taken(ticket, began)
+        for kind, *rest in items:
+            if kind != "taken":
+                self.READERS[kind](self, *rest)
+        # The module is told the time at which all that it hears of had happened.
+        self.now = max(self.now, self.clock.now())
+        while self.alarms and self.alarms[0][0] <= self.now:
+            self.events.append((i.DUE, heappop(self.alarms)[1]))
+        events, self.events = self.events, []
+        if not events:
+            return
+        self.gateway.round(self.now, events, self)
+        over = [self.book.queries.names[q] for q in self.book.over if not self.book.open[q]]
+        for name in self.book.settle():
+            self.close(name)
+        for ticket in over:
+            self.exchange.forget(ticket)
+        self.open = len(self.book.open)
+        self.counters.add("rounds")
+        self.longest = max(self.longest, self.clock.now() - began)
+
+    # What came in
+
+    def taken(self, ticket, now):
+        ticket.q = self.book.take(ticket)
+        ticket.stages["taken"] = now
+        self.events.append((
+            i.TAKEN, ticket.q, ticket.rg, ticket.tenant, ticket.cost, ticket.memory, ticket.coord, ticket.key,
+            max(0, ticket.limit - now),
+        ))
+
+    def ended(self, submission, ending, elapsed, complete):
+        ticket = submission.ticket
+        self.book.ended(ticket.q, submission.lane.name)
+        self.events.append((
+            i.ENDED, ticket.q, submission.number, submission.engine, ending, elapsed, complete,
+            submission.work, submission.memory, None,
+        ))
+        if complete:
+            self.book.over.add(ticket.q)
+        self.counters.add(f"ending-{ENDINGS[ending]}")
+
+    def left(self, ticket):
+        if ticket.q >= 0 and ticket.q in self.book.open and self.book.queries.names[ticket.q] is ticket:
+            self.events.append((i.LEFT, ticket.q))
+            self.book.over.add(ticket.q)
+
+    def listed(self, whole, entries):
+        if whole:
+            gone = list(self.book.unlisted({entry[0] for entry in entries}))
+            self.events.extend(gone)
+            for event in gone:
+                self.change_lane(event[2].decode(), i.GONE, None, 0)
+        for name, address, state, zone, kind, cell, started, weight in entries:
+            event = self.book.list_engine(name, state, zone, kind, cell, started, weight)
+            if event:
+                self.events.append(event)
+                self.change_lane(name, state, address, event[7])
+
+    def change_lane(self, name, state, address, started):
+        lane = self.lanes.get(name)
+        if state != i.READY:
+            if lane:
+                lane.put(("drain",), always=True)
+        elif lane is None or lane.address != address:
+            # An address that another engine had before must not be reached over that one's connections.
+            if lane:
+                lane.put(("close",), always=True)
+            lane = self.lanes[name] = Lane(name, address, started)
+            self.exchange.lanes.put(lane, always=True)
+        elif started and lane.started != started:
+            lane.started = started
+            lane.put(("restarted", started), always=True)
+
+    def close(self, name):
+        lane = self.lanes.pop(name, None)
+        if lane:
+            lane.put(("close",), always=True)
+
+    READERS = {"ended": ended, "left": left, "listed": listed}
+
+    # What was decided
+
+    def submit(self, q, engine, wait):
+        ticket, name = self.book.queries.names[q], self.book.engines.names[engine]
+        until = min(ticket.limit, self.now + wait) if wait else ticket.limit
+        lane = self.lanes.get(name)
+        ticket.submission = Submission(ticket, ticket.count, engine, lane, self.now, until)
+        ticket.count += 1
+        self.book.submitted(q, name)
+        ticket.stages.setdefault("submitted", self.now)
+        self.counters.add("submissions")
+        if lane is None or not lane.put(("ask", ticket.submission)):
+            self.exchange.end(ticket.submission, i.NOT_SENT)
+
+    def defer(self, q, stay_away):
+        self.exchange.settle(self.book.queries.names[q], DEFERRED)
+        self.book.over.add(q)
+
+    def kill(self, q):
+        self.exchange.settle(self.book.queries.names[q], KILLED)
+        self.book.over.add(q)
+
+    def cancel(self, q, submission):
+        sub = self.book.queries.names[q].submission
+        if sub is not None and sub.number == submission and not sub.over and sub.lane:
+            sub.lane.put(("quit", sub), always=True)
+
+    def terms(self, q, priority, grant):
+        ticket = self.book.queries.names[q]
+        ticket.urgency = priority
+        sub = ticket.submission
+        if sub is not None and not sub.over and sub.lane:
+            sub.lane.put(("terms", sub))
+
+    def alarm(self, token, at):
+        heappush(self.alarms, (at, token))
+
+    def watch_list(self, on):
+        pass  # the stream is always followed
+
+    def note(self, text):
+        self.log.line("note", text=text)
+
+
+ENDINGS = ("finished", "error", "no-answer", "reset", "cancelled", "turned-away", "no-connection", "not-sent")
--- /dev/null
+++ b/wickvane/net/exchange.py
@@ -0,0 +1,153 @@
+"""Where the client side and the engine side meet, and the only place. Neither knows of the other.
+
+A session puts a Ticket in and waits on it. The decider takes what came in from the inbox and writes orders
+into lanes, one an engine; the links take orders from their lanes and bring endings back. Nothing in here
+waits on a peer, and every line in it has its bound.
+"""
+
+from collections import deque
+from threading import Condition, Lock
+
+from wickvane import interface as i
+
+FINISHED, DEFERRED, KILLED, LEFT = "finished", "deferred", "killed", "left"
+INBOX_MOST, LANE_MOST = 20_000, 4_000
+
+
+class Full(Exception):
+    pass
+
+
+class Line:
+    """A bounded line between threads, emptied as a whole."""
+
+    def __init__(self, most):
+        self.items, self.most, self.more = deque(), most, Condition(Lock())
+
+    def put(self, item, always=False):
+        with self.more:
+            if len(self.items) >= self.most and not always:
+                return False
+            self.items.append(item)
+            self.more.notify()
+        return True
+
+    def take(self, seconds):
+        with self.more:
+            if not self.items and seconds > 0:
+                self.more.wait(seconds)
+            items, self.items = self.items, deque()
+        return items
+
+
+class Ticket:
+    """A query between its session and its engines."""
+
+    __slots__ = (
+        "id", "rg", "verb", "limit", "tenant", "token", "key", "cost", "memory", "coord", "body", "tag",
+        "arrived", "q", "count", "urgency", "submission", "answer", "pages", "ready", "stages",
+    )
+
+    def __init__(self, arrived, limit, **read):
+        for name, value in read.items():
+            setattr(self, name, value)
+        self.arrived, self.limit = arrived, arrived + limit
+        self.q, self.count, self.urgency, self.submission = -1, 0, -1, None
+        self.answer, self.pages, self.stages = None, None, {}
+        self.ready = Lock()
+        self.ready.acquire()
+
+
+class Submission:
+    __slots__ = ("ticket", "number", "engine", "lane", "at", "until", "over", "written", "pages", "told",
+                 "work", "memory")
+
+    def __init__(self, ticket, number, engine, lane, at, until):
+        self.ticket, self.number, self.engine, self.lane = ticket, number, engine, lane
+        self.at, self.until, self.over, self.written = at, until, False, False
+        self.pages, self.told, self.work, self.memory = None, 0, 0, 0
+
+
+class Lane(Line):
+    """The orders for one engine process, and where it listens."""
+
+    def __init__(self, name, address, started):
+        super().__init__(LANE_MOST)
+        self.name, self.address, self.started = name, address, started
+
+
+class Exchange:
+    def __init__(self, clock, counters):
+        self.clock, self.counters, self.lock = clock, counters, Lock()
+        self.inbox, self.lanes = Line(INBOX_MOST), Line(INBOX_MOST)
+        self.cancels, self.open, self.next_pid = {}, set(), 0
+
+    # Clients
+
+    def take(self, ticket):
+        with self.lock:
+            if ticket.id in self.open:
+                raise Full("a query with this txn is open")
+            self.open.add(ticket.id)
+        if not self.inbox.put(("taken", ticket)):
+            with self.lock:
+                self.open.discard(ticket.id)
+            raise Full("too much is waiting to be decided on")
+        self.counters.add("taken")
+
+    def leave(self, ticket):
+        if self.settle(ticket, LEFT):
+            self.inbox.put(("left", ticket), always=True)
+
+    def cancel_key(self, session, secret):
+        with self.lock:
+            self.next_pid += 1
+            pid = self.next_pid & 0x7FFFFFFF
+            self.cancels[pid] = (secret, session)
+        return pid
+
+    def drop_key(self, pid):
+        with self.lock:
+            self.cancels.pop(pid, None)
+
+    def cancel(self, pid, secret):
+        with self.lock:
+            known, session = self.cancels.get(pid, (None, None))
+            ticket = session.ticket if known == secret and session else None
+        if ticket is not None:
+            self.leave(ticket)
+        return ticket is not None
+
+    # Answers: the first one stands.
+
+    def settle(self, ticket, answer, pages=None):
+        with self.lock:
+            if ticket.answer is not None:
+                return False
+            ticket.answer, ticket.pages = answer, pages
+        ticket.ready.release()
+        return True
+
+    def forget(self, ticket):
+        with self.lock:
+            self.open.discard(ticket.id)
+
+    # Engines
+
+    def end(self, submission, ending, elapsed=None, pages=None):
+        """A submission's one ending; a whole result goes to the client if none has gone there."""
+        ticket = submission.ticket
+        with self.lock:
+            if submission.over:
+                return
+            submission.over = True
+            complete = ticket.answer is not None
+            if ending == i.FINISHED and not complete:
+                ticket.answer, ticket.pages, complete = FINISHED, pages, True
+            else:
+                pages = None
+        if elapsed is None:
+            elapsed = self.clock.now() - submission.at
+        self.inbox.put(("ended", submission, ending, elapsed, complete), always=True)
+        if pages is not None:
+            ticket.ready.release()
--- /dev/null
+++ b/wickvane/net/link.py
@@ -0,0 +1,396 @@
+"""One engine process: its connections, the requests on them, and each submission's one ending.
+
+A keeper thread an engine takes orders from the lane and keeps the waits; each connection has a writer and a
+reader. Only those two ever wait on the engine.
+"""
+
+import socket
+from collections import deque
+from heapq import heappop, heappush
+from struct import pack
+from threading import Condition, Lock, Thread
+
+from wickvane import interface as i
+from wickvane.net.rows import PAGES_MOST, RESULT_MOST, is_page
+
+LINE_MOST, BODY_MOST, PAST_MOST = 512, 6_000, 4_096
+WRITE_S, READ_S, WAKE_S = 1, 5, 30
+IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
+
+
+class Malformed(Exception):
+    pass
+
+
+def figure(value, most):
+    try:
+        number = float(value)
+    except ValueError:
+        raise Malformed("a figure is no number") from None
+    if not 0 <= number <= most:
+        raise Malformed("a figure is out of range")
+    return number
+
+
+def parse(buffer):
+    """One answer off the front of the buffer: (id, word, fields, body), or None while it is not whole."""
+    end = buffer.find(b"\r\n", 0, LINE_MOST + 2)
+    if end < 0:
+        if len(buffer) > LINE_MOST:
+            raise Malformed("a line is too long")
+        return None
+    words = bytes(buffer[:end]).split(b" ")
+    if len(words) != 4 or not all(words) or not words[3].isdigit() or len(words[3]) > 5:
+        raise Malformed("a line has not the form of an answer")
+    length = int(words[3])
+    if length > BODY_MOST:
+        raise Malformed("a page is too long")
+    whole = end + 2 + length + 2
+    if len(buffer) < whole:
+        return None
+    if buffer[whole - 2:whole] != b"\r\n":
+        raise Malformed("a length is wrong")
+    fields = {}
+    if words[2] != b"-":
+        for part in words[2].split(b","):
+            name, equals, value = part.partition(b"=")
+            if not equals:
+                raise Malformed("fields cannot be read")
+            fields[name] = value
+    body = bytes(buffer[end + 2:whole - 2])
+    del buffer[:whole]
+    return words[0], words[1], fields, body
+
+
+class Connection:
+    def __init__(self, link):
+        self.link, self.more = link, Condition(Lock())
+        self.open, self.past, self.outbox = {}, {}, deque()
+        self.sock, self.dead, self.up = None, False, False
+        self.made = self.used = link.clock.now()
+        self.asked = 0
+
+    def start(self):
+        Thread(target=self.guard, args=(self.write,), daemon=True).start()
+
+    def guard(self, work):
+        try:
+            work()
+        except Malformed as error:
+            self.fail("malformed", str(error))
+        except BlockingIOError:
+            self.fail("write-stalled")
+        except OSError as error:
+            self.fail("reset" if self.up else "connect-timeout" if isinstance(error, TimeoutError)
+                      else "connect-refused", error.strerror)
+        except Exception as error:  # a fault of ours must not leave its submissions without an ending
+            self.fail("fault", f"{type(error).__name__}: {error}")
+
+    def takes(self, sub, now):
+        with self.more:
+            return (not self.dead and len(self.open) < self.link.streams and sub.ticket.id not in self.open
+                    and sub.ticket.id not in self.past
+                    and (self.open or now - self.used < self.link.idle_time))
+
+    def put(self, *order):
+        with self.more:
+            if self.dead:
+                return False
+            if order[0] == "ask":
+                self.open[order[1].ticket.id] = order[1]
+                self.used = self.link.clock.now()
+            self.outbox.append(order)
+            self.more.notify()
+        return True
+
+    # Writing
+
+    def write(self):
+        sock = socket.create_connection(self.link.address, timeout=self.link.connect_s)
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, pack("ll", WRITE_S, 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, pack("ll", READ_S, 0))
+        with self.more:
+            self.sock, self.up = sock, True
+            dead = self.dead
+        if dead:
+            sock.close()
+            return
+        Thread(target=self.guard, args=(self.read,), daemon=True).start()
+        while True:
+            with self.more:
+                while not self.outbox and not self.dead:
+                    self.more.wait(WAKE_S)
+                if self.dead:
+                    return
+                kind, *rest = self.outbox.popleft()
+                data = self.FORMS[kind](self, *rest)
+            if data:
+                sock.sendall(data)
+                if kind == "quit":
+                    # Not before it is written: the module may submit anew as soon as it hears of the end.
+                    self.drop(rest[0], rest[1])
+
+    def ask(self, sub):
+        if sub.over or self.open.get(sub.ticket.id) is not sub:
+            return None
+        ticket, now = sub.ticket, self.link.clock.now()
+        sub.written = True
+        ticket.stages.setdefault("asked", now)
+        self.asked += 1
+        token = b",uniq=" + ticket.token if ticket.token else b""
+        urgency = b",urgency=%d" % ticket.urgency if ticket.urgency >= 0 else b""
+        return b"ASK %b queue=%b,budget=%d%b%b %d\r\n%b\r\n" % (
+            ticket.id, ticket.verb, max(1, (sub.until - now) // 10), token, urgency,
+            len(ticket.body), ticket.body,
+        )
+
+    def quit(self, sub, ending):
+        if sub.over or self.open.get(sub.ticket.id) is not sub:
+            return None
+        return (b"FREE %b\r\n" if sub.pages else b"QUIT %b\r\n") % sub.ticket.id
+
+    def terms(self, sub):
+        if sub.over or not sub.written or self.open.get(sub.ticket.id) is not sub:
+            return None
+        return b"PRIO %b %d\r\n" % (sub.ticket.id, sub.ticket.urgency)
+
+    def line(self, data):
+        return data
+
+    FORMS = {"ask": ask, "quit": quit, "terms": terms, "line": line}
+
+    def give_up(self, sub, ending, at_once):
+        """What is not written yet is taken back, which proves that it never ran."""
+        with self.more:
+            if self.dead or self.open.get(sub.ticket.id) is not sub:
+                return
+            unwritten = not sub.written
+            if unwritten:
+                del self.open[sub.ticket.id]
+        if unwritten:
+            self.link.exchange.end(sub, i.NOT_SENT)
+            return
+        if at_once:
+            data = (b"FREE %b\r\n" if sub.pages else b"QUIT %b\r\n") % sub.ticket.id
+            self.drop(sub, ending)
+            self.put("line", data)
+        else:
+            self.put("quit", sub, ending)
+
+    def drop(self, sub, ending, pages=None):
+        with self.more:
+            if self.open.get(sub.ticket.id) is not sub:
+                return
+            del self.open[sub.ticket.id]
+            self.past[sub.ticket.id] = True
+            if len(self.past) > PAST_MOST:
+                del self.past[next(iter(self.past))]
+            self.used = self.link.clock.now()
+        elapsed = sub.told - sub.at if sub.told else None
+        self.link.exchange.end(sub, ending, elapsed, pages)
+
+    # Reading
+
+    def read(self):
+        buffer = bytearray()
+        while not self.dead:
+            try:
+                data = self.sock.recv(65_536)
+            except BlockingIOError:
+                continue  # only the receive time-out: silence is judged by the module, not here
+            if not data:
+                return self.fail("peer-closed")
+            buffer += data
+            while answer := parse(buffer):
+                self.answer(*answer)
+
+    def answer(self, txn, word, fields, body):
+        with self.more:
+            sub, past = self.open.get(txn), txn in self.past
+        if sub is None or not sub.written:
+            if past:
+                return  # it crossed our giving up
+            raise Malformed("an answer to nothing that was asked")
+        if word == b"HIT" and sub.pages is None:
+            sheets = int(figure(fields.get(b"sheets", b"1"), PAGES_MOST))
+            if not sheets or not is_page(body):
+                raise Malformed("a result has no page that can be read")
+            sub.told = self.link.clock.now()
+            sub.work = int(figure(fields.get(b"toil", b"0"), 1e9) * 10)
+            sub.memory = figure(fields.get(b"room", b"0"), 1e9)
+            sub.pages = [body] + [None] * (sheets - 1)
+            sub.ticket.stages["hit"] = sub.told
+            if sheets > 1:
+                self.put("line", b"".join(b"NEXT %b %d\r\n" % (txn, n) for n in range(1, sheets)))
+            else:
+                self.drop(sub, i.FINISHED, sub.pages)
+        elif word == b"PART" and sub.pages is not None:
+            n = int(figure(fields.get(b"sheet", b""), PAGES_MOST))
+            if not 0 < n < len(sub.pages) or sub.pages[n] is not None or not is_page(body):
+                raise Malformed("a page is out of range, sent twice or cannot be read")
+            sub.pages[n] = body
+            if None not in sub.pages:
+                if sum(map(len, sub.pages)) > RESULT_MOST:
+                    raise Malformed("a result is too long")
+                self.drop(sub, i.FINISHED, sub.pages)
+                self.put("line", b"FREE %b\r\n" % txn)
+        elif word == b"FAULT":
+            self.drop(sub, i.ERROR)
+        elif word == b"SHED" and sub.pages is None:
+            self.drop(sub, i.TURNED_AWAY)
+        elif word == b"LATE" and sub.pages is None:
+            self.drop(sub, i.NOT_SENT)
+        else:
+            raise Malformed("an answer that does not fit what was asked")
+
+    # The end
+
+    def fail(self, reason, detail=None):
+        with self.more:
+            if self.dead:
+                return
+            self.dead = True
+            subs, self.open = list(self.open.values()), {}
+            self.outbox.clear()
+            self.more.notify()
+        if self.sock:
+            try:
+                self.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            self.sock.close()
+        link, unwritten = self.link, i.NOT_SENT if self.up else i.NO_CONNECTION
+        for sub in subs:
+            link.exchange.end(sub, i.RESET if sub.written else unwritten)
+        link.ended(self)
+        link.counters.add(f"engine-connections-ended-{reason}")
+        link.log.line("engine-connection-ended", engine=link.lane.name, reason=reason, detail=detail,
+                      asked=self.asked, open=len(subs), lived=(link.clock.now() - self.made) / 10_000)
+
+
+class Link:
+    def __init__(self, lane, links):
+        self.lane, self.links = lane, links
+        self.exchange, self.clock, self.log = links.exchange, links.clock, links.log
+        self.counters, self.streams, self.connect_s = links.counters, links.streams, links.connect_s
+        self.idle_time = links.idle_time
+        self.address, self.waits, self.count = lane.address, [], 0
+        self.lock, self.connections, self.closing = Lock(), [], False
+
+    def run(self):
+        while True:
+            now = self.clock.now()
+            wait = (self.waits[0][0] - now) / 10_000 if self.waits else 1.0
+            for kind, *rest in self.lane.take(min(1.0, wait)):
+                self.ORDERS[kind](self, *rest)
+            if self.look(self.clock.now()):
+                return
+
+    def ask(self, sub):
+        now = self.clock.now()
+        if sub.over:
+            return
+        if now >= sub.until or sub.ticket.answer is not None:
+            self.exchange.end(sub, i.NOT_SENT)
+            return
+        with self.lock:
+            connections = list(self.connections)
+        place = next((c for c in connections if c.takes(sub, now)), None)
+        if place is None and self.links.may_open():
+            place = Connection(self)
+            with self.lock:
+                self.connections.append(place)
+            self.counters.add("engine-connections")
+            place.start()
+        if place is None or not place.put("ask", sub):
+            self.exchange.end(sub, i.NOT_SENT)
+            return
+        self.count += 1
+        heappush(self.waits, (sub.until, self.count, sub))
+
+    def find(self, sub):
+        with self.lock:
+            connections = list(self.connections)
+        return next((c for c in connections if c.open.get(sub.ticket.id) is sub), None)
+
+    def quit(self, sub, ending=i.CANCELLED, at_once=False):
+        place = self.find(sub)
+        if place:
+            place.give_up(sub, ending, at_once)
+
+    def terms(self, sub):
+        place = self.find(sub)
+        if place:
+            place.put("terms", sub)
+
+    def drain(self):
+        """What is still in line would go out after the engine's grace if a write stalls: it is taken back."""
+        with self.lock:
+            connections = list(self.connections)
+        for place in connections:
+            for sub in list(place.open.values()):
+                if not sub.written:
+                    place.give_up(sub, i.NOT_SENT, True)
+
+    def restarted(self, started):
+        # What was connected before the engine's start leads to a process that is no more.
+        with self.lock:
+            connections = [c for c in self.connections if c.made < started]
+        for place in connections:
+            place.fail("engine-restarted")
+
+    def close(self):
+        self.closing = True
+
+    ORDERS = {
+        "ask": ask, "quit": quit, "terms": terms, "drain": drain, "restarted": restarted, "close": close,
+    }
+
+    def look(self, now):
+        """Ends what ran out of time and what idles; True once nothing is left to keep."""
+        while self.waits and (self.waits[0][0] <= now or self.waits[0][2].over):
+            sub = heappop(self.waits)[2]
+            if not sub.over:
+                # At the client's own limit nothing can follow, and the answer is due now.
+                self.quit(sub, i.NO_ANSWER, sub.until >= sub.ticket.limit)
+        with self.lock:
+            connections = list(self.connections)
+        for place in connections:
+            if not place.open and (self.closing or now - place.used >= self.idle_time):
+                place.fail("engine-gone" if self.closing else "idle")
+        return self.closing and not connections
+
+    def ended(self, place):
+        with self.lock:
+            if place in self.connections:
+                self.connections.remove(place)
+        self.links.closed()
+
+
+class Links:
+    """Starts a link for each lane that the exchange opens, within the descriptors that engines may hold."""
+
+    def __init__(self, exchange, limits, most, clock, log, counters):
+        self.exchange, self.clock, self.log, self.counters = exchange, clock, log, counters
+        self.streams = max(1, int(limits.get("streams_per_conn") or 1))
+        self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
+        self.idle_time = int((limits.get("conn_idle_ms") or 30_000) * 10 * IDLE_PART)
+        self.lock, self.held, self.most = Lock(), 0, most
+
+    def run(self):
+        while True:
+            for lane in self.exchange.lanes.take(WAKE_S):
+                Thread(target=Link(lane, self).run, daemon=True).start()
+
+    def may_open(self):
+        with self.lock:
+            if self.held >= self.most:
+                return False
+            self.held += 1
+            return True
+
+    def closed(self):
+        with self.lock:
+            self.held -= 1
--- /dev/null
+++ b/wickvane/net/log.py
@@ -0,0 +1,53 @@
+"""One JSON line an event, written by a thread of its own: a full pipe holds up nobody but that thread."""
+
+import os
+from queue import SimpleQueue
+
+import orjson
+
+LINES_HELD = 4096
+
+
+class Log:
+    def __init__(self, descriptor, clock):
+        self.descriptor, self.clock = descriptor, clock
+        self.lines, self.dropped = SimpleQueue(), 0
+
+    def line(self, event, **fields):
+        if self.lines.qsize() >= LINES_HELD:
+            self.dropped += 1
+            return
+        self.lines.put((self.clock.now(), event, fields))
+
+    def run(self):
+        while True:
+            held = [self.lines.get()]
+            while not self.lines.empty() and len(held) < 256:
+                held.append(self.lines.get())
+            # None is the last: what came before it is still written.
+            last = None in held
+            if last:
+                held = held[:held.index(None)]
+            if self.dropped:
+                dropped, self.dropped = self.dropped, 0
+                held.append((self.clock.now(), "log-lines-dropped", {"count": dropped}))
+            self.write(b"".join(
+                orjson.dumps({"at": at / 10_000, "event": event, **fields}, default=shown) + b"\n"
+                for at, event, fields in held
+            ))
+            if last:
+                return
+
+    def write(self, data):
+        try:
+            while data:
+                data = data[os.write(self.descriptor, data):]
+        except OSError:
+            self.dropped += 1  # nobody reads the log any more; queries go on without it
+
+    def close(self):
+        self.lines.put(None)
+
+
+def shown(value):
+    return value.decode("utf-8", "replace") if isinstance(value, bytes) else str(value)
--- /dev/null
+++ b/wickvane/net/rows.py
@@ -0,0 +1,32 @@
+"""An engine's pages, and the rows that a PostgreSQL client gets of them."""
+
+from struct import pack
+
+PAGE_MOST, RESULT_MOST, PAGES_MOST, COLUMNS = 6_000, 48_000, 64, 3
+
+NAMES = (b"column1", b"column2", b"column3")
+TEXT = 25
+DESCRIPTION = b"".join(name + b"\0" + pack("!IhIhih", 0, 0, TEXT, -1, -1, 0) for name in NAMES)
+ROW_DESCRIPTION = b"T" + pack("!IH", 6 + len(DESCRIPTION), COLUMNS) + DESCRIPTION
+
+
+def is_page(body):
+    """Whole rows of three columns, by count; row by row it is seen when the rows are made."""
+    return (len(body) <= PAGE_MOST and (not body or body.endswith(b"\n"))
+            and body.count(b"\t") == (COLUMNS - 1) * body.count(b"\n"))
+
+
+def result(pages, tag):
+    """All messages of a result but ReadyForQuery; ValueError where a row has not three columns."""
+    parts, count = [ROW_DESCRIPTION], 0
+    for page in pages:
+        for row in page.split(b"\n")[:-1]:
+            a, b, c = row.split(b"\t")
+            parts.append(b"D%b%b%b%b%b%b%b" % (
+                pack("!IH", 18 + len(a) + len(b) + len(c), COLUMNS),
+                pack("!I", len(a)), a, pack("!I", len(b)), b, pack("!I", len(c)), c,
+            ))
+            count += 1
+    done = b"%b %d\0" % (tag, count)
+    parts.append(b"C" + pack("!I", 4 + len(done)) + done)
+    return b"".join(parts)
--- /dev/null
+++ b/wickvane/net/service.py
@@ -0,0 +1,135 @@
+"""Puts the parts together, starts their threads, and ends them in order."""
+
+import os
+import signal
+import sys
+import threading
+import time
+import traceback
+
+import orjson
+
+from wickvane.door import Book
+from wickvane.net.clock import Clock
+from wickvane.net.coordinator import Coordinator, Malformed, address_of
+from wickvane.net.counters import Counters
+from wickvane.net.decider import Decider
+from wickvane.net.exchange import Exchange
+from wickvane.net.link import Links
+from wickvane.net.listener import Listener
+from wickvane.net.log import Log
+from wickvane.net.statement import Reader
+
+STACK = 128 * 1024
+SWITCH_S = 0.001  # a thread back from its socket waits so long at most for one that computes
+COMING_S = 0.75  # connections and requests go on coming after SIGTERM
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+
+
+class Unstartable(Exception):
+    def __init__(self, text, code):
+        super().__init__(text)
+        self.code = code
+
+
+def configuration(path):
+    try:
+        with open(path, "rb") as file:
+            found = orjson.loads(file.read())
+    except OSError as error:
+        raise Unstartable(f"the configuration {path} cannot be read: {error.strerror}", 2) from None
+    except orjson.JSONDecodeError as error:
+        raise Unstartable(f"the configuration {path} is no JSON: {error}", 2) from None
+    return found
+
+
+class Service:
+    def __init__(self, found):
+        self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
+        self.log = Log(1, self.clock)
+        try:
+            settings, limits = found["settings"], found.get("limits") or {}
+            self.name, seed = found.get("name") or "", found.get("seed", 0)
+            self.address = address_of(found["listen"])
+            sockets = int(limits.get("sockets") or 1024)
+            self.book = Book(settings)
+            self.reader = Reader(self.book)
+            self.exchange = Exchange(self.clock, self.counters)
+            self.decider = Decider(self.exchange, self.book, seed, self.clock, self.log, self.counters)
+            # Two thirds for clients, who are promised one, and one for engines; a few for the rest.
+            self.links = Links(self.exchange, settings["limits"], max(8, sockets // 3), self.clock, self.log,
+                               self.counters)
+            self.coordinator = Coordinator(address_of(found["coordinator"]), found.get("known") or {},
+                                           self.exchange, seed, self.log, self.counters)
+        except Malformed as error:
+            raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
+        except (KeyError, IndexError) as error:
+            raise Unstartable(f"the configuration lacks, or does not know, {error}", 2) from None
+        except (TypeError, ValueError, AttributeError) as error:
+            raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
+        self.most_clients = max(8, sockets * 6 // 10)
+
+    def start(self):
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        threading.stack_size(STACK)
+        sys.setswitchinterval(SWITCH_S)
+        try:
+            self.listener = Listener(self.address, self, self.most_clients)
+        except OSError as error:
+            place = f"{self.address[0]}:{self.address[1]}"
+            raise Unstartable(f"cannot listen on {place}: {error.strerror}", 1) from None
+        self.writer = self.thread(self.log.run, "log")
+        self.thread(self.decider.run, "decider")
+        self.thread(self.links.run, "links")
+        self.thread(self.coordinator.run, "coordinator")
+        self.thread(self.listener.run, "listener")
+        self.log.line("ready", name=self.name, listen=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
+
+    def thread(self, work, name):
+        """One of those that nothing works without: its death ends the program, and is seen."""
+        def guarded():
+            try:
+                work()
+            except BaseException:
+                os.write(2, traceback.format_exc().encode())
+                self.log.line("thread-died", thread=name)
+                self.log.close()
+                if name != "log":
+                    self.writer.join(1.0)
+                os._exit(70)
+
+        thread = threading.Thread(target=guarded, name=name, daemon=True)
+        thread.start()
+        return thread
+
+    def run(self):
+        self.start()
+        while True:
+            got = signal.sigwait(SIGNALS)
+            if got != signal.SIGUSR1:
+                break
+            self.show_counters("asked")
+        self.stop()
+        return 0
+
+    def show_counters(self, why):
+        with open("/proc/self/status", "rb") as status:
+            memory = {line.split(b":")[0].decode(): int(line.split()[1]) for line in status
+                      if line.startswith((b"VmHWM", b"VmRSS", b"Threads"))}
+        self.log.line("counters", why=why, descriptors=len(os.listdir("/proc/self/fd")) - 1, **memory,
+                      cpu_s=time.process_time(), longest_round_ms=self.decider.longest / 10,
+                      **self.counters.shown())
+
+    def stop(self):
+        began = time.monotonic()
+        self.log.line("stopping")
+        time.sleep(COMING_S)
+        self.listener.close()
+        self.stopping.set()
+        while self.listener.close_idle() and time.monotonic() < began + 30:
+            time.sleep(0.02)
+        self.show_counters("exit")
+        self.log.line("stopped", took=time.monotonic() - began)
+        self.log.close()
+        self.writer.join(1.0)
--- /dev/null
+++ b/wickvane/net/statement.py
@@ -0,0 +1,213 @@
+"""What a statement says of itself: the fields in the comment ahead of it, and the table group it touches."""
+
+import math
+import re
+
+from wickvane.door import tenths
+from wickvane.interface import TOKENED
+
+FIELD_MOST, LIMIT_MOST = 256, 86_400_000
+
+# Stretches in which names do not count, then words; quoted names are words of their own kind.
+TOKENS = re.compile(
+    rb"(?P<line>--[^\n]*)|(?P<open>/\*)|(?P<escaped>[eE]'(?:[^'\\]|\\.|'')*(?:'|\Z))"
+    rb"|(?P<string>(?:[bBxXnN]|[uU]&)?'(?:[^']|'')*(?:'|\Z))"
+    rb"|(?P<dollar>\$(?P<tag>(?:[A-Za-z_\x80-\xff][\w\x80-\xff]*)?)\$)"
+    rb'|(?P<quoted>(?:[uU]&)?"(?:[^"]|"")*(?:"|\Z))'
+    rb"|(?P<word>[A-Za-z_\x80-\xff][\w$\x80-\xff]*)|(?P<number>\d[\w.]*)|(?P<mark>[^\s])",
+    re.S,
+)
+COMMENT_EDGE = re.compile(rb"/\*|\*/")
+GROUP = re.compile(rb"_(\d{1,9})\Z")
+TXN = re.compile(r"[0-9a-fA-F]{16}\Z")
+# Words behind which a relation is named, and functions inside which FROM is only an argument's word.
+BEFORE_RELATION = {b"from", b"join", b"into", b"update", b"table", b"only", b"copy", b"using"}
+NAMES = ("word", "quoted")
+TAKES_FROM = {b"extract", b"substring", b"trim", b"overlay", b"position"}
+TAGS = {
+    b"insert": b"INSERT 0", b"update": b"UPDATE", b"delete": b"DELETE", b"copy": b"COPY", b"merge": b"MERGE",
+}
+
+
+class Unusable(Exception):
+    def __init__(self, sqlstate, text):
+        super().__init__(text)
+        self.sqlstate, self.text = sqlstate, text
+
+
+def comment_end(text, at):
+    """Where the comment that opens at `at` ends; comments nest."""
+    depth = 0
+    for edge in COMMENT_EDGE.finditer(text, at):
+        depth += 1 if edge[0] == b"/*" else -1
+        if not depth:
+            return edge.end()
+    raise Unusable("42601", "unterminated comment")
+
+
+def split(text):
+    """The text inside the fields' comment, or None, and the statement without that comment."""
+    at = 0
+    while True:
+        while at < len(text) and text[at] in b" \t\r\n\f\v":
+            at += 1
+        if text.startswith(b"--", at):
+            end = text.find(b"\n", at)
+            if end < 0:
+                return None, b""
+            at = end + 1
+            continue
+        if not text.startswith(b"/*", at):
+            return None, text[at:]
+        end = comment_end(text, at)
+        inside = text[at + 2:end - 2]
+        if re.search(rb"(?:\A|,)\s*txn\s*=", inside):
+            return inside, (text[:at].lstrip() + text[end:].lstrip())
+        at = end
+
+
+def is_empty(text):
+    inside, rest = split(text)
+    return inside is None and not rest.strip(b" \t\r\n\f\v;")
+
+
+def fields(inside):
+    found = {}
+    for part in inside.decode("utf-8", "replace").split(","):
+        name, equals, value = part.partition("=")
+        name, value = name.strip(), value.strip()
+        if not equals or not name or name in found or len(value) > FIELD_MOST:
+            raise Unusable("42601", "the comment's fields cannot be read")
+        found[name] = value
+    return found
+
+
+def words(text):
+    """The tokens that can name something or stand between names, as (kind, lower-case text)."""
+    at = 0
+    while found := TOKENS.search(text, at):
+        at, kind = found.end(), found.lastgroup
+        if kind == "open":
+            at = comment_end(text, found.start())
+        elif kind == "tag" or kind == "dollar":
+            end = text.find(found["dollar"], at)
+            at = len(text) if end < 0 else end + len(found["dollar"])
+            yield "string", b""
+        elif kind == "quoted":
+            yield kind, found[0][found[0].index(b'"') + 1:-1].replace(b'""', b'"')
+        elif kind == "word":
+            yield kind, found[0].lower()
+        elif kind in ("mark", "number"):
+            yield kind, found[0]
+        elif kind != "line":
+            yield "string", b""
+
+
+def table_group(text):
+    """The number in the name of the schema that the statement reads or writes; 0 where it names none.
+
+    A name behind FROM, INTO and their like counts before a quoted one there, and that before one elsewhere:
+    an alias with a number of its own is no schema.
+    """
+    best, best_rank = 0, 3
+    inside, relation, before, depth_from = [], False, b"", []
+    tokens = list(words(text))
+    n = 0
+    while n < len(tokens):
+        kind, word = tokens[n]
+        if kind == "word" and word in BEFORE_RELATION and not (inside and inside[-1]):
+            relation = True
+        elif kind in NAMES:
+            chain = [(kind, word)]
+            while tokens[n + 1:n + 2] == [("mark", b".")] and tokens[n + 2:n + 3] and tokens[n + 2][0] in NAMES:
+                chain.append(tokens[n + 2])
+                n += 2
+            if len(chain) > 1:
+                schema_kind, schema = chain[-2]
+                found = GROUP.search(schema)
+                rank = 2 if not relation else 0 if schema_kind == "word" else 1
+                if schema_kind == "quoted" and not relation:
+                    found = None
+                if found and schema.rpartition(b"_")[0] != b"staging" and rank < best_rank:
+                    best, best_rank = int(found[1]), rank
+            if relation and kind == "word" and word in (b"if", b"not", b"exists", b"lateral"):
+                pass
+            else:
+                # A list of relations goes on behind a comma, over aliases.
+                relation = relation and self_or_alias(tokens, n)
+        elif word == b"(":
+            inside.append(before in TAKES_FROM)
+            depth_from.append(relation)
+        elif word == b")":
+            if inside:
+                inside.pop()
+                relation = depth_from.pop()
+        before = word
+        n += 1
+    return best
+
+
+def self_or_alias(tokens, n):
+    """Whether a comma that goes on with the list of relations stands behind at most an alias."""
+    for kind, word in tokens[n + 1:n + 4]:
+        if word == b"," and kind == "mark":
+            return True
+        if kind not in NAMES:
+            return False
+    return False
+
+
+def number(found, name, most):
+    text = found.get(name)
+    if text is None:
+        return 0.0
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value <= most:
+        raise Unusable("22023", f"{name} is not a number that can be used")
+    return value
+
+
+class Reader:
+    """Reads statements against the groups and tenants that the settings name."""
+
+    def __init__(self, book):
+        self.groups, self.tenants = book.groups.index, book.tenants.index
+        self.of, self.encoded = book.deployment.groups, {name: name.encode() for name in book.groups.index}
+
+    def read(self, text):
+        inside, body = split(text)
+        if inside is None:
+            raise Unusable("42601", "the statement has no comment with fields ahead of it")
+        found = fields(inside)
+        rg = self.groups.get(found.get("verb"))
+        if rg is None:
+            raise Unusable("22023", "verb names no resource group")
+        txn = found.get("txn", "")
+        if not TXN.match(txn):
+            raise Unusable("22023", "txn is not 16 hex digits")
+        limit = tenths(number(found, "limit", LIMIT_MOST))
+        if not limit:
+            raise Unusable("22023", "limit is missing or no time")
+        tenant = self.tenants.get(found["team"]) if "team" in found else 0
+        if tenant is None:
+            raise Unusable("22023", "team names no tenant")
+        token, key = found.get("unique"), found.get("item")
+        if not token and self.of[rg].effect == TOKENED:
+            raise Unusable("22023", "unique is missing, and this resource group needs it")
+        if not key and self.of[rg].ordered:
+            raise Unusable("22023", "item is missing, and this resource group needs it")
+        if token and not re.fullmatch(r"[\w.:+/-]{1,128}", token, re.A):
+            raise Unusable("22023", "unique cannot be passed on")
+        if not body.strip():
+            raise Unusable("42601", "the comment stands ahead of nothing")
+        first = next((word for kind, word in words(body) if kind == "word"), b"")
+        return {
+            "id": txn.encode(), "rg": rg, "verb": self.encoded[found["verb"]], "limit": limit,
+            "tenant": tenant, "token": token.encode() if token else None,
+            "key": int.from_bytes(key.encode(), "big") if key and self.of[rg].ordered else None,
+            "cost": tenths(number(found, "cpu", 1e9)), "memory": number(found, "memory", 1e9),
+            "coord": table_group(body), "body": body, "tag": TAGS.get(first, b"SELECT"),
+        }
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -4,7 +4,7 @@
 
 from wickvane import interface as i
 from wickvane.choice import Gateway
-from wickvane.wirehost.startup import Names, deployment, tenths
+from wickvane.door import Book, tenths
 
 ENDINGS = {
     "served": i.FINISHED, "server_error": i.ERROR, "no_answer": i.NO_ANSWER, "connection_lost": i.RESET,
@@ -14,43 +14,13 @@
 STATES = {"IN": i.READY, "LAME": i.DRAINING, "OUT": i.GONE}
 
 
-class Indices:
-    """Ids to small indices that are used again, the lowest free one last freed first."""
-
-    def __init__(self):
-        self.of, self.names, self.free = {}, [], []
-
-    def add(self, name):
-        if name in self.of:
-            return self.of[name]
-        if self.free:
-            n = self.free.pop()
-            self.names[n] = name
-        else:
-            n = len(self.names)
-            self.names.append(name)
-        self.of[name] = n
-        return n
-
-    def drop(self, name):
-        n = self.of.pop(name)
-        self.names[n] = None
-        self.free.append(n)
-
-
 class Instance:
     """One gateway's ids and its module. It is also the writer that the module is handed."""
 
     def __init__(self, seed, params):
-        self.zones, self.kinds = Names(params.get("zones") or ()), Names(params.get("host_types") or ())
-        self.groups = Names(c["name"] for c in params["classes"])
-        self.tenants = Names(a["name"] for a in params.get("accounts") or ())
-        self.queries, self.engines = Indices(), Indices()
-        self.open = {}  # q: submissions without an ending; the query itself counts as one until it ends
-        self.ended = set()
-        self.sent, self.listed = {}, {}
+        self.book = Book(params)
         self.events, self.actions = [], []
-        self.gateway = Gateway(seed, deployment(params, self.zones, self.kinds))
+        self.gateway = Gateway(seed, self.book.deployment)
 
     # Events
 
@@ -60,41 +30,39 @@
             handler(self, item, lists)
 
     def job_in(self, item, lists):
-        q = self.queries.add(item["id"])
-        self.open[q] = 0
         tenant = item.get("client_group")
         self.events.append((
-            i.TAKEN, q, self.groups.index[item["profile"]], self.tenants(tenant) if tenant else 0,
-            tenths(item.get("expected_ms")), item.get("ram_mb") or 0, item.get("source_set") or 0,
-            item.get("table"), tenths(item["remaining_ms"]),
+            i.TAKEN, self.book.take(item["id"]), self.book.groups.index[item["profile"]],
+            self.book.tenants(tenant) if tenant else 0, tenths(item.get("expected_ms")),
+            item.get("ram_mb") or 0, item.get("source_set") or 0, item.get("table"),
+            tenths(item["remaining_ms"]),
         ))
 
     def verdict(self, item, lists):
-        q, node = self.queries.of.get(item["id"]), item["node"]
-        if q is None or node not in self.engines.of:
+        q, node = self.book.queries.of.get(item["id"]), item["node"]
+        if q is None or node not in self.book.engines.of:
             return
-        e = self.engines.of[node]
-        self.open[q] -= 1
-        self.sent[node] -= 1
+        self.book.ended(q, node)
         stats = int(item.get("stats") or 0)
         self.events.append((
-            i.ENDED, q, item["attempt"], e, ENDINGS[item["result"]], tenths(item.get("delay_seen_ms")),
-            bool(item.get("complete")), (stats >> 12) * 10, (stats & 4095) * 4, item.get("load"),
+            i.ENDED, q, item["attempt"], self.book.engines.of[node], ENDINGS[item["result"]],
+            tenths(item.get("delay_seen_ms")), bool(item.get("complete")), (stats >> 12) * 10,
+            (stats & 4095) * 4, item.get("load"),
         ))
         if item.get("complete"):
-            self.ended.add(q)
+            self.book.over.add(q)
 
     def aborted(self, item, lists):
-        q = self.queries.of.get(item["id"])
+        q = self.book.queries.of.get(item["id"])
         if q is not None:
             self.events.append((i.LEFT, q))
-            self.ended.add(q)
+            self.book.over.add(q)
 
     def due(self, item, lists):
         self.events.append((i.DUE, item["token"]))
 
     def update_of(self, item, lists):
-        q, e = self.queries.of.get(item["id"]), self.engines.of.get(item["node"])
+        q, e = self.book.queries.of.get(item["id"]), self.book.engines.of.get(item["node"])
         if q is not None and e is not None:
             amount = item.get("amount") or 0
             self.events.append((i.PROGRESS, q, item["attempt"], e, item["what"], amount))
@@ -105,27 +73,14 @@
             return
         entries = lists[item["table"]]
         if item["mode"] != "changes":
-            named = {entry["node"] for entry in entries}
-            for node in [n for n in self.listed if n not in named]:
-                self.list_engine({**self.listed[node], "phase": "OUT"})
+            self.events.extend(self.book.unlisted({entry["node"] for entry in entries}))
         for entry in entries:
-            self.list_engine(entry)
-
-    def list_engine(self, entry):
-        node, state = entry["node"], STATES[entry["phase"]]
-        if state == i.GONE and node not in self.engines.of:
-            return
-        e = self.engines.add(node)
-        self.sent.setdefault(node, 0)
-        self.events.append((
-            i.ENGINE, e, node.encode(), state, self.zones(entry.get("failure_domain")),
-            self.kinds(entry.get("family_type")), entry.get("cohort") or 0,
-            tenths(entry.get("up_since_ms")), entry.get("heft") or 1.0,
-        ))
-        if state == i.GONE:
-            self.listed.pop(node, None)
-        else:
-            self.listed[node] = entry
+            event = self.book.list_engine(
+                entry["node"], STATES[entry["phase"]], entry.get("failure_domain"), entry.get("family_type"),
+                entry.get("cohort"), entry.get("up_since_ms"), entry.get("heft"),
+            )
+            if event:
+                self.events.append(event)
 
     READERS = {
         "job_in": job_in, "verdict": verdict, "aborted": aborted, "due": due, "update_of": update_of,
@@ -142,40 +97,35 @@
                 at = at.tb_next
             text = f"{type(error).__name__}: {error} (line {at.tb_lineno})"
             return [{"type": "panic", "note_text": text}]
-        for q in sorted(self.ended):
-            if not self.open[q]:
-                self.ended.discard(q)
-                del self.open[q]
-                self.queries.drop(self.queries.names[q])
-        for node in [n for n, count in self.sent.items() if not count and n not in self.listed]:
-            del self.sent[node]
-            self.engines.drop(node)
+        self.book.settle()
         return self.actions
 
     # Decisions
 
+    def name(self, q):
+        return self.book.queries.names[q]
+
     def act(self, kind, **fields):
         self.actions.append({"type": kind, **fields})
 
     def submit(self, q, engine, wait):
-        node = self.engines.names[engine]
-        self.open[q] += 1
-        self.sent[node] += 1
-        self.act("hand_off", id=self.queries.names[q], node=node, max_wait_ms=wait / 10)
+        node = self.book.engines.names[engine]
+        self.book.submitted(q, node)
+        self.act("hand_off", id=self.name(q), node=node, max_wait_ms=wait / 10)
 
     def defer(self, q, stay_away):
-        self.act("push_back", id=self.queries.names[q], hold_off_ms=stay_away / 10)
-        self.ended.add(q)
+        self.act("push_back", id=self.name(q), hold_off_ms=stay_away / 10)
+        self.book.over.add(q)
 
     def kill(self, q):
-        self.act("abort", id=self.queries.names[q])
-        self.ended.add(q)
+        self.act("abort", id=self.name(q))
+        self.book.over.add(q)
 
     def cancel(self, q, submission):
-        self.act("recall", id=self.queries.names[q], attempt=submission)
+        self.act("recall", id=self.name(q), attempt=submission)
 
     def terms(self, q, priority, grant):
-        self.act("set_terms", id=self.queries.names[q], priority=priority, memory_grant=grant)
+        self.act("set_terms", id=self.name(q), priority=priority, memory_grant=grant)
 
     def alarm(self, token, at):
         self.act("set_alarm", token=token, at_ms=at / 10)
