--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -22,6 +22,7 @@
 TXN = re.compile(r"[0-9a-fA-F]{16}\Z")
 # Words behind which a relation is named, and functions inside which FROM is only an argument's word.
 BEFORE_RELATION = {b"from", b"join", b"into", b"update", b"table", b"only", b"copy", b"using"}
+DOT = ("mark", b".")
 NAMES = ("word", "quoted")
 TAKES_FROM = {b"extract", b"substring", b"trim", b"overlay", b"position"}
 TAGS = {
@@ -119,7 +120,7 @@
             relation = True
         elif kind in NAMES:
             chain = [(kind, word)]
-            while tokens[n + 1:n + 2] == [("mark", b".")] and tokens[n + 2:n + 3] and tokens[n + 2][0] in NAMES:
+            while n + 2 < len(tokens) and tokens[n + 1] == DOT and tokens[n + 2][0] in NAMES:
                 chain.append(tokens[n + 2])
                 n += 2
             if len(chain) > 1:
