--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -33,6 +33,7 @@
 CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded
 QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
+STOP_MARGIN, FOREVER = SECOND // 4, 1 << 62
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
@@ -62,7 +63,7 @@
         self.priorities, self.advice, self.key_rest = site.priorities, site.longest_advice, site.key_rest
         self.ask_at = 0 if site.asks_for_list else None
         self.extra_free, self.extra_share = site.extra_free, site.extra_share
-        self.extra_window = site.extra_window
+        self.extra_window, self.until = site.extra_window, FOREVER
         self.cold_from, self.cold_time, self.fall_time = site.cold_from, site.cold_time, site.fall_time
         # What a cold engine may get of one gateway in a window, in work a core.
         self.fall_work = FALL_SAFETY * site.fall_multiple * BUSY * site.fall_time / site.gateways
@@ -124,13 +125,11 @@
         qy.cost = cost or self.mean[rg] or SECOND * g.threads
         if cost:
             self.learn(rg, cost)
-        now = self.now
+        now, left = self.now, min(left, self.until - self.now)
         qy.limit, qy.density = now + left, -g.value / max(qy.cost, 10)
         qy.target = min(now + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
         # A wait for its key is no wait for room: it may take all the time that is of use.
-        qy.hold = self.last_start(qy)
-        if qy.key is None:
-            qy.hold = min(qy.hold, now + int(WAIT_PART * left))
+        qy.hold = min(self.last_start(qy), now + int(WAIT_PART * left) if qy.key is None else qy.limit)
         qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
         qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share = None, -1, False, -1, 0.0
         self.queries[q] = qy
@@ -185,12 +184,8 @@
             self.again.append(qy)
 
     def left(self, q):
-        qy = self.queries.get(q)
-        if qy is not None and not qy.over:
-            self.close(qy)
-
-    def due(self, token):
-        pass
+        if q in self.queries and not self.queries[q].over:
+            self.close(self.queries[q])
 
     def progress(self, q, submission, engine, what, amount):
         qy = self.queries.get(q)
@@ -229,6 +224,14 @@
     def list_lost(self):
         self.ask_at = self.now + SECOND
 
+    def stopping(self, left):
+        # Against a stop that comes before the answers: what cannot end by then is told so by then, and what
+        # comes meanwhile is held to the same end. Cut short, so that a late round and the way back fit in.
+        self.until = self.now + left - STOP_MARGIN
+        for qy in self.queries.values():
+            qy.limit = min(qy.limit, self.until)
+            qy.target, qy.hold = min(qy.target, qy.limit), min(qy.hold, qy.limit - 2 * SWEEP)
+
     # What is known of work and engines
 
     def learn(self, rg, work):
@@ -570,8 +573,7 @@
         self.queries.pop(qy.q, None)
 
     def sweep(self):
-        now = self.now
-        self.next_sweep = now + SWEEP
+        now, self.next_sweep = self.now, self.now + SWEEP
         self.fit.clear()
         for tenant in list(self.ring):
             for qy in [qy for qy in self.lines[tenant] if now >= qy.hold]:
@@ -588,10 +590,8 @@
                 self.crowd[e], self.crowd_at[e] = slower, now
             if qy.over:
                 continue
-            if now >= qy.limit:
-                self.out.kill(qy.q)
-                self.close(qy)
-            elif self.may_cancel and g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target:
+            useless = self.may_cancel and g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target
+            if useless or now >= qy.limit:
                 self.give_up(qy)
             else:
                 if since > 3 * self.runs_for(qy) + SECOND // 2 and self.heard[e] < qy.sent:
@@ -618,6 +618,6 @@
 
 
 HANDLERS = (
-    Gateway.taken, Gateway.ended, Gateway.left, Gateway.due, Gateway.progress, Gateway.engine,
-    Gateway.list_lost,
+    Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
+    Gateway.list_lost, Gateway.stopping,
 )
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -108,7 +108,10 @@
         if lane:
             lane.put(("close",), always=True)
 
-    READERS = {"ended": ended, "left": left, "listed": listed}
+    def stop(self, left):
+        self.events.append((i.STOPPING, left))
+
+    READERS = {"ended": ended, "left": left, "listed": listed, "stop": stop}
 
     # What was decided
 
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -23,6 +23,7 @@
 STACK = 128 * 1024
 SWITCH_S = 0.001  # a thread back from its socket waits so long at most for one that computes
 COMING_S = 0.75  # connections and requests go on coming after SIGTERM
+KILL_AFTER, TIMEOUT_MOST = 7_000, 30_000  # SIGKILL comes so long after the longest queue timeout, itself cut
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
 
 
@@ -123,6 +124,8 @@
 
     def stop(self):
         began = time.monotonic()
+        longest = max((group.timeout for group in self.book.deployment.groups), default=0)
+        self.exchange.inbox.put(("stop", min(longest, TIMEOUT_MOST) + KILL_AFTER), always=True)
         self.log.line("stopping")
         time.sleep(COMING_S)
         self.listener.close()
