Tests on loopback sockets; a connection refused at once is told as such

Seen: in 8 of 60 runs of the new test one submission to a refused engine ended as not sent. The log showed the connection ended with nothing open: it was started before its first order was in its outbox (link.py, ask), failed within 0.5 ms, and the order found it dead. Ruled out: descriptors, a lane without a link, a give-up. The module then did not hear that the engine is down. Now the order goes in first; 30 runs without it.

Also: an idle client is told 57P01 at a stop (its socket was shut both ways before, so nothing reached it).

--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -1,7 +1,17 @@
-"""A gateway with a recording writer, and settings made up for tests."""
+"""A gateway with a recording writer, settings made up for tests, and stand-ins for what is on the sockets."""
+
+import json
+import os
+import socket
+import struct
+import tempfile
+import time
+from queue import Queue
+from threading import Thread
 
 from wickvane import interface as i
 from wickvane.choice import Gateway
+from wickvane.net.service import Service
 
 
 def group(**changes):
@@ -88,3 +98,233 @@
 
     def note(self, text):
         self.log.append(text)
+
+
+# Stand-ins on loopback sockets, from the published protocols.
+
+SETTINGS = {
+    "classes": [
+        {"name": "lookup", "effect": "safe", "promise_ms": 1500.0, "deadline_ms": 7500.0, "aim_stretch": 2.0,
+         "worth": 1.0, "late_worth": 0.2},
+        {"name": "load", "effect": "keyed", "group": "all", "promise_ms": 3000.0, "deadline_ms": 20000.0,
+         "repeat_window_ms": 12000.0, "sequential": True, "worth": 5.0, "late_worth": 0.5},
+        {"name": "change", "effect": "unsafe", "promise_ms": 3000.0, "deadline_ms": 20000.0, "worth": 5.0,
+         "late_worth": 0.5},
+    ],
+    "accounts": [{"name": "acme", "share": 1.0, "quota_per_s": 50.0}],
+    "az": "dc", "zones": ["dc"], "host_types": ["old"], "fleet_size": 1,
+    "family_info": {"size_cores": [8], "size_mb": [16384.0], "priorities": True},
+    "limits": {"cancel": True, "conn_idle_ms": 30000.0, "dial_timeout_ms": 250.0, "max_attempts": 5,
+               "streams_per_conn": 100},
+    "obligations": {"stop_sending_within_ms": 2000.0, "key_rest_ms": 300.0},
+}
+PATIENCE = 10  # seconds after which a test has failed; none waits so long to pass
+
+
+STANDING = []  # else a port or a descriptor would be given anew while a dispatcher still writes there
+
+
+class Stand:
+    """Listens on loopback, and gives each connection a thread of its own."""
+
+    def __init__(self, port=0):
+        self.listening = socket.create_server(("127.0.0.1", port))
+        self.address = f"127.0.0.1:{self.listening.getsockname()[1]}"
+        self.came, self.connections = Queue(), []
+        STANDING.append(self)
+        Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                conn, _ = self.listening.accept()
+            except OSError:
+                return
+            self.connections.append(conn)
+            Thread(target=self.guarded, args=(conn,), daemon=True).start()
+
+    def guarded(self, conn):
+        try:
+            self.serve(conn, conn.makefile("rb"))
+        except (OSError, ValueError):
+            pass
+
+    def next(self, kind=None):
+        while True:
+            found = self.came.get(timeout=PATIENCE)
+            if kind is None or found[0] == kind:
+                return found
+
+    def end(self):
+        """As a process that dies: nothing listens, and what is connected is reset."""
+        self.listening.shutdown(socket.SHUT_RDWR)
+        self.listening.close()
+        for conn in self.connections:
+            reset(conn)
+
+
+def reset(conn):
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    try:
+        conn.shutdown(socket.SHUT_RD)  # a reader of ours still holds the descriptor
+    except OSError:
+        pass
+    conn.close()
+
+
+def hit(txn, body=b"a\tb\tc\n", fields=b"sheets=1,toil=12.5,room=96"):
+    return b"%b HIT %b %d\r\n%b\r\n" % (txn, fields, len(body), body)
+
+
+class Engine(Stand):
+    """Tells the test all that comes; `answers` turns a request's id and words into bytes, or silence."""
+
+    def __init__(self, answers=lambda txn, words: hit(txn) if words[0] == b"ASK" else b"", port=0):
+        self.answers = answers
+        super().__init__(port)
+
+    def serve(self, conn, lines):
+        for line in lines:
+            words, body = line.split(), b""
+            if words[0] == b"ASK":
+                body = lines.read(int(words[3]) + 2)[:-2]
+            self.came.put((words[0].decode(), words[1:], body, conn))
+            answer = self.answers(words[1], words)
+            if answer:
+                conn.sendall(answer)
+
+
+class Events(Stand):
+    """A coordinator: each connection's Last-Event-ID is told, then what the test puts in is sent."""
+
+    def __init__(self):
+        self.send = Queue()
+        super().__init__()
+
+    def serve(self, conn, lines):
+        head = []
+        while line := lines.readline().strip():
+            head.append(line)
+        self.came.put(("connected", dict(part.split(b": ", 1) for part in head[1:])[b"Last-Event-ID"]))
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n")
+        while (text := self.send.get()) is not None:
+            conn.sendall(text)
+        conn.close()
+
+
+def event(number, *entries, snapshot=False):
+    change = {"index": number, "snapshot": snapshot, "endpoints": list(entries)}
+    return {"index": number, "endpoints": change}
+
+
+def entry(name, address, state="Ready", since=0):
+    return {"name": name, "address": address, "zone": "dc", "type": "old", "group": 0, "status": state,
+            "weight": 1, "since_ms": since}
+
+
+def sse(number, data):
+    return b"id: %d\ndata: %b\n\n" % (number, data if isinstance(data, bytes) else json.dumps(data).encode())
+
+
+def found(engines, coordinator, **limits):
+    """A configuration, as the operators would hand it over."""
+    entries = [entry(f"e{n}", engine.address) for n, engine in enumerate(engines)]
+    return {
+        "name": "n0", "listen": f"127.0.0.1:{free_port()}", "seed": "8c1f", "settings": SETTINGS,
+        "limits": {"sockets": 1024} | limits, "coordinator": coordinator.address,
+        "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]},
+    }
+
+
+class Dispatcher:
+    """The real program's threads in this process, on a free port, with its log in a file."""
+
+    def __init__(self, *engines, coordinator=None, **limits):
+        self.found = found(engines, coordinator or Events(), **limits)
+        self.log = tempfile.TemporaryFile()
+        STANDING.append(self.log)
+        self.service = Service(self.found, self.log.fileno())
+        self.service.start()
+
+    def logged(self, *events):
+        """The log's lines of these events, once there is one of them."""
+        for _ in range(PATIENCE * 100):
+            lines = [json.loads(line) for line in os.pread(self.log.fileno(), 1 << 20, 0).splitlines()]
+            found = [line for line in lines if line["event"] in events]
+            if found:
+                return found
+            time.sleep(0.01)
+        raise AssertionError(f"no {events} in the log")
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+STARTUP = struct.pack("!II", 30, 196_608) + b"user\0app\0database\0bi\0\0"
+
+
+def statement(text="SELECT 1 FROM sales_17.orders", verb="lookup", n=1, limit=5000, **fields):
+    more = "".join(f",{name}={value}" for name, value in fields.items())
+    return f"/* verb={verb},txn={n:016x},limit={limit},team=acme,cpu=100{more} */ {text}"
+
+
+class Client:
+    """A PostgreSQL client by hand, a message at a time."""
+
+    def __init__(self, dispatcher, first=STARTUP):
+        host, _, port = dispatcher.found["listen"].rpartition(":")
+        self.address = (host, int(port))
+        self.sock = socket.create_connection(self.address, timeout=PATIENCE)
+        self.file = self.sock.makefile("rb")
+        self.sock.sendall(first)
+        self.key = None
+        if first == STARTUP:
+            self.key = dict(self.until_ready())[b"K"]
+
+    def message(self):
+        head = self.file.read(5)
+        if len(head) < 5:
+            return None
+        return head[:1], self.file.read(struct.unpack("!I", head[1:])[0] - 4)
+
+    def until_ready(self):
+        found = []
+        while (got := self.message()) is not None:
+            found.append(got)
+            if got[0] == b"Z":
+                break
+        return found
+
+    def send(self, text, kind=b"Q"):
+        body = text if isinstance(text, bytes) else text.encode() + b"\0"
+        self.sock.sendall(kind + struct.pack("!I", 4 + len(body)) + body)
+
+    def ask(self, text):
+        self.send(text)
+        return self.until_ready()
+
+    def cancel(self):
+        with socket.create_connection(self.address, timeout=PATIENCE) as sock:
+            sock.sendall(struct.pack("!II", 16, 80_877_102) + self.key)
+            assert sock.recv(1) == b""
+
+
+def rows(messages):
+    found = []
+    for kind, body in messages:
+        if kind == b"D":
+            at, row = 2, []
+            for _ in range(struct.unpack_from("!H", body)[0]):
+                size = struct.unpack_from("!I", body, at)[0]
+                row.append(body[at + 4:at + 4 + size])
+                at += 4 + size
+            found.append(tuple(row))
+    return found
+
+
+def sqlstate(messages):
+    """The first error's code, or None."""
+    return next((part[1:].decode() for kind, body in messages if kind == b"E"
+                 for part in body.split(b"\0") if part[:1] == b"C"), None)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -193,3 +193,18 @@
     assert code and "line 1" in said and "Traceback" not in said
     code, reply, said = run_host(json.dumps({"now_ms": 1.0, "groups": []}), json.dumps({"now_ms": 2.0}))
     assert code and json.loads(reply) == {"groups": []} and "groups" in said
+
+
+def test_a_stop_cuts_every_limit_and_each_query_is_answered_before_it():
+    g = Gateways(site([group(late_value=0.3), group(effect=i.MUTATING, timeout=200_000, late_value=0.5)]))
+    g.engines(2)
+    out = [g.take(cost=2000), g.take(rg=1, left=190_000)]
+    g.round((i.STOPPING, 37_000))
+    later = g.take(cost=100)
+    hopeless = g.take(cost=80_000)
+    assert g.final == {hopeless: "deferred"} and g.answered[hopeless] == g.now
+    stopped = g.now
+    g.end(later, elapsed=100, after=100)
+    g.let_pass(stopped + 37_000)
+    assert g.final == {hopeless: "deferred", out[0]: "deferred", out[1]: "killed"}
+    assert g.answered[out[0]] < stopped + 37_000 - 1_000 and set(g.cancelled) == set(out)
--- /dev/null
+++ b/tests/test_readers.py
@@ -0,0 +1,148 @@
+"""The parsers alone: input cut anywhere, generated garbage, and statements as people write them."""
+
+import random
+
+import pytest
+from bench_free import SETTINGS, entry, event, hit, i, rows, sse, statement
+
+from wickvane.door import Book
+from wickvane.net import coordinator, link
+from wickvane.net.decider import Decider
+from wickvane.net.exchange import Exchange, Ticket
+from wickvane.net.rows import result
+from wickvane.net.statement import Reader, Unusable, is_empty, split, table_group
+
+READER = Reader(Book(SETTINGS))
+
+
+@pytest.mark.parametrize("text, group", [
+    ("SELECT day, max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17),
+    ("INSERT INTO sales_4.facts SELECT * FROM staging.batch_9", 4),
+    ("INSERT INTO sales_4.facts SELECT * FROM staging_9.batch", 4),
+    ("SELECT 'x FROM a_1.t', e'\\' FROM b_2.t', $q$ FROM c_3.t $q$, $$FROM d_4.t$$ FROM e_5.t", 5),
+    ("SELECT 1 /* FROM a_1.t /* nested */ FROM b_2.t */ -- FROM c_3.t\n FROM d_4.t", 4),
+    ("SELECT o_1.day, p_2.x FROM lateral (SELECT 1) o_1, main_3.t p_2 WHERE o_1.day = 1", 3),
+    ("SELECT o_1.day FROM staging.a o_1 JOIN ONLY main_3.t ON true", 3),
+    ("SELECT extract(epoch FROM o_1.day) FROM main_3.t o_1", 3),
+    ('SELECT a AS "x_9.y" FROM "main_6"."t"', 6), ('SELECT "q""FROM a_1.t" FROM db.main_6.t', 6),
+    ("UPDATE only main_8.t SET a = 'it''s FROM a_1.t'", 8), ("DELETE FROM MAIN_12.t", 12),
+    ("SELECT 1", 0), ("SELECT 1.5, 'open FROM a_1.t", 0),
+])
+def test_the_table_group_is_the_schemas_number(text, group):
+    assert table_group(text.encode()) == group
+
+
+def test_the_statement_goes_on_without_its_comment_and_otherwise_unchanged():
+    body = b"SELECT /* kept */ 'verb=x'  FROM s_1.t ; \n"
+    assert split(b"/* verb=a,txn=b */ " + body) == (b" verb=a,txn=b ", body)
+    assert split(b"-- first\n/* other */ /*txn=b*/" + body)[0] == b"txn=b"
+    assert split(body) == (None, body)
+    assert all(map(is_empty, (b"", b" ; ", b"-- only this", b"/* a */ ;"))) and not is_empty(b"x")
+
+
+def garbage(chance, *seeds):
+    """Bytes with the marks that matter to the parsers, or a well-formed text with a few bytes changed."""
+    if chance.random() < 0.5:
+        marks = [b"/*", b"*/", b"'", b"$$", b'"', b"\r\n", b"\n", b" ", b"=", b",", b".", b"data:", b"HIT"]
+        return b"".join(chance.choice([*marks, chance.randbytes(1)]) for _ in range(chance.randrange(60)))
+    text = bytearray(chance.choice(seeds))
+    for _ in range(chance.randrange(1, 6)):
+        at = chance.randrange(len(text))
+        text[at:at + chance.randrange(3)] = bytes([chance.randrange(256)] * chance.randrange(3))
+    return bytes(text)
+
+
+def test_garbage_is_told_so_by_each_parser_and_never_anything_else():
+    chance, read, told = random.Random(3), [0] * 3, [0] * 3
+    good = statement("INSERT INTO s_2.t SELECT $a$x$a$ FROM u_3.v", verb="load", item="k", unique="u")
+    good = good.encode()
+    stream = sse(2, event(2, entry("e", "127.0.0.1:80")))
+    for _ in range(20_000):
+        text, news = garbage(chance, good), garbage(chance, stream)
+        answer = bytearray(garbage(chance, hit(b"ab")))
+        for n, (work, wrong) in enumerate((
+            (lambda text=text: (is_empty(text), READER.read(text)), Unusable),
+            (lambda answer=answer: link.parse(answer), link.Malformed),
+            (lambda news=news: follow([news]), coordinator.Malformed),
+        )):
+            try:
+                work()
+                read[n] += 1
+            except wrong:
+                told[n] += 1
+    assert all(read) and all(told)
+
+
+def follow(parts):
+    """What a coordinator without a connection makes of a stream's body that comes in these parts."""
+    heard = coordinator.Coordinator(("", 0), {}, Exchange(None, Counts()), 1, None, Counts())
+    parts = iter([b"HTTP/1.1 200 OK\r\n\r\n", *parts, b""])
+    lines = coordinator.Lines(lambda size: next(parts))
+    lines.head()
+    data = []
+    try:
+        for line in lines.body():
+            if line.startswith(b"data:"):
+                data.append(line[5:].removeprefix(b" "))
+            elif not line and data:
+                heard.event(b"\n".join(data))
+                data = []
+    except EOFError:
+        pass
+    return heard.last, list(heard.exchange.inbox.take(0))
+
+
+class Counts:
+    def add(self, name, n=1):
+        pass
+
+
+def test_a_stream_and_an_answer_read_the_same_wherever_they_are_cut():
+    stream = b": note\r\n\r\n" + sse(2, event(2, entry("e", "127.0.0.1:80")))
+    stream += sse(3, event(3, snapshot=True))
+    whole = follow([stream])
+    assert whole[0] == 3 and len(whole[1]) == 2
+    for at in range(1, len(stream)):
+        assert follow([stream[:at], stream[at:]]) == whole
+    answer = hit(b"ab", b"a\tb\tc\n" * 3)
+    for at in range(len(answer)):
+        assert link.parse(bytearray(answer[:at])) is None
+    buffer = bytearray(answer * 2)
+    assert link.parse(buffer) == link.parse(buffer) and not buffer
+
+
+def test_rows_are_what_a_plain_reading_of_the_pages_gives():
+    chance = random.Random(5)
+    for _ in range(200):
+        cells = [[bytes(chance.choices(b"ab\xc3 0", k=chance.randrange(5))) for _ in range(3)]
+                 for _ in range(chance.randrange(20))]
+        lines = [b"\t".join(row) + b"\n" for row in cells]
+        cut = chance.randrange(len(lines) + 1)
+        data, found = result([b"".join(lines[:cut]), b"".join(lines[cut:])], b"SELECT"), []
+        while data:
+            size = 1 + int.from_bytes(data[1:5], "big")
+            found.append((data[:1], data[5:size]))
+            data = data[size:]
+        assert rows(found) == [tuple(row) for row in cells]
+        assert found[0][0] == b"T" and found[-1] == (b"C", b"SELECT %d\0" % len(cells))
+    with pytest.raises(ValueError):
+        result([b"a\tb\n"], b"SELECT")
+
+
+class Clock:
+    def now(self):
+        return 17_000_000_000_000
+
+
+def test_what_came_first_is_taken_first_whichever_thread_woke_first():
+    exchange = Exchange(Clock(), Counts())
+    decider = Decider(exchange, Book(SETTINGS), 1, Clock(), None, Counts())
+    decider.round([("listed", True, [("e", ("127.0.0.1", 1), i.READY, "dc", "old", 0, 0, 1.0)])])
+    tickets = []
+    for n, age in enumerate((10, 700, 300)):
+        read = READER.read(statement(verb="load", n=n, item="k", unique=f"u{n}").encode())
+        tickets.append(Ticket(Clock().now() - age, **read))
+        exchange.take(tickets[-1])
+    decider.round(exchange.inbox.take(0))
+    assert [ticket.count for ticket in tickets] == [0, 1, 0]
+    assert [qy.q for qy in next(iter(decider.gateway.keys.values()))] == [tickets[n].q for n in (1, 2, 0)]
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,372 @@
+"""The dispatcher on real loopback sockets, against stand-ins; no sleep decides a verdict."""
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+from threading import Event, Thread
+
+import psycopg2
+import pytest
+from bench_free import (
+    PATIENCE,
+    STARTUP,
+    Client,
+    Dispatcher,
+    Engine,
+    Events,
+    entry,
+    event,
+    found,
+    hit,
+    reset,
+    rows,
+    sqlstate,
+    sse,
+    statement,
+)
+
+
+def paged(txn, words):
+    """Three pages, the later ones in the wrong order and only when all were asked for."""
+    if words[0] == b"ASK":
+        return hit(txn, b"a\t1\tx\n", b"toil=250.0,room=96,sheets=3")
+    if words[0] == b"NEXT" and words[2] == b"2":
+        return b"".join(b"%b PART sheet=%d 6\r\n%d\t\t\xc3\xa9\n\r\n" % (txn, n, n) for n in (2, 1))
+    return b""
+
+
+def test_a_query_goes_on_as_the_bytes_that_came_and_all_rows_come_back_in_order():
+    engine = Engine(paged)
+    dispatcher = Dispatcher(engine)
+    text = "SELECT  'é; /* x */'  FROM sales_17.orders -- end"
+    got = Client(dispatcher).ask(statement(text, n=7))
+    kind, words, body, _ = engine.next("ASK")
+    assert body == text.encode() and words[0] == b"%016x" % 7
+    fields = dict(part.split(b"=") for part in words[1].split(b","))
+    assert fields[b"queue"] == b"lookup" and 0 < int(fields[b"budget"]) <= 5000 and b"uniq" not in fields
+    assert rows(got) == [(b"a", b"1", b"x"), (b"1", b"", b"\xc3\xa9"), (b"2", b"", b"\xc3\xa9")]
+    assert got[-2:] == [(b"C", b"SELECT 3\0"), (b"Z", b"I")]
+    assert engine.next("FREE")[1] == [b"%016x" % 7]
+
+
+def test_a_client_that_vanishes_leaves_nothing_running():
+    engine = Engine(lambda txn, words: b"")
+    dispatcher = Dispatcher(engine)
+    client = Client(dispatcher)
+    client.send(statement(n=5))
+    engine.next("ASK")
+    client.file.close()
+    client.sock.close()
+    assert engine.next("QUIT")[1] == [b"%016x" % 5]
+    assert dispatcher.logged("query")[0]["answer"] == "left"
+
+
+def test_what_is_already_written_behind_the_start_up_is_answered():
+    dispatcher = Dispatcher(Engine())
+    text = b"\0"
+    for first in (STARTUP, struct.pack("!II", 8, 80_877_103) + STARTUP):
+        client = Client(dispatcher, first + b"Q" + struct.pack("!I", 4 + len(text)) + text)
+        if first != STARTUP:
+            assert client.file.read(1) == b"N"
+        client.until_ready()
+        assert client.until_ready() == [(b"I", b""), (b"Z", b"I")]
+
+
+def test_input_cut_at_every_byte_is_read_the_same():
+    dispatcher = Dispatcher(Engine())
+    client = Client(dispatcher, b"")
+    text = statement(n=9).encode() + b"\0"
+    for byte in STARTUP + b"Q" + struct.pack("!I", 4 + len(text)) + text:
+        client.sock.sendall(bytes([byte]))
+    client.until_ready()
+    assert rows(client.until_ready()) == [(b"a", b"b", b"c")]
+
+
+@pytest.mark.parametrize("text, code", [
+    ("SELECT 1", "42601"), ("/* open", "42601"), ("/* verb=lookup,txn=1 */ SELECT 1", "22023"),
+    (statement(verb="nobody"), "22023"), (statement(limit="soon"), "22023"),
+    (statement(limit="nan"), "22023"),
+    (statement(limit=0), "22023"), (statement(verb="load", unique="u"), "22023"),
+    (statement(verb="load", item="k"), "22023"), (statement().replace("acme", "other"), "22023"),
+    (statement(verb="load", item="k", unique="u u"), "22023"), (statement("  "), "42601"),
+])
+def test_a_statement_that_cannot_be_used_is_told_so_and_never_sent_on(text, code):
+    engine = Engine()
+    client = Client(Dispatcher(engine))
+    assert sqlstate(client.ask(text)) == code
+    assert rows(client.ask(statement(n=2))) and engine.next()[1][0] == b"%016x" % 2
+
+
+def test_an_extended_message_is_told_so_and_is_in_step_again_at_sync():
+    client = Client(Dispatcher(Engine()))
+    for kind in (b"P", b"B", b"E"):
+        client.send(b"\0\0\0", kind)
+    client.send(b"", b"S")
+    assert sqlstate(got := client.until_ready()) == "0A000" and len(got) == 2
+    assert rows(client.ask(statement()))
+
+
+@pytest.mark.parametrize("sent, code, reason", [
+    (b"\0\0\0\4\0\3\0\0", "08P01", "startup-unreadable"),
+    (b"GET / HTTP/1.1\r\n", "08P01", "startup-unreadable"),
+    (struct.pack("!II", 8, 131_072), "0A000", "protocol-version"),
+    (struct.pack("!II", 9, 196_608) + b"\0", "08P01", "startup-unreadable"),
+    (STARTUP + b"!\0\0\0\4", "08P01", "message-unknown"),
+    (STARTUP + b"Q\0\0\0\3", "08P01", "message-malformed"),
+    (STARTUP + b"Q\x7f\0\0\0", "54000", "message-too-long"),
+    (STARTUP + b"Q\0\0\0\7a\0b", "08P01", "message-malformed"),
+])
+def test_what_cannot_be_spoken_with_is_told_so_and_closed_with_its_code(sent, code, reason):
+    dispatcher = Dispatcher()
+    client = Client(dispatcher, b"")
+    client.sock.sendall(sent)
+    found = []
+    while got := client.message():
+        found.append(got)
+    assert sqlstate(found) == code
+    assert dispatcher.logged("client-connection-ended")[0]["reason"] == reason
+
+
+def two(first):
+    """Two engines, of which the one asked first answers as `first` does."""
+    asked = []
+
+    def answers(txn, words):
+        if words[0] == b"ASK":
+            asked.append(txn)
+        if len(asked) == 1:
+            return first(txn, words)
+        return hit(txn) if words[0] == b"ASK" else b""
+
+    return [Engine(answers), Engine(answers)]
+
+
+def die(engines):
+    def answer(txn, words):
+        for engine in engines:
+            if engine.connections:
+                reset(engine.connections[-1])
+    return answer
+
+
+def test_a_page_lost_before_any_row_is_a_failed_submission_and_the_query_runs_again():
+    def lost(txn, words):
+        return hit(txn, b"a\tb\tlost\n", b"sheets=2") if words[0] == b"ASK" else b"%b FAULT - 0\r\n\r\n" % txn
+
+    dispatcher = Dispatcher(*two(lost))
+    assert rows(Client(dispatcher).ask(statement())) == [(b"a", b"b", b"c")]
+    assert dispatcher.service.counters.shown()["ending-error"] == 1
+
+
+@pytest.mark.parametrize("answer, proof", [(b"SHED", "turned-away"), (b"LATE", "not-sent")])
+def test_what_proves_that_nothing_ran_lets_even_a_mutating_query_go_again(answer, proof):
+    dispatcher = Dispatcher(*two(lambda txn, words: b"%b %b - 0\r\n\r\n" % (txn, answer)))
+    assert rows(Client(dispatcher).ask(statement(verb="change")))
+    assert dispatcher.service.counters.shown()[f"ending-{proof}"] == 1
+
+
+def test_a_refused_connection_proves_that_nothing_ran():
+    engines = [Engine(), Engine()]
+    dispatcher = Dispatcher(*engines)
+    engines[0].end()
+    client = Client(dispatcher)
+    for n in range(1, 20):
+        assert rows(client.ask(statement(f"SELECT 1 FROM s_{n}.t", verb="change", n=n)))
+    counts = dispatcher.service.counters.shown()
+    assert counts["ending-no-connection"] and "ending-not-sent" not in counts
+    assert counts["submissions"] == 19 + counts["ending-no-connection"]
+
+
+def test_a_reset_proves_nothing_and_a_mutating_query_is_killed_not_repeated():
+    engines = []
+    engines += two(die(engines))
+    dispatcher = Dispatcher(*engines)
+    assert sqlstate(Client(dispatcher).ask(statement(verb="change"))) == "58000"
+    assert dispatcher.service.counters.shown()["submissions"] == 1
+
+
+@pytest.mark.parametrize("malformed", [
+    b"nobody HIT sheets=1 0\r\n\r\n", b"%b HIT sheets=1 x\r\n", b"x" * 600,
+    b"%b HIT sheets=1 5\r\na\tb\tc\n\r\n",
+    b"%b HIT sheets=99 0\r\n\r\n", b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n%b PART sheet=2 0\r\n\r\n",
+    b"%b HIT sheets 0\r\n\r\n", b"%b WHAT - 0\r\n\r\n", b"%b HIT sheets=1 9000\r\n",
+    b"%b HIT toil=nan 0\r\n\r\n",
+])
+def test_a_malformed_answer_ends_that_connection_only_and_proves_nothing(malformed):
+    engines = two(lambda txn, words: malformed.replace(b"%b", txn))
+    dispatcher = Dispatcher(*engines)
+    assert rows(Client(dispatcher).ask(statement()))
+    assert dispatcher.logged("engine-connection-ended")[0]["reason"] == "malformed"
+    assert dispatcher.service.counters.shown()["ending-reset"] == 1
+
+
+def test_an_engine_that_accepts_and_never_answers_costs_the_client_no_more_than_its_time():
+    engine = Engine(lambda txn, words: b"")
+    dispatcher = Dispatcher(engine)
+    assert sqlstate(Client(dispatcher).ask(statement(limit=300, verb="lookup"))) == "53000"
+    line = dispatcher.logged("query")[0]
+    assert line["answer"] == "deferred" and line["took"] < 370
+    assert engine.next("QUIT")
+
+
+def test_tokened_queries_of_one_key_go_one_after_another_with_their_token():
+    def answers(txn, words):
+        return b""
+
+    engine = Engine(answers)
+    dispatcher = Dispatcher(engine)
+    clients = [Client(dispatcher), Client(dispatcher)]
+    for n, client in enumerate(clients, 1):
+        client.send(statement("INSERT INTO s_3.t VALUES (1)", verb="load", n=n, item="7f3a", unique=f"u{n}"))
+        if n == 1:
+            _, words, _, conn = engine.next("ASK")
+            assert b"uniq=u1" in words[1]
+    # The second one is with the dispatcher once its own round has been counted.
+    while dispatcher.service.counters.shown()["taken"] < 2:
+        pass
+    assert engine.came.empty()
+    conn.sendall(hit(words[0]))
+    assert clients[0].until_ready()[-2] == (b"C", b"INSERT 0 1\0")
+    assert b"uniq=u2" in engine.next("ASK")[1][1]
+
+
+def test_the_list_is_followed_from_the_last_event_on_and_a_malformed_one_changes_nothing():
+    engines, coordinator = [Engine(), Engine()], Events()
+    dispatcher = Dispatcher(engines[0], coordinator=coordinator)
+    assert coordinator.next() == ("connected", b"1")
+    gone = entry("e0", engines[0].address, "Gone")
+    coordinator.send.put(sse(2, event(2, entry("e1", engines[1].address), gone)))
+    coordinator.send.put(sse(3, b'{"index":3,"endpoints":{"endpoints":[{"name":"e1"}]}}'))
+    assert coordinator.next() == ("connected", b"2")
+    assert dispatcher.logged("coordinator-connection-ended")[0]["reason"] == "malformed"
+    client = Client(dispatcher)
+    for n in range(1, 9):
+        assert rows(client.ask(statement(f"SELECT 1 FROM s_{n}.t", n=n)))
+    assert engines[0].came.empty()
+
+
+def test_an_address_taken_over_by_a_new_engine_is_reached_over_a_new_connection():
+    engine, coordinator = Engine(), Events()
+    dispatcher = Dispatcher(engine, coordinator=coordinator)
+    client = Client(dispatcher)
+    assert rows(client.ask(statement(n=1)))
+    old = engine.next("ASK")[3]
+    coordinator.send.put(sse(2, event(2, entry("e0", engine.address, "Gone"))))
+    coordinator.send.put(sse(3, event(3, entry("new", engine.address))))
+    assert dispatcher.logged("engine-connection-ended")[0]["reason"] == "engine-gone"
+    assert rows(client.ask(statement(n=2)))
+    assert engine.next("ASK")[3] is not old
+
+
+def test_a_restarted_engine_is_not_reached_over_connections_older_than_its_start():
+    engine, coordinator = Engine(lambda txn, words: b"" if txn.endswith(b"1") else hit(txn)), Events()
+    dispatcher = Dispatcher(engine, coordinator=coordinator)
+    client = Client(dispatcher)
+    client.send(statement(n=1, verb="change"))
+    engine.next("ASK")
+    since = dispatcher.service.clock.now() // 10 + 1
+    coordinator.send.put(sse(2, event(2, entry("e0", engine.address, since=since))))
+    assert sqlstate(client.until_ready()) == "58000"
+    assert dispatcher.logged("engine-connection-ended")[0]["reason"] == "engine-restarted"
+
+
+def test_a_full_house_is_told_so():
+    dispatcher = Dispatcher(sockets=16)
+    clients = [Client(dispatcher) for _ in range(9)]
+    late = Client(dispatcher, b"")
+    assert sqlstate([late.message()]) == "53300" and late.message() is None
+    assert clients
+
+
+# Life, as a process of its own
+
+
+@pytest.fixture
+def started(tmp_path):
+    ended = []
+
+    def start(*engines, **changes):
+        told = found(engines, Events()) | changes
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(told))
+        process = subprocess.Popen([sys.executable, "-m", "wickvane", "serve"], stdout=subprocess.PIPE,
+                                   stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(path)})
+        process.found = told
+        ended.append(process)
+        return process
+
+    yield start
+    for process in ended:
+        process.kill()
+        process.communicate()
+
+
+def lines(process):
+    return (json.loads(line) for line in process.stdout)
+
+
+def test_an_ordinary_client_gets_on_with_it_and_can_cancel(started):
+    asked = Event()
+
+    def answers(txn, words):
+        if words[0] == b"ASK" and txn.endswith(b"2"):
+            asked.set()
+            return b""
+        return hit(txn) if words[0] == b"ASK" else b""
+
+    engine = Engine(answers)
+    process = started(engine)
+    process.stdout.readline()
+    host, _, port = process.found["listen"].rpartition(":")
+    client = psycopg2.connect(host=host, port=port, user="app", dbname="bi")
+    client.autocommit = True
+    with client.cursor() as cursor:
+        cursor.execute(statement(n=1))
+        assert cursor.fetchall() == [("a", "b", "c")]
+        Thread(target=lambda: asked.wait(PATIENCE) and client.cancel(), daemon=True).start()
+        with pytest.raises(psycopg2.errors.QueryCanceled):
+            cursor.execute(statement(n=2))
+        assert engine.next("QUIT")[1] == [b"%016x" % 2]
+        cursor.execute(statement(n=3))
+        assert cursor.fetchall() == [("a", "b", "c")]
+    client.close()
+    process.send_signal(signal.SIGUSR1)
+    counts = next(line for line in lines(process) if line["event"] == "counters")
+    assert (counts["taken"], counts["finished"], counts["left"]) == (3, 2, 1)
+
+
+def test_a_stop_answers_what_is_held_and_what_still_comes_then_exits_0(started):
+    engine = Engine(lambda txn, words: b"" if txn.endswith(b"1") else hit(txn))
+    process = started(engine)
+    process.stdout.readline()
+    held, idle = Client(process), Client(process)
+    held.send(statement(n=1, limit=20_000, verb="lookup"))
+    engine.next("ASK")
+    process.send_signal(signal.SIGUSR1)
+    assert next(line for line in lines(process) if line["event"] == "counters")["taken"] == 1
+    process.send_signal(signal.SIGTERM)
+    assert next(line for line in lines(process) if line["event"] == "stopping")
+    assert rows(Client(process).ask(statement(n=2)))
+    # The longest queue timeout is cut to 3 s, so 3.7 s are left; 20 s are what the query came with.
+    assert sqlstate(held.until_ready()) == "57P03"
+    assert idle.message()[0] == b"E" and idle.message() is None
+    assert process.wait(PATIENCE) == 0
+    last = [line for line in lines(process) if line["event"] == "counters"][-1]
+    assert last["taken"] == last["finished"] + last["deferred"] == 2 and last["why"] == "exit"
+
+
+def test_what_cannot_be_started_says_so_in_one_line(started, tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        process = started(listen=f"127.0.0.1:{taken.getsockname()[1]}")
+        assert process.wait(PATIENCE) == 1 and process.stderr.read().count(b"\n") == 1
+    for change in ({"settings": {}}, {"listen": "nowhere"}, {"known": {"updates": [{}]}}, {"limits": 3}):
+        process = started(**change)
+        assert process.wait(PATIENCE) == 2 and process.stderr.read().count(b"\n") == 1
+    for words in (["serve", "--config=/nowhere"], ["bogus"], []):
+        done = subprocess.run([sys.executable, "-m", "wickvane", *words], capture_output=True,
+                              env={k: v for k, v in os.environ.items() if k != "LB_CONFIG"})
+        assert done.returncode == 2 and done.stderr and not done.stdout
--- a/wickvane/net/link.py
+++ b/wickvane/net/link.py
@@ -298,15 +298,19 @@
         with self.lock:
             connections = list(self.connections)
         place = next((c for c in connections if c.takes(sub, now)), None)
-        if place is None and self.links.may_open():
+        opened = place is None and self.links.may_open()
+        if opened:
             place = Connection(self)
             with self.lock:
                 self.connections.append(place)
             self.counters.add("engine-connections")
-            place.start()
         if place is None or not place.put("ask", sub):
             self.exchange.end(sub, i.NOT_SENT)
             return
+        if opened:
+            # Not before the order is in: one refused at once would end it as never sent, and the module would
+            # not hear that the engine is down.
+            place.start()
         self.count += 1
         heappush(self.waits, (sub.until, self.count, sub))
 
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -45,9 +45,9 @@
 
 
 class Service:
-    def __init__(self, found):
+    def __init__(self, found, log_to=1):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
-        self.log = Log(1, self.clock)
+        self.log = Log(log_to, self.clock)
         try:
             settings, limits = found["settings"], found.get("limits") or {}
             self.name, seed = found.get("name") or "", found.get("seed", 0)
@@ -71,8 +71,6 @@
         self.most_clients = max(8, sockets * 6 // 10)
 
     def start(self):
-        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
         threading.stack_size(STACK)
         sys.setswitchinterval(SWITCH_S)
         try:
@@ -105,6 +103,8 @@
         return thread
 
     def run(self):
+        # Before any thread starts, so that each inherits it and only this one is told.
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         self.start()
         while True:
             got = signal.sigwait(SIGNALS)
--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -84,7 +84,7 @@
         """From another thread: ends a session that has no query open."""
         if self.idle:
             try:
-                self.sock.shutdown(socket.SHUT_RDWR)
+                self.sock.shutdown(socket.SHUT_RD)
             except OSError:
                 pass
 
@@ -165,16 +165,22 @@
             else:
                 raise Ended("message-unknown", error("08P01", "unknown message type", b"FATAL"))
 
+    def await_message(self):
+        stop = Ended("stop", error("57P01", "the dispatcher stops", b"FATAL"))
+        if self.stopping.is_set():
+            raise stop
+        try:
+            self.want(1, IDLE_S)
+        except TimeoutError:
+            raise Ended("idle") from None
+        except Ended as end:
+            raise (stop if self.stopping.is_set() else end) from None
+
     def next_message(self):
         self.idle = not self.buffer
         try:
             if self.idle:
-                if self.stopping.is_set():
-                    raise Ended("stop", error("57P01", "the dispatcher stops", b"FATAL"))
-                try:
-                    self.want(1, IDLE_S)
-                except TimeoutError:
-                    raise Ended("idle") from None
+                self.await_message()
         finally:
             self.idle = False
         self.want(5, MESSAGE_S)
