--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -134,15 +134,37 @@
         return 17_000_000_000_000
 
 
-def test_what_came_first_is_taken_first_whichever_thread_woke_first():
-    exchange = Exchange(Clock(), Counts())
-    decider = Decider(exchange, Book(SETTINGS), 1, Clock(), None, Counts())
+    def line(self, event, **fields):
+        self.last = event, fields
+
+
+def decider_with_one_engine():
+    clock = Clock()
+    decider = Decider(Exchange(clock, Counts()), Book(SETTINGS), 1, clock, clock, Counts())
     decider.round([("listed", True, [("e", ("127.0.0.1", 1), i.READY, "dc", "old", 0, 0, 1.0)])])
-    tickets = []
-    for n, age in enumerate((10, 700, 300)):
-        read = READER.read(statement(verb="load", n=n, item="k", unique=f"u{n}").encode())
-        tickets.append(Ticket(Clock().now() - age, **read))
-        exchange.take(tickets[-1])
-    decider.round(exchange.inbox.take(0))
+    return decider
+
+
+def take(decider, n, age, **fields):
+    ticket = Ticket(Clock().now() - age, **READER.read(statement(n=n, **fields).encode()))
+    decider.exchange.take(ticket)
+    return ticket
+
+
+def test_what_came_first_is_taken_first_whichever_thread_woke_first():
+    decider = decider_with_one_engine()
+    first = [take(decider, n, age, verb="load", item="k", unique="u") for n, age in enumerate((10, 700))]
+    woken = decider.exchange.inbox.take(0)
+    # A thread that wakes after the first round's items were taken; the ages tell of a standstill.
+    tickets = [*first, take(decider, 2, 300, verb="load", item="k", unique="u")]
+    decider.round(decider.gather(woken))
     assert [ticket.count for ticket in tickets] == [0, 1, 0]
     assert [qy.q for qy in next(iter(decider.gateway.keys.values()))] == [tickets[n].q for n in (1, 2, 0)]
+
+
+def test_an_event_that_the_module_cannot_bear_takes_no_other_with_it():
+    decider = decider_with_one_engine()
+    bad, good = take(decider, 1, 10), take(decider, 2, 10)
+    bad.cost = "none"
+    decider.round(decider.exchange.inbox.take(0))
+    assert good.count == 1 and bad.count == 0 and decider.log.last[0] == "fault"
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -213,6 +213,14 @@
     assert engine.next("QUIT")
 
 
+def test_a_query_that_the_module_has_lost_is_answered_by_its_session():
+    dispatcher = Dispatcher(Engine())
+    dispatcher.service.decider.taken = lambda ticket, now: None
+    assert sqlstate(Client(dispatcher).ask(statement(limit=100))) == "58000"
+    assert 100 <= dispatcher.logged("query")[0]["took"] < 170
+    assert dispatcher.service.counters.shown()["overdue"] == 1
+
+
 def test_tokened_queries_of_one_key_go_one_after_another_with_their_token():
     def answers(txn, words):
         return b""
@@ -355,7 +363,10 @@
     assert sqlstate(held.until_ready()) == "57P03"
     assert idle.message()[0] == b"E" and idle.message() is None
     assert process.wait(PATIENCE) == 0
-    last = [line for line in lines(process) if line["event"] == "counters"][-1]
+    ended = [line for line in lines(process) if line["event"] != "query"]
+    last = [line for line in ended if line["event"] == "counters"][-1]
+    assert {"client-connection-ended", "engine-connection-ended"} <= {
+        line["event"] for line in ended if line.get("reason") == "stop"}
     assert last["taken"] == last["finished"] + last["deferred"] == 2 and last["why"] == "exit"
 
 
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -124,6 +124,7 @@
 class Coordinator:
     def __init__(self, address, known, exchange, seed, log, counters):
         self.address, self.exchange, self.log, self.counters = address, exchange, log, counters
+        self.sock, self.stopping = None, False
         self.chance, self.last, self.pause = Random(f"{seed}/coordinator"), 0, PAUSE_FIRST
         for event in known.get("updates") or ():
             self.tell(read_event(event))
@@ -137,8 +138,16 @@
         self.exchange.inbox.put(("listed", whole, entries), always=True)
         self.counters.add("list-events")
 
+    def stop(self):
+        self.stopping = True
+        if self.sock:
+            try:
+                self.sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def run(self):
-        while True:
+        while not self.stopping:
             reason, detail = "closed", None
             try:
                 self.follow()
@@ -153,6 +162,8 @@
                 reason, detail = "unreachable", error.strerror
             except Exception as error:  # the list that stands stays, and the stream is opened again
                 reason, detail = "fault", f"{type(error).__name__}: {error}"
+            if self.stopping:
+                reason = "stop"
             self.counters.add(f"coordinator-connections-ended-{reason}")
             self.log.line("coordinator-connection-ended", reason=reason, detail=detail, last=self.last)
             time.sleep(self.pause * self.chance.uniform(0.5, 1.0))
@@ -160,6 +171,7 @@
 
     def follow(self):
         with socket.create_connection(self.address, timeout=CONNECT_S) as sock:
+            self.sock = sock
             sock.settimeout(SILENT_S)
             sock.sendall(b"GET /v2/stream HTTP/1.1\r\nHost: %b:%d\r\nAccept: text/event-stream\r\n"
                          b"Cache-Control: no-cache\r\nLast-Event-ID: %d\r\n\r\n"
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -1,5 +1,6 @@
 """The one thread that owns the module: a round for all that came in, its decisions into the exchange."""
 
+import traceback
 from heapq import heappop, heappush
 
 from wickvane import interface as i
@@ -7,6 +8,8 @@
 from wickvane.net.exchange import DEFERRED, KILLED, Lane, Submission
 
 LONGEST_WAIT = 10_000
+LATE, SETTLE_S, SETTLES = 250, 0.01, 6
+FAULTS_MOST = 50
 
 
 class Decider:
@@ -16,13 +19,27 @@
         self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
         self.gateway = Gateway(seed, book.deployment)
         self.lanes, self.addresses, self.alarms, self.events = {}, {}, [], []
-        self.now, self.longest, self.open = clock.now(), 0, 0
+        self.now, self.longest, self.faults = clock.now(), 0, 0
 
     def run(self):
         while True:
             now = self.clock.now()
             until = min(self.alarms[0][0], now + LONGEST_WAIT) if self.alarms else now + LONGEST_WAIT
-            self.round(self.exchange.inbox.take((until - now) / 10_000))
+            self.round(self.gather(self.exchange.inbox.take((until - now) / 10_000)))
+
+    def gather(self, items):
+        """After a standstill of the whole process, what came meanwhile is read by threads that wake in any
+        order: without them all, a key's order could be turned, and engines judged whose answers are in."""
+        now = self.clock.now()
+        late = max((now - item[1].arrived for item in items if item[0] == "taken"), default=0)
+        if self.alarms:
+            late = max(late, now - self.alarms[0][0])
+        for _ in range(SETTLES if late > LATE else 0):
+            more = self.exchange.inbox.take(SETTLE_S)
+            if not more:
+                break
+            items.extend(more)
+        return items
 
     def round(self, items):
         began = self.clock.now()
@@ -40,16 +57,33 @@
         events, self.events = self.events, []
         if not events:
             return
-        self.gateway.round(self.now, events, self)
+        self.decide(iter(events))
         over = [self.book.queries.names[q] for q in self.book.over if not self.book.open[q]]
         for name in self.book.settle():
             self.close(name)
         for ticket in over:
             self.exchange.forget(ticket)
-        self.open = len(self.book.open)
         self.counters.add("rounds")
         self.longest = max(self.longest, self.clock.now() - began)
 
+    def decide(self, events):
+        """One event that the module cannot bear must not take all others' answers with it: what follows it in
+        the round is told in a further call, and its own query is answered by its session."""
+        try:
+            self.gateway.round(self.now, events, self)
+            self.faults = 0
+        except Exception as error:
+            self.faults += 1
+            if self.faults > FAULTS_MOST:
+                raise
+            at = traceback.extract_tb(error.__traceback__)[-1]
+            self.counters.add("faults")
+            self.log.line("fault", error=f"{type(error).__name__}: {error}", where=f"{at.name}:{at.lineno}")
+            self.alarm(0, self.now + 100)
+            rest = list(events)
+            if rest:
+                self.decide(iter(rest))
+
     # What came in
 
     def taken(self, ticket, now):
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -95,8 +95,8 @@
             raise Full("too much is waiting to be decided on")
         self.counters.add("taken")
 
-    def leave(self, ticket):
-        if self.settle(ticket, LEFT):
+    def leave(self, ticket, answer=LEFT):
+        if self.settle(ticket, answer):
             self.inbox.put(("left", ticket), always=True)
 
     def cancel_key(self, session, secret):
--- a/wickvane/net/link.py
+++ b/wickvane/net/link.py
@@ -125,7 +125,11 @@
                 if self.dead:
                     return
                 kind, *rest = self.outbox.popleft()
-                data = self.FORMS[kind](self, *rest)
+                # Answered while it waited here, by its client's going or by its session: not sent at all.
+                moot = kind == "ask" and rest[0].ticket.answer is not None
+                data = None if moot else self.FORMS[kind](self, *rest)
+            if moot:
+                self.drop(rest[0], i.NOT_SENT)
             if data:
                 sock.sendall(data)
                 if kind == "quit":
@@ -284,7 +288,13 @@
             now = self.clock.now()
             wait = (self.waits[0][0] - now) / 10_000 if self.waits else 1.0
             for kind, *rest in self.lane.take(min(1.0, wait)):
-                self.ORDERS[kind](self, *rest)
+                try:
+                    self.ORDERS[kind](self, *rest)
+                except Exception as error:  # no thread to be had, say: one order's fault ends no other's
+                    self.log.line("fault", error=f"{type(error).__name__}: {error}", where=f"link {kind}")
+                    self.counters.add("faults")
+                    if kind == "ask":
+                        self.exchange.end(rest[0], i.RESET if rest[0].written else i.NOT_SENT)
             if self.look(self.clock.now()):
                 return
 
@@ -381,12 +391,21 @@
         self.streams = max(1, int(limits.get("streams_per_conn") or 1))
         self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
         self.idle_time = int((limits.get("conn_idle_ms") or 30_000) * 10 * IDLE_PART)
-        self.lock, self.held, self.most = Lock(), 0, most
+        self.lock, self.held, self.most, self.links = Lock(), 0, most, []
 
     def run(self):
         while True:
             for lane in self.exchange.lanes.take(WAKE_S):
-                Thread(target=Link(lane, self).run, daemon=True).start()
+                link = Link(lane, self)
+                with self.lock:
+                    self.links = [old for old in self.links if old.connections or not old.closing] + [link]
+                Thread(target=link.run, daemon=True).start()
+
+    def stop(self):
+        with self.lock:
+            links = list(self.links)
+        for place in [place for link in links for place in list(link.connections)]:
+            place.fail("stop")
 
     def may_open(self):
         with self.lock:
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -81,7 +81,7 @@
         self.writer = self.thread(self.log.run, "log")
         self.thread(self.decider.run, "decider")
         self.thread(self.links.run, "links")
-        self.thread(self.coordinator.run, "coordinator")
+        self.follower = self.thread(self.coordinator.run, "coordinator")
         self.thread(self.listener.run, "listener")
         self.log.line("ready", name=self.name, listen=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
 
@@ -132,6 +132,9 @@
         self.stopping.set()
         while self.listener.close_idle() and time.monotonic() < began + 30:
             time.sleep(0.02)
+        self.links.stop()
+        self.coordinator.stop()
+        self.follower.join(0.1)
         self.show_counters("exit")
         self.log.line("stopped", took=time.monotonic() - began)
         self.log.close()
--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -12,6 +12,7 @@
 STARTUP_MOST, MESSAGE_MOST = 8_192, 65_536
 STARTUP_S, IDLE_S, MESSAGE_S, WRITE_S = 5.0, 60.0, 10.0, 5.0
 PEEK_S = 0.25  # how soon a client that vanished while it waits is noticed
+OVERDUE = 300  # past its limit: a query is answered here if the module's own thread is stuck or lost it
 PROTOCOL, CANCEL, SSL, GSS = 196_608, 80_877_102, 80_877_103, 80_877_104
 EXTENDED = b"PBEDCHF"
 LAST_DATA_RECV = 52  # offset in struct tcp_info: milliseconds since data last came
@@ -231,9 +232,13 @@
             return now
 
     def wait(self, ticket):
-        while not ticket.ready.acquire(timeout=PEEK_S):
+        due = ticket.limit + OVERDUE
+        while not ticket.ready.acquire(timeout=max(0.001, min(PEEK_S, (due - self.clock.now()) / 10_000))):
             if self.vanished():
                 self.exchange.leave(ticket)
+            elif self.clock.now() >= due:
+                self.counters.add("overdue")
+                self.exchange.leave(ticket, ex.KILLED)
 
     def vanished(self):
         if self.buffer:
