--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -1,7 +1,7 @@
 """Every decision of a gateway: which query leaves, for which engine, when to try again, when to give up.
 
-Called by wickvane.net.decider (sockets) and wickvane.wirehost (bench): one Gateway an instance, and
-Gateway.round(now, events, out) once a round with all that came in. Decisions go straight into out, the Writer of wickvane/interface.py, which
+Called by wickvane.net (sockets) and wickvane.wirehost (bench): one Gateway for each instance, and its round()
+once a round with all that came in. Decisions go straight into out, the Writer of wickvane/interface.py, which
 also says what the events are. Times are whole tenths of a millisecond; work is such a time of one thread.
 
 The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct,
