--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -213,6 +213,15 @@
     assert engine.next("QUIT")
 
 
+def test_an_id_that_is_open_is_not_taken_again_nor_called_harmless():
+    engine = Engine(lambda txn, words: b"")
+    dispatcher = Dispatcher(engine)
+    Client(dispatcher).send(statement(n=3))
+    engine.next("ASK")
+    assert sqlstate(Client(dispatcher).ask(statement(n=3))) == "55000"
+    assert dispatcher.service.counters.shown()["taken"] == 1
+
+
 def test_a_query_that_the_module_has_lost_is_answered_by_its_session():
     dispatcher = Dispatcher(Engine())
     dispatcher.service.decider.taken = lambda ticket, now: None
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -23,17 +23,17 @@
 
 from docopt import DocoptExit, docopt
 
-VERSION = "0.2.0"
+from wickvane import __version__
 
 
 def main(words=None):
     try:
         asked = docopt(__doc__, argv=words)
     except DocoptExit as wrong:
-        print(wrong, file=sys.stderr)
+        print(f"wickvane: this cannot be understood\n{wrong.usage.strip()}", file=sys.stderr)
         return 2
     if asked["version"]:
-        print(f"wickvane {VERSION}")
+        print(f"wickvane {__version__}")
         return 0
     from wickvane.net.service import Service, Unstartable, configuration
 
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -12,7 +12,7 @@
 STATES = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 LINE_MOST, EVENT_MOST, HEAD_MOST = 1 << 20, 1 << 21, 16_384
 CONNECT_S, SILENT_S = 1.0, 3.5  # a comment comes each second
-PAUSE_FIRST, PAUSE_MOST = 0.05, 2.0
+PAUSE_FIRST, PAUSE_MOST, LIVED_S = 0.05, 1.0, 5.0
 
 
 class Malformed(Exception):
@@ -148,7 +148,7 @@
 
     def run(self):
         while not self.stopping:
-            reason, detail = "closed", None
+            reason, detail, began = "closed", None, time.monotonic()
             try:
                 self.follow()
             except EOFError:
@@ -166,6 +166,8 @@
                 reason = "stop"
             self.counters.add(f"coordinator-connections-ended-{reason}")
             self.log.line("coordinator-connection-ended", reason=reason, detail=detail, last=self.last)
+            if time.monotonic() - began > LIVED_S:
+                self.pause = PAUSE_FIRST
             time.sleep(self.pause * self.chance.uniform(0.5, 1.0))
             self.pause = min(PAUSE_MOST, self.pause * 2)
 
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -14,8 +14,10 @@
 INBOX_MOST, LANE_MOST = 20_000, 4_000
 
 
-class Full(Exception):
-    pass
+class NotTaken(Exception):
+    def __init__(self, sqlstate, text):
+        super().__init__(text)
+        self.sqlstate, self.text = sqlstate, text
 
 
 class Line:
@@ -87,12 +89,13 @@
     def take(self, ticket):
         with self.lock:
             if ticket.id in self.open:
-                raise Full("a query with this txn is open")
+                # Not of class 53: that would tell that trying again is harmless, and the open one may run.
+                raise NotTaken("55000", "a query with this txn is open")
             self.open.add(ticket.id)
         if not self.inbox.put(("taken", ticket)):
             with self.lock:
                 self.open.discard(ticket.id)
-            raise Full("too much is waiting to be decided on")
+            raise NotTaken("53000", "too much is waiting to be decided on")
         self.counters.add("taken")
 
     def leave(self, ticket, answer=LEFT):
--- a/wickvane/net/link.py
+++ b/wickvane/net/link.py
@@ -15,6 +15,7 @@
 
 LINE_MOST, BODY_MOST, PAST_MOST = 512, 6_000, 4_096
 WRITE_S, READ_S, WAKE_S = 1, 5, 30
+STREAMS = 100  # requests on a connection, where the settings name no bound
 IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
 
 
@@ -388,7 +389,7 @@
 
     def __init__(self, exchange, limits, most, clock, log, counters):
         self.exchange, self.clock, self.log, self.counters = exchange, clock, log, counters
-        self.streams = max(1, int(limits.get("streams_per_conn") or 1))
+        self.streams = int(limits.get("streams_per_conn") or STREAMS)
         self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
         self.idle_time = int((limits.get("conn_idle_ms") or 30_000) * 10 * IDLE_PART)
         self.lock, self.held, self.most, self.links = Lock(), 0, most, []
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -72,6 +72,7 @@
 
     def start(self):
         threading.stack_size(STACK)
+        threading.excepthook = self.died
         sys.setswitchinterval(SWITCH_S)
         try:
             self.listener = Listener(self.address, self, self.most_clients)
@@ -102,6 +103,13 @@
         thread.start()
         return thread
 
+    def died(self, hook):
+        # One of the many threads of a single peer: its own guard should have met this.
+        self.counters.add("faults")
+        at = traceback.extract_tb(hook.exc_traceback)[-1]
+        error = f"{hook.exc_type.__name__}: {hook.exc_value}"
+        self.log.line("fault", error=error, where=f"{at.name}:{at.lineno}")
+
     def run(self):
         # Before any thread starts, so that each inherits it and only this one is told.
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -210,9 +210,9 @@
             self.ticket = ticket
             try:
                 self.exchange.take(ticket)
-            except ex.Full as full:
+            except ex.NotTaken as refused:
                 self.ticket = None
-                raise Unusable("53000", str(full)) from None
+                raise Unusable(refused.sqlstate, refused.text) from None
         except Unusable as unusable:
             self.counters.add("statements-unusable")
             self.log.line("statement-unusable", peer=self.peer, sqlstate=unusable.sqlstate, why=unusable.text)
