--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -8,7 +8,7 @@
 from wickvane.door import Book
 from wickvane.net import coordinator, link
 from wickvane.net.decider import Decider
-from wickvane.net.exchange import Exchange, Ticket
+from wickvane.net.exchange import Exchange, Lane, Submission, Ticket
 from wickvane.net.rows import result
 from wickvane.net.statement import Reader, Unusable, is_empty, split, table_group
 
@@ -162,6 +162,42 @@
     assert [qy.q for qy in next(iter(decider.gateway.keys.values()))] == [tickets[n].q for n in (1, 2, 0)]
 
 
+def line_of_one(monkeypatch, up=False):
+    """A link whose connection has not come up, and a submission that waits in its line."""
+    monkeypatch.setattr(link.Connection, "start", lambda self: None)
+    clock, exchange = Clock(), Exchange(Clock(), Counts())
+    links = link.Links(exchange, SETTINGS["limits"], 8, clock, clock, Counts())
+    keeper = link.Link(Lane("e", ("", 0), 0), links)
+    ticket = Ticket(clock.now(), **READER.read(statement().encode()))
+    submission = Submission(ticket, 0, 0, keeper.lane, clock.now(), ticket.limit)
+    keeper.ask(submission)
+    return keeper, submission, exchange.inbox
+
+
+def test_what_is_still_in_line_when_an_engine_drains_is_taken_back(monkeypatch):
+    keeper, submission, inbox = line_of_one(monkeypatch)
+    keeper.drain()
+    assert [item[:3] for item in inbox.take(0)] == [("ended", submission, i.NOT_SENT)]
+
+
+def test_a_cancelled_submission_has_not_ended_before_its_quit_is_written(monkeypatch):
+    keeper, submission, inbox = line_of_one(monkeypatch)
+    submission.written = True
+    keeper.quit(submission)
+    assert not inbox.take(0) and keeper.connections[0].outbox[-1][0] == "quit"
+    keeper.connections[0].drop(submission, i.CANCELLED)
+    assert [item[2] for item in inbox.take(0)] == [i.CANCELLED]
+
+
+def test_a_connection_closes_before_the_engine_would_close_it_as_idle(monkeypatch):
+    keeper, submission, inbox = line_of_one(monkeypatch)
+    keeper.connections[0].drop(submission, i.FINISHED)
+    idle = SETTINGS["limits"]["conn_idle_ms"] * 10
+    assert not keeper.look(int(submission.at + idle * 0.5)) and keeper.connections
+    keeper.look(int(submission.at + idle * 0.9))
+    assert not keeper.connections and keeper.log.last[1]["reason"] == "idle"
+
+
 def test_an_event_that_the_module_cannot_bear_takes_no_other_with_it():
     decider = decider_with_one_engine()
     bad, good = take(decider, 1, 10), take(decider, 2, 10)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -224,7 +224,7 @@
 
 def test_a_query_that_the_module_has_lost_is_answered_by_its_session():
     dispatcher = Dispatcher(Engine())
-    dispatcher.service.decider.taken = lambda ticket, now: None
+    dispatcher.service.decider.taken = lambda ticket: None
     assert sqlstate(Client(dispatcher).ask(statement(limit=100))) == "58000"
     assert 100 <= dispatcher.logged("query")[0]["took"] < 170
     assert dispatcher.service.counters.shown()["overdue"] == 1
@@ -266,6 +266,25 @@
     assert engines[0].came.empty()
 
 
+def test_a_stream_gone_silent_is_opened_again_from_where_it_was(monkeypatch):
+    monkeypatch.setattr("wickvane.net.coordinator.SILENT_S", 0.05)
+    coordinator = Events()
+    dispatcher = Dispatcher(coordinator=coordinator)
+    assert [coordinator.next(), coordinator.next()] == [("connected", b"1")] * 2
+    assert dispatcher.logged("coordinator-connection-ended")[0]["reason"] == "silent"
+
+
+def test_a_query_that_hangs_holds_up_no_other():
+    engine = Engine(lambda txn, words: b"" if txn.endswith(b"1") else hit(txn) if words[0] == b"ASK" else b"")
+    dispatcher = Dispatcher(engine)
+    hung = Client(dispatcher)
+    hung.send(statement(n=1))
+    engine.next("ASK")
+    assert rows(Client(dispatcher).ask(statement(n=2)))
+    hung.cancel()
+    assert sqlstate(hung.until_ready()) == "57014" and rows(hung.ask(statement(n=3)))
+
+
 def test_an_address_taken_over_by_a_new_engine_is_reached_over_a_new_connection():
     engine, coordinator = Engine(), Events()
     dispatcher = Dispatcher(engine, coordinator=coordinator)
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -18,7 +18,7 @@
     def __init__(self, exchange, book, seed, clock, log, counters):
         self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
         self.gateway = Gateway(seed, book.deployment)
-        self.lanes, self.addresses, self.alarms, self.events = {}, {}, [], []
+        self.lanes, self.alarms, self.events = {}, [], []
         self.now, self.longest, self.faults = clock.now(), 0, 0
 
     def run(self):
@@ -42,16 +42,15 @@
         return items
 
     def round(self, items):
-        began = self.clock.now()
+        # The module is told a time at which all that it hears of had happened.
+        began = self.now = max(self.now, self.clock.now())
         # Which thread woke first says nothing of which query came first: the sockets' own stamps do.
         taken = sorted((item[1] for item in items if item[0] == "taken"), key=lambda ticket: ticket.arrived)
         for ticket in taken:
-            self.taken(ticket, began)
+            self.taken(ticket)
         for kind, *rest in items:
             if kind != "taken":
                 self.READERS[kind](self, *rest)
-        # The module is told the time at which all that it hears of had happened.
-        self.now = max(self.now, self.clock.now())
         while self.alarms and self.alarms[0][0] <= self.now:
             self.events.append((i.DUE, heappop(self.alarms)[1]))
         events, self.events = self.events, []
@@ -86,12 +85,12 @@
 
     # What came in
 
-    def taken(self, ticket, now):
+    def taken(self, ticket):
         ticket.q = self.book.take(ticket)
-        ticket.stages["taken"] = now
+        ticket.stages["taken"] = self.now
         self.events.append((
             i.TAKEN, ticket.q, ticket.rg, ticket.tenant, ticket.cost, ticket.memory, ticket.coord, ticket.key,
-            max(0, ticket.limit - now),
+            max(0, ticket.limit - self.now),
         ))
 
     def ended(self, submission, ending, elapsed, complete):
--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -289,6 +289,6 @@
         now, begin = self.clock.now(), ticket.arrived
         self.log.line(
             "query", txn=ticket.id, rg=ticket.verb, answer=kind, submissions=ticket.count,
-            took=(now - begin) / 10, limit=(ticket.limit - begin) / 10,
+            cost=ticket.cost / 10, took=(now - begin) / 10, limit=(ticket.limit - begin) / 10,
             **{stage: (at - begin) / 10 for stage, at in ticket.stages.items()},
         )
