Numbers are read strictly on both sides; a client that does not read is not waited for at a stop

Read out of the code: float() takes 1_0, nan and 1e9 for a limit, and 1.7 for a count of pages. At a stop the loop waited up to 30 s for sessions, past the kill.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -89,7 +89,7 @@
 @pytest.mark.parametrize("text, code", [
     ("SELECT 1", "42601"), ("/* open", "42601"), ("/* verb=lookup,txn=1 */ SELECT 1", "22023"),
     (statement(verb="nobody"), "22023"), (statement(limit="soon"), "22023"),
-    (statement(limit="nan"), "22023"),
+    (statement(limit="nan"), "22023"), (statement(limit="1_0"), "22023"),
     (statement(limit=0), "22023"), (statement(verb="load", unique="u"), "22023"),
     (statement(verb="load", item="k"), "22023"), (statement().replace("acme", "other"), "22023"),
     (statement(verb="load", item="k", unique="u u"), "22023"), (statement("  "), "42601"),
@@ -194,7 +194,7 @@
     b"%b HIT sheets=1 5\r\na\tb\tc\n\r\n",
     b"%b HIT sheets=99 0\r\n\r\n", b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n%b PART sheet=2 0\r\n\r\n",
     b"%b HIT sheets 0\r\n\r\n", b"%b WHAT - 0\r\n\r\n", b"%b HIT sheets=1 9000\r\n",
-    b"%b HIT toil=nan 0\r\n\r\n",
+    b"%b HIT toil=nan 0\r\n\r\n", b"%b HIT sheets=1.0 0\r\n\r\n",
 ])
 def test_a_malformed_answer_ends_that_connection_only_and_proves_nothing(malformed):
     engines = two(lambda txn, words: malformed.replace(b"%b", txn))
--- a/wickvane/net/link.py
+++ b/wickvane/net/link.py
@@ -4,6 +4,7 @@
 reader. Only those two ever wait on the engine.
 """
 
+import re
 import socket
 from collections import deque
 from heapq import heappop, heappush
@@ -19,18 +20,23 @@
 IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
 
 
+NUMBER = re.compile(rb"\d{1,15}(\.\d{0,15})?\Z")
+
+
 class Malformed(Exception):
     pass
 
 
 def figure(value, most):
-    try:
-        number = float(value)
-    except ValueError:
-        raise Malformed("a figure is no number") from None
-    if not 0 <= number <= most:
-        raise Malformed("a figure is out of range")
-    return number
+    if not NUMBER.match(value) or float(value) > most:
+        raise Malformed("a figure is no number, or out of range")
+    return float(value)
+
+
+def page_number(value):
+    if not value.isdigit() or len(value) > 3 or int(value) > PAGES_MOST:
+        raise Malformed("a page's number cannot be, or is out of range")
+    return int(value)
 
 
 def parse(buffer):
@@ -219,7 +225,7 @@
                 return  # it crossed our giving up
             raise Malformed("an answer to nothing that was asked")
         if word == b"HIT" and sub.pages is None:
-            sheets = int(figure(fields.get(b"sheets", b"1"), PAGES_MOST))
+            sheets = page_number(fields.get(b"sheets", b"1"))
             if not sheets or not is_page(body):
                 raise Malformed("a result has no page that can be read")
             sub.told = self.link.clock.now()
@@ -232,7 +238,7 @@
             else:
                 self.drop(sub, i.FINISHED, sub.pages)
         elif word == b"PART" and sub.pages is not None:
-            n = int(figure(fields.get(b"sheet", b""), PAGES_MOST))
+            n = page_number(fields.get(b"sheet", b""))
             if not 0 < n < len(sub.pages) or sub.pages[n] is not None or not is_page(body):
                 raise Malformed("a page is out of range, sent twice or cannot be read")
             sub.pages[n] = body
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -133,12 +133,14 @@
     def stop(self):
         began = time.monotonic()
         longest = max((group.timeout for group in self.book.deployment.groups), default=0)
-        self.exchange.inbox.put(("stop", min(longest, TIMEOUT_MOST) + KILL_AFTER), always=True)
+        left = min(longest, TIMEOUT_MOST) + KILL_AFTER
+        self.exchange.inbox.put(("stop", left), always=True)
         self.log.line("stopping")
         time.sleep(COMING_S)
         self.listener.close()
         self.stopping.set()
-        while self.listener.close_idle() and time.monotonic() < began + 30:
+        # A client that does not read its answer is not waited for into the kill.
+        while self.listener.close_idle() and time.monotonic() < began + left / 10_000 - 0.05:
             time.sleep(0.02)
         self.links.stop()
         self.coordinator.stop()
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -1,6 +1,5 @@
 """What a statement says of itself: the fields in the comment ahead of it, and the table group it touches."""
 
-import math
 import re
 
 from wickvane.door import tenths
@@ -19,11 +18,13 @@
 )
 COMMENT_EDGE = re.compile(rb"/\*|\*/")
 GROUP = re.compile(rb"_(\d{1,9})\Z")
+NUMBER = re.compile(r"\d{1,15}(\.\d{0,15})?\Z", re.A)
 TXN = re.compile(r"[0-9a-fA-F]{16}\Z")
 # Words behind which a relation is named, and functions inside which FROM is only an argument's word.
 BEFORE_RELATION = {b"from", b"join", b"into", b"update", b"table", b"only", b"copy", b"using"}
 DOT = ("mark", b".")
 NAMES = ("word", "quoted")
+BEFORE_NAME = {b"if", b"not", b"exists", b"lateral"}
 TAKES_FROM = {b"extract", b"substring", b"trim", b"overlay", b"position"}
 TAGS = {
     b"insert": b"INSERT 0", b"update": b"UPDATE", b"delete": b"DELETE", b"copy": b"COPY", b"merge": b"MERGE",
@@ -131,11 +132,8 @@
                     found = None
                 if found and schema.rpartition(b"_")[0] != b"staging" and rank < best_rank:
                     best, best_rank = int(found[1]), rank
-            if relation and kind == "word" and word in (b"if", b"not", b"exists", b"lateral"):
-                pass
-            else:
-                # A list of relations goes on behind a comma, over aliases.
-                relation = relation and self_or_alias(tokens, n)
+            # A list of relations goes on behind a comma, over aliases.
+            relation = relation and (word in BEFORE_NAME or goes_on(tokens, n))
         elif word == b"(":
             inside.append(before in TAKES_FROM)
             depth_from.append(relation)
@@ -148,7 +146,7 @@
     return best
 
 
-def self_or_alias(tokens, n):
+def goes_on(tokens, n):
     """Whether a comma that goes on with the list of relations stands behind at most an alias."""
     for kind, word in tokens[n + 1:n + 4]:
         if word == b"," and kind == "mark":
@@ -162,13 +160,9 @@
     text = found.get(name)
     if text is None:
         return 0.0
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not 0 <= value <= most:
+    if not NUMBER.match(text) or float(text) > most:
         raise Unusable("22023", f"{name} is not a number that can be used")
-    return value
+    return float(text)
 
 
 class Reader:
