--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -208,3 +208,11 @@
     g.let_pass(stopped + 37_000)
     assert g.final == {hopeless: "deferred", out[0]: "deferred", out[1]: "killed"}
     assert g.answered[out[0]] < stopped + 37_000 - 1_000 and set(g.cancelled) == set(out)
+
+
+def test_statements_that_name_ever_new_groups_fill_no_memory():
+    g = Gateways(site([group()]))
+    g.engines(2)
+    for coord in range(9000):
+        g.end(g.take(coord=coord), work=1000)
+    assert 0 < len(g.gateway.orders) <= 4096
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -198,6 +198,17 @@
     assert not keeper.connections and keeper.log.last[1]["reason"] == "idle"
 
 
+def test_long_limits_of_queries_that_have_ended_do_not_pile_up(monkeypatch):
+    keeper, submission, _ = line_of_one(monkeypatch)
+    for _ in range(5000):
+        ended = Submission(submission.ticket, 0, 0, keeper.lane, submission.at, submission.until + 1)
+        keeper.count += 1
+        link.heappush(keeper.waits, (ended.until, keeper.count, ended))
+        ended.over = True
+        keeper.look(submission.at)
+    assert len(keeper.waits) < 1000 and keeper.waits[0][2] is submission
+
+
 def test_an_event_that_the_module_cannot_bear_takes_no_other_with_it():
     decider = decider_with_one_engine()
     bad, good = take(decider, 1, 10), take(decider, 2, 10)
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -33,7 +33,7 @@
 CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded
 QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
-STOP_MARGIN, FOREVER = SECOND // 4, 1 << 62
+STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, 1 << 62, 4096
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
@@ -153,8 +153,7 @@
         g, now = self.groups[qy.rg], self.now
         qy.out = False
         self.running.pop(q, None)
-        self.mine[engine] -= g.threads
-        self.used -= g.threads
+        self.mine[engine], self.used = self.mine[engine] - g.threads, self.used - g.threads
         self.judge(qy, engine, ending, elapsed)
         if ending == i.FINISHED:
             self.see(engine, elapsed / self.usual(qy, work), report)
@@ -194,8 +193,7 @@
         self.heard[engine] = self.now
         if what == i.SHARE_DONE:
             qy.share = amount
-            elapsed = self.now - qy.sent
-            still = elapsed * (1 - amount) / max(amount, 0.005)
+            still = (self.now - qy.sent) * (1 - amount) / max(amount, 0.005)
             if still > RUNAWAY * self.runs_for(qy) + SECOND // 2:
                 self.renew([qy])
 
@@ -318,6 +316,9 @@
     def order_of(self, coord):
         order = self.orders.get(coord)
         if order is None:
+            # Against statements that name ever new groups: an order forgotten is only worked out again.
+            if len(self.orders) >= ORDERS_HELD:
+                self.orders.clear()
             mark = str(coord).encode()
             by = [blake2b(rank + b"/" + mark, digest_size=8).digest() for rank in self.rank]
             order = self.orders[coord] = sorted(range(len(by)), key=by.__getitem__)
@@ -508,8 +509,7 @@
         g = self.groups[qy.rg]
         qy.engine, qy.sent, qy.out, qy.share = e, self.now, True, 0.0
         qy.tries += 1
-        self.mine[e] += g.threads
-        self.used += g.threads
+        self.mine[e], self.used = self.mine[e] + g.threads, self.used + g.threads
         if self.warmth(e) < 1.0:
             self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
--- a/wickvane/net/link.py
+++ b/wickvane/net/link.py
@@ -7,14 +7,14 @@
 import re
 import socket
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from struct import pack
 from threading import Condition, Lock, Thread
 
 from wickvane import interface as i
 from wickvane.net.rows import PAGES_MOST, RESULT_MOST, is_page
 
-LINE_MOST, BODY_MOST, PAST_MOST = 512, 6_000, 4_096
+LINE_MOST, BODY_MOST, PAST_MOST, WAITS_HELD = 512, 6_000, 4_096, 256
 WRITE_S, READ_S, WAKE_S = 1, 5, 30
 STREAMS = 100  # requests on a connection, where the settings name no bound
 IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
@@ -287,7 +287,7 @@
         self.exchange, self.clock, self.log = links.exchange, links.clock, links.log
         self.counters, self.streams, self.connect_s = links.counters, links.streams, links.connect_s
         self.idle_time = links.idle_time
-        self.address, self.waits, self.count = lane.address, [], 0
+        self.address, self.waits, self.count, self.most_waits = lane.address, [], 0, WAITS_HELD
         self.lock, self.connections, self.closing = Lock(), [], False
 
     def run(self):
@@ -327,7 +327,10 @@
         if opened:
             # Not before the order is in: one refused at once would end it as never sent, and the module would
             # not hear that the engine is down.
-            place.start()
+            try:
+                place.start()
+            except RuntimeError as error:
+                place.fail("no-thread", str(error))
         self.count += 1
         heappush(self.waits, (sub.until, self.count, sub))
 
@@ -376,6 +379,11 @@
             if not sub.over:
                 # At the client's own limit nothing can follow, and the answer is due now.
                 self.quit(sub, i.NO_ANSWER, sub.until >= sub.ticket.limit)
+        if len(self.waits) > self.most_waits:
+            # Long limits of queries that ended long ago would pile up behind one that is still out.
+            self.waits = [wait for wait in self.waits if not wait[2].over]
+            heapify(self.waits)
+            self.most_waits = max(WAITS_HELD, 2 * len(self.waits))
         with self.lock:
             connections = list(self.connections)
         for place in connections:
