--- a/wickvane/net/rows.py
+++ b/wickvane/net/rows.py
@@ -4,6 +4,8 @@
 
 PAGE_MOST, RESULT_MOST, PAGES_MOST, COLUMNS = 6_000, 48_000, 64, 3
 
+LENGTHS = [pack("!I", n) for n in range(PAGE_MOST + 17)]  # packing them anew is a third of a result's cost
+
 NAMES = (b"column1", b"column2", b"column3")
 TEXT = 25
 DESCRIPTION = b"".join(name + b"\0" + pack("!IhIhih", 0, 0, TEXT, -1, -1, 0) for name in NAMES)
@@ -19,12 +21,13 @@
 def result(pages, tag):
     """All messages of a result but ReadyForQuery; ValueError where a row has not three columns."""
     parts, count = [ROW_DESCRIPTION], 0
+    add, lengths = parts.append, LENGTHS
     for page in pages:
         for row in page.split(b"\n")[:-1]:
             a, b, c = row.split(b"\t")
-            parts.append(b"D%b%b%b%b%b%b%b" % (
-                pack("!IH", 18 + len(a) + len(b) + len(c), COLUMNS),
-                pack("!I", len(a)), a, pack("!I", len(b)), b, pack("!I", len(c)), c,
+            # Four bytes and the column count, three lengths of four, and the row less its two tabs.
+            add(b"D%b\0\3%b%b%b%b%b%b" % (
+                lengths[16 + len(row)], lengths[len(a)], a, lengths[len(b)], b, lengths[len(c)], c,
             ))
             count += 1
     done = b"%b %d\0" % (tag, count)
