--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -131,6 +132,49 @@
     assert dispatcher.logged("client-connection-ended")[0]["reason"] == reason
 
 
+def test_garbage_ends_its_session_in_order_and_no_other():
+    chance, dispatcher = random.Random(11), Dispatcher(Engine())
+    witness = Client(dispatcher)
+    for n in range(300):
+        query = statement(n=n).encode() + b"\0"
+        text = bytearray(STARTUP + b"Q" + struct.pack("!I", 4 + len(query)) + query)
+        for _ in range(chance.randrange(1, 8)):
+            text[chance.randrange(len(text))] = chance.randrange(256)
+        client = Client(dispatcher, b"")
+        client.sock.sendall(text[:chance.choice([len(text), chance.randrange(len(text))])])
+        client.sock.shutdown(socket.SHUT_WR)
+        try:
+            while client.message():
+                pass
+        except ConnectionResetError:
+            pass  # closed here with some of it unread
+    assert rows(witness.ask(statement(n=1000)))
+    counts = dispatcher.service.counters.shown()
+    assert "client-connections-ended-fault" not in counts and "faults" not in counts
+    assert counts["client-connections-ended-startup-unreadable"] and counts["statements-unusable"]
+    assert counts["taken"] == sum(counts.get(end, 0) for end in ("finished", "deferred", "killed", "left")) > 1
+
+
+def test_a_client_that_does_not_read_loses_its_connection_and_holds_up_nobody(monkeypatch):
+    monkeypatch.setattr("wickvane.net.session.WRITE_S", 0.3)
+    page = b"a\tb\t" + b"c" * 5900 + b"\n"
+
+    def answers(txn, words):
+        if words[0] == b"ASK":
+            return hit(txn, page, b"sheets=8")
+        if words[0] != b"NEXT":
+            return b""
+        return b"%b PART sheet=%b %d\r\n%b\r\n" % (txn, words[2], len(page), page)
+
+    dispatcher = Dispatcher(Engine(answers))
+    stuck = Client(dispatcher)
+    for n in range(200):
+        stuck.send(statement(n=n))
+    other = Client(dispatcher)
+    assert len(rows(other.ask(statement(n=1000)))) == 8
+    assert dispatcher.logged("client-connection-ended")[0]["reason"] == "client-slow"
+
+
 def two(first):
     """Two engines, of which the one asked first answers as `first` does."""
     asked = []
@@ -398,6 +442,18 @@
     assert last["taken"] == last["finished"] + last["deferred"] == 2 and last["why"] == "exit"
 
 
+def test_a_killed_dispatcher_starts_again_from_nothing_at_the_same_address(started):
+    engine = Engine()
+    first = started(engine)
+    first.stdout.readline()
+    assert rows(Client(first).ask(statement(n=1)))
+    first.kill()
+    first.wait(PATIENCE)
+    second = started(engine, listen=first.found["listen"])
+    second.stdout.readline()
+    assert rows(Client(second).ask(statement(n=1)))
+
+
 def test_what_cannot_be_started_says_so_in_one_line(started, tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         process = started(listen=f"127.0.0.1:{taken.getsockname()[1]}")
