A last message arrives before the close; a full house still hears cancels

Read out of the code: a close with input unread resets the connection, and the reset can overtake the error just written (session.py, run); and with all sessions taken a CancelRequest was turned away, when it is needed most (listener.py, run). Now the writing side closes first and input is drained for a quarter second; sixteen connections past the most are read far enough to be told so or to cancel.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -152,7 +152,8 @@
     counts = dispatcher.service.counters.shown()
     assert "client-connections-ended-fault" not in counts and "faults" not in counts
     assert counts["client-connections-ended-startup-unreadable"] and counts["statements-unusable"]
-    assert counts["taken"] == sum(counts.get(end, 0) for end in ("finished", "deferred", "killed", "left")) > 1
+    ends = ("finished", "deferred", "killed", "left")
+    assert counts["taken"] == sum(counts.get(end, 0) for end in ends) > 1
 
 
 def test_a_client_that_does_not_read_loses_its_connection_and_holds_up_nobody(monkeypatch):
@@ -354,12 +355,17 @@
     assert dispatcher.logged("engine-connection-ended")[0]["reason"] == "engine-restarted"
 
 
-def test_a_full_house_is_told_so():
-    dispatcher = Dispatcher(sockets=16)
+def test_a_full_house_is_told_so_and_still_hears_cancels():
+    engine = Engine(lambda txn, words: b"")
+    dispatcher = Dispatcher(engine, sockets=16)
     clients = [Client(dispatcher) for _ in range(9)]
+    clients[0].send(statement())
+    engine.next("ASK")
     late = Client(dispatcher, b"")
+    late.sock.sendall(STARTUP + b"Q" + struct.pack("!I", 5) + b"\0" + b"unread" * 1000)
     assert sqlstate([late.message()]) == "53300" and late.message() is None
-    assert clients
+    clients[0].cancel()
+    assert sqlstate(clients[0].until_ready()) == "57014"
 
 
 # Life, as a process of its own
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -6,6 +6,7 @@
 from wickvane.net.session import Session, error
 
 BACKLOG = 256
+SPARE = 16  # connections past the most: to be told so, and for cancels, which matter most then
 
 
 class Listener:
@@ -28,11 +29,11 @@
             self.service.counters.add("client-connections")
             peer = f"{peer[0]}:{peer[1]}"
             with self.lock:
-                full = len(self.sessions) >= self.most
-            if full:
+                over = len(self.sessions) - self.most
+            if over >= SPARE:
                 self.refuse(sock, peer)
                 continue
-            session = Session(sock, peer, self.service)
+            session = Session(sock, peer, self.service, over >= 0)
             with self.lock:
                 self.sessions.add(session)
             try:
--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -12,6 +12,7 @@
 STARTUP_MOST, MESSAGE_MOST = 8_192, 65_536
 STARTUP_S, IDLE_S, MESSAGE_S, WRITE_S = 5.0, 60.0, 10.0, 5.0
 PEEK_S = 0.25  # how soon a client that vanished while it waits is noticed
+FAREWELL_S = 0.25
 OVERDUE = 300  # past its limit: a query is answered here if the module's own thread is stuck or lost it
 PROTOCOL, CANCEL, SSL, GSS = 196_608, 80_877_102, 80_877_103, 80_877_104
 EXTENDED = b"PBEDCHF"
@@ -45,8 +46,8 @@
 
 
 class Session:
-    def __init__(self, sock, peer, service):
-        self.sock, self.peer = sock, peer
+    def __init__(self, sock, peer, service, full):
+        self.sock, self.peer, self.full = sock, peer, full
         self.exchange, self.reader, self.clock = service.exchange, service.reader, service.clock
         self.log, self.counters, self.stopping = service.log, service.counters, service.stopping
         self.buffer, self.ticket, self.pid, self.queries, self.idle = bytearray(), None, 0, 0, True
@@ -70,17 +71,26 @@
             self.leave()
         if self.pid:
             self.exchange.drop_key(self.pid)
-        try:
-            if last:
-                self.sock.settimeout(1.0)
-                self.sock.sendall(last)
-        except OSError:
-            pass
+        if last:
+            self.farewell(last)
         self.sock.close()
         self.counters.add(f"client-connections-ended-{reason}")
         self.log.line("client-connection-ended", peer=self.peer, reason=reason, detail=detail,
                       queries=self.queries, lived=(self.clock.now() - began) / 10_000)
 
+    def farewell(self, last):
+        try:
+            self.sock.settimeout(1.0)
+            self.sock.sendall(last)
+            self.sock.shutdown(socket.SHUT_WR)
+            # Input left unread would turn the close into a reset, which can overtake the last message.
+            self.sock.settimeout(FAREWELL_S)
+            for _ in range(16):
+                if not self.sock.recv(65_536):
+                    break
+        except OSError:
+            pass
+
     def close(self):
         """From another thread: ends a session that has no query open."""
         if self.idle:
@@ -130,6 +140,8 @@
 
     def talk(self):
         minor, body = self.startup()
+        if self.full:
+            raise Ended("too-many", error("53300", "too many clients", b"FATAL"))
         words = body.split(b"\0")
         if not body.endswith(b"\0\0") or len(words) % 2:
             raise Ended("startup-unreadable", error("08P01", "invalid startup packet", b"FATAL"))
