The query log names engine and table group: loads wait for loads of their own group

Ruled out: crowding (reports run at 0.7 in the same windows), priority (tried before, no change). At fault: choice.py place() sends all loads of a group to its first three engines, where the group is held by one at a time.

--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -298,9 +298,10 @@
     def done(self, ticket, kind, size):
         self.counters.add(kind)
         self.counters.add("bytes-answered", size)
-        now, begin = self.clock.now(), ticket.arrived
+        now, begin, last = self.clock.now(), ticket.arrived, ticket.submission
         self.log.line(
             "query", txn=ticket.id, rg=ticket.verb, answer=kind, submissions=ticket.count,
+            engine=last.lane.name if last and last.lane else None, coord=ticket.coord,
             cost=ticket.cost / 10, took=(now - begin) / 10, limit=(ticket.limit - begin) / 10,
             **{stage: (at - begin) / 10 for stage, at in ticket.stages.items()},
         )
