--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -216,3 +216,20 @@
     for coord in range(9000):
         g.end(g.take(coord=coord), work=1000)
     assert 0 < len(g.gateway.orders) <= 4096
+
+
+def test_loads_of_one_table_group_go_to_engines_that_run_none_of_it_before_they_meet():
+    g = Gateways(site([group(loads=True, value=5.0)]))
+    g.engines(6)
+    loads = [g.take(coord=3) for _ in range(6)]
+    assert sorted(g.out[q] for q in loads) == list(range(6))
+    where = g.out[loads[2]]
+    g.end(loads[2])
+    assert g.out[g.take(coord=3)] == where
+    assert g.out[g.take(coord=3)] in g.gateway.order_of(3) and len(g.out) == 7
+
+
+def test_what_is_no_load_keeps_to_the_first_engines_of_its_group():
+    g = Gateways(site([group()]))
+    g.engines(6)
+    assert {g.out[g.take(coord=3)] for _ in range(9)} == set(g.gateway.order_of(3)[:3])
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -48,10 +48,9 @@
 
 
 class Query:
-    __slots__ = (
-        "q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out", "engine",
-        "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "priority", "share", "density",
-    )
+    __slots__ = ("q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out",
+                 "engine", "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "priority", "share",
+                 "density")
 
 
 class Gateway:
@@ -80,10 +79,9 @@
         self.cores, self.started, self.mine, self.failing, self.full_at = [], [], [], [], []
         self.crowd, self.crowd_at, self.per_query = [], [], (0.0, 0.0)
         self.crowd_mid = self.median = self.easy = 1.0
-        self.heard, self.aside, self.aside_for, self.trial = [], [], [], []
+        self.heard, self.aside, self.aside_for, self.trial, self.loading = [], [], [], [], []
         self.sent_work, self.down, self.lot, self.lot_until = [], [], [], []
-        self.orders, self.told_need = {}, False
-        self.fit = {}  # found out once a sweep, and when an engine changes
+        self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
@@ -134,7 +132,8 @@
         qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share = None, -1, False, -1, 0.0
         self.queries[q] = qy
         self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
-        self.taken_at.append(now)
+        if self.extra_window:
+            self.taken_at.append(now)
         if qy.key is not None:
             self.keys.setdefault(qy.key, deque()).append(qy)
         if now >= qy.hold:
@@ -154,6 +153,8 @@
         qy.out = False
         self.running.pop(q, None)
         self.mine[engine], self.used = self.mine[engine] - g.threads, self.used - g.threads
+        if g.loads:
+            self.loading[engine].remove(qy.coord)
         self.judge(qy, engine, ending, elapsed)
         if ending == i.FINISHED:
             self.see(engine, elapsed / self.usual(qy, work), report)
@@ -202,7 +203,7 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.failing, self.full_at, self.heard, self.aside, self.aside_for, self.trial, self.down,
-                self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until,
+                self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until, self.loading,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -213,7 +214,7 @@
             self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
             self.aside[e], self.aside_for[e], self.trial[e] = 0, ASIDE_FIRST, False
             if self.rank[e] != rank:
-                self.mine[e], self.sent_work[e] = 0, deque()
+                self.mine[e], self.sent_work[e], self.loading[e] = 0, deque(), []
                 self.orders.clear()
         self.rank[e], self.state[e], self.where[e], self.kind[e] = rank, state, zone, kind
         self.cell[e], self.started[e] = cell, started
@@ -400,7 +401,7 @@
             if e not in usable or (qy.tries and e == qy.engine and len(usable) > 1) or not self.knows(qy, e):
                 continue
             met += 1
-            if met > FIRST_ENGINES and found:
+            if met > FIRST_ENGINES and not all(self.loads_there(qy, e) for e in found):
                 break
             if self.room(qy, e):
                 found.append(e)
@@ -409,13 +410,18 @@
             # unless it was heard of lately. Its warm tables are worth staying for then.
             blind = (self.bound(found[0]) < self.groups[qy.rg].threads
                      and self.now - self.crowd_at[found[0]] > CROWD_LASTS // 3)
-            return min(found, key=lambda e: (self.load(e), self.chance.random() if blind else 0))
+            return min(found, key=lambda e: (
+                self.loads_there(qy, e), self.load(e), self.chance.random() if blind else 0))
         if not met:
             return -1
         # Looking over all engines again for each that waits costs more than it finds.
         self.no_room.add(qy.rg)
         return None
 
+    def loads_there(self, qy, e):
+        # Loads of one table group run one after another on an engine, with all of their keys behind them.
+        return self.groups[qy.rg].loads and self.loading[e].count(qy.coord)
+
     def load(self, e):
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
         others = max(0.0, self.seen(e) - 1.0) * (1 - 1 / self.gateways)
@@ -510,6 +516,7 @@
         qy.engine, qy.sent, qy.out, qy.share = e, self.now, True, 0.0
         qy.tries += 1
         self.mine[e], self.used = self.mine[e] + g.threads, self.used + g.threads
+        self.loading[e] += [qy.coord] * g.loads
         if self.warmth(e) < 1.0:
             self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
@@ -521,9 +528,8 @@
         if not (self.priorities or self.grants):
             return
         dense = [x.value / (self.mean[n] or SECOND) for n, x in enumerate(self.groups)]
-        mine = dense[qy.rg]
         # In an ordered group a slow query keeps all of its key waiting.
-        priority = 3 if mine >= max(dense) else 2 if g.ordered else 1
+        priority = 3 if dense[qy.rg] >= max(dense) else 2 if g.ordered else 1
         if self.now > qy.target and g.late_value == 0:
             priority = 0
         # A group's estimates lie to one side: too small a grant spills, too large a one is lost to others.
@@ -553,15 +559,14 @@
 
     def close(self, qy):
         """The query has its final answer, or needs none."""
+        qy.over = True
         if qy.out:
-            qy.over = True
             if self.may_cancel:
                 self.out.cancel(qy.q, qy.tries - 1)
             return
         if qy in self.lines[qy.tenant]:
             self.lines[qy.tenant].remove(qy)
             self.leave_ring(qy.tenant)
-        qy.over = True
         self.forget(qy)
 
     def forget(self, qy):
@@ -579,8 +584,6 @@
             for qy in [qy for qy in self.lines[tenant] if now >= qy.hold]:
                 self.give_up(qy)
         self.rests = {key: until for key, until in self.rests.items() if now < until}
-        if not self.extra_window:
-            self.taken_at.clear()
         lost, late = [], Counter()
         for qy in list(self.running.values()):
             e, g, since = qy.engine, self.groups[qy.rg], now - qy.sent
@@ -617,7 +620,5 @@
                 qy.known_slow = True
 
 
-HANDLERS = (
-    Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
-    Gateway.list_lost, Gateway.stopping,
-)
+HANDLERS = (Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
+            Gateway.list_lost, Gateway.stopping)
