--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -75,7 +75,7 @@
 
 def follow(parts):
     """What a coordinator without a connection makes of a stream's body that comes in these parts."""
-    heard = coordinator.Coordinator(("", 0), {}, Exchange(None, Counts()), 1, None, Counts())
+    heard = coordinator.Coordinator(("", 0), (0, []), Exchange(None, Counts()), 1, None, Counts())
     parts = iter([b"HTTP/1.1 200 OK\r\n\r\n", *parts, b""])
     lines = coordinator.Lines(lambda size: next(parts))
     lines.head()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -8,6 +8,7 @@
 import struct
 import subprocess
 import sys
+import time
 from threading import Event, Thread
 
 import psycopg2
@@ -152,7 +153,9 @@
     counts = dispatcher.service.counters.shown()
     assert "client-connections-ended-fault" not in counts and "faults" not in counts
     assert counts["client-connections-ended-startup-unreadable"] and counts["statements-unusable"]
-    ends = ("finished", "deferred", "killed", "left")
+    ends, until = ("finished", "deferred", "killed", "left"), time.monotonic() + PATIENCE
+    while counts["taken"] != sum(counts.get(end, 0) for end in ends) and time.monotonic() < until:
+        counts = dispatcher.service.counters.shown()  # who went last may still be noticed
     assert counts["taken"] == sum(counts.get(end, 0) for end in ends) > 1
 
 
@@ -381,7 +384,7 @@
         path.write_text(json.dumps(told))
         process = subprocess.Popen([sys.executable, "-m", "wickvane", "serve"], stdout=subprocess.PIPE,
                                    stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(path)})
-        process.found = told
+        process.found, process.path = told, path
         ended.append(process)
         return process
 
@@ -449,6 +452,35 @@
     assert last["taken"] == last["finished"] + last["deferred"] == 2 and last["why"] == "exit"
 
 
+def test_sighup_moves_to_another_coordinator_and_keeps_what_is_open_and_the_old_for_an_unusable_one(started):
+    engine, other = Engine(lambda txn, words: b"" if txn.endswith(b"1") else hit(txn)), Events()
+    process = started(engine)
+    log = lines(process)
+    path = process.path
+    next(log)
+    held = Client(process)
+    held.send(statement(n=1))
+    *_, conn = engine.next("ASK")
+    path.write_text(json.dumps(process.found)[:200])
+    process.send_signal(signal.SIGHUP)
+    assert next(line for line in log if line["event"] == "configuration-unusable")
+    # The half-written file is whole a moment later, without another signal.
+    events = [event(n, entry(f"new-{n}", engine.address)) for n in (2, 4)]
+    known = {"index": 3, "updates": process.found["known"]["updates"] + events}
+    changed = process.found | {"coordinator": other.address, "known": known, "limits": {"sockets": 99}}
+    path.with_suffix(".new").write_text(json.dumps(changed))
+    path.with_suffix(".new").rename(path)
+    taken = next(line for line in log if line["event"] == "configuration-taken")
+    assert taken["coordinator"] == other.address and taken["needs_restart"] == ["limits"]
+    # Event 2 came with the file, 3 is not known: the stream is asked for it, and 4 is not believed yet.
+    assert other.next() == ("connected", b"2")
+    conn.sendall(hit(b"%016x" % 1))
+    assert rows(held.until_ready())
+    for _ in range(3):
+        process.send_signal(signal.SIGHUP)
+    assert rows(held.ask(statement(n=2))) and process.poll() is None
+
+
 def test_a_killed_dispatcher_starts_again_from_nothing_at_the_same_address(started):
     engine = Engine()
     first = started(engine)
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -8,7 +8,8 @@
   wickvane -h | --help
 
 Commands:
-  serve    Start one dispatcher in the foreground. SIGTERM ends it in order, SIGUSR1 prints its counters.
+  serve    Start one dispatcher in the foreground. SIGHUP takes in the changed configuration,
+           SIGTERM ends it in order, SIGUSR1 prints its counters.
   check    Tell whether the configuration could be served, and start nothing.
   explain  Read a statement on standard input, and print what a dispatcher would read in it.
   version  Print the version.
@@ -43,7 +44,7 @@
             raise Unstartable("no configuration: name one with --config or in LB_CONFIG", 2)
         service = Service(configuration(path))
         if asked["serve"]:
-            return service.run()
+            return service.run(path)
         if asked["explain"]:
             return explain(service.reader, sys.stdin.buffer.read())
     except Unstartable as error:
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from random import Random
+from threading import Event, Lock
 
 import orjson
 
@@ -11,8 +12,9 @@
 
 STATES = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 LINE_MOST, EVENT_MOST, HEAD_MOST = 1 << 20, 1 << 21, 16_384
-CONNECT_S, SILENT_S = 1.0, 3.5  # a comment comes each second
-PAUSE_FIRST, PAUSE_MOST, LIVED_S = 0.05, 1.0, 5.0
+CONNECT_S, SILENT_S = 0.5, 1.6  # a comment comes each second
+# Short, since what a broken stream would have told counts as told within two seconds.
+PAUSE_FIRST, PAUSE_MOST, LIVED_S = 0.02, 0.25, 5.0
 
 
 class Malformed(Exception):
@@ -121,31 +123,53 @@
                 raise Malformed("a line is too long")
 
 
+def read_known(known):
+    """What the configuration knows of the list: (its last number, its events)."""
+    return int(known.get("index") or 0), [read_event(event) for event in known.get("updates") or ()]
+
+
 class Coordinator:
     def __init__(self, address, known, exchange, seed, log, counters):
         self.address, self.exchange, self.log, self.counters = address, exchange, log, counters
-        self.sock, self.stopping = None, False
+        self.sock, self.stopping, self.lock, self.hurry = None, False, Lock(), Event()
         self.chance, self.last, self.pause = Random(f"{seed}/coordinator"), 0, PAUSE_FIRST
-        for event in known.get("updates") or ():
-            self.tell(read_event(event))
-        self.last = max(self.last, int(known.get("index") or 0))
+        index, events = known
+        for event in events:
+            self.tell(event)
+        self.last = max(self.last, index)
 
     def tell(self, event):
         number, whole, entries = event
-        if number <= self.last:
-            return
-        self.last = number
-        self.exchange.inbox.put(("listed", whole, entries), always=True)
+        with self.lock:
+            if number <= self.last:
+                return
+            self.last = number
+            self.exchange.inbox.put(("listed", whole, entries), always=True)
         self.counters.add("list-events")
 
-    def stop(self):
-        self.stopping = True
+    def move(self, address, events):
+        """From another thread: what a new configuration knows, and where to follow from now on."""
+        for event in events:
+            # Numbers go on: behind a gap, the stream is asked for what lies in it.
+            if event[0] > self.last + 1 and not event[1]:
+                break
+            self.tell(event)
+        if address != self.address:
+            self.address, self.pause = address, PAUSE_FIRST
+            self.hang_up()
+
+    def hang_up(self):
+        self.hurry.set()
         if self.sock:
             try:
                 self.sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
 
+    def stop(self):
+        self.stopping = True
+        self.hang_up()
+
     def run(self):
         while not self.stopping:
             reason, detail, began = "closed", None, time.monotonic()
@@ -168,16 +192,20 @@
             self.log.line("coordinator-connection-ended", reason=reason, detail=detail, last=self.last)
             if time.monotonic() - began > LIVED_S:
                 self.pause = PAUSE_FIRST
-            time.sleep(self.pause * self.chance.uniform(0.5, 1.0))
-            self.pause = min(PAUSE_MOST, self.pause * 2)
+            if not self.hurry.wait(self.pause * self.chance.uniform(0.5, 1.0)):
+                self.pause = min(PAUSE_MOST, self.pause * 2)
 
     def follow(self):
-        with socket.create_connection(self.address, timeout=CONNECT_S) as sock:
+        self.hurry.clear()
+        address = self.address
+        with socket.create_connection(address, timeout=CONNECT_S) as sock:
             self.sock = sock
+            if address != self.address:
+                return  # moved while it was dialled
             sock.settimeout(SILENT_S)
             sock.sendall(b"GET /v2/stream HTTP/1.1\r\nHost: %b:%d\r\nAccept: text/event-stream\r\n"
                          b"Cache-Control: no-cache\r\nLast-Event-ID: %d\r\n\r\n"
-                         % (self.address[0].encode(), self.address[1], self.last))
+                         % (address[0].encode(), address[1], self.last))
             lines = Lines(sock.recv)
             lines.head()
             data, size = [], 0
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -6,12 +6,13 @@
 import threading
 import time
 import traceback
+from hashlib import blake2b
 
 import orjson
 
 from wickvane.door import Book
 from wickvane.net.clock import Clock
-from wickvane.net.coordinator import Coordinator, Malformed, address_of
+from wickvane.net.coordinator import Coordinator, Malformed, address_of, read_known
 from wickvane.net.counters import Counters
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Exchange
@@ -24,7 +25,8 @@
 SWITCH_S = 0.001  # a thread back from its socket waits so long at most for one that computes
 COMING_S = 0.75  # connections and requests go on coming after SIGTERM
 KILL_AFTER, TIMEOUT_MOST = 7_000, 30_000  # SIGKILL comes so long after the longest queue timeout, itself cut
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
+RELOADS, RELOAD_S = 10, 0.1  # a file that is being written when its signal comes is read again
 
 
 class Unstartable(Exception):
@@ -44,30 +46,43 @@
     return found
 
 
+def understood(found):
+    """The parts of a configuration in the form that is worked with; Unstartable where one cannot be used."""
+    try:
+        settings, limits = found["settings"], found.get("limits") or {}
+        return (Book(settings), settings["limits"], address_of(found["listen"]),
+                int(limits.get("sockets") or 1024), address_of(found["coordinator"]),
+                read_known(found.get("known") or {}))
+    except Malformed as error:
+        raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
+    except (KeyError, IndexError) as error:
+        raise Unstartable(f"the configuration lacks, or does not know, {error}", 2) from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
+
+
+def fixed(found):
+    """Marks of what is settled at the start, to tell whether a later configuration has it otherwise."""
+    return {part: blake2b(orjson.dumps(found.get(part), option=orjson.OPT_SORT_KEYS)).digest()
+            for part in ("name", "listen", "limits", "settings")}
+
+
 class Service:
     def __init__(self, found, log_to=1):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
         self.log = Log(log_to, self.clock)
+        self.book, limits, self.address, sockets, coordinator, known = understood(found)
+        self.name, seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
+        self.reader = Reader(self.book)
+        self.exchange = Exchange(self.clock, self.counters)
         try:
-            settings, limits = found["settings"], found.get("limits") or {}
-            self.name, seed = found.get("name") or "", found.get("seed", 0)
-            self.address = address_of(found["listen"])
-            sockets = int(limits.get("sockets") or 1024)
-            self.book = Book(settings)
-            self.reader = Reader(self.book)
-            self.exchange = Exchange(self.clock, self.counters)
             self.decider = Decider(self.exchange, self.book, seed, self.clock, self.log, self.counters)
             # Two thirds for clients, who are promised one, and one for engines; a few for the rest.
-            self.links = Links(self.exchange, settings["limits"], max(8, sockets // 3), self.clock, self.log,
+            self.links = Links(self.exchange, limits, max(8, sockets // 3), self.clock, self.log,
                                self.counters)
-            self.coordinator = Coordinator(address_of(found["coordinator"]), found.get("known") or {},
-                                           self.exchange, seed, self.log, self.counters)
-        except Malformed as error:
-            raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
-        except (KeyError, IndexError) as error:
-            raise Unstartable(f"the configuration lacks, or does not know, {error}", 2) from None
         except (TypeError, ValueError, AttributeError) as error:
             raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
+        self.coordinator = Coordinator(coordinator, known, self.exchange, seed, self.log, self.counters)
         self.most_clients = max(8, sockets * 6 // 10)
 
     def start(self):
@@ -110,18 +125,38 @@
         error = f"{hook.exc_type.__name__}: {hook.exc_value}"
         self.log.line("fault", error=error, where=f"{at.name}:{at.lineno}")
 
-    def run(self):
+    def run(self, path=None):
         # Before any thread starts, so that each inherits it and only this one is told.
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         self.start()
+        again = 0
         while True:
-            got = signal.sigwait(SIGNALS)
-            if got != signal.SIGUSR1:
+            got = signal.sigtimedwait(SIGNALS, RELOAD_S) if again else signal.sigwaitinfo(SIGNALS)
+            if got is None or got.si_signo == signal.SIGHUP:
+                again = 0 if self.reload(path) else (again or RELOADS) - 1
+            elif got.si_signo == signal.SIGUSR1:
+                self.show_counters("asked")
+            else:
                 break
-            self.show_counters("asked")
         self.stop()
         return 0
 
+    def reload(self, path):
+        """Takes in what may change while queries are open: the coordinator, and what is known of its list."""
+        try:
+            found = configuration(path)
+            *_, coordinator, (_, events) = understood(found)
+            kept = [part for part, mark in fixed(found).items() if mark != self.fixed[part]]
+        except Exception as error:  # whatever is wrong with it: the one at work stays
+            self.counters.add("configurations-unusable")
+            self.log.line("configuration-unusable", why=str(error))
+            return False
+        self.coordinator.move(coordinator, events)
+        self.counters.add("configurations-taken")
+        self.log.line("configuration-taken", coordinator=f"{coordinator[0]}:{coordinator[1]}",
+                      needs_restart=kept)
+        return True
+
     def show_counters(self, why):
         with open("/proc/self/status", "rb") as status:
             memory = {line.split(b":")[0].decode(): int(line.split()[1]) for line in status
