--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -233,3 +233,38 @@
     g = Gateways(site([group()]))
     g.engines(6)
     assert {g.out[g.take(coord=3)] for _ in range(9)} == set(g.gateway.order_of(3)[:3])
+
+
+def test_a_statement_that_no_engine_can_use_costs_no_engine_its_standing_and_little_of_the_budget():
+    gates = Gateways(site([group()]))
+    gates.engines(3)
+    for _ in range(30):
+        q = gates.take(coord=1)
+        for _ in range(2):
+            gates.end(q, i.ERROR, elapsed=20)
+        assert gates.final[q] == "deferred" and len(gates.sent[q]) == 2
+        assert len({engine for _, engine in gates.sent[q]}) == 2
+    assert not any(gates.gateway.aside) and max(gates.gateway.failing) < 0.01
+
+
+def test_an_engine_that_answers_all_with_errors_is_set_aside_still():
+    gates = Gateways(site([group()]))
+    gates.engines(3)
+    bad = None
+    for _ in range(12):
+        q = gates.take(coord=1)
+        bad = gates.out[q] if bad is None else bad
+        while q not in gates.final and q in gates.out:
+            at_fault = gates.out[q] == bad
+            gates.end(q, i.ERROR if at_fault else i.FINISHED, elapsed=20 if at_fault else 1000, after=100)
+            if not at_fault:
+                break
+    assert gates.gateway.aside[bad] and max(len(sent) for sent in gates.sent.values()) == 2
+
+
+def test_queries_taken_are_forgotten_after_the_budgets_window():
+    gates = Gateways(site([group()], extra_window=50_000))
+    gates.engines(2)
+    for _ in range(300):
+        gates.end(gates.take(), after=1000)
+    assert len(gates.gateway.taken_at) < 100
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -50,7 +50,7 @@
 class Query:
     __slots__ = ("q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out",
                  "engine", "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "priority", "share",
-                 "density")
+                 "density", "erred")
 
 
 class Gateway:
@@ -129,11 +129,10 @@
         # A wait for its key is no wait for room: it may take all the time that is of use.
         qy.hold = min(self.last_start(qy), now + int(WAIT_PART * left) if qy.key is None else qy.limit)
         qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
-        qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share = None, -1, False, -1, 0.0
+        qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share, qy.erred = None, -1, False, -1, 0.0, None
         self.queries[q] = qy
         self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
-        if self.extra_window:
-            self.taken_at.append(now)
+        self.taken_at.append(now)
         if qy.key is not None:
             self.keys.setdefault(qy.key, deque()).append(qy)
         if now >= qy.hold:
@@ -149,8 +148,7 @@
         qy = self.queries.get(q)
         if qy is None or not qy.out:
             return
-        g, now = self.groups[qy.rg], self.now
-        qy.out = False
+        g, now, qy.out = self.groups[qy.rg], self.now, False
         self.running.pop(q, None)
         self.mine[engine], self.used = self.mine[engine] - g.threads, self.used - g.threads
         if g.loads:
@@ -295,8 +293,13 @@
         elif ending == i.TURNED_AWAY:
             self.full_at[e] = self.heard[e] = self.now
             self.narrow()
+        elif ending == i.ERROR and qy.erred is not None and qy.erred != e:
+            # Against statements that no engine can use: a second error is the query's own. The first engine
+            # is cleared of it, and no third is asked at the budget's cost.
+            self.failing[qy.erred], qy.erred = max(0.0, (self.failing[qy.erred] - 0.2) / 0.8), -1
         elif ending in (i.ERROR, i.RESET, i.NO_CONNECTION) or (
                 ending == i.NO_ANSWER and self.heard[e] < qy.sent):
+            qy.erred = e if ending == i.ERROR else qy.erred
             self.failing[e] += (1 - self.failing[e]) * 0.2
             if self.failing[e] > FAILING or self.trial[e]:
                 self.set_aside(e)
@@ -304,13 +307,9 @@
     def set_aside(self, e):
         if self.now < self.aside[e]:
             return
-        self.aside[e] = self.now + self.aside_for[e]
+        self.aside[e], self.trial[e] = self.now + self.aside_for[e], True
         self.fit.clear()
         self.aside_for[e] = min(ASIDE_MOST, self.aside_for[e] * 2)
-        self.trial[e] = True
-
-    def pressed(self, e):
-        return self.seen(e) > PRESSED or self.now - self.full_at[e] < SECOND
 
     # Where a query may go
 
@@ -368,7 +367,7 @@
         if warmth < 1.0 and not self.cold_room(qy, e):
             return False
         bound = self.bound(e)
-        binds = warmth < 1.0 or self.short or self.pressed(e)
+        binds = warmth < 1.0 or self.short or self.seen(e) > PRESSED or self.now - self.full_at[e] < SECOND
         if bound >= self.groups[qy.rg].threads:
             few = not binds or self.mine[e] < bound * min(1.0, self.widen)
             return self.mine[e] <= 0 or few and not self.trial[e]
@@ -546,7 +545,7 @@
         g = self.groups[qy.rg]
         harmless = (qy.ran_at is None or g.effect == i.READ_ONLY
                     or g.effect == i.TOKENED and self.now < qy.ran_at + g.repeat_window)
-        return harmless and qy.tries < self.most_tries and self.now < self.last_start(qy)
+        return harmless and qy.erred != -1 and qy.tries < self.most_tries and self.now < self.last_start(qy)
 
     def give_up(self, qy):
         g = self.groups[qy.rg]
@@ -571,15 +570,15 @@
 
     def forget(self, qy):
         if qy.key is not None:
-            line = self.keys[qy.key]
-            line.remove(qy)
-            if not line:
+            self.keys[qy.key].remove(qy)
+            if not self.keys[qy.key]:
                 del self.keys[qy.key]
         self.queries.pop(qy.q, None)
 
     def sweep(self):
         now, self.next_sweep = self.now, self.now + SWEEP
         self.fit.clear()
+        self.budget_left()  # forgets what is past its window, also while nothing is sent again
         for tenant in list(self.ring):
             for qy in [qy for qy in self.lines[tenant] if now >= qy.hold]:
                 self.give_up(qy)
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -1,5 +1,6 @@
 """The one thread that owns the module: a round for all that came in, its decisions into the exchange."""
 
+import time
 import traceback
 from heapq import heappop, heappush
 
@@ -9,6 +10,9 @@
 
 LONGEST_WAIT = 10_000
 LATE, SETTLE_S, SETTLES = 250, 0.01, 6
+# Queries of one key are written so far apart: where threads are later than that, one may be read too early.
+KEY_APART, LAG_FADES = 500, 2
+APART = 15  # rounds that follow closer cost more than what comes meanwhile loses by waiting
 FAULTS_MOST = 50
 
 
@@ -20,12 +24,18 @@
         self.gateway = Gateway(seed, book.deployment)
         self.lanes, self.alarms, self.events = {}, [], []
         self.now, self.longest, self.faults = clock.now(), 0, 0
+        self.lag, self.lag_at, self.held = 0, self.now, []
 
     def run(self):
         while True:
             now = self.clock.now()
             until = min(self.alarms[0][0], now + LONGEST_WAIT) if self.alarms else now + LONGEST_WAIT
-            self.round(self.gather(self.exchange.inbox.take((until - now) / 10_000)))
+            items = self.exchange.inbox.take((until - now) / 10_000)
+            apart = self.now + APART - self.clock.now()
+            if apart > 0:
+                time.sleep(apart / 10_000)
+                items.extend(self.exchange.inbox.take(0))
+            self.round(self.gather(items))
 
     def gather(self, items):
         """After a standstill of the whole process, what came meanwhile is read by threads that wake in any
@@ -46,7 +56,7 @@
         began = self.now = max(self.now, self.clock.now())
         # Which thread woke first says nothing of which query came first: the sockets' own stamps do.
         taken = sorted((item[1] for item in items if item[0] == "taken"), key=lambda ticket: ticket.arrived)
-        for ticket in taken:
+        for ticket in self.in_turn(taken, began):
             self.taken(ticket)
         for kind, *rest in items:
             if kind != "taken":
@@ -85,6 +95,27 @@
 
     # What came in
 
+    def in_turn(self, taken, now):
+        """Holds back what has a key for as long as queries lately took to be read: under more load than the
+        core bears, one that came before it may not have been."""
+        faded = self.lag - (now - self.lag_at) // LAG_FADES
+        self.lag = max([faded] + [now - ticket.arrived for ticket in taken])
+        self.lag_at = now
+        for ticket in taken:
+            if ticket.key is None or self.lag <= KEY_APART and not self.held:
+                yield ticket
+            else:
+                self.held.append(ticket)
+        self.held.sort(key=lambda ticket: ticket.arrived)
+        while self.held and now >= self.held[0].arrived + self.lag - KEY_APART:
+            ticket = self.held.pop(0)
+            if ticket.answer is None:
+                yield ticket
+            else:
+                self.exchange.forget(ticket)
+        if self.held:
+            self.alarm(0, max(now + 1, self.held[0].arrived + self.lag - KEY_APART))
+
     def taken(self, ticket):
         ticket.q = self.book.take(ticket)
         ticket.stages["taken"] = self.now
--- a/wickvane/net/link.py
+++ b/wickvane/net/link.py
@@ -1,7 +1,7 @@
 """One engine process: its connections, the requests on them, and each submission's one ending.
 
-A keeper thread an engine takes orders from the lane and keeps the waits; each connection has a writer and a
-reader. Only those two ever wait on the engine.
+A keeper thread an engine takes orders from the lane and keeps the waits. Each connection has a thread that
+dials and reads, and one that writes while the engine does not take what it is sent; only those wait on it.
 """
 
 import re
@@ -9,7 +9,7 @@
 from collections import deque
 from heapq import heapify, heappop, heappush
 from struct import pack
-from threading import Condition, Lock, Thread
+from threading import Lock, Thread
 
 from wickvane import interface as i
 from wickvane.net.rows import PAGES_MOST, RESULT_MOST, is_page
@@ -18,7 +18,7 @@
 WRITE_S, READ_S, WAKE_S = 1, 5, 30
 # An engine writes an answer at once and has a further page at hand: one that stops midway, or a page that
 # does not come, leaves a connection that nothing more is to be had from, however long it stays open.
-STALL_US, STALLS, PAGE_TIME, LOOK = 250_000, 2, 5_000, 500
+STALL_US, STALLS, PAGE_TIME, LOOK = 250_000, 2, 10_000, 500
 RECV = 16_384
 STREAMS = 100  # requests on a connection, where the settings name no bound
 IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
@@ -75,14 +75,14 @@
 
 class Connection:
     def __init__(self, link):
-        self.link, self.more = link, Condition(Lock())
-        self.open, self.past, self.outbox = {}, {}, deque()
-        self.sock, self.dead, self.up, self.retired = None, False, False, False
+        self.link, self.lock = link, Lock()
+        self.open, self.past, self.outbox, self.rest = {}, {}, deque(), None
+        self.sock, self.dead, self.up, self.writing, self.retired = None, False, False, False, False
         self.made = self.used = link.clock.now()
         self.asked = 0
 
     def start(self):
-        Thread(target=self.guard, args=(self.write,), daemon=True).start()
+        Thread(target=self.guard, args=(self.work,), daemon=True).start()
 
     def guard(self, work):
         try:
@@ -98,14 +98,16 @@
             self.fail("fault", f"{type(error).__name__}: {error}")
 
     def takes(self, sub, now):
-        with self.more:
+        with self.lock:
             return (not self.dead and not self.retired and len(self.open) < self.link.streams
                     and sub.ticket.id not in self.open and sub.ticket.id not in self.past
                     and self not in sub.ticket.asked_on
                     and (self.open or now - self.used < self.link.idle_time))
 
     def put(self, *order):
-        with self.more:
+        """From any thread: written at once where the engine takes it, else by a thread that may wait. False
+        for a query of which not a byte has gone out, since the connection is dead."""
+        with self.lock:
             if self.dead:
                 return False
             if order[0] == "ask":
@@ -113,49 +115,70 @@
                 order[1].ticket.asked_on.append(self)
                 self.used = self.link.clock.now()
             self.outbox.append(order)
-            self.more.notify()
-        return True
+            failure, dropped = self.flush() if self.up and not self.rest else (None, ())
+            unsent = failure and order[0] == "ask" and not order[1].written
+            if unsent:
+                del self.open[order[1].ticket.id]
+        for sub, ending in dropped:
+            self.drop(sub, ending)
+        if failure:
+            self.fail("reset", failure.strerror)
+        return not unsent
 
     # Writing
 
-    def write(self):
-        sock = socket.create_connection(self.link.address, timeout=self.link.connect_s)
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, pack("ll", WRITE_S, 0))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, pack("ll", READ_S, 0))
-        with self.more:
-            self.sock, self.up = sock, True
-            dead = self.dead
-        if dead:
-            sock.close()
-            return
-        Thread(target=self.guard, args=(self.read,), daemon=True).start()
-        while True:
-            with self.more:
-                while not self.outbox and not self.dead:
-                    self.more.wait(WAKE_S)
-                if self.dead:
-                    return
-                kind, *rest = self.outbox.popleft()
-                # Answered while it waited here, by its client's going or by its session: not sent at all.
-                moot = kind == "ask" and rest[0].ticket.answer is not None
-                data = None if moot else self.FORMS[kind](self, *rest)
-            if moot:
-                self.drop(rest[0], i.NOT_SENT)
-            if data:
-                sock.sendall(data)
-                if kind == "quit":
-                    # Not before it is written: the module may submit anew as soon as it hears of the end.
-                    self.drop(rest[0], rest[1])
+    def flush(self):
+        """Under the lock: (failure, submissions that are over with it). What the engine does not take at once
+        is left to a thread of its own, and all that follows waits behind it."""
+        dropped = []
+        while self.outbox:
+            kind, *more = self.outbox.popleft()
+            # Answered while it waited here, by its client's going or by its session: not sent at all.
+            if kind == "ask" and more[0].ticket.answer is not None:
+                dropped.append((more[0], i.NOT_SENT))
+                continue
+            data = self.FORMS[kind](self, *more)
+            if not data:
+                continue
+            try:
+                sent = self.sock.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                sent = 0
+            except OSError as failure:
+                return failure, dropped
+            if kind == "ask":
+                more[0].written = True
+                self.asked += 1
+            # Not before a QUIT is written: the module may submit anew as soon as it hears of the end.
+            over = tuple(more) if kind == "quit" else None
+            if sent < len(data):
+                self.rest = (data[sent:], over)
+                if not self.writing:
+                    self.writing = True
+                    Thread(target=self.guard, args=(self.write_rest,), daemon=True).start()
+                break
+            if over:
+                dropped.append(over)
+        return None, dropped
+
+    def write_rest(self):
+        while self.writing:
+            data, over = self.rest
+            self.sock.sendall(data)
+            with self.lock:
+                self.rest = None
+                failure, dropped = (None, []) if self.dead else self.flush()
+                self.writing = self.rest is not None
+            for sub, ending in [over, *dropped] if over else dropped:
+                self.drop(sub, ending)
+            if failure:
+                raise failure
 
     def ask(self, sub):
         if sub.over or self.open.get(sub.ticket.id) is not sub:
             return None
         ticket, now = sub.ticket, self.link.clock.now()
-        sub.written = True
         ticket.stages.setdefault("asked", now)
-        self.asked += 1
         token = b",uniq=" + ticket.token if ticket.token else b""
         urgency = b",urgency=%d" % ticket.urgency if ticket.urgency >= 0 else b""
         return b"ASK %b queue=%b,budget=%d%b%b %d\r\n%b\r\n" % (
@@ -180,7 +203,7 @@
 
     def give_up(self, sub, ending, at_once):
         """What is not written yet is taken back, which proves that it never ran."""
-        with self.more:
+        with self.lock:
             if self.dead or self.open.get(sub.ticket.id) is not sub:
                 return
             unwritten = not sub.written
@@ -197,7 +220,7 @@
             self.put("quit", sub, ending)
 
     def drop(self, sub, ending, pages=None):
-        with self.more:
+        with self.lock:
             if self.open.get(sub.ticket.id) is not sub:
                 return
             del self.open[sub.ticket.id]
@@ -212,6 +235,24 @@
 
     # Reading
 
+    def work(self):
+        sock = socket.create_connection(self.link.address, timeout=self.link.connect_s)
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, pack("ll", WRITE_S, 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, pack("ll", READ_S, 0))
+        with self.lock:
+            self.sock, self.up, dead = sock, True, self.dead
+            failure, dropped = (None, ()) if dead else self.flush()
+        if dead:
+            sock.close()
+            return
+        for sub, ending in dropped:
+            self.drop(sub, ending)
+        if failure:
+            raise failure
+        self.read()
+
     def read(self):
         buffer, midway, stalls = bytearray(), False, 0
         while not self.dead:
@@ -235,7 +276,7 @@
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, wait)
 
     def answer(self, txn, word, fields, body):
-        with self.more:
+        with self.lock:
             sub = self.open.get(txn)
         if sub is None or not sub.written or sub.pages and word == b"HIT":
             # A second copy, what crossed our giving up, or what was never asked here: it can be told from all
@@ -280,13 +321,12 @@
     # The end
 
     def fail(self, reason, detail=None):
-        with self.more:
+        with self.lock:
             if self.dead:
                 return
             self.dead = True
             subs, self.open = list(self.open.values()), {}
             self.outbox.clear()
-            self.more.notify()
         if self.sock:
             try:
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -337,8 +377,10 @@
             connections = list(self.connections)
         # What a connection that is spoilt or reset takes along is kept small: one query on each while there
         # are descriptors for it, then where fewest are. One that died meanwhile proves that nothing ran.
-        fit = sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
-        opened = not (fit and not fit[0].open) and self.links.may_open()
+        fit = [next((c for c in connections if not c.open and c.takes(sub, now)), None)]
+        opened = fit[0] is None and self.links.may_open()
+        if fit[0] is None and not opened:
+            fit = sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
         if opened:
             fit = [Connection(self)]
             with self.lock:
--- a/wickvane/net/log.py
+++ b/wickvane/net/log.py
@@ -1,11 +1,13 @@
 """One JSON line an event, written by a thread of its own: a full pipe holds up nobody but that thread."""
 
 import os
+import time
 from queue import SimpleQueue
 
 import orjson
 
 LINES_HELD = 4096
+GATHER_S = 0.05  # a line alone is not worth a thread's waking
 
 
 class Log:
@@ -22,7 +24,9 @@
     def run(self):
         while True:
             held = [self.lines.get()]
-            while not self.lines.empty() and len(held) < 256:
+            if held[0] is not None:
+                time.sleep(GATHER_S)
+            while not self.lines.empty() and len(held) < 1024:
                 held.append(self.lines.get())
             # None is the last: what came before it is still written.
             last = None in held
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -1,5 +1,7 @@
 """Puts the parts together, starts their threads, and ends them in order."""
 
+import ctypes
+import gc
 import os
 import signal
 import sys
@@ -22,14 +24,20 @@
 from wickvane.net.statement import Reader
 
 STACK = 128 * 1024
-SWITCH_S = 0.001  # a thread back from its socket waits so long at most for one that computes
+# Each of many threads that wait for the interpreter wakes as often as this to ask for it: with a hundred of
+# them, a short interval spends the core on waking. None computes for long, so a long one delays nobody.
+SWITCH_S = 0.05
 OTHERS = 12  # descriptors that are neither clients' nor engines'
 COMING_S = 0.75  # connections and requests go on coming after SIGTERM
 KILL_AFTER, TIMEOUT_MOST = 7_000, 30_000  # SIGKILL comes so long after the longest queue timeout, itself cut
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
+COLLECT = 5_000, 20, 20
 RELOADS, RELOAD_S = 10, 0.1  # a file that is being written when its signal comes is read again
 
 
+M_ARENA_MAX = -8  # of malloc.h
+
+
 class Unstartable(Exception):
     def __init__(self, text, code):
         super().__init__(text)
@@ -68,6 +76,15 @@
             for part in ("name", "listen", "limits", "settings")}
 
 
+def one_arena():
+    """The allocator's many arenas are for threads that run at once. Here only one does, and each arena would
+    keep what its busiest moment took: memory that grows with every new set of threads."""
+    try:
+        ctypes.CDLL(None).mallopt(M_ARENA_MAX, 1)
+    except (OSError, AttributeError):
+        pass  # another C library
+
+
 class Service:
     def __init__(self, found, log_to=1):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
@@ -87,9 +104,14 @@
         self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
 
     def start(self):
+        one_arena()
         threading.stack_size(STACK)
         threading.excepthook = self.died
         sys.setswitchinterval(SWITCH_S)
+        # What is there for good is not looked through again and again by the collector of cycles.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECT)
         try:
             self.listener = Listener(self.address, self, self.most_clients)
         except OSError as error:
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -16,6 +16,11 @@
     rb"|(?P<word>[A-Za-z_\x80-\xff][\w$\x80-\xff]*)|(?P<number>\d[\w.]*)|(?P<mark>[^\s])",
     re.S,
 )
+# A plain statement has none of these, and its one schema is found without looking at each token.
+UNPLAIN = re.compile(rb'["$\\]|--|/\*')
+LITERAL = re.compile(rb"'[^']*'")
+CHAIN = re.compile(rb"(?<![\w$.\x80-\xff])([A-Za-z_\x80-\xff][\w$\x80-\xff]*)\s*\.\s*[A-Za-z_\x80-\xff]")
+FIRST_WORD = re.compile(rb"\s*([A-Za-z_]+)\s")
 COMMENT_EDGE = re.compile(rb"/\*|\*/")
 GROUP = re.compile(rb"_(\d{1,9})\Z")
 NUMBER = re.compile(r"\d{1,15}(\.\d{0,15})?\Z", re.A)
@@ -105,12 +110,30 @@
             yield "string", b""
 
 
+def plain_group(text):
+    """The table group where it can be meant in one way only; None where each token must be read."""
+    if UNPLAIN.search(text) or text.count(b"'") % 2:
+        return None
+    text = LITERAL.sub(b" '' ", text) if b"'" in text else text
+    names, numbers = CHAIN.findall(text), set()
+    if len(names) != text.count(b"."):
+        return None
+    for name in names:
+        found = GROUP.search(name.lower())
+        if found and name.lower().rpartition(b"_")[0] != b"staging":
+            numbers.add(int(found[1]))
+    return numbers.pop() if len(numbers) == 1 else None
+
+
 def table_group(text):
     """The number in the name of the schema that the statement reads or writes; 0 where it names none.
 
     A name behind FROM, INTO and their like counts before a quoted one there, and that before one elsewhere:
     an alias with a number of its own is no schema.
     """
+    plain = plain_group(text)
+    if plain is not None:
+        return plain
     best, best_rank = 0, 3
     inside, relation, before, depth_from = [], False, b"", []
     tokens = list(words(text))
@@ -198,7 +221,8 @@
             raise Unusable("22023", "unique cannot be passed on")
         if not body.strip():
             raise Unusable("42601", "the comment stands ahead of nothing")
-        first = next((word for kind, word in words(body) if kind == "word"), b"")
+        start = FIRST_WORD.match(body)
+        first = start[1].lower() if start else next((w for kind, w in words(body) if kind == "word"), b"")
         return {
             "id": txn.encode(), "rg": rg, "verb": self.encoded[found["verb"]], "limit": limit,
             "tenant": tenant, "token": token.encode() if token else None,
