--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -26,7 +26,7 @@
 STACK = 128 * 1024
 # Each of many threads that wait for the interpreter wakes as often as this to ask for it: with a hundred of
 # them, a short interval spends the core on waking. None computes for long, so a long one delays nobody.
-SWITCH_S = 0.05
+SWITCH_S = 0.5
 OTHERS = 12  # descriptors that are neither clients' nor engines'
 COMING_S = 0.75  # connections and requests go on coming after SIGTERM
 KILL_AFTER, TIMEOUT_MOST = 7_000, 30_000  # SIGKILL comes so long after the longest queue timeout, itself cut
--- a/wickvane/net/session.py
+++ b/wickvane/net/session.py
@@ -14,7 +14,7 @@
 # who has asked once and stays would hold descriptors for good.
 FIRST_S, IDLE_S, MESSAGE_S, WRITE_S = 2.5, 5.0, 2.0, 5.0
 RECV = 8_192  # at a time: a larger buffer is paid by each of many threads
-PEEK_S = 0.25  # how soon a client that vanished while it waits is noticed
+PEEK_S = 0.5  # how soon a client that vanished while it waits is noticed; each look costs a thread's waking
 FAREWELL_S = 0.25
 OVERDUE = 300  # past its limit: a query is answered here if the module's own thread is stuck or lost it
 PROTOCOL, CANCEL, SSL, GSS = 196_608, 80_877_102, 80_877_103, 80_877_104
