--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -268,3 +268,25 @@
     for _ in range(300):
         gates.end(gates.take(), after=1000)
     assert len(gates.gateway.taken_at) < 100
+
+
+def test_an_engine_that_turns_queries_away_is_sent_fewer_and_one_more_with_each_answer():
+    gates = Gateways(site([group()]))
+    gates.engines(2)
+
+    def take_of(e):
+        """How many queries the engine is given of many, and what then is out there."""
+        out = [gates.take(coord=1) for _ in range(60)]
+        given = [q for q in out if gates.out.get(q) == e]
+        return given, [q for q in out if q in gates.out and q not in given]
+
+    first, other = take_of(0)
+    assert len(first) >= 8
+    for q in first[4:]:
+        gates.end(q, i.TURNED_AWAY, elapsed=5)
+    out = [q for q in gates.out if gates.out[q] == 0]
+    assert 1 <= len(out) <= 5 and gates.gateway.takes[0] <= 6
+    before = gates.gateway.takes[0]
+    for q in out:
+        gates.end(q)
+    assert before < gates.gateway.takes[0] <= before + len(out)
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -80,7 +80,7 @@
         self.crowd, self.crowd_at, self.per_query = [], [], (0.0, 0.0)
         self.crowd_mid = self.median = self.easy = 1.0
         self.heard, self.aside, self.aside_for, self.trial, self.loading = [], [], [], [], []
-        self.sent_work, self.down, self.lot, self.lot_until = [], [], [], []
+        self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
@@ -159,8 +159,7 @@
         if ending >= i.TURNED_AWAY:
             self.deficit[qy.tenant] += qy.cost
         else:
-            true = work or elapsed * g.threads
-            self.deficit[qy.tenant] -= true - qy.cost
+            self.deficit[qy.tenant] -= (work or elapsed * g.threads) - qy.cost
             if ending == i.FINISHED:
                 if work:
                     self.learn(qy.rg, work)
@@ -201,7 +200,7 @@
             for column in (
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.failing, self.full_at, self.heard, self.aside, self.aside_for, self.trial, self.down,
-                self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until, self.loading,
+                self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until, self.loading, self.takes,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -210,7 +209,7 @@
             self.crowd[e], self.failing[e], self.full_at[e] = 1.0, 0.0, -SECOND
             self.crowd_at[e] = self.heard[e] = self.now
             self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
-            self.aside[e], self.aside_for[e], self.trial[e] = 0, ASIDE_FIRST, False
+            self.aside[e], self.aside_for[e], self.trial[e], self.takes[e] = 0, ASIDE_FIRST, False, FOREVER
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e], self.loading[e] = 0, deque(), []
                 self.orders.clear()
@@ -290,8 +289,11 @@
             self.failing[e] *= 0.8
             self.heard[e] = self.now
             self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
+            self.takes[e] += 1 / self.takes[e]
         elif ending == i.TURNED_AWAY:
             self.full_at[e] = self.heard[e] = self.now
+            # Against one engine that takes less than others: what it sends back uses up further submissions.
+            self.takes[e] = max(1.0, 0.8 * self.mine[e])
             self.narrow()
         elif ending == i.ERROR and qy.erred is not None and qy.erred != e:
             # Against statements that no engine can use: a second error is the query's own. The first engine
@@ -370,7 +372,7 @@
         binds = warmth < 1.0 or self.short or self.seen(e) > PRESSED or self.now - self.full_at[e] < SECOND
         if bound >= self.groups[qy.rg].threads:
             few = not binds or self.mine[e] < bound * min(1.0, self.widen)
-            return self.mine[e] <= 0 or few and not self.trial[e]
+            return self.mine[e] <= 0 or few and not self.trial[e] and self.mine[e] < self.takes[e]
         # With many gateways the bound is less than a query, and one from each would be far over what it
         # stands for: its bounds on all engines are one pool then, which an engine with none needs too.
         if self.mine[e] > 0 and (self.trial[e] or binds):
@@ -476,10 +478,8 @@
         if self.lines[tenant]:
             return
         place = self.ring.index(tenant)
-        if place < self.at:
-            self.at -= 1
-        elif place == self.at:
-            self.visiting = False
+        self.visiting = self.visiting and place != self.at
+        self.at -= place < self.at
         del self.ring[place]
 
     def quantum(self, tenant):
