--- /dev/null
+++ b/tests/test_flow_spool.py
@@ -0,0 +1,291 @@
+"""Outlets beside a plain model, and the spool cut at every byte: told late or twice, never lost unsaid."""
+
+import os
+import shutil
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_flow_codecs import PEN, collected, record, written
+
+from wickvane.flows import ipfix, spool
+from wickvane.flows.outlet import SPOILT, Backlog, Outlet, Route, Segment
+
+
+def line_of(*outlets):
+    backlog = Backlog(1 << 20, "oldest", 1 << 10)
+    return backlog, list(outlets) or [Outlet(300, 1 << 20, 0, 0)]
+
+
+class Collector:
+    """What was handed to one connection, and how much of its end it may still not have read."""
+
+    def __init__(self):
+        self.read, self.buffer = [], []
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(0, 1 << 32), st.sampled_from(["oldest", "newest"]))
+def test_whatever_breaks_a_message_is_read_or_due_or_counted_as_let_go(seed, policy):
+    """The collector's kernel holds up to the window of what was handed; a break loses any part of that."""
+    chance, window = Random(seed), 400
+    backlog, outlet = Backlog(3000, policy, 500), Outlet(window, 1 << 20, 0, 0)
+    read, lost, refused, now, written_, buffer, buffered = set(), set(), 0, 0, 0, [], 0
+    sizes = {}
+    for _ in range(400):
+        now += chance.randrange(500)
+        step = chance.random()
+        if step < 0.45:
+            size = chance.randrange(20, 120)
+            admitted, gone = backlog.admit(size)
+            for segment in gone:
+                lost |= set(outlet.let_go(segment.first, segment.next))
+            if not admitted:
+                refused += 1
+                continue
+            if backlog.needs_segment("g"):
+                backlog.open(Segment(backlog.next, "g"))
+            index = backlog.append(size, 1)
+            sizes[index], written_ = size, written_ + 1
+            assert backlog.size <= 3000
+        elif step < 0.9:
+            if not outlet.up:
+                outlet.connected(now, backlog.next)
+            index = outlet.next(now, backlog.next)
+            if index is None or index < 0:
+                continue
+            assert backlog.find(index) is not None, "handed out what is gone"
+            outlet.handed(index, sizes[index], 1, 1)
+            buffer.append(index)
+            buffered += sizes[index]
+            while buffered > window:
+                done = buffer.pop(0)
+                buffered -= sizes[done]
+                read.add(done)
+        elif step < 0.95:
+            outlet.broke()  # what lay in the buffer was never read
+            buffer, buffered = [], 0
+        elif step < 0.97:
+            read |= set(buffer)
+            buffer, buffered = [], 0
+            outlet.delivered()
+        else:
+            floor = outlet.floor()
+            for segment in backlog.passed(floor):
+                assert segment.next <= floor
+    due = {n for low, high in outlet.behind for n in range(low, high)} | set(range(outlet.live, backlog.next))
+    recent = {index for index, _ in outlet.recent}
+    missing = set(range(backlog.next)) - read - due - recent - lost
+    # What was pushed out of a full line after it was handed, and broke off before it was read, is the one
+    # thing that can be gone: it had been sent.
+    assert all(backlog.find(n) is None for n in missing)
+    assert policy == "oldest" or not missing and not lost
+    assert outlet.messages + len(lost & set(range(backlog.next))) >= len(read)
+    assert [low for low, _ in outlet.behind] == sorted(low for low, _ in outlet.behind)
+    assert all(high <= outlet.live for _, high in outlet.behind)
+
+
+def test_what_is_new_is_not_delayed_by_what_waited_which_goes_at_its_pace():
+    backlog, (outlet,) = line_of(Outlet(1000, 1000, 0, 0))
+    backlog.open(Segment(0, "g"))
+    for _ in range(20):
+        backlog.append(100, 1)
+    outlet.connected(0, backlog.next)
+    first = []
+    for now in range(0, 20_000, 10):
+        while (index := outlet.next(now, backlog.next)) is not None and index >= 0:
+            outlet.handed(index, 100, 1, 1)
+            first.append((now, index))
+        if now == 5000:
+            new = backlog.append(100, 1)
+            assert outlet.next(now, backlog.next) == new
+    assert [index for _, index in first if index != 20] == list(range(20))  # in order among themselves
+    assert dict(map(reversed, first))[20] <= 5010
+    took = max(at for at, index in first if index < 20)
+    assert 15_000 < took < 20_000  # 2,000 octets at 1,000 a second, less what may go at once
+    assert not outlet.behind and outlet.messages == 21 and not outlet.repeated
+
+
+def test_two_ways_out_of_one_line_go_on_by_themselves_and_the_slower_keeps_it():
+    backlog, (fast, slow) = line_of(Outlet(100, 1 << 20, 0, 0), Outlet(100, 1 << 20, 0, 0))
+    for n in range(40):
+        if backlog.needs_segment("g"):
+            backlog.open(Segment(n, "g"))
+        backlog.append(100, 1)
+    fast.connected(0, 0)
+    for _ in range(40):
+        fast.handed(fast.next(0, backlog.next), 100, 1, 1)
+    assert fast.floor() == 39 and slow.floor() == 0
+    assert not backlog.passed(min(fast.floor(), slow.floor()))
+    assert slow.let_go(0, 40) == list(range(40)) and fast.let_go(0, 39) == []
+    assert backlog.passed(min(fast.floor(), slow.floor())) and backlog.next == 40
+
+
+def test_the_first_collector_is_tried_first_a_standby_next_and_home_after_a_time():
+    route = Route(2, 1000, Random(1))
+    assert route.choose(0) == (0, 0)
+    route.failed(0, 0)
+    assert route.choose(1) == (1, 0)
+    route.up(1, 1)
+    assert not route.goes_home(900) and not route.goes_home(route.held_until[0] - 1)
+    later = max(route.held_until[0], 1001)
+    assert route.goes_home(later)
+    route.stays(later)
+    assert not route.goes_home(later + 1)
+    route.failed(1, later)
+    for _ in range(12):
+        route.failed(0, later)
+    at, wait = route.choose(later)
+    assert at == -1 and 0 < wait <= 100_000
+    assert route.choose(later + wait)[0] >= 0
+
+
+# The spool
+
+SECONDS = 1_700_000_000
+
+
+def filled(directory, messages=6, segment_every=100, sequence=0):
+    """A spool of so many messages of two records; the messages as they were written."""
+    made = spool.Spool(directory)
+    generation, found = written([record(n, octets=(n, 1)) for n in range(2 * messages)], most=420,
+                                checksums=True, sequence=sequence)
+    templates, segment = spool.Generation(generation.sets, 9), None
+    for n, (data, _, _) in enumerate(found):
+        if n % segment_every == 0:
+            at = ipfix.HEAD.unpack_from(data)[3]
+            segment = made.begin(n, templates, at, SECONDS)
+        made.write(segment, data)
+        segment.add(len(data), 1)
+    made.close()
+    return [data for data, _, _ in found]
+
+
+def read_back(directory):
+    made = spool.Spool(directory)
+    try:
+        segments, following, sequence, faults = made.recover()
+        found = [made.read(segment, n) for segment in segments for n in range(segment.first, segment.next)
+                 if segment.counts[n - segment.first] != SPOILT]
+        return found, following, sequence, faults
+    finally:
+        made.close()
+
+
+def test_a_small_spool_cut_at_every_byte_keeps_each_whole_message(tmp_path):
+    origin = str(tmp_path / "origin")
+    messages = filled(origin, 4)
+    (name,) = (name for name in os.listdir(origin) if name.endswith(".ipfix"))
+    whole = open(os.path.join(origin, name), "rb").read()
+    ends, at = [], len(whole) - sum(map(len, messages))
+    head = at
+    for data in messages:
+        at += len(data)
+        ends.append(at)
+    for cut in range(len(whole) + 1):
+        place = str(tmp_path / "cut")
+        shutil.rmtree(place, ignore_errors=True)
+        os.makedirs(place)
+        with open(os.path.join(place, name), "wb") as file:
+            file.write(whole[:cut])
+        found, following, sequence, faults = read_back(place)
+        good = sum(end <= cut for end in ends)
+        assert found == messages[:good], cut
+        assert bool(faults) == (cut not in (head, *ends))
+        if good:
+            _, _, _, at, _ = ipfix.HEAD.unpack_from(messages[good - 1])
+            count = spool.records_in(whole[:head], messages[good - 1])[0]
+            assert following == good and sequence == at + count
+        # What was cut off is gone from the file, so that a second start finds it whole.
+        assert read_back(place)[0] == found and not read_back(place)[3]
+
+
+def test_a_large_spool_cut_and_spoilt_at_random_bytes_loses_only_what_was_hit(tmp_path):
+    chance = Random(5)
+    origin = str(tmp_path / "origin")
+    messages = filled(origin, 300, segment_every=20)
+    names = sorted(name for name in os.listdir(origin) if name.endswith(".ipfix"))
+    assert read_back(origin)[0] == messages and len(names) > 5
+    for _ in range(40):
+        place = str(tmp_path / "hit")
+        shutil.rmtree(place, ignore_errors=True)
+        shutil.copytree(origin, place)
+        path = os.path.join(place, chance.choice(names))
+        with open(path, "r+b") as file:
+            size = os.path.getsize(path)
+            if chance.random() < 0.5:
+                file.truncate(chance.randrange(size))
+            else:
+                file.seek(chance.randrange(size))
+                byte = file.read(1)
+                file.seek(-1, 1)
+                file.write(bytes([byte[0] ^ (1 << chance.randrange(8))]))
+        found, _, _, faults = read_back(place)
+        assert faults and set(found) <= set(messages)
+        assert found == [data for data in messages if data in set(found)]  # still in order
+        assert len(found) >= len(messages) - 21  # one file's at the worst
+        assert collected(ipfix.Reader(PEN).feed, [SETS] + found).malformed == 0
+
+
+SETS = ipfix.message(9, 0, 0, ipfix.Generation(PEN).sets)
+
+
+def test_a_spoilt_message_in_the_middle_costs_itself_and_keeps_the_indices(tmp_path):
+    messages = filled(str(tmp_path), 6)
+    (name,) = (name for name in os.listdir(tmp_path) if name.endswith(".ipfix"))
+    data = bytearray((tmp_path / name).read_bytes())
+    data[data.find(messages[2]) + len(messages[2]) - 3] ^= 0x40
+    (tmp_path / name).write_bytes(data)
+    found, following, _, faults = read_back(str(tmp_path))
+    assert found == messages[:2] + messages[3:] and following == len(messages)
+    assert faults == [(name, "spoilt", 1, 0)]
+
+
+def test_a_file_with_spoilt_templates_is_set_aside_not_misread(tmp_path):
+    filled(str(tmp_path), 3)
+    (name,) = (name for name in os.listdir(tmp_path) if name.endswith(".ipfix"))
+    data = bytearray((tmp_path / name).read_bytes())
+    data[30] ^= 1
+    (tmp_path / name).write_bytes(data)
+    found, following, _, faults = read_back(str(tmp_path))
+    assert not found and following == 0 and "templates" in faults[0][1]
+    assert (tmp_path / (name + ".unreadable")).exists()
+
+
+def test_a_spool_is_one_process_s_alone_and_a_broken_cursor_tells_nothing(tmp_path):
+    made = spool.Spool(str(tmp_path))
+    with pytest.raises(spool.Unusable, match="another process"):
+        spool.Spool(str(tmp_path))
+    made.keep_cursor("a", 77)
+    assert made.cursor("a") == 77 and made.cursor("b") is None
+    whole = (tmp_path / "a.cursor").read_bytes()
+    for cut in range(len(whole)):
+        (tmp_path / "a.cursor").write_bytes(whole[:cut])
+        assert made.cursor("a") is None
+    for n in range(len(whole)):
+        (tmp_path / "a.cursor").write_bytes(whole[:n] + bytes([whole[n] ^ 1]) + whole[n + 1:])
+        assert made.cursor("a") is None
+    made.close()
+    with pytest.raises(spool.Unusable, match="cannot be used"):
+        spool.Spool("/proc/nowhere")
+
+
+def test_a_write_that_fails_leaves_no_half_message_behind(tmp_path, monkeypatch):
+    made = spool.Spool(str(tmp_path))
+    generation, found = written([record(n) for n in range(9)], most=420, checksums=True)
+    segment = made.begin(0, spool.Generation(generation.sets, 9), 0, SECONDS)
+    made.write(segment, found[0][0])
+    segment.add(len(found[0][0]), 1)
+
+    def half(file, data):
+        os.write(file, data[:50])
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(spool, "write", half)
+        with pytest.raises(OSError):
+            made.write(segment, found[1][0])
+    made.write(segment, found[1][0])
+    made.close()
+    assert read_back(str(tmp_path))[0] == [found[0][0], found[1][0]]
