--- /dev/null
+++ b/wickvane/rehearsal/cells.py
@@ -0,0 +1,134 @@
+"""Plays an experiment's cells in parallel processes and keeps each finished one once.
+
+The folder holds `cells.jsonl`, one line a cell, written by this process alone and forced to disk a line
+at a time; `summary.json`; and the plots. A run that was killed leaves at most a cut last line, which
+is cut off at the next start, and every whole line before it is taken as done.
+"""
+
+import os
+import subprocess
+import sys
+import types
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from functools import lru_cache
+
+import orjson
+
+from wickvane import choice, parts
+from wickvane.rehearsal import baselines, draws, experiment, model, rules, world
+from wickvane.rehearsal import script as scripts
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REVISION = "commit:"
+
+
+def text_of(module):
+    with open(module.__file__, encoding="utf-8") as file:
+        return file.read()
+
+
+@lru_cache
+def module_text(variant):
+    """The text of the module that decides in a variant."""
+    if not variant.startswith(REVISION):
+        return text_of(baselines if variant in baselines.BASELINES else choice)
+    revision = variant.removeprefix(REVISION)
+    shown = subprocess.run(["git", "show", "--end-of-options", f"{revision}:wickvane/choice.py"], cwd=ROOT,
+                           capture_output=True)
+    if shown.returncode:
+        raise parts.Unusable(f"variant {variant}: git knows no such commit with a wickvane/choice.py here")
+    return shown.stdout.decode()
+
+
+@lru_cache
+def source_of(variant):
+    """What a cell's outcome follows from besides its script and seed."""
+    played_by = model, world, draws, rules, scripts, experiment
+    return experiment.key_of(module_text(variant), *map(text_of, played_by))
+
+
+@lru_cache
+def gateway_of(variant):
+    if variant in baselines.BASELINES:
+        return baselines.BASELINES[variant]
+    if variant == "here":
+        return choice.Gateway
+    module = types.ModuleType(f"choice_{experiment.key_of(variant)}")
+    module.__file__ = variant
+    exec(compile(module_text(variant), variant, "exec"), module.__dict__)  # this repository's own text
+    return module.Gateway
+
+
+def play(cell):
+    """(key, figures) of one cell, in whatever process."""
+    outcome = world.play(experiment.script_of(cell), cell.seed, False, gateway_of(cell.variant))
+    return cell.key, experiment.figures(outcome)
+
+
+class Kept:
+    """The file of finished cells."""
+
+    def __init__(self, path):
+        try:
+            with open(path, "rb") as file:
+                self.rows, whole = experiment.read_rows(file.read())
+        except FileNotFoundError:
+            self.rows, whole = {}, 0
+        self.file = open(path, "ab")
+        if self.file.tell() != whole:
+            self.file.truncate(whole)
+
+    def add(self, key, figures):
+        if key in self.rows:
+            return
+        self.file.write(orjson.dumps({"key": key, "figures": figures}) + b"\n")
+        self.file.flush()
+        os.fsync(self.file.fileno())
+        self.rows[key] = figures
+
+
+def read(path):
+    try:
+        return experiment.read_text(scripts.source(path), os.path.dirname(os.path.abspath(path)), source_of)
+    except parts.Unusable as error:
+        raise parts.Unusable(f"the experiment {path}: {error}") from None
+
+
+def run(path, folder, jobs=None, out=sys.stdout):
+    """Plays what is not there yet, and writes table and summary; the summary's lines."""
+    planned = read(path)
+    os.makedirs(folder, exist_ok=True)
+    kept = Kept(os.path.join(folder, "cells.jsonl"))
+    missing = [cell for cell in planned.cells if cell.key not in kept.rows]
+    there = len(planned.cells) - len(missing)
+    out.write(f"{planned.name}: {len(planned.cells)} cells, {there} there already\n")
+    if missing:
+        with ProcessPoolExecutor(min(jobs or os.cpu_count() or 1, len(missing))) as pool:
+            try:
+                for done in as_completed([pool.submit(play, cell) for cell in missing]):
+                    kept.add(*done.result())
+            except BaseException:
+                pool.shutdown(wait=False, cancel_futures=True)
+                raise
+    kept.file.close()
+    lines = experiment.summed(planned, kept.rows)
+    with open(os.path.join(folder, "summary.json"), "wb") as file:
+        file.write(orjson.dumps(lines, option=orjson.OPT_INDENT_2) + b"\n")
+    table(planned, lines, out)
+    return planned, lines, kept.rows
+
+
+def spread(pair):
+    mean, half = pair
+    return f"{mean:.3f}" + (f" ± {half:.3f}" if half is not None else "")
+
+
+def table(planned, lines, out):
+    out.write("| script | case | variant | seeds | service | against the first | recovery s | late "
+              "| deferred | killed | further | rules broken |\n" + "| --- " * 12 + "|\n")
+    for line in lines:
+        words = [line["script"], line["case"] or "-", line["variant"], str(line["seeds"]),
+                 spread(line["service"]), spread(line["difference"]) if "difference" in line else "-",
+                 *(spread(line[name]) for name in ("recovery", "late", "deferred", "killed", "further")),
+                 ", ".join(map(str, line["broken"])) or "none"]
+        out.write("| " + " | ".join(words) + " |\n")
--- /dev/null
+++ b/wickvane/rehearsal/demo.py
@@ -0,0 +1,219 @@
+"""`wickvane demo`: engines, coordinator, clients and one dispatcher on loopback, and one screen that shows
+them.
+
+The engines and the clients are this process's threads, the dispatcher is the program as it is, a process of
+its own. Troubles are switched on by a key. What it says of itself goes through structlog into a file, in the
+same JSON lines as the dispatcher's.
+"""
+
+import os
+import select
+import socket
+import subprocess
+import sys
+import tempfile
+import termios
+import time
+import tty
+from threading import Thread
+
+import orjson
+
+from wickvane import interface as i
+from wickvane.rehearsal import logs
+from wickvane.rehearsal import script as scripts
+from wickvane.rehearsal.load import Load
+from wickvane.rehearsal.script import SECOND, Trouble
+from wickvane.rehearsal.sockets import Serving
+
+SCRIPT = """rehearsal {
+    name "demo"
+    length "8h"
+    engines "rack-8" count=6 cores=8 disks=5
+    group "lookup" { work "120ms"; promise "1500ms"; stretch 2.0; timeout "7500ms" }
+    group "report" {
+        work "2s"; threads 2; memory 600; promise "2s"; stretch 2.5; timeout "20s"; value 6; late 0.3
+    }
+    clients "screens" { group "lookup"; rate 60; retries 2; back-off "100ms" }
+    clients "staff" { group "report"; closed 8; think "4s" }
+    budget free=3 share=0.1 window="5s"
+    list-delay "500ms"
+}"""
+# By key: (kind, part, size, seconds)
+KEYS = {"s": ("stall", 0.34, 1, 10), "n": ("neighbour", 0.5, 0.5, 10), "l": ("slow", 1.0, 3, 10),
+        "i": ("silent", 0.2, 1, 10), "r": ("reset", 0.5, 1, 0), "c": ("crash", 0.17, 1, 5),
+        "d": ("drain", 0.17, 1, 5)}
+START_S, STOP_S, EVERY_S = 10, 5, 0.5
+
+
+class Demo:
+    def __init__(self, script, seed, folder):
+        self.script, self.folder, self.said = script, folder, []
+        self.log = logs.logger(os.path.join(folder, "demo.log"), "demo")
+        self.serving = Serving(script, seed)
+        self.dispatcher, self.port, self.before, self.shown = None, 0, {}, time.monotonic()
+        self.load = None
+        self.seed, self.switched = seed, 0
+
+    def start(self):
+        """All of it. Raises RuntimeError where the dispatcher does not come up."""
+        Thread(target=self.serving.serve, daemon=True).start()
+        self.port = free_port()
+        path = os.path.join(self.folder, "config.json")
+        with open(path, "wb") as file:
+            file.write(orjson.dumps(self.serving.configuration(f"127.0.0.1:{self.port}")))
+        self.output = open(os.path.join(self.folder, "dispatcher.log"), "wb")
+        self.dispatcher = subprocess.Popen(
+            [sys.executable, "-m", "wickvane", "serve", f"--config={path}"], stdout=self.output,
+            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        self.log.info("dispatcher-started", pid=self.dispatcher.pid, port=self.port)
+        by = time.monotonic() + START_S
+        while not connects(self.port):
+            if self.dispatcher.poll() is not None or time.monotonic() > by:
+                raise RuntimeError(f"the dispatcher does not come up; see {self.output.name}")
+            time.sleep(0.05)
+        self.load = Load(self.script, self.seed, ("127.0.0.1", self.port), 96)
+        Thread(target=self.load.run, daemon=True).start()
+
+    def stop(self):
+        self.serving.stopping = True
+        if self.dispatcher is not None and self.dispatcher.poll() is None:
+            self.dispatcher.terminate()
+            try:
+                self.dispatcher.wait(STOP_S)
+            except subprocess.TimeoutExpired:
+                self.dispatcher.kill()
+                self.dispatcher.wait()
+        self.log.info("ended")
+
+    def switch(self, key):
+        """The trouble of a key, from the serving thread's next turn on; its words, or None."""
+        if key not in KEYS:
+            return None
+        kind, part, size, seconds = KEYS[key]
+        self.switched += 1
+        trouble = Trouble(kind, 0, seconds * SECOND, part, size)
+        number = 1000 + self.switched
+        self.serving.orders.append(lambda: self.serving.trouble(number, trouble))
+        self.log.info("trouble", kind=kind, seconds=seconds)
+        self.said = [f"{time.strftime('%H:%M:%S')} {kind}" + (f" for {seconds} s" if seconds else ""),
+                     *self.said[:5]]
+        return kind
+
+    def figures(self):
+        """What the screen shows: engines as (name, state, running, work done in seconds), and by group the
+        answers a second since the last look and the latencies so far in milliseconds."""
+        engines = []
+        for process in list(self.serving.processes):
+            state = {i.READY: "ready", i.DRAINING: "draining", i.GONE: "gone"}[process.state]
+            state = "dead" if process.dead and state != "gone" else state
+            engines.append((process.name, state, len(process.out), process.worked / 1000))
+        now, groups, load = time.monotonic(), [], self.load
+        took, self.shown = max(0.001, now - self.shown), now
+        with load.more:
+            for name, answers in load.answers.items():
+                before = self.before.get(name, {})
+                rates = {word: (count - before.get(word, 0)) / took for word, count in answers.items()}
+                self.before[name] = dict(answers)
+                histogram = load.histograms[name]
+                groups.append((name, rates, *(histogram.get_value_at_percentile(p) / 1000 for p in (50, 99))))
+        return engines, groups, load.service()
+
+    def psql(self):
+        comment = f"/* verb={self.script.groups[0].name},txn=$(openssl rand -hex 8),limit=5000 */"
+        return (f'psql "host=127.0.0.1 port={self.port} user=app dbname=bi" '
+                f'-c "{comment} SELECT 1 FROM sales_1.orders"')
+
+
+def connects(port):
+    try:
+        socket.create_connection(("127.0.0.1", port), timeout=0.5).close()
+    except OSError:
+        return False
+    return True
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+def plain(figures):
+    """One line, for where there is no screen."""
+    engines, groups, service = figures
+    ready = [e for e in engines if e[1] == "ready"]
+    words = [f"service {service:.3f}", f"engines {len(ready)}", f"running {sum(e[2] for e in engines)}"]
+    for name, rates, median, high in groups:
+        said = ", ".join(f"{word} {rate:.1f}/s" for word, rate in sorted(rates.items())) or "nothing yet"
+        words.append(f"{name}: {said}, p50 {median:.0f} ms, p99 {high:.0f} ms")
+    return "; ".join(words)
+
+
+def screen(demo, figures):
+    from rich.console import Group
+    from rich.table import Table
+
+    engines, groups, service = figures
+    fleet = Table("engine", "state", "running", "work done s", title=f"service so far {service:.3f}")
+    for name, state, running, work in [e for e in engines if e[1] != "gone"][-24:]:
+        fleet.add_row(name, state, str(running), f"{work:.1f}")
+    answers = Table("group", "finished/s", "deferred/s", "killed/s", "other/s", "p50 ms", "p99 ms")
+    for name, rates, median, high in groups:
+        known = [rates.get(word, 0.0) for word in ("finished", "deferred", "killed")]
+        other = sum(rates.values()) - sum(known)
+        answers.add_row(name, *(f"{rate:.1f}" for rate in (*known, other)), f"{median:.0f}", f"{high:.0f}")
+    keys = ", ".join(f"{key} {kind}" for key, (kind, *_) in KEYS.items())
+    return Group(demo.psql(), f"keys: {keys}, q end", answers, fleet, *demo.said)
+
+
+def pressed(seconds):
+    """A key within so many seconds, or an empty text."""
+    ready, _, _ = select.select([sys.stdin], [], [], seconds)
+    return os.read(sys.stdin.fileno(), 1).decode("latin-1") if ready else ""
+
+
+def watch(demo, until):
+    from rich.live import Live
+
+    before = termios.tcgetattr(sys.stdin)
+    tty.setcbreak(sys.stdin)
+    try:
+        with Live(screen(demo, demo.figures()), auto_refresh=False, screen=True) as live:
+            while time.monotonic() < until and demo.dispatcher.poll() is None:
+                key = pressed(EVERY_S)
+                if key == "q":
+                    return
+                demo.switch(key)
+                live.update(screen(demo, demo.figures()), refresh=True)
+    finally:
+        termios.tcsetattr(sys.stdin, termios.TCSADRAIN, before)
+
+
+def main(path, seed, seconds, out):
+    """The command: until q, an interrupt, or so many seconds are over; 1 where the dispatcher ended by
+    itself."""
+    script = scripts.read(path) if path else scripts.read_text(SCRIPT)
+    with tempfile.TemporaryDirectory(prefix="wickvane-demo-") as folder:
+        demo = Demo(script, seed, folder)
+        try:
+            demo.start()
+            until = time.monotonic() + seconds if seconds else float("inf")
+            if sys.stdin.isatty() and sys.stdout.isatty():
+                watch(demo, until)
+            else:
+                out.write(demo.psql() + "\n")
+                while time.monotonic() < until and demo.dispatcher.poll() is None:
+                    time.sleep(min(1.0, max(0.0, until - time.monotonic())))
+                    out.write(plain(demo.figures()) + "\n")
+                    out.flush()
+            ended = demo.dispatcher.poll()
+        except KeyboardInterrupt:
+            return 0
+        except RuntimeError as error:
+            out.write(f"wickvane: {error}\n")
+            return 1
+        finally:
+            demo.stop()
+    if ended is not None:
+        out.write(f"wickvane: the dispatcher ended by itself with {ended}\n")
+    return 0 if ended is None else 1
--- /dev/null
+++ b/wickvane/rehearsal/script.py
@@ -0,0 +1,271 @@
+"""Scripts of a rehearsal, in KDL 2: fleet, groups, clients, troubles and what is expected, read into plain
+figures.
+
+Errors name node, value, what was expected, and the line where it can be had (wickvane.parts).
+"""
+
+from typing import NamedTuple
+
+from wickvane import interface as i
+from wickvane import parts
+from wickvane.parts import Kind, Node, refuse
+
+SECOND = 10_000
+TIMES = parts.duration("0ms", "24h")
+TROUBLES = ("stall", "neighbour", "slow", "silent", "reset", "crash", "drain", "deploy", "list-late",
+            "storm", "estimates", "standstill", "kill", "list-again")
+EFFECTS = {"read-only": i.READ_ONLY, "tokened": i.TOKENED, "mutating": i.MUTATING}
+
+
+def figure(low, high):
+    def read(value):
+        good = isinstance(value, (int, float)) and not isinstance(value, bool) and low <= value <= high
+        return float(value) if good else refuse()
+
+    return Kind(f"a number from {low} to {high}", read)
+
+
+class Fleet(NamedTuple):
+    kind: str
+    count: int
+    figures: dict  # of model.Kind
+    speaks: str  # on sockets: lines or tds
+
+
+class Group(NamedTuple):
+    name: str
+    effect: str
+    work: float  # milliseconds of one thread, mean
+    spread: float  # its standard deviation over the mean
+    threads: int
+    reading: float
+    memory: float
+    promise: int
+    stretch: float
+    timeout: int
+    value: float
+    late: float
+    ordered: bool
+    loads: bool
+
+
+class Clients(NamedTuple):
+    name: str
+    group: int
+    tenant: int
+    rate: float  # a second, open loop; 0: closed loop
+    even: bool
+    closed: int
+    think: int
+    retries: int
+    back_off: int
+    tables: int
+    keys: int
+    since: int
+    until: int
+    heeds: bool  # stays away for as long as it is told
+
+
+class Trouble(NamedTuple):
+    kind: str
+    at: int
+    length: int
+    part: float
+    size: float
+
+
+class Expectation(NamedTuple):
+    what: str
+    figure: float
+    after: int
+
+
+class Script(NamedTuple):
+    """Times in tenths of a millisecond."""
+
+    name: str
+    length: int
+    gateways: int
+    fleet: tuple
+    groups: tuple
+    tenants: tuple  # (name, share)
+    clients: tuple
+    troubles: tuple
+    expected: tuple
+    latency: int
+    list_delay: int
+    grace: int
+    rest: int
+    budget: tuple | None  # free, share, window
+    window: int
+    advice: int  # how long a client may be told to stay away; 0: it is not told
+    watched: bool  # whether each gateway looks for storms
+
+
+KIND = {"cores": figure(1, 256), "disks": figure(0.1, 256), "memory": figure(64, 1e7),
+        "knee": figure(0.5, 16), "thrash": figure(0, 8), "spill": figure(0, 16),
+        "warm-sets": parts.whole(0, 1000), "warm-gain": figure(0, 0.99), "cold-from": figure(0.01, 1),
+        "cold": TIMES, "fall-multiple": figure(1, 100), "fall": TIMES, "sessions": parts.whole(1, 1000)}
+NAMES = {"cold": "cold_ms", "fall": "fall_ms", "sessions": "sessions"}
+
+
+def read_fleet(node):
+    name, count = node.argument(parts.name), node.property("count", parts.whole(1, 1000), 1)
+    figures = {}
+    for word, kind in KIND.items():
+        value = node.property(word, kind)
+        if value is not None:
+            value = value / 10 if word in ("cold", "fall") else value
+            figures[NAMES.get(word, word.replace("-", "_"))] = value
+    speaks = node.property("speaks", parts.word("lines", "tds"), "lines")
+    node.done()
+    return Fleet(name, count, figures, speaks)
+
+
+def read_group(node):
+    group = Group(
+        node.argument(parts.name), node.value("effect", parts.word(*EFFECTS), "read-only"),
+        node.value("work", TIMES, 1000) / 10, node.value("spread", figure(0, 10), 0.8),
+        node.value("threads", parts.whole(1, 64), 1), node.value("reading", figure(0, 0.99), 0.3),
+        node.value("memory", figure(1, 1e6), 96.0), node.value("promise", TIMES, 15_000),
+        node.value("stretch", figure(0, 100), 2.0), node.value("timeout", TIMES, 75_000),
+        node.value("value", figure(0.001, 1e6), 1.0), node.value("late", figure(0, 1), 0.0),
+        node.value("ordered", parts.flag, False), node.value("loads", parts.flag, False))
+    node.done()
+    return group
+
+
+def read_clients(node, groups, tenants, length):
+    def named(table, word):
+        return Kind(" or ".join(table), lambda value: table.index(value) if value in table else refuse())
+
+    clients = Clients(
+        node.argument(parts.name), node.value("group", named(groups, "group"), needed=True),
+        node.value("tenant", named(tenants, "tenant"), 0), node.value("rate", figure(0.001, 1e5), 0.0),
+        node.value("arrivals", parts.word("poisson", "even"), "poisson") == "even",
+        node.value("closed", parts.whole(1, 10_000), 0), node.value("think", TIMES, 10_000),
+        node.value("retries", parts.whole(0, 20), 0), node.value("back-off", TIMES, 1000),
+        node.value("tables", parts.whole(1, 10_000), 20), node.value("keys", parts.whole(1, 10_000), 10),
+        node.value("since", TIMES, 0), node.value("until", TIMES, length),
+        node.value("heeds", parts.flag, False))
+    if bool(clients.rate) == bool(clients.closed):
+        raise node.wrong("either rate or closed")
+    node.done()
+    return clients
+
+
+def read_trouble(node):
+    trouble = Trouble(node.argument(parts.word(*TROUBLES)), node.property("at", TIMES, 0),
+                      node.property("for", TIMES, 50_000), node.property("part", figure(0, 1), 1.0),
+                      node.property("size", figure(0, 100), 2.0))
+    node.done()
+    return trouble
+
+
+def read_expectation(node):
+    what = node.argument(parts.word("service", "no-rule-broken", "recovery"))
+    above, within = node.property("above", figure(0, 1)), node.property("within", TIMES)
+    after = node.property("after", TIMES, 0)
+    if (what == "service") != (above is not None) or (what == "recovery") != (within is not None):
+        raise node.wrong("above with service, within with recovery")
+    node.done()
+    return Expectation(what, above if above is not None else within or 0, after)
+
+
+def parsed(text):
+    try:
+        import ckdl
+    except ImportError:
+        raise parts.Unusable("a script needs the package ckdl (requirements-parts.txt)") from None
+    try:
+        return ckdl.parse(text, version=2)
+    except (ValueError, RecursionError) as error:
+        raise parts.Unusable(f"no KDL 2: {error}") from None
+
+
+def read_text(text):
+    return read_document(parsed(text), text)
+
+
+def read_document(document, text):
+    if len(document.nodes) != 1 or document.nodes[0].name != "rehearsal":
+        raise parts.Unusable("expected one node rehearsal")
+    node = Node(document.nodes[0], "rehearsal", text)
+    length = node.value("length", parts.duration("1s", "24h"), 600_000)
+    fleet = tuple(read_fleet(child) for child in node.children("engines"))
+    groups = tuple(read_group(child) for child in node.children("group"))
+    tenants = []
+    for child in node.children("tenant"):
+        tenants.append((child.argument(parts.name), child.property("share", figure(0.001, 1), 1.0)))
+        child.done()
+    tenants = tenants or [("all", 1.0)]
+    if not fleet or not groups:
+        raise node.wrong("nodes engines and group")
+    for names, word in (([f.kind for f in fleet], "engines"), ([g.name for g in groups], "group"),
+                        ([name for name, _ in tenants], "tenant")):
+        if len(set(names)) < len(names):
+            raise node.wrong(f"each {word} by a name of its own")
+    clients = tuple(read_clients(child, [g.name for g in groups], [name for name, _ in tenants], length)
+                    for child in node.children("clients"))
+    if not clients:
+        raise node.wrong("a node clients")
+    budget = node.child("budget")
+    extra = None
+    if budget:
+        extra = (budget.property("free", figure(0, 1000), 3.0), budget.property("share", figure(0, 1), 0.1),
+                 budget.property("window", TIMES, 50_000))
+        budget.done()
+    script = Script(
+        node.value("name", parts.name, "rehearsal"), length, node.value("gateways", parts.whole(1, 1000), 1),
+        fleet, groups, tuple(tenants), clients,
+        tuple(read_trouble(child) for child in node.children("trouble")),
+        tuple(read_expectation(child) for child in node.children("expect")), node.value("latency", TIMES, 3),
+        node.value("list-delay", TIMES, 10_000), node.value("grace", TIMES, 20_000),
+        node.value("rest", TIMES, 3000), extra, node.value("repeats-dropped-for", TIMES, 120_000),
+        node.value("longest-advice", TIMES, 0), node.value("watch-storms", parts.flag, False))
+    node.done()
+    return script
+
+
+def source(path):
+    try:
+        with open(path, "rb") as file:
+            return file.read(1 << 20).decode()
+    except OSError as error:
+        raise parts.Unusable(f"the script {path} cannot be read: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise parts.Unusable(f"the script {path} is no UTF-8") from None
+
+
+def is_experiment(path):
+    return any(node.name == "experiment" for node in parsed(source(path)).nodes)
+
+
+def read(path):
+    text = source(path)
+    try:
+        return read_text(text)
+    except parts.Unusable as error:
+        raise parts.Unusable(f"the script {path}: {error}") from None
+
+
+def deployment(script):
+    """What the dispatchers are told of all this, as their settings would say it."""
+    first = script.fleet[0].figures
+    return i.Deployment(
+        groups=[i.ResourceGroup(
+            effect=EFFECTS[g.effect], drops_repeats=i.ANY_ENGINE, repeat_window=max(0, script.window - 1),
+            promise=g.promise, stretch=g.stretch, timeout=g.timeout, value=g.value, late_value=g.late,
+            ordered=g.ordered, zones=None, kinds=None, threads=g.threads, loads=g.loads,
+            stands_behind_loads=False) for g in script.groups],
+        tenants=[(share, 0.0) for _, share in script.tenants],
+        cores=[int(f.figures.get("cores", 8)) for f in script.fleet],
+        memory=[f.figures.get("memory", 16_384.0) for f in script.fleet], gateways=script.gateways, zone=0,
+        crossing=0.0, most_submissions=5, may_cancel=True, grants=False, priorities=True, most_grant=0.4,
+        note_period=0, asks_for_list=False, ask_within=0, key_rest=script.rest + 1,
+        extra_free=script.budget[0] if script.budget else 0.0,
+        extra_share=script.budget[1] if script.budget else 0.0,
+        extra_window=script.budget[2] + 1 if script.budget else 0,
+        cold_from=first.get("cold_from", 0.3), cold_time=int(first.get("cold_ms", 15_000.0) * 10) + 1,
+        fall_multiple=first.get("fall_multiple", 2.5), fall_time=int(first.get("fall_ms", 3000.0) * 10) + 1,
+        longest_advice=script.advice, reports=[])
--- /dev/null
+++ b/wickvane/rehearsal/tds.py
@@ -0,0 +1,123 @@
+"""TDS for the rehearsal's sockets: an emulated engine's connection, and a client of the load tool.
+
+From the published specification, by wickvane's own codec; what an engine does is the model's.
+"""
+
+import re
+
+from wickvane import interface as i
+from wickvane.net.tds import errors, packets, statements, types
+from wickvane.net.tds import login as lg
+from wickvane.net.tds import tokens as t
+from wickvane.rehearsal import load, sockets
+
+MESSAGE_MOST = 1 << 18
+HEAD = re.compile(r"/\* id=(\w{1,32}),([^*]*) \*/ (.*)", re.S)
+COLUMNS = t.columns_of([("engine", types.nvarchar_info(64)), ("work", types.INT_INFO),
+                        ("id", types.nvarchar_info(32))])
+BUSY, UNKNOWN = 10_928, 50_001
+ANSWERS = {errors.DEFERRED: "deferred", errors.STOPPING: "deferred", errors.KILLED: "killed"}
+
+
+class Connection(sockets.Connection):
+    """One to an engine: a login, then a batch at a time, given up by attention."""
+
+    def __init__(self, serving, sock, process):
+        super().__init__(serving, sock, process)
+        self.assembler, self.logged_in = packets.Assembler(MESSAGE_MOST), False
+
+    def came(self, data):
+        try:
+            self.assembler.feed(data)
+            while not self.closed and (found := self.assembler.message()) is not None:
+                self.message(*found)
+        except packets.Malformed:
+            self.close(reset=True)
+
+    def message(self, kind, status, body):
+        if kind == packets.PRELOGIN:
+            lg.read_prelogin(body)
+            encryption = bytes((lg.ENCRYPT_NOT_SUPPORTED,))
+            self.tokens(lg.prelogin({lg.VERSION: bytes(6), lg.ENCRYPTION: encryption}))
+        elif kind == packets.LOGIN:
+            lg.read_login(body)
+            self.logged_in = True
+            self.tokens(t.loginack(program="rehearsal") + t.done())
+        elif kind == packets.ATTENTION and self.logged_in:
+            for query in list(self.open.values()):
+                self.serving.gives_up_here(query)
+            self.open = {}
+            self.tokens(t.done(t.ATTENTION))
+        elif kind == packets.BATCH and self.logged_in:
+            found = HEAD.match(statements.batch_text(body))
+            if found is None:
+                return self.fault(None)
+            words = b"ASK", found[1].encode(), found[2].encode()
+            self.serving.asked(self, words, found[3].encode())
+        else:
+            self.close(reset=True)
+
+    def tokens(self, data):
+        self.send(packets.frame(packets.RESULT, data))
+
+    def fault(self, id):
+        self.tokens(t.told(t.ERROR, UNKNOWN, 1, 16, "no group of this script") + t.done(t.DONE_ERROR))
+
+    def hears(self, query, submission, process, ending, work, rg):
+        if self.open.pop(query.id, None) is None:
+            return
+        if ending == i.FINISHED:
+            memory = self.serving.script.groups[rg].memory
+            row = (bytes((t.ROW,)) + types.nvarchar(process.name) + types.int4(work // 10)
+                   + types.nvarchar(query.id.decode()))
+            report = t.told(t.INFO, errors.REPORT, 1, 0, f"work={work / 10:.1f} memory={memory:.0f}")
+            self.tokens(COLUMNS + row + report + t.done(t.COUNTED, 1))
+        elif ending == i.TURNED_AWAY:
+            self.tokens(t.told(t.ERROR, BUSY, 1, 16, "the engine is full") + t.done(t.DONE_ERROR))
+        else:
+            self.close(reset=True)
+
+
+class Client(load.Client):
+    """By batches, without encryption."""
+
+    def start(self):
+        self.stream = packets.Assembler(1 << 24, frozenset((packets.RESULT,)))
+        self.exchange(packets.frame(packets.PRELOGIN, lg.prelogin({
+            lg.VERSION: bytes(6), lg.ENCRYPTION: bytes((lg.ENCRYPT_NOT_SUPPORTED,)), lg.INSTANCE: b"\0",
+            lg.THREAD: bytes(4), lg.MARS: b"\0"})))
+        answer = self.exchange(packets.frame(packets.LOGIN, lg.login("load", "", "rehearsal", "bi")))
+        if not any(token == t.LOGINACK for token, _, _ in t.Stream().feed(answer)):
+            raise ValueError("the login was refused")
+
+    def exchange(self, message):
+        """The body of the next message."""
+        self.sock.sendall(message)
+        while (found := self.stream.message()) is None:
+            data = self.sock.recv(65_536)
+            if not data:
+                raise ValueError("closed")
+            self.stream.feed(data)
+        return found[2]
+
+    def answer_to(self, text):
+        try:
+            body = self.exchange(packets.frame(packets.BATCH, statements.batch(text)))
+            for token, _, said in t.Stream().feed(body):
+                if token == t.ERROR:
+                    return ANSWERS.get(said[0], f"error {said[0]}")
+        except packets.Malformed as error:
+            raise ValueError(str(error)) from None
+        return "finished"
+
+
+def document(script, listen, clients):
+    """The parts document of a dispatcher that takes TDS clients on `listen` before a script's engines, each
+    client's group by the fields ahead of its statement."""
+    kinds = [fleet.kind for fleet in script.fleet if fleet.speaks == "tds"]
+    lines = len(kinds) < len(script.fleet)
+    engines = "".join(f'    engines "{kind}" {{ user "wickvane"; takes-postgres #true }}\n' for kind in kinds)
+    return (f'tds {{\n    listen "{listen}"\n    connections {clients}\n'
+            f'    rule application="*" {{ group "{script.groups[0].name}"; tenant "{script.tenants[0][0]}"; '
+            f'limit "10s" }}\n'
+            f'{engines}    lines-take-tds #{"true" if lines else "false"}\n}}\n')
