Retry storms: the watch, a pace for connections, and a client library that heeds advice

Need: after a shared slowness clients retry together and the pool may stay down when the cause has gone.

--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,136 @@
+"""How long those deferred are told to stay away: the pace at which work is done, and what a driver reads
+of it."""
+
+import random
+import time
+
+import psycopg
+import pytest
+from bench_free import Engine, statement
+from test_rehearsal import SMALL
+from test_tds import Dispatcher as TdsDispatcher
+from test_tds import TdsEngine
+
+from wickvane import interface as i
+from wickvane.choice import PACE_OVER, Gateway
+from wickvane.net.tds import errors
+from wickvane.rehearsal import script as scripts
+from wickvane.rehearsal import world
+
+STORM = SMALL.replace("retries 1", 'retries 6; back-off "100ms"; heeds #{heeds}').replace("12s", "20s")
+
+
+def gateway(advice=50_000):
+    deployment = world.deployment(scripts.read_text(SMALL.format(more="")))
+    return Gateway(3, deployment._replace(longest_advice=advice))
+
+
+class Away:
+    """A writer that keeps what those deferred were told."""
+
+    def __init__(self):
+        self.told = []
+
+    def defer(self, q, stay_away):
+        self.told.append(stay_away)
+
+    def __getattr__(self, name):
+        return lambda *words: None
+
+
+def deferred(made, now, out, count, cost=1000):
+    """So many queries that no engine can take: nothing is listed, and their time is nearly over."""
+    for n in range(count):
+        made.round(now, [(i.TAKEN, n, 0, 0, cost, 10, 0, None, 300)], out)
+    for later in range(now, now + 400, 100):
+        made.round(later, [], out)
+
+
+def test_those_told_come_back_one_behind_another_at_the_pace_of_the_work_done():
+    made, out = gateway(), Away()
+    made.done, made.done_at = 4.0 * PACE_OVER, 10_000  # four cores' worth, just now
+    deferred(made, 10_000, out, 20)
+    assert len(out.told) == 20 and min(out.told) > 0
+    gaps = [b - a for a, b in zip(out.told, out.told[1:])]
+    # 100 ms of work each at the pace of four cores, which fades while nothing is finished.
+    assert all(240 <= gap <= 400 for gap in gaps), gaps
+
+
+@pytest.mark.parametrize("pace", [0.0, 0.001])
+def test_none_is_told_more_than_the_setting_and_none_together_where_nothing_is_done(pace):
+    made, out = gateway(20_000), Away()
+    made.done, made.done_at = pace * PACE_OVER, 10_000
+    deferred(made, 10_000, out, 60)
+    assert len(out.told) == 60 and max(out.told) <= 20_000
+    assert len(set(out.told)) > 50 and min(out.told) >= 10_000
+
+
+def test_none_is_told_anything_where_the_setting_is_0():
+    made, out = gateway(0), Away()
+    deferred(made, 10_000, out, 10)
+    assert out.told == [0] * 10
+
+
+def test_a_pace_is_the_work_finished_lately_as_a_plain_reckoning_has_it():
+    chance = random.Random(2)
+    made, out, now, plain = gateway(), Away(), 0, 0.0
+    made.round(0, [(i.ENGINE, 0, b"e", i.READY, 0, 0, 0, 0, 1.0)], out)
+    before = 0
+    for q in range(200):
+        now += chance.randrange(1, 2000)
+        work = chance.randrange(1, 5000)
+        made.round(now, [(i.TAKEN, q, 0, 0, 100, 10, 0, None, 30_000)], out)
+        made.round(now, [(i.ENDED, q, 0, 0, i.FINISHED, 5, True, work, 0, None)], out)
+        plain = plain * max(0.0, 1 - (now - before) / PACE_OVER) + work
+        before = now
+        assert made.done == pytest.approx(plain)
+
+
+def told(dispatcher, **fields):
+    host, _, port = dispatcher.found["listen"].rpartition(":")
+    with psycopg.connect(host=host, port=int(port), sslmode="disable", user="a", dbname="b",
+                         autocommit=True) as connection:
+        with pytest.raises(psycopg.Error) as wrong:
+            connection.execute(statement(**fields))
+    return wrong.value
+
+
+def test_a_postgres_driver_reads_the_advice_in_detail_and_hint_and_no_answer_waits_for_it():
+    # Engines that turn all away: the query is deferred as soon as the module gives it up.
+    engines = [Engine(lambda txn, words: b"%b SHED - 0\r\n\r\n" % txn) for _ in range(2)]
+    dispatcher = TdsDispatcher(*engines, limits={"retry_after": True, "max_retry_after_ms": 4000.0})
+    began = time.monotonic()
+    error = told(dispatcher, limit=600)
+    assert time.monotonic() - began < 2
+    assert error.sqlstate == "53000" and error.diag.message_hint.startswith("Try again in ")
+    name, _, value = error.diag.message_detail.partition("=")
+    assert name == "stay-away" and 2000 <= int(value.removesuffix("ms")) <= 4000
+    plain = TdsDispatcher(*engines)
+    error = told(plain, limit=600, n=2)
+    assert error.sqlstate == "53000" and error.diag.message_detail is None and error.diag.message_hint is None
+
+
+def test_a_tds_driver_reads_it_in_the_error_s_text_and_state():
+    engine = TdsEngine()
+    engine.refuses = (40613, 1, 20, "moving")
+    dispatcher = TdsDispatcher(engine, limits={"retry_after": True, "max_retry_after_ms": 4000.0})
+    with dispatcher.connect() as client, client.cursor() as cursor:
+        with pytest.raises(Exception) as wrong:
+            cursor.execute(statement(limit=600))
+    said = str(wrong.value)
+    assert "stay-away=" in said
+    away = int(said.partition("stay-away=")[2].partition("ms")[0])
+    assert 2000 <= away <= 4000
+    assert [errors.state_of(ms) for ms in (0, 1, 100, 101, 25_300, 10**6)] == [1, 3, 3, 4, 255, 255]
+
+
+@pytest.mark.parametrize("heeds", ["true", "false"])
+def test_rules_hold_in_a_storm_whether_advice_is_heeded_or_not(heeds):
+    text = STORM.replace("#{heeds}", "#" + heeds).format(more="""
+        longest-advice "5s"
+        trouble "slow" at="4s" for="6s" size=10
+        trouble "storm" at="4s" for="6s" size=2""")
+    outcome = world.play(scripts.read_text(text), 1, False)
+    assert outcome.breaches == [] and outcome.counts["deferred"] > 100
+
+
--- /dev/null
+++ b/tests/test_storm.py
@@ -0,0 +1,204 @@
+"""Retry storms are seen as they begin, and told from growth, one client's loop and a slow engine."""
+
+import os
+import random
+import subprocess
+import sys
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_rehearsal import ROOT, Served
+
+from wickvane import parts, storm
+from wickvane.net import storms
+from wickvane.rehearsal import script as scripts
+from wickvane.rehearsal import world
+from wickvane.rehearsal.load import Load
+from wickvane.storm import CALM, GROWTH, LOOP, SECOND, SLOW, STEP, STORM, Storm, mark_of
+
+DAY = """rehearsal {{
+    length "40s"
+    gateways {gateways}
+    engines "e" count=6 cores=4 disks=4
+    group "lookup" {{ work "100ms"; promise "600ms"; timeout "2s" }}
+    group "doomed" {{ work "20s"; spread 0; promise "100ms"; timeout "1s" }}
+    clients "a" {{ group "lookup"; rate 120; retries {retries}; back-off "200ms" }}
+    {more}
+    budget free=3 share=0.1 window="5s"
+    watch-storms #true
+}}"""
+
+
+def told(more="", retries=2, gateways=1, seed=1):
+    text = DAY.format(more=more, retries=retries, gateways=gateways)
+    outcome = world.play(scripts.read_text(text), seed, False)
+    assert outcome.breaches == []
+    return outcome.world.storms
+
+
+def begun(lines):
+    return [(at, fields["kind"]) for at, _, event, fields in lines if event == "begins"]
+
+
+def test_a_shared_slowness_with_clients_that_try_again_is_a_storm_that_begins_and_ends():
+    lines = told('trouble "slow" at="15s" for="8s" size=8', retries=8)
+    storms = [at for at, kind in begun(lines) if kind == STORM]
+    ends = [(at, fields) for at, _, event, fields in lines if event == "ends" and fields["kind"] == STORM]
+    assert len(storms) == 1 and 15 < storms[0] < 21 and len(ends) == 1
+    assert storms[0] < ends[0][0] < 38
+    fields = next(fields for at, _, event, fields in lines if event == "begins" and fields["kind"] == STORM)
+    assert fields["repeats"] > 0.1 and fields["offered"] > fields["done"] and fields["one"] < 0.2
+
+
+@pytest.mark.parametrize("gateways", [1, 8])
+@pytest.mark.parametrize("seed", range(2))
+def test_neither_a_calm_day_nor_one_that_doubles_nor_a_deploy_is_a_storm(gateways, seed):
+    assert {kind for _, kind in begun(told(gateways=gateways, seed=seed))} <= {SLOW, GROWTH}
+    doubled = told('clients "new" { group "lookup"; rate 80; since "15s" }', gateways=gateways, seed=seed)
+    assert STORM not in {kind for _, kind in begun(doubled)}
+    cold = told('trouble "deploy" at="10s" for="12s" part=0.5 size=1', gateways=gateways, seed=seed)
+    assert STORM not in {kind for _, kind in begun(cold)}
+
+
+def test_traffic_past_the_pool_that_does_not_repeat_is_growth():
+    kinds = {kind for _, kind in begun(told('clients "new" { group "lookup"; rate 300; since "15s" }', 0))}
+    assert GROWTH in kinds and not kinds & {STORM, LOOP}
+
+
+def test_one_client_that_asks_the_same_again_and_again_is_a_loop():
+    more = 'clients "loop" { group "doomed"; closed 1; think "1ms"; retries 20; back-off "1ms"; since "15s" }'
+    kinds = [kind for at, kind in begun(told(more)) if at > 15]
+    assert LOOP in kinds and STORM not in kinds
+
+
+def test_few_slow_engines_are_no_storm():
+    kinds = {kind for _, kind in begun(told('trouble "slow" at="15s" for="10s" part=0.17 size=6'))}
+    assert SLOW in kinds and not kinds & {STORM, LOOP}
+
+
+def test_a_second_slowness_while_the_first_storm_drains_is_seen():
+    lines = told('trouble "slow" at="12s" for="6s" size=8\n trouble "slow" at="20s" for="6s" size=8',
+                 retries=8)
+    held = [(at, event) for at, _, event, fields in lines if fields["kind"] == STORM]
+    assert held[0][1] == "begins" and held[-1][1] == "ends" and held[-1][0] > 26
+
+
+# By hand
+
+def fed(made, now, seconds, taken, repeats, done, deferred=0.0, engines=()):
+    """So many queries a second, a part of them repeats of marks that were deferred at the start."""
+    chance, found = random.Random(now), []
+    for n in range(40):
+        made.deferred(now, mark_of(0, None, None, b"%d" % n))
+    for tick in range(int(seconds * 100)):
+        at = now + tick * SECOND // 100
+        found += made.look(at)
+        for _ in range(taken // 100):
+            again = chance.random() < repeats
+            n = chance.randrange(40)
+            mark = mark_of(0, None, None, b"%d" % n) if again else chance.randbytes(16)
+            made.taken(at, mark, n, 100)
+            if chance.random() < done:
+                made.finished(at, False, 100)
+            if chance.random() < deferred:
+                made.deferred(at, chance.randbytes(16))
+    return found
+
+
+def test_a_storm_deepens_with_its_repeats_and_a_flicker_does_not_end_it():
+    made = Storm(0, 0.1, 100_000)
+    assert [event for event, _ in fed(made, 1, 4, 400, 0.35, 0.5, 0.3)] == ["begins"] and made.state == STORM
+    assert "deepens" in [event for event, _ in fed(made, 4 * SECOND, 4, 400, 0.8, 0.3, 0.6)]
+    assert made.look(8 * SECOND + STEP) == [] and made.state == STORM
+    fed(made, 9 * SECOND, 2, 400, 0.8, 0.3, 0.6)
+    assert [fields["kind"] for event, fields in fed(made, 12 * SECOND, 6, 400, 0.0, 1.2) if event == "ends"
+            ][:1] == [STORM]
+    assert made.state == CALM
+
+
+def test_what_is_usual_is_not_an_alarm():
+    """A pool where a third is repeats on every calm day: more than that is wanted for a storm."""
+    made = Storm(0, 0.1, 100_000)
+    for n in range(40):
+        fed(made, n * 4 * SECOND, 4, 200, 0.15, 1.1)
+    assert made.state == CALM and made.usual_repeats > 0.05
+    assert not fed(made, 170 * SECOND, 3, 400, 0.3, 0.9, 0.2) or made.state != STORM
+
+
+@given(st.lists(st.tuples(st.integers(0, 400), st.booleans(), st.integers(0, 30)), min_size=1, max_size=300))
+@settings(max_examples=60, deadline=None)
+def test_what_was_deferred_is_known_for_its_time_as_a_plain_table_has_it(steps):
+    """None that is due is forgotten; past twice the time none is known, but by the filter's small chance."""
+    made, table, now = Storm(0, 0.1, 2 * SECOND), {}, 1
+    strangers = wrong = 0
+    for ticks, defers, n in steps:
+        now += ticks * 100
+        mark = mark_of(n % 3, None, None, b"statement %d" % n)
+        if defers:
+            made.deferred(now, mark)
+            table[mark] = now
+            continue
+        again, since = made.taken(now, mark, 0, 10), now - table.get(mark, -1e9)
+        if since < 2 * SECOND:
+            assert again
+        elif since > 4 * SECOND + 400 * 100:
+            strangers, wrong = strangers + 1, wrong + again
+    assert wrong <= 2 + 0.05 * strangers
+
+
+def test_marks_know_a_token_ahead_of_a_key_ahead_of_a_statement():
+    assert mark_of(1, b"t", b"k", b"a") == mark_of(1, b"t", b"x", b"b") != mark_of(2, b"t", b"k", b"a")
+    assert mark_of(1, None, b"k", b"a") == mark_of(1, None, b"k", b"b") != mark_of(1, b"k", None, b"a")
+    assert mark_of(1, None, None, b"a") != mark_of(1, None, None, b"b")
+
+
+def test_memory_is_bounded_whatever_comes():
+    made, chance = Storm(0, 0.1, 60 * SECOND), random.Random(1)
+    for n in range(3 * storm.MARKS):
+        mark = chance.randbytes(16)
+        made.deferred(n, mark)
+        made.taken(n, mark, n, 1)
+    assert made.known.count <= storm.MARKS
+    assert len(made.steps) <= storm.STEPS
+    assert all(len(step.sources) <= storm.SOURCES + 1 for step in made.steps)
+
+
+def test_it_judges_the_same_in_other_processes_and_hash_seeds():
+    code = ("import sys; sys.path[:0] = ['tests', 'client', '.']\n"
+            "from test_storm import told\n"
+            "print(told('trouble \"slow\" at=\"15s\" for=\"8s\" size=8', 8))\n")
+    said = {subprocess.run([sys.executable, "-c", code], capture_output=True, cwd=ROOT, check=True,
+                           env={"PYTHONHASHSEED": seed, "PATH": ""}).stdout for seed in ("1", "2")}
+    assert len(said) == 1 and b"begins" in said.pop()
+
+
+# On sockets
+
+def test_a_dispatcher_tells_of_a_storm_in_its_log_and_counts_who_ignores_advice():
+    text = DAY.format(gateways=1, retries=12, more='longest-advice "2s"\n list-delay "100ms"\n'
+                      'trouble "slow" at="3s" for="4s" size=14').replace('"40s"', '"10s"')
+    served = Served(text, watch=storms.Part(None))
+    script = scripts.read_text(text)
+    Load(script, 1, served.address, 128).run()
+    served.end()
+    served.service.log.close()
+    served.service.writer.join(5)
+    lines = [orjson.loads(line) for line in os.pread(served.log.fileno(), 1 << 24, 0).splitlines()]
+    begun = [line for line in lines if line["event"] == "storm-begins" and line["kind"] == STORM]
+    assert begun and begun[0]["repeats"] > 0.1 and begun[0]["one"] < 0.5
+    shown = served.service.counters.shown()
+    assert shown["repeats"] > 50 and shown["advised"] > 50 and shown["advice-ignored"] > 10
+    assert shown.get("faults", 0) == 0 and shown["storm-begins-storm"] >= 1
+
+
+def test_without_the_node_nothing_of_the_watch_is_imported_and_a_change_needs_a_restart(tmp_path):
+    code = ("import sys\nfrom wickvane.net.service import Service\n"
+            "print([name for name in sys.modules if 'storm' in name or 'rbloom' in name])")
+    said = subprocess.run([sys.executable, "-c", code], capture_output=True, cwd=ROOT, check=True).stdout
+    assert said == b"[]\n"
+    with pytest.raises(parts.Unusable, match="storms > remember \"1ms\": expected"):
+        parts.read_text('storms { remember "1ms" }')
+    assert parts.read_text("storms") == {"storms": storms.Part(None)}
+    assert parts.read(os.path.join(ROOT, "deploy", "storms.kdl"))["storms"].remember == 600_000
