Control service over xDS: placement decisions, drains and warm-up for other proxies

Need: other installations run their own proxies and want the placement decisions without the data path.

--- /dev/null
+++ b/wickvane/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control service: placement decisions for other proxies, over xDS."""
--- /dev/null
+++ b/wickvane/control/follower.py
@@ -0,0 +1,106 @@
+"""What a proxy makes of placement decisions alone, behind the dispatchers' own border, free of I/O: for the
+rehearsal, to tell how near a proxy that only follows xDS comes to a dispatcher, and what is lost.
+
+It does what the resources say and a proxy of the published API can do: of a cluster's first engines the one
+with least requests over its weight, of three drawn; those of priority 1 in the measure in which first ones
+are ejected (overprovisioning 1.4); a bound on requests a cluster, past which it answers at once; engines that
+fail three times in a row are left alone. It has no queue, and tries nothing again: a retry budget counts what
+is out, not what was sent in a window, and cannot keep rule 7.
+"""
+
+from random import Random
+
+from wickvane import interface as i
+from wickvane.control import fleet as fl
+from wickvane.control.placement import CHOICES, EJECT_SHARE, Placement, cluster_name
+
+OVER, ROW = 1.4, 3
+
+
+class Follower:
+    """A gateway in name; tables: how many table groups there are."""
+
+    tables = 20
+
+    def __init__(self, seed, site):
+        self.site, self.chance, self.index = site, Random(seed), 0
+        names = [f"g{n}" for n in range(len(site.groups))]
+        kinds = range(len(site.cores))
+        self.placement = Placement(site, names, range(self.tables), site.gateways, kinds, [0])
+        self.fleet, self.names, self.numbers = fl.Fleet(), {}, {}
+        self.out, self.open, self.active = {}, {}, {}  # by engine; by query; by cluster
+        self.failed, self.ejected = {}, {}
+
+    def round(self, now, events, out):
+        step = self.placement.next_step()
+        if step is not None and now >= step:
+            self.placement.step(now)
+        for code, *fields in events:
+            if code == i.TAKEN:
+                self.taken(now, out, *fields)
+            elif code == i.ENDED:
+                self.ended(now, out, *fields)
+            elif code == i.LEFT and fields[0] in self.open:
+                self.active[self.open.pop(fields[0])[1]] -= 1
+                out.cancel(fields[0], 0)
+            elif code == i.ENGINE:
+                self.engine(now, *fields)
+
+    def engine(self, now, e, rank, state, zone, kind, cell, started, weight):
+        name = rank.decode()
+        self.names[e], self.numbers[name], self.index = name, e, self.index + 1
+        row = name, (name, 1), state, 0, kind, cell, started / 10, weight
+        self.fleet, _ = fl.changed(self.fleet, now, self.index, False, [row], fl.FLOOR)
+        self.placement.list(now, self.fleet)
+
+    def taken(self, now, out, q, rg, tenant, cost, memory, coord, key, left, again=False):
+        klass = self.placement.class_of[f"g{rg}"]
+        cluster = cluster_name(klass, coord % self.tables)
+        if self.active.get(cluster, 0) >= self.placement.limits(klass).requests:
+            return out.defer(q, 0)
+        name = self.chosen(now, cluster)
+        if name is None:
+            return out.defer(q, 0)
+        self.active[cluster] = self.active.get(cluster, 0) + 1
+        self.out[name] = self.out.get(name, 0) + 1
+        self.open[q] = rg, cluster
+        out.submit(q, self.numbers[name], 0)
+
+    def chosen(self, now, cluster):
+        places = self.placement.cache.get(cluster, ())
+        away = [p for p in places if self.ejected.get(p.name, 0) > now]
+        if len(away) * 100 > EJECT_SHARE * len(places):
+            away = []
+        first = [p for p in places if not p.priority]
+        fit = [p for p in first if p not in away]
+        later = [p for p in places if p.priority and p not in away]
+        if first and later and self.chance.random() >= OVER * len(fit) / len(first):
+            fit = later
+        fit = fit or later
+        if not fit:
+            return None
+        drawn = [self.chance.choice(fit) for _ in range(CHOICES)]
+        return max(drawn, key=lambda p: p.weight / (self.out.get(p.name, 0) + 1)).name
+
+    def ended(self, now, out, q, submission, e, ending, elapsed, complete, work, memory, report):
+        name = self.names[e]
+        self.out[name] -= 1
+        rg, cluster = self.open.pop(q, (None, None))
+        if ending == i.FINISHED:
+            self.failed[name] = 0
+        else:
+            self.failed[name] = self.failed.get(name, 0) + 1
+            if self.failed[name] >= ROW:
+                limits = self.placement.limits(next(iter(self.placement.allowed)))
+                longer = limits.eject * (self.failed[name] - ROW + 1)
+                self.ejected[name] = now + min(limits.eject_most, longer)
+        if rg is None:
+            return
+        self.active[cluster] -= 1
+        if complete or ending == i.FINISHED:
+            return
+        proven, group = ending >= i.TURNED_AWAY, self.site.groups[rg]
+        if not proven and group.effect != i.READ_ONLY:
+            out.kill(q)
+        else:
+            out.defer(q, 0)
