--- /dev/null
+++ b/tests/standins/tds_engine.py
@@ -0,0 +1,138 @@
+"""An engine that speaks TDS on loopback, from the published specification, with the troubles of engines."""
+
+import re
+import socket
+import struct
+from queue import Queue
+from threading import Event, Lock, Thread
+
+from bench_free import STANDING, reset
+
+from wickvane.net.tds import login as lg
+from wickvane.net.tds import packets, statements, types
+from wickvane.net.tds import tokens as t
+
+HEAD = re.compile(r"/\* id=(\w+),queue=([\w-]+),budget=(\d+)([^*]*) \*/ (.*)", re.S)
+COLUMNS = t.columns_of([("n", types.INT_INFO), ("name", types.nvarchar_info(100))])
+
+
+def row(n, name):
+    return bytes((t.ROW,)) + types.int4(n) + types.nvarchar(name)
+
+
+def result(*rows, work=12.5, memory=96):
+    report = t.told(t.INFO, 50100, 1, 0, f"work={work} memory={memory}")
+    return COLUMNS + b"".join(row(*r) for r in rows) + report + t.done(t.COUNTED, len(rows))
+
+
+class Query:
+    """One batch as it came: its id, group, fields and text; and the connection it came on."""
+
+    def __init__(self, conn, text):
+        found = HEAD.match(text)
+        self.conn, self.id, self.group, self.budget = conn, found[1], found[2], int(found[3])
+        self.fields = dict(part.split("=", 1) for part in found[4].split(",") if part)
+        self.text = found[5]
+
+    def answer(self, tokens):
+        self.conn.send(packets.frame(packets.RESULT, tokens))
+
+
+class Connection:
+    def __init__(self, engine, sock):
+        self.engine, self.sock, self.user, self.attended = engine, sock, None, Event()
+        self.lock = Lock()
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def send_on(self, data):
+        """More of a long answer; False once it was given up: nothing of it follows the acknowledgement."""
+        with self.lock:
+            if not self.attended.is_set():
+                self.sock.sendall(data)
+        return not self.attended.is_set()
+
+    def serve(self):
+        assembler = packets.Assembler(1 << 20)
+        while data := self.sock.recv(1024 if self.engine.half else 65_536):
+            if self.engine.half and self.user is not None:
+                self.engine.came.put(("HALF", self))
+                self.engine.half(self)
+                return
+            assembler.feed(data)
+            while (found := assembler.message()) is not None:
+                self.message(*found)
+
+    def message(self, kind, status, body):
+        engine = self.engine
+        if kind == packets.PRELOGIN:
+            lg.read_prelogin(body)
+            self.send(packets.frame(packets.RESULT, lg.prelogin({
+                lg.VERSION: bytes(6), lg.ENCRYPTION: bytes((engine.encryption,))})))
+        elif kind == packets.LOGIN:
+            login = lg.read_login(body)
+            self.user = login.user
+            engine.came.put(("LOGIN", login))
+            if engine.refuses:
+                refusal = t.told(t.ERROR, *engine.refuses) + t.done(t.DONE_ERROR)
+                self.send(packets.frame(packets.RESULT, refusal))
+                return
+            self.send(packets.frame(packets.RESULT, t.loginack() + t.envchange(
+                t.PACKET_SIZE, "4096", "4096") + t.done()))
+        elif kind == packets.BATCH:
+            query = Query(self, statements.batch_text(body))
+            query.reset = bool(status & packets.RESET)
+            engine.came.put(("BATCH", query))
+            answer = engine.answers(query)
+            if answer is not None:
+                query.answer(answer)
+        elif kind == packets.ATTENTION:
+            engine.came.put(("ATTENTION", self))
+            with self.lock:
+                self.attended.set()
+                if engine.acknowledges:
+                    self.send(packets.frame(packets.RESULT, t.done(t.ATTENTION)))
+
+
+class TdsEngine:
+    """Tells the test all that comes; `answers` turns a Query into tokens, or None for silence."""
+
+    def __init__(self, answers=lambda query: result((1, "a")), port=0):
+        self.answers, self.came, self.connections = answers, Queue(), []
+        self.refuses, self.acknowledges, self.encryption = None, True, lg.ENCRYPT_NOT_SUPPORTED
+        self.half = None  # called with the connection once the first octets of a batch have come, then closed
+        self.listening = socket.create_server(("127.0.0.1", port))
+        self.address = f"127.0.0.1:{self.listening.getsockname()[1]}"
+        STANDING.append(self)
+        Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.listening.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(self, sock)
+            self.connections.append(connection)
+            Thread(target=self.guarded, args=(connection,), daemon=True).start()
+
+    def guarded(self, connection):
+        try:
+            connection.serve()
+        except (OSError, ValueError, struct.error, packets.Malformed, AttributeError):
+            pass
+        connection.sock.close()
+
+    def next(self, kind=None, seconds=10):
+        while True:
+            found = self.came.get(timeout=seconds)
+            if kind is None or found[0] == kind:
+                return found[1]
+
+    def end(self):
+        self.listening.shutdown(socket.SHUT_RDWR)
+        self.listening.close()
+        for connection in self.connections:
+            reset(connection.sock)
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -1,9 +1,19 @@
 """wickvane: a workload manager that stands before analytic engines.
 
 Usage:
-  wickvane serve [--config=FILE]
-  wickvane check [--config=FILE]
+  wickvane serve [--config=FILE] [--parts=FILE]
+  wickvane check [--config=FILE] [--parts=FILE]
   wickvane explain [--config=FILE]
+  wickvane flows [--by=WORDS] [--step=TIME] [--enterprise=N] [--json] FILE...
+  wickvane flows --listen=ADDRESS [--udp] [--for=TIME] [--by=WORDS] [--step=TIME] [--enterprise=N] [--json]
+  wickvane rehearse check FILE
+  wickvane rehearse serve [--seed=N] [--for=TIME] [--parts=FILE] FILE
+  wickvane rehearse load --to=ADDRESS [--tds] [--seed=N] FILE
+  wickvane rehearse experiment --out=PATH [--jobs=N] [--plots] FILE
+  wickvane rehearse run [--seed=N] [--log=PATH] [--until-broken] [--tries=N] FILE
+  wickvane demo [--script=FILE] [--seed=N] [--for=TIME]
+  wickvane control [--config=FILE] --parts=FILE
+  wickvane control status --to=ADDRESS [--tls=FILES] [--json]
   wickvane version
   wickvane -h | --help
 
@@ -12,10 +22,34 @@
            SIGTERM ends it in order, SIGUSR1 prints its counters.
   check    Tell whether the configuration could be served, and start nothing.
   explain  Read a statement on standard input, and print what a dispatcher would read in it.
+  flows    Sum up exported flows: spool files or folders of them, or what comes in on a port.
+  rehearse  Check a script of a rehearsal, play it in virtual time, or serve and load by it on sockets;
+           experiment plays a grid of cases, variants and seeds, and goes on where it was ended.
+  demo     Start engines, clients and one dispatcher on loopback, and show them on one screen.
+  control  Hand placement decisions to proxies over xDS; status: what each of them holds.
   version  Print the version.
 
 Options:
   --config=FILE  The configuration, as JSON [default: $LB_CONFIG].
+  --parts=FILE   The parts document, as KDL, which turns on more [default: $WICKVANE_PARTS].
+  --by=WORDS     Sums by side, group, tenant, engine, reason, client; several with commas between.
+  --step=TIME    Also the course over time, in steps such as 10s.
+  --enterprise=N  The enterprise number that the exporter works with.
+  --listen=ADDRESS  Take in what comes on this address and port, instead of files.
+  --udp          By UDP, IPFIX or NetFlow v9; else IPFIX over TCP.
+  --for=TIME     For so long [default: 24h].
+  --json         As JSON instead of tables.
+  --to=ADDRESS   The dispatcher that is asked.
+  --seed=N       The seed that everything drawn comes from.
+  --log=PATH     Write what happened, one JSON line an event.
+  --until-broken  Try seeds from this on in parallel, until what is expected does not hold.
+  --tries=N      So many seeds at most.
+  --out=PATH     The folder of an experiment's cells, summary and plots.
+  --script=FILE  A script of a rehearsal, in place of the demo's own.
+  --tds          By TDS instead of PostgreSQL.
+  --jobs=N       So many processes at once.
+  --plots        Draw them too.
+  --tls=FILES    Authority, certificate and key, with commas between.
   -h --help      Show this.
 """
 
@@ -36,24 +70,63 @@
     if asked["version"]:
         print(f"wickvane {__version__}")
         return 0
+    if asked["flows"]:
+        from wickvane.flows.tool import main as flows
+
+        return flows(asked)
+    if asked["rehearse"] or asked["demo"]:
+        from wickvane.rehearsal.command import main as rehearse
+
+        return rehearse(asked)
+    if asked["status"]:
+        from wickvane.control.tool import status
+
+        return status(asked["--to"], asked["--tls"], asked["--json"])
     from wickvane.net.service import Service, Unstartable, configuration
 
     path = os.environ.get("LB_CONFIG") if asked["--config"] == "$LB_CONFIG" else asked["--config"]
+    more = os.environ.get("WICKVANE_PARTS") if asked["--parts"] == "$WICKVANE_PARTS" else asked["--parts"]
     try:
+        found = parts_of(more) if more and not asked["explain"] else None
+        if asked["check"] and more and not path:
+            print(f"wickvane: {more} can be used")
+            return 0
         if not path:
             raise Unstartable("no configuration: name one with --config or in LB_CONFIG", 2)
-        service = Service(configuration(path))
+        if asked["control"]:
+            return control(path, more, found)
+        service = Service(configuration(path), parts=found if asked["serve"] else None)
         if asked["serve"]:
-            return service.run(path)
+            return service.run(path, more)
         if asked["explain"]:
             return explain(service.reader, sys.stdin.buffer.read())
     except Unstartable as error:
         print(f"wickvane: {error}", file=sys.stderr)
         return error.code
-    print(f"wickvane: {path} can be served")
+    print(f"wickvane: {path} can be served" + (f", {more} can be used" if more else ""))
     return 0
 
 
+def parts_of(path):
+    from wickvane import parts
+    from wickvane.net.service import Unstartable
+
+    try:
+        return parts.read(path)
+    except parts.Unusable as error:
+        raise Unstartable(str(error), 2) from None
+
+
+def control(path, more, found):
+    from wickvane.net.service import Unstartable, configuration
+
+    if "control" not in (found or {}):
+        raise Unstartable(f"the parts document {more} has no node control", 2)
+    from wickvane.control.server import Server
+
+    return Server(configuration(path), found["control"]).run(path, more)
+
+
 def explain(reader, text):
     from wickvane.net.statement import Unusable
 
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -42,10 +42,20 @@
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY, LOTS = 0.5, 0.35  # of the collapse budget: true speeds are not told; where lots are drawn
 BUSY = 0.85  # the share of cores that counts as an engine's capacity in the collapse rule
+PACE_OVER = 2 * SECOND  # over which the work done is taken together for its pace
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
 
 
 
+def hash_place(rank, coord):
+    """Where an engine, by its own id, stands in a table group's shared order; what proxies are told too."""
+    return blake2b(rank + b"/" + str(coord).encode(), digest_size=8).digest()
+
+
+def warm_part(age, cold_from, cold_time):
+    """The share of its cores that an engine has at least, so long after its start."""
+    return 1.0 if age >= cold_time else cold_from + (1 - cold_from) * max(0, age) / cold_time
+
 
 class Query:
     __slots__ = ("q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out",
@@ -84,6 +94,7 @@
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
+        self.done, self.done_at, self.back_at = 0.0, 0, 0.0  # work lately done; when the last told comes back
         self.now, self.out, self.next_sweep, self.armed = 0, None, 0, None
 
     def round(self, now, events, out):
@@ -111,7 +122,7 @@
 
     # What came in
 
-    def taken(self, q, rg, tenant, cost, memory, coord, key, left):
+    def taken(self, q, rg, tenant, cost, memory, coord, key, left, again=False):
         g = self.groups[rg]
         while tenant >= len(self.lines):
             self.lines.append([])
@@ -124,7 +135,9 @@
         if cost:
             self.learn(rg, cost)
         now, left = self.now, min(left, self.until - self.now)
-        qy.limit, qy.density = now + left, -g.value / max(qy.cost, 10)
+        # A repeat of what was deferred goes behind first tries of up to a quarter more cost, whose place it
+        # would take in a storm; behind all, the longest first tries would go ahead of the shortest repeats.
+        qy.limit, qy.density = now + left, -g.value / max(qy.cost, 10) / (1 + again / 4)
         qy.target = min(now + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
         # A wait for its key is no wait for room: it may take all the time that is of use.
         qy.hold = min(self.last_start(qy), now + int(WAIT_PART * left) if qy.key is None else qy.limit)
@@ -161,6 +174,7 @@
         else:
             self.deficit[qy.tenant] -= (work or elapsed * g.threads) - qy.cost
             if ending == i.FINISHED:
+                self.done, self.done_at = self.done_lately() + (work or elapsed * g.threads), now
                 if work:
                     self.learn(qy.rg, work)
                 if memory and qy.need:
@@ -278,10 +292,8 @@
         return int(end - max(self.runs_for(qy), 2 * SWEEP))
 
     def warmth(self, e):
-        age = self.now - self.started[e]
-        if not self.started[e] or age >= self.cold_time:
-            return 1.0
-        return self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold_time
+        started = self.started[e]
+        return warm_part(self.now - started, self.cold_from, self.cold_time) if started else 1.0
 
     def judge(self, qy, e, ending, elapsed):
         self.down[e] = ending == i.NO_CONNECTION
@@ -321,8 +333,7 @@
             # Against statements that name ever new groups: an order forgotten is only worked out again.
             if len(self.orders) >= ORDERS_HELD:
                 self.orders.clear()
-            mark = str(coord).encode()
-            by = [blake2b(rank + b"/" + mark, digest_size=8).digest() for rank in self.rank]
+            by = [hash_place(rank, coord) for rank in self.rank]
             order = self.orders[coord] = sorted(range(len(by)), key=by.__getitem__)
         return order
 
@@ -551,11 +562,28 @@
         g = self.groups[qy.rg]
         clean = qy.ran_at is None and not qy.out
         if clean or g.effect == i.READ_ONLY or (g.effect == i.TOKENED and g.drops_repeats == i.ANY_ENGINE):
-            self.out.defer(qy.q, self.advice)
+            self.out.defer(qy.q, self.stay_away(qy))
         else:
             self.out.kill(qy.q)
         self.close(qy)
 
+    def done_lately(self):
+        return self.done * max(0.0, 1 - (self.now - self.done_at) / PACE_OVER)
+
+    def stay_away(self, qy):
+        """Who is deferred comes back behind what waits and behind those told before, at the pace at which
+        work is lately done here, so that those told do not return together."""
+        if not self.advice:
+            return 0
+        pace = self.done_lately() / PACE_OVER
+        if pace > 0:
+            line = self.mean_all * sum(map(len, self.lines)) / pace
+            self.back_at = max(self.back_at, self.now + line) + qy.cost / pace
+            if self.back_at <= self.now + self.advice:
+                return min(self.advice, int(self.back_at - self.now) + 1)
+        self.back_at = self.now + self.advice
+        return int(self.advice * self.chance.uniform(0.5, 1))
+
     def close(self, qy):
         """The query has its final answer, or needs none."""
         qy.over = True
--- a/wickvane/door.py
+++ b/wickvane/door.py
@@ -56,11 +56,21 @@
 class Book:
     """Which query and which engine an index stands for, and when it may stand for another."""
 
-    def __init__(self, params):
+    def __init__(self, params, fronts=()):
+        """fronts: the kinds of engines that each client protocol's queries may go to, by name; none: all to
+        all. With them each resource group stands once a front, since which engines may take a query depends
+        on the front it came by: placement, which the module keeps already, covers it."""
         self.zones, self.kinds = Names(params.get("zones") or ()), Names(params.get("host_types") or ())
         self.groups = Names(c["name"] for c in params["classes"])
         self.tenants = Names(a["name"] for a in params.get("accounts") or ())
         self.deployment = deployment(params, self.zones, self.kinds)
+        self.group_names = list(self.groups.index)
+        if fronts:
+            self.group_names *= len(fronts)
+            self.deployment = self.deployment._replace(groups=[
+                group._replace(kinds=allowed if group.kinds is None else group.kinds & allowed)
+                for allowed in (frozenset(map(self.kinds, front)) for front in fronts)
+                for group in self.deployment.groups])
         self.queries, self.engines = Indices(), Indices()
         self.open = {}  # q: submissions without an ending; the query itself counts as one until it ends
         self.over = set()
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -8,7 +8,8 @@
 
 Event tuples, with the fields that follow the code:
 
-TAKEN     q, rg, tenant, cost, memory, coord, key, left
+TAKEN     q, rg, tenant, cost, memory, coord, key, left, again
+          again: it is known to repeat what was lately deferred here; left out where nobody looks
           cost: estimated work of all threads (0: none told); memory in MB (0: none told);
           coord: its table group; key: a number, or None; left: time until the client gives up
 ENDED     q, submission, engine, ending, elapsed, complete, work, memory, report
@@ -76,7 +77,7 @@
     cold_time: int
     fall_multiple: float
     fall_time: int
-    longest_advice: int  # how long a client may be asked to stay away; 0: it is not told
+    longest_advice: int  # how long a client may be asked to stay away; 0: it is not told, and stay_away is 0
     reports: list[str]
 
 
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -129,8 +129,10 @@
 
 
 class Coordinator:
-    def __init__(self, address, known, exchange, seed, log, counters):
-        self.address, self.exchange, self.log, self.counters = address, exchange, log, counters
+    """told(number, whole, entries) hears of each event, in the order of their numbers, from any thread."""
+
+    def __init__(self, address, known, told, seed, log, counters):
+        self.address, self.told, self.log, self.counters = address, told, log, counters
         self.sock, self.stopping, self.lock, self.hurry = None, False, Lock(), Event()
         self.chance, self.last, self.pause = Random(f"{seed}/coordinator"), 0, PAUSE_FIRST
         index, events = known
@@ -144,7 +146,7 @@
             if number <= self.last:
                 return
             self.last = number
-            self.exchange.inbox.put(("listed", whole, entries), always=True)
+            self.told(number, whole, entries)
         self.counters.add("list-events")
 
     def move(self, address, events):
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -19,12 +19,13 @@
 class Decider:
     """Also the writer that the module is handed: what it decides becomes an answer or an order."""
 
-    def __init__(self, exchange, book, seed, clock, log, counters):
+    def __init__(self, exchange, book, seed, clock, log, counters, accounts=None, speaks=None):
         self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
         self.gateway = Gateway(seed, book.deployment)
         self.lanes, self.alarms, self.events = {}, [], []
         self.now, self.longest, self.faults = clock.now(), 0, 0
-        self.lag, self.lag_at, self.held = 0, self.now, []
+        self.lag, self.lag_at, self.held, self.accounts = 0, self.now, [], accounts
+        self.speaks = speaks or {}  # by kind: what connections to engines of that kind are made by
 
     def run(self):
         while True:
@@ -116,12 +117,12 @@
         if self.held:
             self.alarm(0, max(now + 1, self.held[0].arrived + self.lag - KEY_APART))
 
-    def taken(self, ticket):
+    def taken(self, ticket, again=False):
         ticket.q = self.book.take(ticket)
         ticket.stages["taken"] = self.now
         self.events.append((
             i.TAKEN, ticket.q, ticket.rg, ticket.tenant, ticket.cost, ticket.memory, ticket.coord, ticket.key,
-            max(0, ticket.limit - self.now),
+            max(0, ticket.limit - self.now), again,
         ))
 
     def ended(self, submission, ending, elapsed, complete):
@@ -150,10 +151,12 @@
             event = self.book.list_engine(name, state, zone, kind, cell, started, weight)
             if event:
                 self.events.append(event)
-                self.change_lane(name, state, address, event[7])
+                self.change_lane(name, state, address, event[7], self.speaks.get(kind))
 
-    def change_lane(self, name, state, address, started):
+    def change_lane(self, name, state, address, started, speaks=None):
         lane = self.lanes.get(name)
+        if self.accounts is not None:
+            self.accounts.engine_state(name, state)
         if state != i.READY:
             if lane:
                 lane.put(("drain",), always=True)
@@ -161,7 +164,7 @@
             # An address that another engine had before must not be reached over that one's connections.
             if lane:
                 lane.put(("close",), always=True)
-            lane = self.lanes[name] = Lane(name, address, started)
+            lane = self.lanes[name] = Lane(name, address, started, speaks)
             self.exchange.lanes.put(lane, always=True)
         elif started and lane.started != started:
             lane.started = started
@@ -192,7 +195,9 @@
             self.exchange.end(ticket.submission, i.NOT_SENT)
 
     def defer(self, q, stay_away):
-        self.exchange.settle(self.book.queries.names[q], DEFERRED)
+        ticket = self.book.queries.names[q]
+        ticket.away = stay_away  # ahead of the answer, which its session may send at once
+        self.exchange.settle(ticket, DEFERRED)
         self.book.over.add(q)
 
     def kill(self, q):
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -48,6 +48,7 @@
     __slots__ = (
         "id", "rg", "verb", "limit", "tenant", "token", "key", "cost", "memory", "coord", "body", "tag",
         "arrived", "q", "count", "urgency", "submission", "asked_on", "answer", "pages", "ready", "stages",
+        "why", "away", "source",
     )
 
     def __init__(self, arrived, limit, **read):
@@ -55,7 +56,8 @@
             setattr(self, name, value)
         self.arrived, self.limit = arrived, arrived + limit
         self.q, self.count, self.urgency, self.submission, self.asked_on = -1, 0, -1, None, []
-        self.answer, self.pages, self.stages = None, None, {}
+        self.answer, self.pages, self.stages, self.why = None, None, {}, ""
+        self.away, self.source = 0, None
         self.ready = Lock()
         self.ready.acquire()
 
@@ -71,18 +73,64 @@
 
 
 class Lane(Line):
-    """The orders for one engine process, and where it listens."""
+    """The orders for one engine process, and where it listens. speaks: None for the line protocol, else what
+    its connections are made by."""
 
-    def __init__(self, name, address, started):
+    def __init__(self, name, address, started, speaks=None):
         super().__init__(LANE_MOST)
-        self.name, self.address, self.started = name, address, started
+        self.name, self.address, self.started, self.speaks = name, address, started, speaks
+
+
+class Pipe:
+    """A long result on its way from an engine's thread to a client's, in bounded memory: the engine's waits
+    while the client takes nothing, so that its engine is not read from either."""
+
+    def __init__(self, most):
+        self.most, self.size, self.chunks, self.more = most, 0, deque(), Condition(Lock())
+        self.ended, self.broken, self.closed = False, False, False
+
+    def put(self, chunk, size):
+        """False once nobody reads any more."""
+        with self.more:
+            while self.size >= self.most and not self.closed:
+                self.more.wait(1.0)
+            if self.closed:
+                return False
+            self.chunks.append((chunk, size))
+            self.size += size
+            self.more.notify_all()
+        return True
+
+    def end(self, broken):
+        with self.more:
+            self.ended, self.broken = True, broken
+            self.more.notify_all()
+
+    def take(self, seconds):
+        """The next chunk, None at the end, an empty one where none came in time."""
+        with self.more:
+            if not self.chunks and not self.ended:
+                self.more.wait(seconds)
+            if self.chunks:
+                chunk, size = self.chunks.popleft()
+                self.size -= size
+                self.more.notify_all()
+                return chunk
+            return None if self.ended else []
+
+    def close(self):
+        with self.more:
+            self.closed = True
+            self.chunks.clear()
+            self.more.notify_all()
 
 
 class Exchange:
     def __init__(self, clock, counters):
         self.clock, self.counters, self.lock = clock, counters, Lock()
         self.inbox, self.lanes = Line(INBOX_MOST), Line(INBOX_MOST)
-        self.cancels, self.open, self.next_pid = {}, set(), 0
+        self.cancels, self.open, self.next_pid, self.groups = {}, set(), 0, []
+        self.storm = 0  # the number of the retry storm that lasts, 0 for none
 
     # Clients
 
@@ -137,6 +185,17 @@
 
     # Engines
 
+    def begin(self, submission, pipe):
+        """The result is too long to be gathered: from here on it is the client's, and there is no other
+        try."""
+        ticket = submission.ticket
+        with self.lock:
+            if submission.over or ticket.answer is not None:
+                return False
+            ticket.answer, ticket.pages = FINISHED, pipe
+        ticket.ready.release()
+        return True
+
     def end(self, submission, ending, elapsed=None, pages=None):
         """A submission's one ending; a whole result goes to the client if none has gone there."""
         ticket = submission.ticket
--- /dev/null
+++ b/wickvane/net/front.py
@@ -0,0 +1,330 @@
+"""What the sessions of all client protocols share: reading and writing in time, a query's wait, its one
+answer.
+
+A protocol is a subclass: talk() reads its messages and calls query() with a statement's text; the methods
+under "What a protocol says" put answers into its words. It waits on its own socket and its own ticket,
+nothing else.
+"""
+
+import socket
+import time
+from struct import unpack_from
+
+from wickvane.net import exchange as ex
+from wickvane.net.counters import ANSWERS, FORWARD, NOBODY, REVERSE
+from wickvane.net.statement import Unusable
+
+# Who connects is owed a word or a close within three seconds, so all up to the first whole query has less;
+# who has asked once and stays would hold descriptors for good.
+FIRST_S, IDLE_S, MESSAGE_S, WRITE_S = 2.5, 5.0, 2.0, 5.0
+RECV = 8_192  # at a time: a larger buffer is paid by each of many threads
+PEEK_S = 0.5  # how soon a client that vanished while it waits is noticed; each look costs a thread's waking
+FAREWELL_S = 0.25
+STREAM_S = 1.0  # between looks for a client while a long result stands still
+OVERDUE = 300  # past its limit: a query is answered here if the module's own thread is stuck or lost it
+STORM_TEXT = "a retry storm lasts: try again only after the time that a deferral tells, one try at a time"
+LAST_DATA_RECV = 52  # offset in struct tcp_info: milliseconds since data last came
+
+
+class Ended(Exception):
+    """The connection is over, with its reason code and what the client is still told."""
+
+    def __init__(self, reason, last=b"", detail=None):
+        super().__init__(reason)
+        self.reason, self.last, self.detail = reason, last, detail
+
+
+class Front:
+    """One client's connection."""
+
+    idle_s = None  # how long one that asks nothing is kept, where it is not IDLE_S
+
+    def __init__(self, sock, peer, service, full):
+        self.sock, self.peer, self.full = sock, peer, full
+        self.exchange, self.reader, self.clock = service.exchange, service.reader, service.clock
+        self.log, self.counters, self.stopping = service.log, service.counters, service.stopping
+        self.buffer, self.ticket, self.pid, self.queries, self.idle = bytearray(), None, 0, 0, True
+        self.since, self.sent_away, self.first_by = service.clock.now(), False, time.monotonic() + FIRST_S
+        # Octets that came, those of them whose group is known by now, and those that went.
+        self.accounts, self.account = service.accounts, None
+        self.received = self.claimed = self.sent = self.warned = 0
+
+    def run(self):
+        reason, last, detail = "fault", b"", None
+        began = self.clock.now()
+        try:
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.accounts is not None:
+                self.account = self.accounts.client(self.sock)
+            self.talk()
+        except Ended as end:
+            reason, last, detail = end.reason, end.last, end.detail
+        except TimeoutError:
+            reason = "client-slow"
+        except OSError as failure:
+            reason, detail = "client-reset", failure.strerror
+        except Exception as failure:  # no thread dies unseen, and no trace of ours reaches a client
+            detail = f"{type(failure).__name__}: {failure}"
+            last = self.internal_error()
+        if self.ticket:
+            self.leave()
+        if self.pid:
+            self.exchange.drop_key(self.pid)
+        if last:
+            self.farewell(last)
+        self.sock.close()
+        if self.account is not None:
+            self.buffer.clear()
+            self.claim(NOBODY)
+            self.accounts.closed(self.account, self.clock.now(), reason == "stop")
+        self.counters.add_octets("client", self.received, self.sent)
+        self.counters.add(f"client-connections-ended-{reason}")
+        self.log.line("client-connection-ended", peer=self.peer, reason=reason, detail=detail,
+                      queries=self.queries, lived=(self.clock.now() - began) / 10_000)
+
+    def farewell(self, last):
+        try:
+            self.sock.settimeout(1.0)
+            self.put(last)
+            self.sock.shutdown(socket.SHUT_WR)
+            # Input left unread would turn the close into a reset, which can overtake the last message.
+            self.sock.settimeout(FAREWELL_S)
+            for _ in range(16):
+                data = self.sock.recv(65_536)
+                if not data:
+                    break
+                self.received += len(data)
+        except OSError:
+            pass
+
+    def rank(self, fresh):
+        """The lower, the sooner it makes room in a full house: who has asked nothing goes first, who came
+        since `fresh` may be about to ask and goes last."""
+        return 1 if self.queries else 2 * (self.since > fresh)
+
+    def send_away(self):
+        self.sent_away = True
+        self.close()
+
+    def close(self):
+        """From another thread: ends a session that has no query open."""
+        if self.idle:
+            try:
+                self.sock.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+
+    def put(self, data, key=NOBODY, messages=1, what=0):
+        """All of it within the socket's time-out; what the machine took of it is counted to the octet."""
+        sent, until = 0, None
+        try:
+            while True:
+                sent += self.sock.send(data[sent:] if sent else data)
+                if sent == len(data):
+                    return
+                if until is None:
+                    until = time.monotonic() + self.sock.gettimeout()
+                self.sock.settimeout(max(0.001, until - time.monotonic()))
+        finally:
+            self.sent += sent
+            if self.account is not None and sent:
+                self.accounts.count(self.account, key, self.clock.now(), REVERSE, sent, messages,
+                                    what if sent == len(data) else 0)
+
+    def claim(self, key):
+        """What was read up to here and is nobody's yet belongs to this resource group and tenant."""
+        more = self.received - len(self.buffer) - self.claimed
+        if more and self.account is not None:
+            self.claimed += more
+            self.accounts.count(self.account, key, self.clock.now(), FORWARD, more, 1)
+
+    # Reading
+
+    def want(self, n, until):
+        if not self.queries:
+            until = min(until, self.first_by)
+        while len(self.buffer) < n:
+            self.sock.settimeout(max(0.001, until - time.monotonic()))
+            data = self.sock.recv(RECV)
+            if not data:
+                raise Ended("made-room" if self.sent_away else
+                            "client-closed-midway" if self.buffer else "client-closed")
+            self.received += len(data)
+            self.buffer += self.plain(data)
+            if len(self.buffer) < n and time.monotonic() > until:
+                raise TimeoutError
+
+    def cut(self, n):
+        data = bytes(self.buffer[:n])
+        del self.buffer[:n]
+        return data
+
+    def await_first(self, stop):
+        """The first byte of a next message; `stop` is what the client is told where the dispatcher ends."""
+        if self.stopping.is_set():
+            raise stop
+        self.since = self.clock.now()
+        try:
+            self.want(1, time.monotonic() + (self.idle_s or IDLE_S))
+        except TimeoutError:
+            raise Ended("idle") from None
+        except Ended as end:
+            raise (stop if self.stopping.is_set() else end) from None
+        self.sent_away = False  # it asked just as it was to go
+
+    # Queries
+
+    def ask(self, text, arrived, **marks):
+        """A statement's one answer, from its text to the last byte of it. marks: what a protocol has other
+        places for than the comment ahead of the statement."""
+        try:
+            self.queries += 1
+            ticket = ex.Ticket(arrived, **self.reader.read(text, **marks))
+            ticket.source = self.peer
+            self.claim((ticket.rg, ticket.tenant))
+            self.ticket = ticket
+            try:
+                self.exchange.take(ticket)
+            except ex.NotTaken as refused:
+                self.ticket = None
+                raise Unusable(refused.sqlstate, refused.text) from None
+        except Unusable as unusable:
+            self.counters.add("statements-unusable")
+            self.log.line("statement-unusable", peer=self.peer, sqlstate=unusable.sqlstate, why=unusable.text)
+            self.sock.settimeout(WRITE_S)
+            self.put(self.unusable(unusable))
+            return
+        self.wait(ticket)
+        self.answer(ticket)
+
+    def arrived(self):
+        """When the last byte came, by the machine's own account: this thread may have woken long after."""
+        now = self.clock.now()
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV + 4)
+            return now - 10 * min(60_000, unpack_from("I", info, LAST_DATA_RECV)[0])
+        except (OSError, ValueError):
+            return now
+
+    def wait(self, ticket):
+        due = ticket.limit + OVERDUE
+        while not ticket.ready.acquire(timeout=max(0.001, min(PEEK_S, (due - self.clock.now()) / 10_000))):
+            if self.vanished():
+                self.exchange.leave(ticket)
+            elif self.clock.now() >= due:
+                self.counters.add("overdue")
+                self.exchange.leave(ticket, ex.KILLED)
+
+    def answer(self, ticket):
+        kind, storm = ticket.answer, self.exchange.storm
+        if storm and storm != self.warned:
+            # Once a storm and connection, and with an answer: nobody reads before one.
+            self.warned = storm
+            self.warn()
+            self.counters.add("storm-notices")
+        if isinstance(ticket.pages, ex.Pipe):
+            self.stream(ticket, ticket.pages)
+            return
+        try:
+            kind, data, messages = self.answered(ticket, kind)
+        finally:
+            ticket.pages = None
+        try:
+            self.sock.settimeout(WRITE_S)
+            self.put(data, (ticket.rg, ticket.tenant), messages, ANSWERS[kind])
+        except OSError:
+            kind = ex.LEFT
+            self.count_left(ticket)
+            raise
+        finally:
+            self.ticket = None
+            self.done(ticket, kind, len(data))
+
+    def stream(self, ticket, pipe):
+        """A long result as it comes; where it breaks off, the client is told so, and that is its final
+        answer."""
+        kind, size, key, form = ex.KILLED, 0, (ticket.rg, ticket.tenant), self.streaming(ticket)
+        self.sock.settimeout(WRITE_S)
+        try:
+            while (chunk := pipe.take(STREAM_S)) is not None:
+                if chunk:
+                    data = form.more(chunk)
+                    size += len(data)
+                    if data:
+                        self.sock.settimeout(WRITE_S)
+                        self.put(data, key, len(chunk))
+                elif self.vanished():
+                    raise Ended("client-closed")
+            self.sock.settimeout(WRITE_S)
+            if not pipe.broken:
+                kind = ex.FINISHED
+            self.put(form.broken() if pipe.broken else form.end(), key, 1, ANSWERS[kind])
+        except (OSError, Ended, ValueError):
+            kind = ex.LEFT
+            self.count_left(ticket)
+            raise
+        finally:
+            pipe.close()
+            ticket.pages, self.ticket = None, None
+            self.done(ticket, kind, size)
+
+    def leave(self):
+        ticket, self.ticket = self.ticket, None
+        self.exchange.leave(ticket)
+        self.count_left(ticket)
+        self.done(ticket, ex.LEFT, 0)
+
+    def count_left(self, ticket):
+        if self.account is not None:
+            self.accounts.count(self.account, (ticket.rg, ticket.tenant), self.clock.now(), REVERSE, 0, 0,
+                                ANSWERS[ex.LEFT])
+
+    @staticmethod
+    def advice(ticket):
+        """How long a client whose query is deferred is told to stay away, in milliseconds; 0: not told."""
+        return -(-ticket.away // 10)
+
+    def done(self, ticket, kind, size):
+        self.counters.add(kind)
+        if kind == ex.DEFERRED and ticket.away:
+            self.counters.add("advised")
+            self.counters.add("advised-ms", self.advice(ticket))
+        self.counters.add("bytes-answered", size)
+        now, begin, last = self.clock.now(), ticket.arrived, ticket.submission
+        self.log.line(
+            "query", txn=ticket.id, rg=ticket.verb, answer=kind, submissions=ticket.count,
+            engine=last.lane.name if last and last.lane else None, coord=ticket.coord,
+            cost=ticket.cost / 10, took=(now - begin) / 10, limit=(ticket.limit - begin) / 10,
+            **{stage: (at - begin) / 10 for stage, at in ticket.stages.items()},
+        )
+
+    # What a protocol says
+
+    def talk(self):
+        raise NotImplementedError
+
+    def internal_error(self):
+        raise NotImplementedError
+
+    def unusable(self, unusable):
+        raise NotImplementedError
+
+    def streaming(self, ticket):
+        """What makes bytes of a long result's tokens: more(tokens), end(), broken()."""
+        raise NotImplementedError
+
+    def plain(self, data):
+        """What was read from the socket, less what encryption there is."""
+        return data
+
+    def answered(self, ticket, kind):
+        """(final answer, its bytes, its messages): a result that cannot be put into words is killed."""
+        raise NotImplementedError
+
+    def warn(self):
+        """Puts a notice that a retry storm lasts ahead of the next answer."""
+        raise NotImplementedError
+
+    def vanished(self):
+        """Whether the client has gone, or wants no answer any more, while its query is out."""
+        raise NotImplementedError
--- /dev/null
+++ b/wickvane/net/lines/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's line protocol, as its engines speak it."""
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -2,20 +2,25 @@
 
 import socket
 import time
+from collections import deque
 from threading import Lock, Thread
 
-from wickvane.net.session import Session, error
-
 BACKLOG = 256
 SPARE = 16  # connections past the most: to be told so, and for cancels, which matter most then
 ROOM_TRIES, ROOM_S, FRESH = 10, 0.005, 2_500
+LINGER = 32  # of those that are not let in, kept open a while: a close ahead of what they send is a reset
+PEEK = 8
 
 
 class Listener:
-    def __init__(self, address, service, most):
-        self.sock = socket.create_server(address, backlog=BACKLOG)
-        self.service, self.most = service, most
+    def __init__(self, address, service, most, session, gate=None):
+        """session: the class of its sessions, which is the protocol that is spoken here. gate: lets new
+        connections in at a pace; None: whoever comes, while there is room."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.sock = socket.create_server(address, family=family, backlog=BACKLOG)
+        self.service, self.most, self.session = service, most, session
         self.lock, self.sessions, self.closed = Lock(), set(), False
+        self.gate, self.lingering = gate, deque()
 
     def run(self):
         while not self.closed:
@@ -30,11 +35,14 @@
                 continue
             self.service.counters.add("client-connections")
             peer = f"{peer[0]}:{peer[1]}"
+            if self.gate is not None and not self.gate.lets_in(self.is_urgent, sock):
+                self.turn_away(sock, peer)
+                continue
             full = self.make_room()
             if full is None:
                 self.refuse(sock, peer)
                 continue
-            session = Session(sock, peer, self.service, full)
+            session = self.session(sock, peer, self.service, full)
             with self.lock:
                 self.sessions.add(session)
             try:
@@ -61,18 +69,38 @@
                         idle.append(session)
             if idle and held - leaving >= self.most:
                 since = self.service.clock.now() - FRESH
-                min(idle, key=lambda session: (
-                    1 if session.queries else 2 * (session.since > since), session.since)).send_away()
+                min(idle, key=lambda session: (session.rank(since), session.since)).send_away()
                 leaving += 1
             if held < self.most + SPARE:
                 return held - leaving >= self.most
             time.sleep(ROOM_S)  # their threads are about to let go
         return None
 
+    def is_urgent(self, sock):
+        try:
+            return self.session.is_urgent(sock.recv(PEEK, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def turn_away(self, sock, peer):
+        """One that comes faster than the core bears: told so, with a time, and that is all it costs."""
+        away = self.gate.stay_away()
+        try:
+            sock.settimeout(0)
+            sock.sendall(self.session.too_fast(away))
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        self.lingering.append(sock)
+        if len(self.lingering) > LINGER:
+            self.lingering.popleft().close()
+        self.service.counters.add("client-connections-ended-too-fast")
+        self.gate.told(peer, away)
+
     def refuse(self, sock, peer):
         try:
             sock.settimeout(0)
-            sock.sendall(error("53300", "too many clients", b"FATAL"))
+            sock.sendall(self.session.TOO_MANY)
         except OSError:
             pass
         sock.close()
--- /dev/null
+++ b/wickvane/net/postgres/__init__.py
@@ -0,0 +1,1 @@
+"""PostgreSQL 3.0, as its clients speak it."""
--- a/wickvane/net/rows.py
+++ b/wickvane/net/postgres/rows.py
@@ -1,8 +1,8 @@
-"""An engine's pages, and the rows that a PostgreSQL client gets of them."""
+"""The rows that a PostgreSQL client gets of an engine's pages."""
 
 from struct import pack
 
-PAGE_MOST, RESULT_MOST, PAGES_MOST, COLUMNS = 6_000, 48_000, 64, 3
+from wickvane.net.lines.pages import COLUMNS, PAGE_MOST
 
 LENGTHS = [pack("!I", n) for n in range(PAGE_MOST + 17)]  # packing them anew is a third of a result's cost
 
@@ -12,14 +12,8 @@
 ROW_DESCRIPTION = b"T" + pack("!IH", 6 + len(DESCRIPTION), COLUMNS) + DESCRIPTION
 
 
-def is_page(body):
-    """Whole rows of three columns, by count; row by row it is seen when the rows are made."""
-    return (len(body) <= PAGE_MOST and (not body or body.endswith(b"\n"))
-            and body.count(b"\t") == (COLUMNS - 1) * body.count(b"\n"))
-
-
 def result(pages, tag):
-    """All messages of a result but ReadyForQuery; ValueError where a row has not three columns."""
+    """(bytes, count) of all messages but ReadyForQuery; ValueError where a row has not three columns."""
     parts, count = [ROW_DESCRIPTION], 0
     add, lengths = parts.append, LENGTHS
     for page in pages:
@@ -32,4 +26,4 @@
             count += 1
     done = b"%b %d\0" % (tag, count)
     parts.append(b"C" + pack("!I", 4 + len(done)) + done)
-    return b"".join(parts)
+    return b"".join(parts), count + 2
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -18,9 +18,10 @@
 from wickvane.net.counters import Counters
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Exchange
-from wickvane.net.link import Links
+from wickvane.net.lines.connection import Links
 from wickvane.net.listener import SPARE, Listener
 from wickvane.net.log import Log
+from wickvane.net.postgres.session import Session
 from wickvane.net.statement import Reader
 
 STACK = 128 * 1024
@@ -55,11 +56,11 @@
     return found
 
 
-def understood(found):
+def understood(found, fronts=()):
     """The parts of a configuration in the form that is worked with; Unstartable where one cannot be used."""
     try:
         settings, limits = found["settings"], found.get("limits") or {}
-        return (Book(settings), settings["limits"], address_of(found["listen"]),
+        return (Book(settings, fronts), settings["limits"], address_of(found["listen"]),
                 int(limits.get("sockets") or 1024), address_of(found["coordinator"]),
                 read_known(found.get("known") or {}))
     except Malformed as error:
@@ -86,22 +87,59 @@
 
 
 class Service:
-    def __init__(self, found, log_to=1):
+    def __init__(self, found, log_to=1, parts=None):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
         self.log = Log(log_to, self.clock)
-        self.book, limits, self.address, sockets, coordinator, known = understood(found)
+        parts = parts or {}
+        self.tds_part, fronts, speaks = parts.get("tds"), (), None
+        if self.tds_part:
+            from wickvane.net.tds import fronts as tds
+
+            fronts, speaks = tds.fronts(self.tds_part, found), tds.speaks(self.tds_part)
+        self.book, limits, self.address, sockets, coordinator, known = understood(found, fronts)
         self.name, seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
         self.reader = Reader(self.book)
         self.exchange = Exchange(self.clock, self.counters)
+        self.exchange.groups = self.book.deployment.groups
+        self.flows = self.export(parts.get("flows"), seed)
+        self.accounts = self.flows and self.flows.accounts
         try:
-            self.decider = Decider(self.exchange, self.book, seed, self.clock, self.log, self.counters)
+            self.storms, made, self.gate = parts.get("storms"), Decider, None
+            if self.storms:
+                from wickvane.net.storms import Watching as made
+            self.decider = made(self.exchange, self.book, seed, self.clock, self.log, self.counters,
+                                self.accounts, speaks)
+            if self.storms:
+                self.gate = self.decider.watch(self.storms, found.get("limits") or {}, seed)
             # One third for engines; what is left, less a few for the rest, for clients, who are promised one.
             self.links = Links(self.exchange, limits, max(8, sockets // 3), self.clock, self.log,
-                               self.counters)
+                               self.counters, self.accounts)
         except (TypeError, ValueError, AttributeError) as error:
             raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
-        self.coordinator = Coordinator(coordinator, known, self.exchange, seed, self.log, self.counters)
+        self.coordinator = Coordinator(coordinator, known, self.listed, seed, self.log, self.counters)
         self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
+        self.listeners, self.tds = [], None
+        if self.tds_part:
+            self.tds = tds.door(self.tds_part)
+            self.links.attention_time = self.tds_part.acknowledge
+            if self.tds_part.listen:
+                # Of the descriptors that clients may hold, some are these clients'.
+                self.most_clients = max(8, self.most_clients - self.tds_part.connections - SPARE)
+
+    def listed(self, number, whole, entries):
+        self.exchange.inbox.put(("listed", whole, entries), always=True)
+
+    def export(self, part, seed):
+        """The exporter of flows, where the parts document has it; nothing of it is imported otherwise."""
+        if part is None:
+            return None
+        from wickvane.flows.export import Exporter, Unusable
+
+        try:
+            return Exporter(part, self.clock, self.log, self.counters, self.book.group_names,
+                            self.book.tenants.index, seed)
+        except Unusable as error:
+            raise Unstartable(f"the parts document: {error}", 2) from None
 
     def start(self):
         one_arena()
@@ -112,18 +150,28 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*COLLECT)
-        try:
-            self.listener = Listener(self.address, self, self.most_clients)
-        except OSError as error:
-            place = f"{self.address[0]}:{self.address[1]}"
-            raise Unstartable(f"cannot listen on {place}: {error.strerror}", 1) from None
+        self.listen(self.address, self.most_clients, Session)
+        if self.tds and self.tds_part.listen:
+            from wickvane.net.tds.fronts import session
+
+            self.listen(self.tds_part.listen, self.tds_part.connections, session(self))
         self.writer = self.thread(self.log.run, "log")
         self.thread(self.decider.run, "decider")
         self.thread(self.links.run, "links")
         self.follower = self.thread(self.coordinator.run, "coordinator")
-        self.thread(self.listener.run, "listener")
+        for listener in self.listeners:
+            self.thread(listener.run, "listener")
+        if self.flows:
+            self.flows.start()
         self.log.line("ready", name=self.name, listen=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
 
+    def listen(self, address, most, session):
+        try:
+            self.listeners.append(Listener(address, self, most, session, self.gate))
+        except OSError as error:
+            place = f"{address[0]}:{address[1]}"
+            raise Unstartable(f"cannot listen on {place}: {error.strerror}", 1) from None
+
     def thread(self, work, name):
         """One of those that nothing works without: its death ends the program, and is seen."""
         def guarded():
@@ -148,7 +196,7 @@
         error = f"{hook.exc_type.__name__}: {hook.exc_value}"
         self.log.line("fault", error=error, where=f"{at.name}:{at.lineno}")
 
-    def run(self, path=None):
+    def run(self, path=None, parts_path=None):
         # Before any thread starts, so that each inherits it and only this one is told.
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         self.start()
@@ -156,7 +204,7 @@
         while True:
             got = signal.sigtimedwait(SIGNALS, RELOAD_S) if again else signal.sigwaitinfo(SIGNALS)
             if got is None or got.si_signo == signal.SIGHUP:
-                again = 0 if self.reload(path) else (again or RELOADS) - 1
+                again = 0 if self.reload(path, parts_path) else (again or RELOADS) - 1
             elif got.si_signo == signal.SIGUSR1:
                 self.show_counters("asked")
             else:
@@ -164,16 +212,37 @@
         self.stop()
         return 0
 
-    def reload(self, path):
-        """Takes in what may change while queries are open: the coordinator, and what is known of its list."""
+    def reload(self, path, parts_path=None):
+        """Takes in what may change while queries are open: the coordinator, what is known of its list, and
+        the parts document. All is read and checked before any of it acts."""
+        flows = tds = None
         try:
             found = configuration(path)
             *_, coordinator, (_, events) = understood(found)
             kept = [part for part, mark in fixed(found).items() if mark != self.fixed[part]]
+            if parts_path:
+                from wickvane import parts
+
+                document = parts.read(parts_path)
+                flows = document.get("flows")
+                if self.tds_part or document.get("tds"):
+                    from wickvane.net.tds import fronts as tds
+
+                    context = tds.prepare(self.tds_part, document.get("tds"))
+                if (flows is None) != (self.flows is None):
+                    raise parts.Unusable(f"{parts_path}: flows: turning it on or off needs a restart")
+                if document.get("storms") != self.storms:
+                    raise parts.Unusable(f"{parts_path}: storms: a change of it needs a restart")
+                secure = self.flows.prepare(flows) if flows else None
         except Exception as error:  # whatever is wrong with it: the one at work stays
             self.counters.add("configurations-unusable")
             self.log.line("configuration-unusable", why=str(error))
             return False
+        if flows:
+            self.flows.change(flows, secure)
+        if tds:
+            self.tds_part = document["tds"]
+            self.tds.change(self.tds_part, self.tds_part.users, context)
         self.coordinator.move(coordinator, events)
         self.counters.add("configurations-taken")
         self.log.line("configuration-taken", coordinator=f"{coordinator[0]}:{coordinator[1]}",
@@ -186,7 +255,7 @@
                       if line.startswith((b"VmHWM", b"VmRSS", b"Threads"))}
         self.log.line("counters", why=why, descriptors=len(os.listdir("/proc/self/fd")) - 1, **memory,
                       cpu_s=time.process_time(), longest_round_ms=self.decider.longest / 10,
-                      **self.counters.shown())
+                      **({"flows": self.accounts.shown()} if self.flows else {}), **self.counters.shown())
 
     def stop(self):
         began = time.monotonic()
@@ -195,14 +264,18 @@
         self.exchange.inbox.put(("stop", left), always=True)
         self.log.line("stopping")
         time.sleep(COMING_S)
-        self.listener.close()
+        for listener in self.listeners:
+            listener.close()
         self.stopping.set()
         # A client that does not read its answer is not waited for into the kill.
-        while self.listener.close_idle() and time.monotonic() < began + left / 10_000 - 0.05:
+        by = began + left / 10_000 - 0.05
+        while sum(listener.close_idle() for listener in self.listeners) and time.monotonic() < by:
             time.sleep(0.02)
         self.links.stop()
         self.coordinator.stop()
         self.follower.join(0.1)
+        if self.flows:
+            self.flows.stop()
         self.show_counters("exit")
         self.log.line("stopped", took=time.monotonic() - began)
         self.log.close()
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -191,15 +191,18 @@
 class Reader:
     """Reads statements against the groups and tenants that the settings name."""
 
-    def __init__(self, book):
+    def __init__(self, book, front=0):
+        """front: which of the book's; its resource groups are told apart from those of others."""
         self.groups, self.tenants = book.groups.index, book.tenants.index
+        self.first = front * len(self.groups)
         self.of, self.encoded = book.deployment.groups, {name: name.encode() for name in book.groups.index}
 
-    def read(self, text):
+    def read(self, text, defaults=None):
+        """A ticket's fields; `defaults` stand in for the comment where there is none."""
         inside, body = split(text)
-        if inside is None:
+        if inside is None and defaults is None:
             raise Unusable("42601", "the statement has no comment with fields ahead of it")
-        found = fields(inside)
+        found = fields(inside) if inside is not None else defaults
         rg = self.groups.get(found.get("verb"))
         if rg is None:
             raise Unusable("22023", "verb names no resource group")
@@ -224,7 +227,7 @@
         start = FIRST_WORD.match(body)
         first = start[1].lower() if start else next((w for kind, w in words(body) if kind == "word"), b"")
         return {
-            "id": txn.encode(), "rg": rg, "verb": self.encoded[found["verb"]], "limit": limit,
+            "id": txn.encode(), "rg": self.first + rg, "verb": self.encoded[found["verb"]], "limit": limit,
             "tenant": tenant, "token": token.encode() if token else None,
             "key": int.from_bytes(key.encode(), "big") if key and self.of[rg].ordered else None,
             "cost": tenths(number(found, "cpu", 1e9)), "memory": number(found, "memory", 1e9),
--- /dev/null
+++ b/wickvane/net/storms.py
@@ -0,0 +1,137 @@
+"""The node `storms` of the parts document: the decider that watches for storms, and the gate that lets new
+connections in at a pace; without it nothing of this is imported."""
+
+import time
+from collections import OrderedDict
+from threading import Lock
+from typing import NamedTuple
+
+from wickvane import interface as i
+from wickvane import parts
+from wickvane.net.decider import Decider
+from wickvane.pace import Pace
+from wickvane.storm import STORM, Storm, mark_of
+
+TOLD_MOST = 20_000
+LOOK = 2_500  # an alarm of its own, so that a pace is looked at also while nothing comes to be decided on
+LINES_A_STEP = 8  # of those turned away: a flood of them must not become a flood of log lines
+
+
+class Part(NamedTuple):
+    remember: int | None  # None: as long as the settings' longest time-out and advice together
+    connections: bool = True  # whether new connections are let in at a pace while the core strains
+
+
+def read(node):
+    return Part(node.value("remember", parts.duration("1s", "10m")),
+                node.value("pace-connections", parts.flag, True))
+
+
+class Gate:
+    """The pace, for the listeners' threads and the decider's."""
+
+    def __init__(self, pace, clock, log, storm):
+        self.pace, self.clock, self.log, self.storm, self.lock = pace, clock, log, storm, Lock()
+        self.lines = 0
+
+    def felt(self, now, lag):
+        with self.lock:
+            turns, more, self.lines = self.pace.felt(now, lag, time.process_time()), self.lines, 0
+        if more > LINES_A_STEP:
+            self.log.line("client-connection-ended", reason="too-fast", count=more - LINES_A_STEP)
+        return turns
+
+    def lets_in(self, is_urgent, sock):
+        with self.lock:
+            urgent = self.pace.rate is not None and is_urgent(sock)
+            found = self.pace.lets_in(self.clock.now(), urgent)
+        self.storm.connected(self.clock.now())
+        return found
+
+    def stay_away(self):
+        """Milliseconds."""
+        with self.lock:
+            return -(-self.pace.stay_away(self.clock.now()) // 10)
+
+    def told(self, peer, away):
+        self.lines += 1
+        if self.lines <= LINES_A_STEP:
+            self.log.line("client-connection-ended", peer=peer, reason="too-fast", queries=0, stay_away=away)
+
+
+class Watching(Decider):
+    """What it decides is the plain decider's; what came and went is counted beside it."""
+
+    gate = None
+
+    def watch(self, part, limits, seed):
+        site = self.book.deployment
+        remember = part.remember or site.longest_advice + max((g.timeout for g in site.groups), default=0)
+        now = self.clock.now()
+        self.storm = Storm(now, site.extra_share, remember)
+        self.told = OrderedDict()  # mark: until when its client was told to stay away
+        if part.connections:
+            promise = min((g.promise for g in site.groups), default=15_000)
+            pace = Pace(now, promise, float(limits.get("cores") or 1.0), site.longest_advice, seed)
+            self.gate = Gate(pace, self.clock, self.log, self.storm)
+            self.alarm(0, now + LOOK)
+            self.look_at, self.slowest = now + LOOK, 0
+        return self.gate
+
+    def round(self, items):
+        super().round(items)
+        for event, fields in self.storm.look(self.now):
+            self.log.line(f"storm-{event}", **fields)
+            self.counters.add(f"storm-{event}-{fields['kind']}")
+            if fields["kind"] == STORM and event == "begins":
+                self.exchange.storm = self.storm.count[STORM]
+        if self.storm.state != STORM:
+            self.exchange.storm = 0
+        if self.gate is None:
+            return
+        self.slowest = max(self.slowest, self.lag)
+        if self.now >= self.look_at:
+            turns, self.slowest = self.gate.felt(self.now, self.slowest), 0
+            for event, fields in turns:
+                self.log.line(f"connections-paced-{event}", **fields)
+                self.counters.add(f"connections-paced-{event}")
+            self.look_at = self.now + LOOK
+            self.alarm(0, self.look_at)
+
+    def mark(self, ticket):
+        return mark_of(ticket.tenant, ticket.token, ticket.key, ticket.body)
+
+    def taken(self, ticket, again=False):
+        mark = self.mark(ticket)
+        again = self.storm.taken(self.now, mark, ticket.source, ticket.cost)
+        super().taken(ticket, again)
+        if again:
+            self.counters.add("repeats")
+            until = self.told.pop(mark, None)
+            if until is not None:
+                self.counters.add("advice-heeded" if self.now >= until else "advice-ignored")
+
+    def ended(self, submission, ending, elapsed, complete):
+        super().ended(submission, ending, elapsed, complete)
+        if ending == i.FINISHED:
+            ticket = submission.ticket
+            group = self.book.deployment.groups[ticket.rg]
+            target = ticket.arrived + group.promise + group.stretch * ticket.cost / group.threads
+            work = submission.work or elapsed * group.threads
+            self.storm.finished(self.now, self.now > target, work)
+            if ticket.cost:
+                self.storm.engine(self.now, submission.lane.name, elapsed, ticket.cost / group.threads)
+
+    def defer(self, q, stay_away):
+        ticket = self.book.queries.names[q]
+        mark = self.mark(ticket)
+        self.storm.deferred(self.now, mark)
+        if stay_away:
+            self.told[mark] = self.now + stay_away
+            if len(self.told) > TOLD_MOST:
+                self.told.popitem(last=False)
+        super().defer(q, stay_away)
+
+    def close(self, name):
+        super().close(name)
+        self.storm.gone(name)
--- /dev/null
+++ b/wickvane/net/tds/connection.py
@@ -0,0 +1,275 @@
+"""One connection to an engine that speaks TDS: a login, then a query at a time, given up by attention.
+
+It stands where a connection of the line protocol does: the link's keeper hands in orders, a thread of its own
+dials, logs in and reads, and each submission gets its one ending. What proves that nothing ran:
+
+    refused, not up in time, login refused, routed elsewhere    no connection   proven
+    given up or lost before the first packet left               not sent        proven
+    lost while the last byte of the batch had not left us       no connection   proven: only whole ones run
+    ERROR of a number in errors.TURNED_AWAY                     turned away     proven
+    any other ERROR, whatever its severity                      error           no
+    reset, closed, malformed, no end, once all of it has left   reset           no
+    attention acknowledged                                      cancelled       no
+"""
+
+import re
+
+from wickvane import interface as i
+from wickvane.net.exchange import Pipe
+from wickvane.net.lines import connection as lines
+from wickvane.net.tds import errors, packets, statements
+from wickvane.net.tds import login as lg
+from wickvane.net.tds import tokens as t
+from wickvane.net.tds.results import Tokens
+
+RESULT_MOST = 48_000  # octets gathered whole; what is longer streams
+PIPE_MOST = 256 << 10
+LOGIN_TOKENS_MOST, RECV, DONE_SIZE = 64, 32_768, 13
+RECEIVED = frozenset((packets.RESULT, packets.PRELOGIN))
+MESSAGE_MOST = 1 << 62  # a result has no bound of its own: each packet is taken out of it as it comes
+WORK = re.compile(r"work=(\d{1,9}(?:\.\d{1,6})?) memory=(\d{1,9}(?:\.\d{1,6})?)\Z")
+
+
+class Connection(lines.Connection):
+    RUNS_WHOLE = True  # [MS-TDS] 2.2.1.3: a batch is whole with the packet that has the end-of-message bit
+
+    def __init__(self, link):
+        super().__init__(link)
+        self.engines = link.lane.speaks
+        self.size, self.stream, self.assembler = packets.SIZE, None, packets.Assembler(MESSAGE_MOST, RECEIVED)
+        # busy: a batch is out whose end has not come; attending: when its attention must be acknowledged.
+        self.busy, self.attending, self.submission = False, 0, None
+        self.result, self.gathered, self.pipe, self.error = Tokens(), 0, None, None
+
+    def takes(self, sub, now):
+        with self.lock:
+            return (not self.dead and not self.retired and not self.open and not self.busy
+                    and now - self.used < self.link.idle_time)
+
+    # Orders
+
+    def ask(self, sub):
+        fields, ticket = self.fields(sub), sub.ticket
+        if not fields:
+            return None
+        text = (b"/* id=%b,%b */ %b" % (ticket.id, fields, ticket.body)).decode("utf-8", "replace")
+        self.busy, self.submission, self.attending = True, sub, 0
+        self.result, self.gathered, self.pipe, self.error = Tokens(), 0, None, None
+        self.stream = t.Stream()
+        # What the last query left in the session (temporary tables, options) is no matter of this one.
+        status = packets.RESET if self.asked else 0
+        return packets.frame(packets.BATCH, statements.batch(text), self.size, 0, status)
+
+    def attention(self, sub, ending):
+        if not self.busy or self.submission is not sub or self.attending:
+            return None
+        self.attending = self.link.clock.now() + self.link.links.attention_time
+        return packets.frame(packets.ATTENTION, b"")
+
+    def terms(self, sub):
+        return None  # priorities are not said in TDS once a batch is out
+
+    FORMS = {"ask": ask, "attention": attention, "terms": terms}
+
+    def call_off(self, sub, ending, at_once):
+        """A batch that is out is given up by attention; its ending is the acknowledgement's, or the
+        connection's, since until then its threads are at work. Only at the client's own limit is it told at
+        once. A stream is its client's."""
+        if self.pipe is not None:
+            return
+        self.put("attention", sub, ending)
+        if at_once:
+            self.drop(sub, ending)
+
+    def drop(self, sub, ending, pages=None):
+        with self.lock:
+            if self.open.get(sub.ticket.id) is not sub:
+                return
+            del self.open[sub.ticket.id]
+            self.used = self.link.clock.now()
+        self.link.exchange.end(sub, ending, sub.told - sub.at if sub.told else None, pages)
+
+    def overdue(self, now):
+        if self.attending and now > self.attending and self.busy:
+            return "attention-unanswered"
+        return None
+
+    # The start
+
+    def work(self):
+        try:
+            self.talk()
+        except packets.Malformed as error:
+            raise lines.Malformed(str(error)) from None
+
+    def talk(self):
+        sock = self.dial()
+        with self.lock:
+            self.sock = sock  # so that a connection that is ended meanwhile is closed under its login
+        refused = self.log_in(sock)
+        if refused:
+            self.fail("login-refused", refused)
+        else:
+            self.come_up(sock)
+
+    def exchange_of(self, sock, message):
+        """A message of the start and its answer's body."""
+        sock.sendall(message)
+        self.count_sent(lines.NOBODY, len(message), 1)
+        self.assembler.most = 65_536
+        while (found := self.assembler.message()) is None:
+            data = sock.recv(RECV)
+            if not data:
+                raise ConnectionResetError("closed at the login")
+            self.received += len(data)
+            self.assembler.feed(data)
+        return found[2]
+
+    def log_in(self, sock):
+        """Why the engine does not take us, or None."""
+        encryption = bytes((lg.ENCRYPT_NOT_SUPPORTED,))
+        answer = lg.read_prelogin(self.exchange_of(sock, packets.frame(packets.PRELOGIN, lg.prelogin({
+            lg.VERSION: bytes(6), lg.ENCRYPTION: encryption, lg.INSTANCE: b"\0", lg.THREAD: bytes(4),
+            lg.MARS: b"\0"}))))
+        if lg.encryption(answer) in (lg.ENCRYPT_ON, lg.ENCRYPT_REQUIRED):
+            return "it takes encrypted logins only"
+        engines = self.engines
+        body = self.exchange_of(sock, packets.frame(packets.LOGIN, lg.login(
+            engines.user, engines.password, "wickvane", engines.database)))
+        welcome, why = False, "no login was acknowledged"
+        for count, (token, _, said) in enumerate(t.Stream().feed(body)):
+            if token == t.LOGINACK:
+                welcome = True
+            elif token == t.ERROR:
+                welcome, why = False, f"{said[0]}: {said[3]}"
+                break
+            elif token == t.ENVCHANGE and said[0] == t.ROUTING:
+                return "it routes elsewhere"
+            elif token == t.ENVCHANGE and said[0] == t.PACKET_SIZE and said[1]:
+                size = said[1][1:1 + 2 * said[1][0]].decode("utf-16-le", "replace")
+                if size.isdigit() and packets.SIZE_LEAST <= int(size) <= packets.SIZE_MOST:
+                    self.size = int(size)
+            if count > LOGIN_TOKENS_MOST:
+                raise packets.Malformed("a login's answer is too long")
+        return None if welcome else why
+
+    # Reading
+
+    def read(self):
+        stalls = 0
+        while not self.dead:
+            try:
+                data = self.sock.recv(RECV)
+            except BlockingIOError:
+                # Silence is judged by the module; half a packet or token is an answer that stopped.
+                half = self.assembler.buffer or self.stream and self.stream.midway()
+                stalls = stalls + 1 if half else 0
+                if stalls >= lines.STALLS:
+                    raise packets.Malformed("an answer stopped midway") from None
+                continue
+            if not data:
+                return self.fail("peer-closed")
+            stalls = 0
+            self.received += len(data)
+            sub = self.submission
+            self.claim((sub.ticket.rg, sub.ticket.tenant) if sub else lines.NOBODY, len(data))
+            self.assembler.feed(data)
+            while (found := self.assembler.packet()) is not None:
+                kind, status, body = found
+                if kind != packets.RESULT or self.stream is None or not self.busy:
+                    raise packets.Malformed("an answer to nothing")
+                if self.attending and (self.pipe is not None or self.gathered > RESULT_MOST):
+                    self.discard(body, status & packets.LAST)
+                else:
+                    self.tokens(body, status & packets.LAST)
+                if self.dead:
+                    return
+
+    def tokens(self, body, last):
+        sub, ended, chunk, size = self.submission, None, [], 0
+        for token, raw, said in self.stream.feed(body):
+            if ended is not None and not self.attending:
+                raise packets.Malformed("tokens behind the end of an answer")
+            if token in t.DONES:
+                status, _, rows = said
+                if status & t.ATTENTION:
+                    ended = status
+                elif not status & t.MORE and token != t.DONEINPROC:
+                    ended = ended if ended is not None else status
+                    self.result.rows = rows if status & t.COUNTED else self.result.rows
+                else:
+                    chunk.append((token, raw, said))
+                    size += len(raw)
+            elif token == t.INFO and said[0] == errors.REPORT:
+                if found := WORK.match(said[3]):
+                    sub.work, sub.memory = int(float(found[1]) * 10), float(found[2])
+            elif token == t.ERROR:
+                self.error = self.error or said
+            elif token in (t.COLMETADATA, t.ROW, t.NBCROW, t.ORDER):
+                chunk.append((token, raw, said))
+                size += len(raw)
+        self.gathered += size
+        if self.pipe is not None:
+            if chunk and not self.pipe.put(chunk, size):
+                self.put("attention", sub, i.CANCELLED)  # the client has gone
+        else:
+            self.result.extend(chunk)
+            if self.gathered > RESULT_MOST and not self.error and not self.attending:
+                self.begin_stream(sub)
+            elif self.gathered > RESULT_MOST:
+                self.result.clear()  # given up, or an error's: nobody reads it
+        if last:
+            if self.stream.midway() or ended is None:
+                raise packets.Malformed("an answer without its end")
+            self.finish(sub, ended)
+
+    def discard(self, body, last):
+        """The rest of a long result that was given up: an engine may go on for long, and none of it is worth
+        the reading. Its acknowledgement is the last token of a last packet."""
+        if not last:
+            return
+        end = body[-DONE_SIZE:]
+        if len(end) < DONE_SIZE or end[0] not in t.DONES:
+            raise packets.Malformed("an answer without its end")
+        self.finish(self.submission, int.from_bytes(end[1:3], "little"))
+
+    def begin_stream(self, sub):
+        pipe = Pipe(PIPE_MOST)
+        pipe.put(list(self.result), 0)
+        self.result = Tokens()
+        with self.lock:
+            begins = self.open.get(sub.ticket.id) is sub and self.link.exchange.begin(sub, pipe)
+            if begins:
+                self.pipe = pipe
+        if not begins:
+            self.gathered = 0
+
+    def finish(self, sub, status):
+        acknowledged = bool(status & t.ATTENTION)
+        # An attention that crossed the end of the answer is still to be acknowledged.
+        waits = self.attending and not acknowledged
+        ending = i.CANCELLED if acknowledged else i.FINISHED
+        if self.error and not acknowledged:
+            number, _, severity, text = self.error
+            ending = errors.ending_of(number, severity)
+            sub.ticket.why = f"{number}: {text[:400]}"
+        sub.told = self.link.clock.now()
+        result, pipe, fatal = self.result, self.pipe, self.error and self.error[2] >= errors.FATAL
+        with self.lock:
+            if not waits:
+                self.busy, self.attending, self.submission = False, 0, None
+            self.result, self.stream = Tokens(), t.Stream() if waits else None
+            # What waits for its acknowledgement alone still discards, whatever comes ahead of it.
+            self.pipe = self.pipe if waits else None
+        if pipe is not None:
+            pipe.end(waits or ending != i.FINISHED)
+            ending = i.CANCELLED if waits else ending
+        self.drop(sub, ending, result if ending == i.FINISHED and pipe is None else None)
+        if fatal:
+            self.fail("engine-error", sub.ticket.why)
+
+    def fail(self, reason, detail=None):
+        pipe = self.pipe
+        super().fail(reason, detail)
+        if pipe is not None:
+            pipe.end(True)
