Servers from watched files: checked, applied whole or in steps, journalled, rolled back

Need: installations without the coordinator keep engine lists and weights in files that deploy tools write. Change: wickvane/members. A weight is the part of an engine that may be used where the settings say so (Deployment.weighs, never on the platform). Control versions are compared by file and by stream where both list engines.

--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -14,6 +14,13 @@
   wickvane demo [--script=FILE] [--seed=N] [--for=TIME]
   wickvane control [--config=FILE] --parts=FILE
   wickvane control status --to=ADDRESS [--tls=FILES] [--json]
+  wickvane members check [--config=FILE] [--parts=FILE] [--state=DIR] [--json] [PATH]
+  wickvane members log [--parts=FILE] [--state=DIR] [--json]
+  wickvane members show [--parts=FILE] [--state=DIR] [--json] [GENERATION]
+  wickvane members diff [--parts=FILE] [--state=DIR] FROM TO
+  wickvane members (confirm | rollback) [--parts=FILE] [--state=DIR] GENERATION
+  wickvane members stop [--parts=FILE] [--state=DIR]
+  wickvane members agree [--json] DIR...
   wickvane version
   wickvane -h | --help
 
@@ -27,6 +34,8 @@
            experiment plays a grid of cases, variants and seeds, and goes on where it was ended.
   demo     Start engines, clients and one dispatcher on loopback, and show them on one screen.
   control  Hand placement decisions to proxies over xDS; status: what each of them holds.
+  members  What watched files list: what one would do, what was done, the list at work; confirm a held change,
+           stop steps or turn them back; agree: which of several dispatchers are behind.
   version  Print the version.
 
 Options:
@@ -50,6 +59,7 @@
   --jobs=N       So many processes at once.
   --plots        Draw them too.
   --tls=FILES    Authority, certificate and key, with commas between.
+  --state=DIR    The folder of a journal of members.
   -h --help      Show this.
 """
 
@@ -70,6 +80,10 @@
     if asked["version"]:
         print(f"wickvane {__version__}")
         return 0
+    if asked["members"]:
+        from wickvane.members.tool import main as members
+
+        return members(asked)
     if asked["flows"]:
         from wickvane.flows.tool import main as flows
 
@@ -124,7 +138,7 @@
         raise Unstartable(f"the parts document {more} has no node control", 2)
     from wickvane.control.server import Server
 
-    return Server(configuration(path), found["control"]).run(path, more)
+    return Server(configuration(path), found["control"], members=found.get("members")).run(path, more)
 
 
 def explain(reader, text):
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -68,6 +68,7 @@
         self.chance = Random(seed)
         self.groups, self.gateways = site.groups, site.gateways
         self.cores_of, self.home = site.cores, site.zone if site.crossing else None
+        self.weighs = site.weighs
         self.most_tries, self.may_cancel, self.grants = site.most_submissions, site.may_cancel, site.grants
         self.priorities, self.advice, self.key_rest = site.priorities, site.longest_advice, site.key_rest
         self.ask_at = 0 if site.asks_for_list else None
@@ -219,7 +220,6 @@
                 column.append(None)
             self.mine[-1] = 0
         if self.rank[e] != rank or self.started[e] != started:
-            self.cores[e] = self.cores_of[kind] if kind < len(self.cores_of) else 1
             self.crowd[e], self.failing[e], self.full_at[e] = 1.0, 0.0, -SECOND
             self.crowd_at[e] = self.heard[e] = self.now
             self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
@@ -228,6 +228,9 @@
                 self.mine[e], self.sent_work[e], self.loading[e] = 0, deque(), []
                 self.orders.clear()
         self.rank[e], self.state[e], self.where[e], self.kind[e] = rank, state, zone, kind
+        self.cores[e] = self.cores_of[kind] if kind < len(self.cores_of) else 1
+        if self.weighs:
+            self.cores[e] *= max(0.01, min(1.0, weight))  # no engine has more than all of it
         self.cell[e], self.started[e] = cell, started
         self.fit.clear()
 
--- a/wickvane/control/catalog.py
+++ b/wickvane/control/catalog.py
@@ -20,6 +20,7 @@
          "type.googleapis.com/envoy.config.route.v3.RouteConfiguration")
 NUMBER = {url: n for n, url in enumerate(TYPES)}
 WORDS = ("CDS", "EDS", "LDS", "RDS")
+SOURCE_BITS = 29  # of an index: the coordinator's number, below that of watched files
 LOG_MOST = 4096  # changes looked up one by one; whoever is further behind looks at all
 
 
@@ -43,22 +44,39 @@
 def read_version(text):
     """(epoch, index, digest) of a version, None of anything else."""
     parts = text.split(".")
-    if len(parts) != 3 or not parts[1].isascii() or not parts[1].isdigit() or len(parts[1]) > 18:
+    if len(parts) != 3 or not parts[1].isascii() or not parts[1].isdigit() or len(parts[1]) > 19:
         return None
     return parts[0], int(parts[1]), parts[2]
 
 
 class Catalog:
-    """generation: grows by one with each set of changes; index: of the list that all of it follows from."""
+    """generation: grows by one with each set of changes; index: of the list that all of it follows from;
+    parted: it tells of two sources at once, see parts_of()."""
 
     def __init__(self, epoch="0"):
-        self.epoch, self.index, self.generation = epoch, 0, 0
+        self.epoch, self.index, self.generation, self.parted = epoch, 0, 0, False
         self.entries = [Map() for _ in TYPES]
         self.log = [deque() for _ in TYPES]  # (generation, name), of what lies in it
         self.whole_since = [0] * len(TYPES)  # generations up to this are no longer in the log
         self.named = [0] * len(TYPES)  # how often names came or went
         self.wholes = {}
 
+    def parts_of(self, index):
+        """What an index says of each source. Where files override what a coordinator lists, one instance may
+        be ahead by the file and another by the stream, and neither list is the newer one."""
+        return divmod(index, 1 << SOURCE_BITS) if self.parted else (index,)
+
+    def is_behind(self, index):
+        """Whether that index knows of something that this one does not."""
+        return any(theirs > ours for theirs, ours in zip(self.parts_of(index), self.parts_of(self.index)))
+
+    def joined(self, one, other):
+        """The least index that is behind neither of two."""
+        if not self.parted:
+            return max(one, other)
+        (a, b), (c, d) = self.parts_of(one), self.parts_of(other)
+        return max(a, c) << SOURCE_BITS | max(b, d)
+
     def put(self, index, bodies, removed=(), drained=frozenset()):
         """bodies: {type: {name: body}}; removed: (type, name) each; drained: names of EDS that lost an
         engine. Whether anything is other than it was."""
--- a/wickvane/control/fleet.py
+++ b/wickvane/control/fleet.py
@@ -65,9 +65,10 @@
 FLOOR = Floor()
 
 
-def changed(fleet, now, index, whole, entries, floor):
+def changed(fleet, now, index, whole, entries, floor, back=()):
     """(the fleet after an event, notes of it as (event, fields)). entries: as the coordinator's are read,
-    (name, address, state, zone, kind, cell, started, weight); started in milliseconds."""
+    (name, address, state, zone, kind, cell, started, weight); started in milliseconds. back: names that were
+    drained by hand and that whoever did it lets have queries again."""
     if index <= fleet.index and not (fleet.old and index == fleet.index):
         return fleet, [("list-older", {"index": index, "held": fleet.index})]
     notes, named = [], set()
@@ -83,7 +84,7 @@
                     gone = gone.set(name, (index, known.started))
                 missing = without(missing, name)
                 continue
-            if state == i.READY and not may_be_ready(name, started, known, gone):
+            if state == i.READY and name not in back and not may_be_ready(name, started, known, gone):
                 notes.append(("engine-not-taken-back", {"engine": name, "index": index}))
                 continue
             told = 0 if state == i.READY else known.told if known is not None and known.told else now
--- a/wickvane/control/hub.py
+++ b/wickvane/control/hub.py
@@ -14,6 +14,7 @@
 RETIRE = 50_000  # what is no longer wanted is kept so long at most for those who do not acknowledge
 LATE_MOST = 100_000  # a proxy later than that holds back no engine's warm-up; its end of drains is its TTL's
 LATE_FADES = 600_000
+LOADS_FRESH = 300_000  # a proxy that has not reported since says nothing of now
 LOADS_MOST = 20_000  # (node, cluster, engine) of which loads are kept
 
 
@@ -53,10 +54,10 @@
 
     # The list
 
-    def listed(self, now, index, whole, entries):
+    def listed(self, now, index, whole, entries, back=()):
         """An event of the list."""
         self.counts["list-events"] += 1
-        self.follow(now, *fl.changed(self.fleet, now, index, whole, entries, self.floor))
+        self.follow(now, *fl.changed(self.fleet, now, index, whole, entries, self.floor, back))
 
     def restore(self, now, fleet):
         """A list from a snapshot, before any event."""
@@ -206,6 +207,11 @@
         self.loads[key] = before[0] + done, before[1] + errors, out, now
         self.counts["loads"] += 1
 
+    def load(self, now):
+        """Requests out at all engines together by the reports of late, None where nobody reports."""
+        out = [out for _, _, out, at in self.loads.values() if now - at <= LOADS_FRESH]
+        return float(sum(out)) if out else None
+
     # What operators see
 
     def status(self, now):
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -297,15 +297,19 @@
 class Server:
     """part: what the parts document has under control; found: the configuration."""
 
-    def __init__(self, found, part, log_to=1):
+    def __init__(self, found, part, log_to=1, members=None):
         from wickvane.net.service import understood
 
-        book, _, _, _, self.followed, self.known = understood(found)
+        book, _, _, _, self.followed, self.known = understood(found, (), members)
+        self.members_part, self.members = members, None
         self.part, self.clock, self.counters = part, Clock(), Counters()
         self.log, self.name = Log(log_to, self.clock), found.get("name") or "control"
         grace = int(found["settings"].get("obligations", {}).get("stop_sending_within_ms", 2000) * 10)
         placement = self.placed(book, part)
         self.hub = Hub(placement, Make(), grace, part.nodes, part.floor, part.ttl, part.epoch)
+        if members:
+            self.hub.catalog.parted = members.terms.overrides
+            self.members = self.membership(book, members)
         self.streams = Streams(self)
         self.seed, self.loop, self.saving, self.saved_at = found.get("seed", 0), None, None, 0.0
         self.ticker, self.ready = None, threading.Event()
@@ -317,13 +321,26 @@
 
     # The list
 
-    def listed(self, number, whole, entries):
-        """From the coordinator's thread."""
-        self.loop.call_soon_threadsafe(self.take, number, whole, entries)
+    def membership(self, book, part):
+        """The list from watched files, where the parts document has it."""
+        from wickvane.members.checks import facts_of
+        from wickvane.members.source import Source
+        from wickvane.members.source import Unstartable as Unusable
+        from wickvane.net.service import Unstartable
 
-    def take(self, number, whole, entries):
+        try:
+            return Source(part, facts_of(book), self.listed, self.clock, self.log, self.counters,
+                          lambda: self.hub.load(self.clock.now()), None, self.name)
+        except Unusable as error:
+            raise Unstartable(f"members: {error}", 2) from None
+
+    def listed(self, number, whole, entries, back=()):
+        """From the coordinator's thread, or that of watched files."""
+        self.loop.call_soon_threadsafe(self.take, number, whole, entries, back)
+
+    def take(self, number, whole, entries, back=()):
         before = self.hub.fleet
-        self.hub.listed(self.clock.now(), number, whole, entries)
+        self.hub.listed(self.clock.now(), number, whole, entries, back)
         self.after(before)
 
     def after(self, before):
@@ -393,6 +410,7 @@
 
     def show(self, why):
         self.log.line("counters", why=why, cpu_s=time.process_time(), **self.hub.status(self.clock.now()),
+                      **({"members": self.members.status()} if self.members else {}),
                       counters=self.counters.shown())
 
     # Life
@@ -415,25 +433,35 @@
             raise Unstartable(f"cannot listen on {place}: {error}", 1) from None
         self.restore()
         # What the configuration knows comes before the first proxy, so that none is told less.
-        self.coordinator = Coordinator(self.followed, (0, []), self.listed, self.seed, self.log,
-                                       self.counters)
-        for number, whole, entries in self.known[1]:
-            self.take(number, whole, entries)
-        self.coordinator.last = max([self.known[0], *(number for number, _, _ in self.known[1])], default=0)
+        self.coordinator, follower = None, None
+        if self.followed:
+            listed = self.members.streamed if self.members else self.listed
+            self.coordinator = Coordinator(self.followed, (0, []), listed, self.seed, self.log, self.counters)
+            self.coordinator.last = max([self.known[0], *(event[0] for event in self.known[1])], default=0)
+        if self.members:
+            await asyncio.to_thread(self.members.start, self.known[1] if self.followed else ())
+        else:
+            for number, whole, entries in self.known[1]:
+                self.take(number, whole, entries)
         self.after(None if self.hub.fleet.index else self.hub.fleet)
         await server.start()
-        follower = threading.Thread(target=self.coordinator.run, name="coordinator", daemon=True)
-        follower.start()
+        if self.coordinator:
+            follower = threading.Thread(target=self.coordinator.run, name="coordinator", daemon=True)
+            follower.start()
         self.log.line("ready", name=self.name, listen=place, pid=os.getpid())
         self.ready.set()
         try:
             await self.stopped.wait()
         finally:
-            self.coordinator.stop()
+            if self.coordinator:
+                self.coordinator.stop()
+            if self.members:
+                await asyncio.to_thread(self.members.stop)
             if self.part.snapshot:
                 self.save_now(self.hub.fleet)
             await server.stop(0.2)
-            await asyncio.to_thread(follower.join, 1.0)  # so that the counters are the last line
+            if follower:
+                await asyncio.to_thread(follower.join, 1.0)  # so that the counters are the last line
             self.show("exit")
 
     def stop(self):
@@ -447,8 +475,11 @@
         from wickvane.net.service import configuration, understood
 
         try:
-            book, _, _, _, followed, (_, events) = understood(configuration(path))
-            part = parts.read(parts_path).get("control")
+            book, _, _, _, followed, (_, events) = understood(configuration(path), (), self.members_part)
+            document = parts.read(parts_path)
+            part = document.get("control")
+            if document.get("members") != self.members_part:
+                raise parts.Unusable("members: a change of it needs a restart")
             moves = dict.fromkeys(("tables", "nodes", "floor", "proxies"))
             if part is None or part._replace(**moves) != self.part._replace(**moves):
                 raise parts.Unusable("control: listen, epoch, tls, snapshot, stall and time-to-live need a "
@@ -460,7 +491,10 @@
             return
         self.part, self.hub.nodes, self.hub.floor = part, part.nodes, part.floor
         self.hub.settle(self.clock.now(), placement, Make())
-        self.coordinator.move(followed, events)
+        if self.members:
+            self.members.wake()
+        if self.coordinator:
+            self.coordinator.move(followed, events)
         self.log.line("configuration-taken")
         self.after(self.hub.fleet)
 
--- a/wickvane/control/session.py
+++ b/wickvane/control/session.py
@@ -182,9 +182,9 @@
         """What it had from elsewhere before this stream."""
         known = read_version(version)
         self.kinds[kind].had = True
-        if known is not None and known[0] == self.catalog.epoch and known[1] > self.catalog.index:
+        if known is not None and known[0] == self.catalog.epoch and self.catalog.is_behind(known[1]):
             state = self.kinds[kind]
-            state.ahead = max(state.ahead or 0, known[1])
+            state.ahead = self.catalog.joined(state.ahead or 0, known[1])
             self.turns.append(("proxy-ahead", {"type": WORDS[kind], "holds": known[1],
                                                "index": self.catalog.index}))
 
@@ -271,7 +271,7 @@
     def is_behind(self):
         """Whether the proxy knows a newer list than this instance: then it keeps what it has."""
         state = self.kinds[EDS]
-        if state.ahead is not None and self.catalog.index >= state.ahead:
+        if state.ahead is not None and not self.catalog.is_behind(state.ahead):
             state.ahead, state.dirty = None, True
             self.turns.append(("proxy-caught-up-with", {"index": self.catalog.index}))
         return state.ahead is not None
--- a/wickvane/flows/tool.py
+++ b/wickvane/flows/tool.py
@@ -2,8 +2,10 @@
 
 import os
 import selectors
+import signal
 import socket
 import sys
+import threading
 import time
 
 import orjson
@@ -27,6 +29,10 @@
     """Words that the command cannot work with."""
 
 
+def main_thread():
+    return threading.current_thread() is threading.main_thread()
+
+
 def span(text):
     found = DURATION.match(text)
     if not found or float(found[1]) <= 0:
@@ -98,8 +104,13 @@
         listening.setblocking(False)
         readers = {}
         selector.register(listening, selectors.EVENT_READ)
+        # A flag, not an exception: one raised in the middle of a message would lose it, and a shell that
+        # starts this in the background has interrupts ignored.
+        ended = []
+        before = [(number, signal.signal(number, lambda *_: ended.append(1)))
+                  for number in (signal.SIGINT, signal.SIGTERM)] if main_thread() else []
         try:
-            while (left := until - time.monotonic()) > 0:
+            while (left := until - time.monotonic()) > 0 and not ended:
                 for key, _ in selector.select(min(left, 0.5)):
                     if udp:
                         self.datagram(listening, readers, enterprise)
@@ -113,9 +124,9 @@
                         selector.register(conn, selectors.EVENT_READ)
                     else:
                         self.stream(key.fileobj, readers, selector)
-        except KeyboardInterrupt:
-            pass
         finally:
+            for number, handler in before:
+                signal.signal(number, handler)
             for conn in readers if not udp else ():
                 conn.close()
             listening.close()
--- /dev/null
+++ b/wickvane/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership from watched files: checked, applied whole, kept, rolled back. docs/members.md."""
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -56,12 +56,18 @@
     return found
 
 
-def understood(found, fronts=()):
-    """The parts of a configuration in the form that is worked with; Unstartable where one cannot be used."""
+def understood(found, fronts=(), members=None):
+    """The parts of a configuration in the form that is worked with; Unstartable where one cannot be used.
+    members: that part, with which no coordinator is needed unless it overrides what one lists."""
     try:
         settings, limits = found["settings"], found.get("limits") or {}
-        return (Book(settings, fronts), settings["limits"], address_of(found["listen"]),
-                int(limits.get("sockets") or 1024), address_of(found["coordinator"]),
+        alone = members is not None and not members.terms.overrides
+        coordinator = None if alone else address_of(found["coordinator"])
+        book = Book(settings, fronts)
+        if members is not None:
+            book.deployment = book.deployment._replace(weighs=True)
+        return (book, settings["limits"], address_of(found["listen"]),
+                int(limits.get("sockets") or 1024), coordinator,
                 read_known(found.get("known") or {}))
     except Malformed as error:
         raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
@@ -96,7 +102,9 @@
             from wickvane.net.tds import fronts as tds
 
             fronts, speaks = tds.fronts(self.tds_part, found), tds.speaks(self.tds_part)
-        self.book, limits, self.address, sockets, coordinator, known = understood(found, fronts)
+        self.members_part, self.members = parts.get("members"), None
+        self.book, limits, self.address, sockets, coordinator, known = understood(
+            found, fronts, self.members_part)
         self.name, seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
         self.reader = Reader(self.book)
         self.exchange = Exchange(self.clock, self.counters)
@@ -116,7 +124,14 @@
                                self.counters, self.accounts)
         except (TypeError, ValueError, AttributeError) as error:
             raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
-        self.coordinator = Coordinator(coordinator, known, self.listed, seed, self.log, self.counters)
+        if self.members_part:
+            self.members = self.membership(self.members_part)
+        self.coordinator, self.known = None, known
+        if coordinator:
+            listed = self.members.streamed if self.members else self.listed
+            # With files, what is known is told once what was at work is.
+            self.coordinator = Coordinator(coordinator, (0, []) if self.members else known, listed, seed,
+                                           self.log, self.counters)
         self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
         self.listeners, self.tds = [], None
         if self.tds_part:
@@ -126,9 +141,23 @@
                 # Of the descriptors that clients may hold, some are these clients'.
                 self.most_clients = max(8, self.most_clients - self.tds_part.connections - SPARE)
 
-    def listed(self, number, whole, entries):
+    def listed(self, number, whole, entries, back=()):
         self.exchange.inbox.put(("listed", whole, entries), always=True)
 
+    def membership(self, part):
+        """The list from watched files, where the parts document has it."""
+        from wickvane.members.checks import facts_of
+        from wickvane.members.source import Source
+        from wickvane.members.source import Unstartable as Unusable
+
+        gateway, sent = self.decider.gateway, self.book.sent
+        try:
+            return Source(part, facts_of(self.book), self.listed, self.clock, self.log, self.counters,
+                          lambda: gateway.used * gateway.gateways, lambda name: sent.get(name, 0) > 0,
+                          self.name)
+        except Unusable as error:
+            raise Unstartable(f"members: {error}", 2) from None
+
     def export(self, part, seed):
         """The exporter of flows, where the parts document has it; nothing of it is imported otherwise."""
         if part is None:
@@ -158,7 +187,12 @@
         self.writer = self.thread(self.log.run, "log")
         self.thread(self.decider.run, "decider")
         self.thread(self.links.run, "links")
-        self.follower = self.thread(self.coordinator.run, "coordinator")
+        if self.members:
+            self.members.start(self.known[1] if self.coordinator else ())
+            if self.coordinator:
+                self.coordinator.last = max(self.known[0], *(event[0] for event in self.known[1]), 0)
+        if self.coordinator:
+            self.follower = self.thread(self.coordinator.run, "coordinator")
         for listener in self.listeners:
             self.thread(listener.run, "listener")
         if self.flows:
@@ -218,7 +252,7 @@
         flows = tds = None
         try:
             found = configuration(path)
-            *_, coordinator, (_, events) = understood(found)
+            *_, coordinator, (_, events) = understood(found, (), self.members_part)
             kept = [part for part, mark in fixed(found).items() if mark != self.fixed[part]]
             if parts_path:
                 from wickvane import parts
@@ -231,6 +265,8 @@
                     context = tds.prepare(self.tds_part, document.get("tds"))
                 if (flows is None) != (self.flows is None):
                     raise parts.Unusable(f"{parts_path}: flows: turning it on or off needs a restart")
+                if document.get("members") != self.members_part:
+                    raise parts.Unusable(f"{parts_path}: members: a change of it needs a restart")
                 if document.get("storms") != self.storms:
                     raise parts.Unusable(f"{parts_path}: storms: a change of it needs a restart")
                 secure = self.flows.prepare(flows) if flows else None
@@ -243,9 +279,12 @@
         if tds:
             self.tds_part = document["tds"]
             self.tds.change(self.tds_part, self.tds_part.users, context)
-        self.coordinator.move(coordinator, events)
+        if self.members:
+            self.members.wake()
+        if self.coordinator:
+            self.coordinator.move(coordinator, events)
         self.counters.add("configurations-taken")
-        self.log.line("configuration-taken", coordinator=f"{coordinator[0]}:{coordinator[1]}",
+        self.log.line("configuration-taken", coordinator=coordinator and f"{coordinator[0]}:{coordinator[1]}",
                       needs_restart=kept)
         return True
 
@@ -255,7 +294,8 @@
                       if line.startswith((b"VmHWM", b"VmRSS", b"Threads"))}
         self.log.line("counters", why=why, descriptors=len(os.listdir("/proc/self/fd")) - 1, **memory,
                       cpu_s=time.process_time(), longest_round_ms=self.decider.longest / 10,
-                      **({"flows": self.accounts.shown()} if self.flows else {}), **self.counters.shown())
+                      **({"flows": self.accounts.shown()} if self.flows else {}),
+                      **({"members": self.members.status()} if self.members else {}), **self.counters.shown())
 
     def stop(self):
         began = time.monotonic()
@@ -272,8 +312,11 @@
         while sum(listener.close_idle() for listener in self.listeners) and time.monotonic() < by:
             time.sleep(0.02)
         self.links.stop()
-        self.coordinator.stop()
-        self.follower.join(0.1)
+        if self.coordinator:
+            self.coordinator.stop()
+            self.follower.join(0.1)
+        if self.members:
+            self.members.stop()
         if self.flows:
             self.flows.stop()
         self.show_counters("exit")
