--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -290,3 +290,42 @@
     for q in out:
         gates.end(q)
     assert before < gates.gateway.takes[0] <= before + len(out)
+
+
+def test_what_was_seen_of_an_engine_lasts_until_all_were_heard_of_again():
+    for apart, known in ((5_000, True), (500, False)):
+        gates = Gateways(site([group()], gateways=100))
+        gates.engines(20)
+        gateway = gates.gateway
+        for n in range(200):
+            gateway.now += apart
+            gateway.see(n % 20, 1.0, None, False)
+        gateway.now += 1
+        gateway.see(3, 20.0, None, False)
+        gateway.now += 70_000  # past the six seconds after which it used to be forgotten
+        assert (gateway.seen(3) > 2 * gateway.crowd_mid) == known
+
+
+def test_what_is_overdue_counts_in_the_median_once_and_not_again_when_it_ends():
+    gates = Gateways(site([group()], gateways=1))
+    gates.engines(2)
+    q = gates.take(cost=1000)
+    before = gates.gateway.median
+    gates.round((i.DUE, 1), after=4000)
+    once = gates.gateway.median
+    assert once > before
+    gates.round((i.DUE, 1), after=400)
+    assert gates.gateway.median == once
+    gates.end(q, elapsed=4400)
+    assert gates.gateway.median == once
+    quick = gates.take(cost=1000)
+    gates.end(quick, elapsed=1000, after=0)
+    assert gates.gateway.median < once
+
+
+def test_a_pool_binds_without_pressure_so_that_many_gateways_do_not_jam_an_engine_before_it_shows():
+    gates = Gateways(site([group()], gateways=100))
+    gates.engines(10)
+    queries = [gates.take(coord=n) for n in range(20)]
+    # Two threads a core of ten engines of eight cores, over a hundred gateways: less than two queries.
+    assert sum(q in gates.out for q in queries) == 2
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -27,10 +27,12 @@
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
 BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
 PRESSED = 1.5  # latency above its best at which the bound binds, and below which it grows
-COMFORT, CROWDED = 2.0, 2.5  # the usual crowd at which a pooled bound binds, and past which bounds are cut
+CROWDED = 2.5  # the usual crowd past which bounds are cut
 WIDEN_LEAST, WIDEN_MOST = 0.75, 2.0  # of the bound's start; a bound that is no pool does not grow above it
+OVERDUE = 1.5  # over the median, from which a submission that is out counts in it
 MID_STEP, EASY_STEP = 1.2, 1.0002  # by which one answer moves the median, and its best back up
-CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded
+CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded, but so many times as long as
+HEARD_GAPS = 3.0  # it takes to hear of all engines once, where that is longer
 QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
 STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, 1 << 62, 4096
@@ -60,7 +62,7 @@
 class Query:
     __slots__ = ("q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out",
                  "engine", "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "priority", "share",
-                 "density", "erred")
+                 "density", "erred", "counted")
 
 
 class Gateway:
@@ -90,6 +92,7 @@
         self.cores, self.started, self.mine, self.failing, self.full_at = [], [], [], [], []
         self.crowd, self.crowd_at, self.per_query = [], [], (0.0, 0.0)
         self.crowd_mid = self.median = self.easy = 1.0
+        self.gap, self.answer_at, self.lasts = 0.0, 0, CROWD_LASTS
         self.heard, self.aside, self.aside_for, self.trial, self.loading = [], [], [], [], []
         self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
@@ -144,6 +147,7 @@
         qy.hold = min(self.last_start(qy), now + int(WAIT_PART * left) if qy.key is None else qy.limit)
         qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
         qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share, qy.erred = None, -1, False, -1, 0.0, None
+        qy.counted = False
         self.queries[q] = qy
         self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
         self.taken_at.append(now)
@@ -169,7 +173,7 @@
             self.loading[engine].remove(qy.coord)
         self.judge(qy, engine, ending, elapsed)
         if ending == i.FINISHED:
-            self.see(engine, elapsed / self.usual(qy, work), report)
+            self.see(engine, elapsed / self.usual(qy, work), report, qy.counted)
         if ending >= i.TURNED_AWAY:
             self.deficit[qy.tenant] += qy.cost
         else:
@@ -258,13 +262,18 @@
         # The addition keeps a short pause or a slow hand-shake from passing for a crowd.
         return (work or qy.cost) / self.groups[qy.rg].threads + SECOND // 20
 
-    def see(self, e, slower, report):
+    def see(self, e, slower, report, counted):
         """How crowded all gateways together make an engine: an answer tells by how much it was slower than
         alone, and some bring a count of what the engine holds, here against the whole bound."""
         slower *= self.warmth(e)  # a cold engine is slow without a crowd
+        # Where an engine is heard of less often than what was seen of it fades, its jam is never known, and
+        # all gateways go on to send there by the shared order alone.
+        self.gap += 0.05 * (min(self.now - self.answer_at, SECOND) - self.gap)
+        self.answer_at, self.lasts = self.now, max(CROWD_LASTS, HEARD_GAPS * self.gap * len(self.state))
         # The median over recent answers, not over engines: with many, most were last seen long ago. Against
         # its best, since estimates may all lie to one side.
-        self.median = max(0.1, self.median * (MID_STEP if slower > self.median else 1 / MID_STEP))
+        if not counted:
+            self.median = max(0.1, self.median * (MID_STEP if slower > self.median else 1 / MID_STEP))
         self.easy = min(self.easy * EASY_STEP, max(self.median, 0.5))
         self.crowd_mid, slower = self.median / self.easy, slower / self.easy
         if self.crowd_mid < PRESSED:
@@ -285,7 +294,7 @@
 
     def seen(self, e):
         # What was seen some time ago fades into what is usual over all engines now.
-        still = max(0.0, 1 - (self.now - self.crowd_at[e]) / CROWD_LASTS)
+        still = max(0.0, 1 - (self.now - self.crowd_at[e]) / self.lasts)
         return self.crowd_mid + (self.crowd[e] - self.crowd_mid) * still
 
     def last_start(self, qy):
@@ -393,7 +402,7 @@
             return False
         # Past the whole bound by what others hold, and more than is usual now: later engines are tried.
         over = self.seen(e) > max(BOUND_THREADS, SPILL * self.crowd_mid)
-        return not over and (self.pool_left() or not (binds or self.crowd_mid > COMFORT))
+        return not over and self.pool_left()
 
     def bound(self, e):
         return BOUND_THREADS * self.cores[e] * self.warmth(e) / self.gateways
@@ -526,7 +535,7 @@
 
     def submit(self, qy, e):
         g = self.groups[qy.rg]
-        qy.engine, qy.sent, qy.out, qy.share = e, self.now, True, 0.0
+        qy.engine, qy.sent, qy.out, qy.share, qy.counted = e, self.now, True, 0.0, False
         qy.tries += 1
         self.mine[e], self.used = self.mine[e] + g.threads, self.used + g.threads
         self.loading[e] += [qy.coord] * g.loads
@@ -621,6 +630,11 @@
             slower = min(8.0, since / self.usual(qy))
             if not qy.share and slower > self.crowd[e]:
                 self.crowd[e], self.crowd_at[e] = slower, now
+            # Quick answers of engines at ease hide the jam of a few, whose answers come late or never: what
+            # is overdue counts in the median at once, and not again when it ends.
+            if not qy.counted and slower * self.warmth(e) > OVERDUE * max(self.median, self.easy):
+                qy.counted, self.median = True, self.median * MID_STEP
+                self.crowd_mid = self.median / self.easy
             if qy.over:
                 continue
             useless = self.may_cancel and g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target
