--- a/wickvane/control/follower.py
+++ b/wickvane/control/follower.py
@@ -8,6 +8,7 @@
 is out, not what was sent in a window, and cannot keep rule 7.
 """
 
+from math import sqrt
 from random import Random
 
 from wickvane import interface as i
@@ -17,6 +18,27 @@
 OVER, ROW = 1.4, 3
 
 
+class Gradient:
+    """The adaptive concurrency filter as its page says: a limit on what is out that moves by the round trip
+    that is wanted over the one that is seen, and by its own root."""
+
+    def __init__(self, pace):
+        self.pace, self.limit, self.out, self.seen, self.at = pace, float(pace.most), 0, [], 0
+
+    def full(self):
+        return self.out >= int(self.limit)
+
+    def ended(self, now, elapsed):
+        self.out -= 1
+        self.seen.append(elapsed)
+        if now < self.at + self.pace.every:
+            return
+        self.seen.sort()
+        usual, self.seen, self.at = self.seen[len(self.seen) // 2], [], now
+        step = max(0.5, min(2.0, self.pace.round_trip * (1 + self.pace.buffer) / max(1, usual)))
+        self.limit = max(1.0, min(self.pace.most, step * self.limit + sqrt(step * self.limit)))
+
+
 class Follower:
     """A gateway in name; tables: how many table groups there are."""
 
@@ -30,6 +52,7 @@
         self.fleet, self.names, self.numbers = fl.Fleet(), {}, {}
         self.out, self.open, self.active = {}, {}, {}  # by engine; by query; by cluster
         self.failed, self.ejected = {}, {}
+        self.gradients = [Gradient(self.placement.pace(group)) for group in site.groups]
 
     def round(self, now, events, out):
         step = self.placement.next_step()
@@ -41,7 +64,9 @@
             elif code == i.ENDED:
                 self.ended(now, out, *fields)
             elif code == i.LEFT and fields[0] in self.open:
-                self.active[self.open.pop(fields[0])[1]] -= 1
+                rg, cluster = self.open.pop(fields[0])
+                self.active[cluster] -= 1
+                self.gradients[rg].out -= 1
                 out.cancel(fields[0], 0)
             elif code == i.ENGINE:
                 self.engine(now, *fields)
@@ -56,13 +81,15 @@
     def taken(self, now, out, q, rg, tenant, cost, memory, coord, key, left, again=False):
         klass = self.placement.class_of[f"g{rg}"]
         cluster = cluster_name(klass, coord % self.tables)
-        if self.active.get(cluster, 0) >= self.placement.limits(klass).requests:
+        gradient = self.gradients[rg]
+        if self.active.get(cluster, 0) >= self.placement.limits(klass).requests or gradient.full():
             return out.defer(q, 0)
         name = self.chosen(now, cluster)
         if name is None:
             return out.defer(q, 0)
         self.active[cluster] = self.active.get(cluster, 0) + 1
         self.out[name] = self.out.get(name, 0) + 1
+        gradient.out += 1
         self.open[q] = rg, cluster
         out.submit(q, self.numbers[name], 0)
 
@@ -97,6 +124,7 @@
         if rg is None:
             return
         self.active[cluster] -= 1
+        self.gradients[rg].ended(now, elapsed)
         if complete or ending == i.FINISHED:
             return
         proven, group = ending >= i.TURNED_AWAY, self.site.groups[rg]
--- a/wickvane/control/hub.py
+++ b/wickvane/control/hub.py
@@ -135,6 +135,15 @@
         self.catalog.put(self.fleet.index, bodies)
         self.ready.update(self.sessions)
 
+    def regroup(self, nodes):
+        """Who may see what, from now on and on streams that are open: what a node lost is taken from it at
+        once, and one that is no longer known is let go."""
+        self.nodes = nodes
+        for session in self.sessions.values():
+            if session.node is not None:
+                session.regrouped(nodes.groups_of(session.node) == ())
+        self.ready.update(self.sessions)
+
     def retire(self, now, last=False):
         if self.retiring is None:
             return
--- a/wickvane/control/placement.py
+++ b/wickvane/control/placement.py
@@ -27,6 +27,9 @@
 MANY = 32  # engines changed at once, from which all clusters are worked out anew
 EJECT_SHARE = 50  # more than half aside at once is no fault of the engines (wickvane.choice, usable())
 CHOICES = 3  # engines of which the one with fewest requests is taken
+# Of a proxy's own bound: most requests out, how often it moves, at what part of the promise the usual answer
+# shows pressure (half of the answers are longer, and what is late is of less use), and how much over that.
+PACE_MOST, PACE_EVERY, PACE_PART, PACE_BUFFER = 1000, 1_000, 0.25, 0.1
 RETRY_SHARE = 0.2  # where the settings state no budget of further submissions
 
 
@@ -51,6 +54,16 @@
     eject_most: int
 
 
+class Pace(NamedTuple):
+    """A bound on what is out of one resource group that binds under pressure alone: it shrinks while the
+    median round trip is over round_trip and a part more (buffer), and grows while it is under."""
+
+    most: int
+    every: int
+    round_trip: int
+    buffer: float
+
+
 def cluster_name(klass, table):
     return f"{klass}/{table}"
 
@@ -68,6 +81,7 @@
         for name, group in zip(group_names, site.groups):
             allowed = (group.zones, group.kinds)
             self.class_of[name] = self.classes.setdefault(allowed, name)
+        self.paces = {name: self.pace(group) for name, group in zip(group_names, site.groups)}
         self.allowed = {klass: allowed for allowed, klass in self.classes.items()}
         self.threads = {klass: max(g.threads for name, g in zip(group_names, site.groups)
                                    if self.class_of[name] == klass) for klass in self.allowed}
@@ -224,6 +238,10 @@
                 first, warm = first + 1, warm + self.warmth(engine)
         return tuple(found)
 
+    def pace(self, group):
+        """The design's bound under pressure, for a proxy that knows no best latency; from settings."""
+        return Pace(PACE_MOST, PACE_EVERY, max(10, int(group.promise * PACE_PART)), PACE_BUFFER)
+
     def limits(self, klass):
         """The bound on threads of a cluster's first engines, over all proxies, and what of the module's own
         guards a proxy can keep: of those out, no more further tries than the budget allows, and an engine
--- a/wickvane/control/resources.py
+++ b/wickvane/control/resources.py
@@ -9,6 +9,7 @@
 from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
 from envoy.config.listener.v3 import api_listener_pb2, listener_pb2
 from envoy.config.route.v3 import route_components_pb2, route_pb2
+from envoy.extensions.filters.http.adaptive_concurrency.v3 import adaptive_concurrency_pb2 as concurrency_pb2
 from envoy.extensions.filters.http.router.v3 import router_pb2
 from envoy.extensions.filters.network.http_connection_manager.v3 import (
     http_connection_manager_pb2 as hcm_pb2,
@@ -72,7 +73,7 @@
                     for klass in placement.allowed for limits in (placement.limits(klass),)
                     for table in placement.tables}
         groups = list(placement.class_of)
-        return {CDS: clusters, LDS: {group: self.listener(group) for group in groups},
+        return {CDS: clusters, LDS: {group: self.listener(group, placement.paces[group]) for group in groups},
                 RDS: {group: self.routes(group, placement) for group in groups}}
 
     def cluster(self, name, limits):
@@ -126,11 +127,21 @@
             group.load_balancing_weight.value = sum(end.load_balancing_weight.value for end in ends)
         return octets(made)
 
-    def listener(self, group):
+    def listener(self, group, pace):
         """One a resource group, by its name: `xds:///GROUP` for a client of gRPC, an API listener for what
         brings a listener of its own."""
         manager = hcm_pb2.HttpConnectionManager(
             stat_prefix=group, rds=hcm_pb2.Rds(route_config_name=group, config_source=ads()))
+        gradient = concurrency_pb2.GradientControllerConfig()
+        gradient.sample_aggregate_percentile.value = 50
+        gradient.concurrency_limit_params.max_concurrency_limit.value = pace.most
+        seconds(gradient.concurrency_limit_params.concurrency_update_interval, pace.every)
+        seconds(gradient.min_rtt_calc_params.fixed_value, pace.round_trip)
+        gradient.min_rtt_calc_params.buffer.value = 100 * pace.buffer
+        # A client that has no such filter goes without it.
+        manager.http_filters.append(hcm_pb2.HttpFilter(
+            name="adaptive-concurrency", is_optional=True, typed_config=packed(
+                concurrency_pb2.AdaptiveConcurrency(gradient_controller_config=gradient))))
         manager.http_filters.append(hcm_pb2.HttpFilter(
             name="router", typed_config=packed(router_pb2.Router())))
         return octets(listener_pb2.Listener(
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -489,7 +489,9 @@
             self.counters.add("configurations-unusable")
             self.log.line("configuration-unusable", why=str(error))
             return
-        self.part, self.hub.nodes, self.hub.floor = part, part.nodes, part.floor
+        if part.nodes != self.part.nodes:
+            self.hub.regroup(part.nodes)
+        self.part, self.hub.floor = part, part.floor
         self.hub.settle(self.clock.now(), placement, Make())
         if self.members:
             self.members.wake()
--- a/wickvane/control/session.py
+++ b/wickvane/control/session.py
@@ -90,6 +90,7 @@
         self.kinds, self.nonces = [Kind() for _ in TYPES], 0
         self.counts = dict.fromkeys(("sent", "acknowledged", "refused", "stale", "told-again", "late"), 0)
         self.turns, self.asks, self.asks_at = [], 0, now
+        self.unknown = False  # no longer anybody who may be told anything
         self.lag = 0  # of the slowest acknowledgement lately
 
     # What the proxy says
@@ -220,6 +221,12 @@
 
     # What it gets
 
+    def regrouped(self, unknown):
+        """What it may have is settled anew."""
+        self.unknown = unknown
+        for state in self.kinds:
+            state.cache, state.dirty = None, state.asked
+
     def wanted(self, kind):
         """Names that it subscribed to and may have."""
         state, entries = self.kinds[kind], self.catalog.entries[kind]
@@ -282,6 +289,8 @@
 
     def next(self, now):
         """The next Response, None where there is none now."""
+        if self.unknown:
+            raise Broken("this node is no longer known here")
         # Ahead of every queue, and of what is out.
         names, removed, drain = ends = self.due(EDS)
         if drain:
