Generation and digest in control status; check needs no coordinator where files stand in

Need: several instances that read copies of a file are compared by what they tell; wickvane check refused a configuration without a coordinator though the parts document has files in its place. Change: CSDS metadata and the table of control status; check takes the files' word. A test of clock steps between runs.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -559,3 +559,17 @@
         assert not day.breaches and day.checked[3] > 1000
         served[lists] = day.service()
     assert abs(served["file"] - served["stream"]) < 0.05
+
+
+def test_a_clock_that_steps_between_runs_ends_no_drain_early_and_holds_none_for_ever():
+    members = Members(linger=30 * SECOND, share_past=NOTE)
+    members.offer(fleet(5)).offer([*fleet(3), member(4, weight=0.0)])
+    assert members.told["e3"][0] == members.told["e4"][0] == i.DRAINING
+    for step in (-3600 * SECOND, 3600 * SECOND):
+        members.now += step
+        again = members.restart()
+        assert again.told["e3"][0] == again.told["e4"][0] == i.DRAINING and len(again.ready()) == 3
+        again.after(29 * SECOND)
+        assert again.told["e3"][0] == i.DRAINING
+        again.after(2 * SECOND)
+        assert "e3" not in again.told and again.told["e4"][0] == i.DRAINING
--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -32,6 +32,7 @@
 from wickvane import interface as i
 from wickvane import parts
 from wickvane.control import fleet as fl
+from wickvane.control import tool
 from wickvane.control.catalog import Catalog
 from wickvane.members import document, journal, watch
 from wickvane.members.membership import Membership, Terms
@@ -541,6 +542,21 @@
     assert rows(Client(serving).ask(statement(n=1)))
 
 
+def test_check_needs_no_coordinator_where_files_stand_in_its_place(path, tmp_path):
+    swap(path, fleet(2))
+    config = found([], Events())
+    del config["coordinator"]
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    (tmp_path / "parts.kdl").write_text(f'members {{ file "{path}" }}')
+    words = ["check", f"--config={tmp_path}/config.json", f"--parts={tmp_path}/parts.kdl"]
+    made = subprocess.run([sys.executable, "-m", "wickvane", *words], cwd=ROOT, capture_output=True,
+                          timeout=60)
+    assert made.returncode == 0, made.stderr
+    made = subprocess.run([sys.executable, "-m", "wickvane", *words[:2]], cwd=ROOT, capture_output=True,
+                          timeout=60, env={k: v for k, v in os.environ.items() if k != "WICKVANE_PARTS"})
+    assert made.returncode == 2 and b"coordinator" in made.stderr
+
+
 def test_no_query_is_lost_over_random_valid_and_invalid_swaps(path):
     chance = Random(4)
     engines = {n: Engine() for n in range(5)}
@@ -626,6 +642,8 @@
     with open(path, "w") as file:
         file.write(text)
     until(lambda: proxy.sends_to() == {"e0", "e1", "e2", "e3"})
+    (row,) = {(r["generation"], r["digest"]) for r in tool.ask(f"127.0.0.1:{port}")}
+    assert row == (3, server.members.membership.target.digest)
     loop.stop(proxy)
     server.stop()
     thread.join(10)
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -109,7 +109,10 @@
             raise Unstartable("no configuration: name one with --config or in LB_CONFIG", 2)
         if asked["control"]:
             return control(path, more, found)
-        service = Service(configuration(path), parts=found if asked["serve"] else None)
+        config, members = configuration(path), (found or {}).get("members")
+        if not asked["serve"] and members and not members.terms.overrides and isinstance(config, dict):
+            config.setdefault("coordinator", "127.0.0.1:1")  # files stand in its place
+        service = Service(config, parts=found if asked["serve"] else None)
         if asked["serve"]:
             return service.run(path, more)
         if asked["explain"]:
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -259,6 +259,9 @@
                 name: row[name] for name in ("stream", "variant", "lag_ms", "sent", "acknowledged", "refused",
                                              "told-again", "late")})
             one.node.metadata.update({"index": self.hub.fleet.index, "old": self.hub.fleet.old})
+            if self.server.members:
+                found = self.server.members.membership
+                one.node.metadata.update({"generation": found.generation, "digest": found.target.digest})
             for word, state in row["types"].items():
                 found = one.generic_xds_configs.add(
                     type_url=TYPES[WORDS.index(word)], version_info=state["version"])
--- a/wickvane/control/tool.py
+++ b/wickvane/control/tool.py
@@ -56,7 +56,9 @@
     from rich.table import Table
 
     table = Table(title=f"{len({row['node'] for row in rows})} nodes")
-    columns = ("node", "type", "version", "state", "lag_ms", "sent", "refused", "late", "why")
+    columns = ["node", "type", "version", "state", "lag_ms", "sent", "refused", "late", "why"]
+    if any("generation" in row for row in rows):
+        columns[4:4] = ["generation", "digest"]
     for column in columns:
         table.add_column(column)
     for row in sorted(rows, key=lambda row: (row["node"], WORDS.index(row["type"]))):
