--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -647,3 +647,57 @@
     loop.stop(proxy)
     server.stop()
     thread.join(10)
+
+
+class Program:
+    """`wickvane serve` as it is, with what it logs."""
+
+    def __init__(self, folder):
+        words = ["serve", f"--config={folder}/config.json", f"--parts={folder}/parts.kdl"]
+        self.it = subprocess.Popen([sys.executable, "-m", "wickvane", *words], cwd=ROOT,
+                                   stdout=subprocess.PIPE)
+        self.lines = []
+        threading.Thread(target=self.read, daemon=True).start()
+        until(lambda: self.of("ready"))
+
+    def read(self):
+        for line in self.it.stdout:
+            try:
+                self.lines.append(json.loads(line))
+            except ValueError:
+                pass  # cut by the kill
+
+    def of(self, event):
+        return [line for line in list(self.lines) if line["event"] == event]
+
+
+def test_sigkill_while_files_change_loses_nothing_that_had_acted(path, tmp_path):
+    chance, number = Random(3), 1
+    config = found([], Events())
+    del config["coordinator"]
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    (tmp_path / "parts.kdl").write_text(
+        f'members {{ file "{path}"; still "10ms"; poll "50ms"; state "{tmp_path}/state" }}')
+    swap(path, fleet(5, zone="dc"), number)
+    acted = 0
+    for _ in range(3):
+        program = Program(tmp_path)
+        until(lambda program=program, number=number: any(
+            line["generation"] == number for line in program.of("members-taken")))
+        by = time.monotonic() + chance.uniform(0.2, 0.6)
+        while time.monotonic() < by:
+            number += 1
+            swap(path, fleet(5 + number % 2, zone="dc"), number)
+            time.sleep(0.03)
+        program.it.kill()
+        program.it.wait()
+        acted = max(acted, *(line["generation"] for line in program.of("members-taken")))
+        os.unlink(path)
+        again = Program(tmp_path)
+        kept = until(lambda again=again: again.of("members-from-journal"))[0]
+        assert acted <= kept["generation"] <= number and kept["engines"] in (5, 6)
+        until(lambda again=again: again.of("members-refused"))
+        again.it.kill()
+        again.it.wait()
+        number += 1
+        swap(path, fleet(5 + number % 2, zone="dc"), number)
