--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -391,7 +391,9 @@
                    override(9, weight=0.5)])
     assert members.told["e1"][:2] == (i.READY, 0.25) and members.told["e2"][0] == i.DRAINING
     assert ("not-listed",) in members.codes("members-taken")
+    kept = len(members.journal)
     stream(2, (1, i.DRAINING))
+    assert len(members.journal) == kept  # the stream tells it again after a restart
     assert members.told["e1"][0] == i.DRAINING
     members.offer([override(1, weight=1.0)])
     assert members.told["e1"][0] == i.DRAINING and members.told["e2"][0] == i.READY  # taken out of the file
--- a/wickvane/members/membership.py
+++ b/wickvane/members/membership.py
@@ -345,8 +345,11 @@
             elif want is not None:
                 waiting = True
         if put or drop:
-            self.keep({"what": "at-work", "at": now, "step": self.step + (not self.terms.overrides or may),
-                       "put": [member.plain() for member in put], "drop": drop})
+            # What the stream alone told, it tells again after a restart; its own number is in the told one.
+            mine = not at_once or any(member.name not in at_once for member in put)
+            record = {"what": "at-work", "at": now, "step": self.step + mine,
+                      "put": [member.plain() for member in put], "drop": drop}
+            (self.keep if mine else self.apply)(record)
             self.out.append(("tell", self.number, not self.listed, entries, back))
             self.listed = True
         if may and waiting:
--- a/wickvane/members/source.py
+++ b/wickvane/members/source.py
@@ -51,6 +51,10 @@
         try:
             os.makedirs(os.path.join(self.part.state, ORDERS), 0o700, exist_ok=True)
             self.journal = journal.Journal(self.part.state)
+            orders = os.path.join(self.part.state, ORDERS)
+            for name in os.listdir(orders):  # answers that nobody has waited for
+                if name.endswith((".answer", ".fresh", ".new")):
+                    os.unlink(os.path.join(orders, name))
             records = self.journal.read()
         except journal.InUse as error:
             raise Unstartable(str(error)) from None
