--- a/tests/test_rules_checker.py
+++ b/tests/test_rules_checker.py
@@ -138,3 +138,20 @@
     assert [rule for rule, _ in seen.breaches()[0]] == [8] * broken
     seen.given_up(1.0, 0)  # it had been given up as it ended
     assert seen.breaches()[0] == []
+
+
+def test_who_was_drained_by_hand_may_be_let_in_again_and_ready_alone_ends_no_drain():
+    seen = Seen(Figures({"lookup": "read-only"}))
+    for n in range(5):
+        seen.taken(0.0, n, "lookup", 60.0)
+        seen.listed(0.0, f"e{n}", "ready", "old")
+        seen.listed(1.0, f"e{n}", "draining", "old")
+    seen.listed(5.0, "e1", "back", "old")
+    seen.listed(5.0, "e2", "ready", "old")
+    seen.listed(5.0, "e3", "back", "old")
+    seen.listed(7.0, "e3", "gone", "old")
+    for n, at in ((0, 2.0), (1, 9.0), (2, 9.0), (3, 12.0), (4, 4.0)):
+        seen.ended(at + 0.1, seen.submitted(at, n, f"e{n}"), "finished")
+        seen.answered(at + 0.1, n, "finished")
+    found, _ = seen.breaches()
+    assert sorted(text.split()[0] for rule, text in found if rule == 3) == ["2", "3", "4"]
