--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -418,7 +418,7 @@
     def ready(self, doc):
         return {name for name, e in doc.items() if e.state == i.READY}
 
-    def offer(self, doc, generation, held_anew):
+    def offer(self, doc, generation):
         if doc == self.file and (generation is None or generation <= self.generation):
             self.held = None
             return "same"
@@ -469,7 +469,7 @@
                 doc = plain.file
             before = len(members.journal)
             members.offer(doc.values(), generation)
-            said = plain.offer(doc, generation, False)
+            said = plain.offer(doc, generation)
             wrote = {r["what"] for r in members.journal[before:]} & {"taken", "held"}
             assert wrote == ({said} if said in ("taken", "held") else set()), said
         elif step < 0.6:
--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -207,7 +207,7 @@
 def test_a_file_that_is_never_still_is_told_of_and_ends_nothing(path, monkeypatch):
     monkeypatch.setattr(watch, "PATIENCE", 3000)
     swap(path, fleet(4), sealed=False)
-    following, ended = Following(path, more='poll "50ms"'.replace("poll", "step")), threading.Event()
+    following, ended = Following(path, more='step "50ms"'), threading.Event()
 
     def scribble():
         with open(path, "ab", buffering=0) as file:
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -328,14 +328,9 @@
         """The list from watched files, where the parts document has it."""
         from wickvane.members.checks import facts_of
         from wickvane.members.source import Source
-        from wickvane.members.source import Unstartable as Unusable
-        from wickvane.net.service import Unstartable
 
-        try:
-            return Source(part, facts_of(book), self.listed, self.clock, self.log, self.counters,
-                          lambda: self.hub.load(self.clock.now()), None, self.name)
-        except Unusable as error:
-            raise Unstartable(f"members: {error}", 2) from None
+        return Source(part, facts_of(book), self.listed, self.clock, self.log, self.counters,
+                      lambda: self.hub.load(self.clock.now()), None, self.name)
 
     def listed(self, number, whole, entries, back=()):
         """From the coordinator's thread, or that of watched files."""
--- a/wickvane/members/source.py
+++ b/wickvane/members/source.py
@@ -18,16 +18,13 @@
 from wickvane.members.gather import Gathered
 from wickvane.members.membership import Membership
 from wickvane.members.part import EVENTS
+from wickvane.net.service import Unstartable
 
 AGAIN = 20_000  # a change that was refused by what is at work is looked at anew so often
 LOAD_OVER, WAIT_MOST_S, ORDERS_MOST, ORDER_OCTETS = 100_000, 1.0, 64, 4096
 STATUS, ORDERS = "status.json", "orders"
 
 
-class Unstartable(Exception):
-    """The journal cannot be used; says why."""
-
-
 class Source:
     """load: threads that this dispatcher has at work, times what stands for the others; busy: whether
     anything runs on an engine; either None where nobody knows."""
@@ -57,9 +54,9 @@
                     os.unlink(os.path.join(orders, name))
             records = self.journal.read()
         except journal.InUse as error:
-            raise Unstartable(str(error)) from None
+            raise Unstartable(f"members: {error}", 2) from None
         except OSError as error:
-            raise Unstartable(f"{self.part.state} cannot be used: {error.strerror}") from None
+            raise Unstartable(f"members: {self.part.state} cannot be used: {error.strerror}", 2) from None
         except journal.Unreadable as error:
             # What cannot be read is kept for people to look at; nothing is known then.
             self.torn, records = True, []
@@ -70,8 +67,8 @@
             for record in records:
                 self.membership.apply(record)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise Unstartable(f"the journal in {self.part.state} has a record that cannot be used: "
-                              f"{type(error).__name__}: {error}") from None
+            raise Unstartable(f"members: the journal in {self.part.state} has a record that cannot be used: "
+                              f"{type(error).__name__}: {error}", 2) from None
 
     def carry(self):
         """Carries out what was decided, in its order; under the lock."""
@@ -99,18 +96,19 @@
             self.journal.keep(record)
         except OSError as error:
             # A list that cannot be written down still has to be acted on; a restart would not know of it.
-            self.torn = True
-            self.counters.add("members-journal-failed")
-            self.log.line("members-journal-failed", why=error.strerror)
+            self.unkept(error)
+
+    def unkept(self, error):
+        self.torn = True
+        self.counters.add("members-journal-failed")
+        self.log.line("members-journal-failed", why=error.strerror)
 
     def compact(self):
         try:
             self.journal.compact(self.membership.whole(self.clock.now()))
             self.torn = False
         except OSError as error:
-            self.torn = True
-            self.counters.add("members-journal-failed")
-            self.log.line("members-journal-failed", why=error.strerror)
+            self.unkept(error)
 
     def show(self):
         """What the tools read, where it is another than before."""
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -148,15 +148,10 @@
         """The list from watched files, where the parts document has it."""
         from wickvane.members.checks import facts_of
         from wickvane.members.source import Source
-        from wickvane.members.source import Unstartable as Unusable
 
         gateway, sent = self.decider.gateway, self.book.sent
-        try:
-            return Source(part, facts_of(self.book), self.listed, self.clock, self.log, self.counters,
-                          lambda: gateway.used * gateway.gateways, lambda name: sent.get(name, 0) > 0,
-                          self.name)
-        except Unusable as error:
-            raise Unstartable(f"members: {error}", 2) from None
+        return Source(part, facts_of(self.book), self.listed, self.clock, self.log, self.counters,
+                      lambda: gateway.used * gateway.gateways, lambda name: sent.get(name, 0) > 0, self.name)
 
     def export(self, part, seed):
         """The exporter of flows, where the parts document has it; nothing of it is imported otherwise."""
