--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+from threading import Thread
 
 import pytest
 from bench_free import SETTINGS, entry, event, hit, i, rows, sse, statement
@@ -12,9 +13,12 @@
 from wickvane.net import coordinator
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Exchange, Lane, Submission, Ticket
-from wickvane.net.lines import connection as link
+from wickvane.net.lines import connection as lines
+from wickvane.net.lines import links as link
+from wickvane.net.lines.connection import Connection
 from wickvane.net.postgres.rows import result
 from wickvane.net.statement import Reader, Unusable, is_empty, plain_group, split, table_group
+from wickvane.net.threads import Threads
 
 READER = Reader(Book(SETTINGS))
 
@@ -80,7 +84,7 @@
         answer = bytearray(garbage(chance, hit(b"ab")))
         for n, (work, wrong) in enumerate((
             (lambda text=text: (is_empty(text), READER.read(text)), Unusable),
-            (lambda answer=answer: link.parse(answer), link.Malformed),
+            (lambda answer=answer: lines.parse(answer), lines.Malformed),
             (lambda news=news: follow([news]), coordinator.Malformed),
         )):
             try:
@@ -125,9 +129,9 @@
         assert follow([stream[:at], stream[at:]]) == whole
     answer = hit(b"ab", b"a\tb\tc\n" * 3)
     for at in range(len(answer)):
-        assert link.parse(bytearray(answer[:at])) is None
+        assert lines.parse(bytearray(answer[:at])) is None
     buffer = bytearray(answer * 2)
-    assert link.parse(buffer) == link.parse(buffer) and not buffer
+    assert lines.parse(buffer) == lines.parse(buffer) and not buffer
 
 
 def test_rows_are_what_a_plain_reading_of_the_pages_gives():
@@ -191,10 +195,11 @@
 
 def line_of_one(monkeypatch, up=False):
     """A link whose connection has not come up, and a submission that waits in its line."""
-    monkeypatch.setattr(link.Connection, "start", lambda self: None)
+    monkeypatch.setattr(Connection, "start", lambda self: None)
     clock, exchange = Clock(), Exchange(Clock(), Counts())
-    links = link.Links(exchange, SETTINGS["limits"], 8, clock, clock, Counts())
-    keeper = link.Link(Lane("e", ("", 0), 0), links)
+    threads = Threads(clock, Counts())
+    links = link.Links(exchange, SETTINGS["limits"], 8, clock, clock, Counts(), threads=threads)
+    keeper = link.Link(Lane("e", ("127.0.0.1", 0), 0), links)
     ticket = Ticket(clock.now(), **READER.read(statement().encode()))
     submission = Submission(ticket, 0, 0, keeper.lane, clock.now(), ticket.limit)
     keeper.ask(submission)
@@ -218,10 +223,13 @@
 
 def test_a_connection_closes_before_the_engine_would_close_it_as_idle(monkeypatch):
     keeper, submission, inbox = line_of_one(monkeypatch)
+    keeper.connections[0].up = True
     keeper.connections[0].drop(submission, i.FINISHED)
     idle = SETTINGS["limits"]["conn_idle_ms"] * 10
-    assert not keeper.look(int(submission.at + idle * 0.5)) and keeper.connections
-    keeper.look(int(submission.at + idle * 0.9))
+    keeper.links.round([])
+    keeper.links.look(int(submission.at + idle * 0.5))
+    assert keeper.connections
+    keeper.links.look(int(submission.at + idle * 0.9))
     assert not keeper.connections and keeper.log.last[1]["reason"] == "idle"
 
 
@@ -235,14 +243,16 @@
 def test_what_an_engine_does_not_take_at_once_is_written_in_order_without_a_wait(monkeypatch):
     keeper, submission, _ = line_of_one(monkeypatch)
     place, theirs = on_a_pair(keeper)
-    lines = [b"%d" % n * 30_000 for n in range(8)]
-    for line in lines:
+    texts = [b"%d" % n * 30_000 for n in range(8)]
+    for line in texts:
         assert place.put("line", line, submission.ticket)
-    assert place.writing and submission.written
+    assert place.rest and submission.written
+    Thread(target=keeper.links.run, daemon=True).start()
     got = theirs.recv(65_536)
     while len(got) < 240_000 + got.find(b"0000"):
         got += theirs.recv(65_536)
-    assert got.startswith(b"ASK ") and got.endswith(b"\r\n" + b"".join(lines))
+    keeper.links.stop()
+    assert got.startswith(b"ASK ") and got.endswith(b"\r\n" + b"".join(texts))
 
 
 def test_a_connection_found_dead_before_a_byte_is_out_proves_that_nothing_ran(monkeypatch):
@@ -261,11 +271,10 @@
     keeper, submission, _ = line_of_one(monkeypatch)
     for _ in range(5000):
         ended = Submission(submission.ticket, 0, 0, keeper.lane, submission.at, submission.until + 1)
-        keeper.count += 1
-        link.heappush(keeper.waits, (ended.until, keeper.count, ended))
+        keeper.links.later(ended.until, ended)
         ended.over = True
-        keeper.look(submission.at)
-    assert len(keeper.waits) < 1000 and keeper.waits[0][2] is submission
+        keeper.links.look(submission.at)
+    assert len(keeper.links.waits) < 1000 and keeper.links.waits[0][2] is submission
 
 
 def test_an_event_that_the_module_cannot_bear_takes_no_other_with_it():
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -39,7 +39,6 @@
 from wickvane import interface as i
 from wickvane import parts
 from wickvane.net.lines import connection as lines
-from wickvane.net.lines.connection import Connection
 from wickvane.net.service import Service, Unstartable
 from wickvane.net.tds import errors, logins, packets
 from wickvane.net.tds import login as lg
@@ -301,9 +300,9 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
         return sock
 
-    dialled = Connection.dial
-    monkeypatch.setattr(Connection, "dial", dial)
-    monkeypatch.setattr(lines, "WRITE_US", 300_000)
+    dialled = TdsConnection.dial
+    monkeypatch.setattr(TdsConnection, "dial", dial)
+    monkeypatch.setattr(lines, "WRITE_TIME", 3_000)
     bad, good = TdsEngine(), TdsEngine()
     bad.half = broken
     bad.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4608)
@@ -327,7 +326,8 @@
     ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
     place.sock, place.up, keeper.connections[:] = ours, True, [place]
     sub.ticket.body = b"UPDATE sales_1.t SET a='" + b"x" * 50_000 + b"'"
-    assert place.put("ask", sub) and place.writing
+    assert place.put("ask", sub) and place.rest
+    Thread(target=keeper.links.run, daemon=True).start()
     return place, theirs, sub, inbox
 
 
@@ -352,10 +352,11 @@
         place.fail(reason)
         assert only_ending(inbox, sub) == (i.RESET if whole else proven)
         theirs.close()
+        place.link.links.stop()
 
 
 def test_an_end_that_crosses_the_last_write_never_proves_what_the_engine_has_whole(monkeypatch):
-    """The reader's thread ends the connection while the writer's is in its send: only the writer can tell."""
+    """Another thread ends the connection while the keeper writes on it."""
     def read(theirs, got):
         try:
             while data := theirs.recv(chance.randrange(1, 20_000)):
@@ -379,6 +380,7 @@
         assert ending == i.RESET or not has_whole
         seen.add((ending, has_whole))
         theirs.close()
+        place.link.links.stop()
     assert {ending for ending, _ in seen} == {i.RESET, i.NO_CONNECTION}
 
 
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -29,6 +29,7 @@
 from wickvane.net.coordinator import Coordinator
 from wickvane.net.counters import Counters
 from wickvane.net.log import Log
+from wickvane.net.threads import Threads
 
 REQUEST_MOST = 4 << 20
 SUPPORTS_TTL = "xds.config.supports-resource-ttl"
@@ -444,8 +445,8 @@
         self.after(None if self.hub.fleet.index else self.hub.fleet)
         await server.start()
         if self.coordinator:
-            follower = threading.Thread(target=self.coordinator.run, name="coordinator", daemon=True)
-            follower.start()
+            follower = await asyncio.to_thread(Threads(self.log, self.counters).needed, self.coordinator.run,
+                                               "coordinator")
         self.log.line("ready", name=self.name, listen=place, pid=os.getpid())
         self.ready.set()
         try:
@@ -500,8 +501,7 @@
 
     def run(self, path, parts_path):
         """As the program: signals, until it is ended."""
-        writer = threading.Thread(target=self.log.run, name="log", daemon=True)
-        writer.start()
+        writer = Threads(self.log, self.counters).needed(self.log.run, "log")
 
         async def main():
             loop = asyncio.get_running_loop()
--- a/wickvane/flows/export.py
+++ b/wickvane/flows/export.py
@@ -10,13 +10,14 @@
 import socket
 import time
 from random import Random
-from threading import Condition, Event, Lock, Thread
+from threading import Condition, Event, Lock
 
 from wickvane.flows import ipfix, netflow9, spool
 from wickvane.flows.accounts import Accounts
 from wickvane.flows.elements import PLAIN_KINDS
 from wickvane.flows.outlet import SPOILT, UNCOUNTED, Backlog, Outlet, Route, Segment
 from wickvane.flows.part import IPFIX, NETFLOW9, PLAIN, TLS, UDP
+from wickvane.net.threads import Threads
 
 CONNECT_S, CLOSE_S, FLUSH_S, IDLE_S, SETTLE_S = 1.0, 1.0, 1.5, 1.0, 0.5
 BATCH = 65_536  # octets handed to a TCP connection at a time
@@ -246,8 +247,7 @@
         return Route(len(self.collector.addresses), self.collector.home, self.exporter.chance)
 
     def start(self):
-        self.thread = Thread(target=self.run, name=f"flows-{self.collector.name}", daemon=True)
-        self.thread.start()
+        self.thread = self.exporter.threads.needed(self.run, f"flows-{self.collector.name}")
 
     def change(self, collector, number, secure):
         """From another thread: another address, or renewed certificates; what is open is ended in order."""
@@ -495,7 +495,7 @@
         # Not from the seed, which may be the same at the next start: collectors tell repeats by these bits.
         self.accounts = Accounts(int.from_bytes(os.urandom(4), "big"), part.table, part.active, part.idle)
         self.lines, self.stopping, self.faulty, self.lock = {}, Event(), {}, Lock()
-        self.thread = None
+        self.thread, self.threads = None, Threads(log, counters)
         contexts = self.contexts(part)
         try:
             for format in {collector.format: 0 for collector in part.collectors}:
@@ -542,8 +542,7 @@
             self.log.line(event, error=f"{type(error).__name__}: {error}")
 
     def start(self):
-        self.thread = Thread(target=self.run, name="flows", daemon=True)
-        self.thread.start()
+        self.thread = self.threads.needed(self.run, "flows")
         for line in self.lines.values():
             for way in line.ways:
                 way.start()
--- a/wickvane/members/source.py
+++ b/wickvane/members/source.py
@@ -19,6 +19,7 @@
 from wickvane.members.membership import Membership
 from wickvane.members.part import EVENTS
 from wickvane.net.service import Unstartable
+from wickvane.net.threads import Threads
 
 AGAIN = 20_000  # a change that was refused by what is at work is looked at anew so often
 LOAD_OVER, WAIT_MOST_S, ORDERS_MOST, ORDER_OCTETS = 100_000, 1.0, 64, 4096
@@ -148,7 +149,7 @@
         if self.part.watch == EVENTS:
             self.waker = watch.Waker(sorted(folders), self.woken, self.fell_back)
             self.waker.start()
-        threading.Thread(target=self.run, name="members", daemon=True).start()
+        Threads(self.log, self.counters).needed(self.run, "members")
 
     def fell_back(self, why):
         self.counters.add("members-watch-failed")
--- a/wickvane/members/watch.py
+++ b/wickvane/members/watch.py
@@ -136,6 +136,8 @@
         before = threading.stack_size(STACK)
         try:
             threading.Thread(target=self.run, name="members-watch", daemon=True).start()
+        except RuntimeError as error:  # no thread to be had
+            self.failed(str(error))
         finally:
             threading.stack_size(before)
 
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -164,8 +164,7 @@
             # An address that another engine had before must not be reached over that one's connections.
             if lane:
                 lane.put(("close",), always=True)
-            lane = self.lanes[name] = Lane(name, address, started, speaks)
-            self.exchange.lanes.put(lane, always=True)
+            self.lanes[name] = Lane(name, address, started, speaks, self.exchange.calls)
         elif started and lane.started != started:
             lane.started = started
             lane.put(("restarted", started), always=True)
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -1,10 +1,11 @@
 """Where the client side and the engine side meet, and the only place. Neither knows of the other.
 
 A session puts a Ticket in and waits on it. The decider takes what came in from the inbox and writes orders
-into lanes, one an engine; the links take orders from their lanes and bring endings back. Nothing in here
+into lanes, one an engine; the keeper takes orders from the lanes and brings endings back. Nothing in here
 waits on a peer, and every line in it has its bound.
 """
 
+import os
 from collections import deque
 from threading import Condition, Lock
 
@@ -72,13 +73,60 @@
         self.pages, self.told, self.work, self.memory = None, 0, 0, 0
 
 
+class Bell:
+    """Wakes the one thread that waits on descriptors, this one's among them; costs nothing while it is awake.
+
+    That thread says that it is about to sleep before it looks for what came last, and who rings has put down
+    what it rings for: one of the two sees the other's."""
+
+    def __init__(self):
+        self.heard, self.rung = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        self.asleep = False
+
+    def ring(self):
+        if self.asleep:
+            self.asleep = False
+            try:
+                os.write(self.rung, b"\0")
+            except BlockingIOError:
+                pass  # full of rings that nobody heard yet
+
+    def hear(self):
+        try:
+            os.read(self.heard, 512)
+        except BlockingIOError:
+            pass
+
+
+class Calls:
+    """Whom the keeper of engines has to see to: lanes with orders, connections that want a look."""
+
+    def __init__(self):
+        self.items, self.bell = deque(), Bell()
+
+    def put(self, item):
+        self.items.append(item)
+        self.bell.ring()
+
+
 class Lane(Line):
     """The orders for one engine process, and where it listens. speaks: None for the line protocol, else what
-    its connections are made by."""
+    its connections are made by. Nobody waits on a lane: it calls when it begins to hold something."""
 
-    def __init__(self, name, address, started, speaks=None):
+    def __init__(self, name, address, started, speaks=None, calls=None):
         super().__init__(LANE_MOST)
         self.name, self.address, self.started, self.speaks = name, address, started, speaks
+        self.calls, self.link = calls, None
+
+    def put(self, item, always=False):
+        with self.more:
+            if len(self.items) >= self.most and not always:
+                return False
+            self.items.append(item)
+            first = len(self.items) == 1
+        if first and self.calls is not None:
+            self.calls.put(self)
+        return True
 
 
 class Pipe:
@@ -128,7 +176,7 @@
 class Exchange:
     def __init__(self, clock, counters):
         self.clock, self.counters, self.lock = clock, counters, Lock()
-        self.inbox, self.lanes = Line(INBOX_MOST), Line(INBOX_MOST)
+        self.inbox, self.calls = Line(INBOX_MOST), Calls()
         self.cancels, self.open, self.next_pid, self.groups = {}, set(), 0, []
         self.storm = 0  # the number of the retry storm that lasts, 0 for none
 
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -1,31 +1,31 @@
-"""One engine process: its connections, the requests on them, and each submission's one ending.
+"""A connection to an engine: the requests on it, and each submission's one ending.
 
-A keeper thread an engine takes orders from the lane and keeps the waits. Each connection has a thread that
-dials and reads, and one that writes while the engine does not take what it is sent; only those wait on it.
+The keeper (links.py) hands in orders and tells when there is something to read, or room for what the engine
+did not take at once; nothing it calls here waits.
 """
 
+import errno
+import os
 import re
+import select
 import socket
 from collections import deque
-from errno import EAGAIN
-from heapq import heapify, heappop, heappush
-from struct import pack
-from threading import Lock, Thread
+from threading import Lock
 
 from wickvane import interface as i
 from wickvane.net.counters import FIRST, FORWARD, FURTHER, NOBODY, REVERSE
 from wickvane.net.lines.pages import PAGES_MOST, RESULT_MOST, is_page
 
-LINE_MOST, BODY_MOST, PAST_MOST, WAITS_HELD = 512, 6_000, 128, 256
-WRITE_US, READ_S, WAKE_S = 999_999, 5, 30
+LINE_MOST, BODY_MOST, PAST_MOST = 512, 6_000, 128
+WRITE_TIME = 10_000  # an engine that takes nothing for so long
 # An engine writes an answer at once and has a further page at hand: one that stops midway, or a page that
 # does not come, leaves a connection that nothing more is to be had from, however long it stays open.
-STALL_US, STALLS, PAGE_TIME, LOOK = 250_000, 2, 10_000, 500
+STALL_TIME, PAGE_TIME, LOOK = 5_000, 10_000, 500
 RECV = 16_384
-STREAMS = 100  # requests on a connection, where the settings name no bound
-OUR_DOING = frozenset(("stop", "engine-restarted", "engine-gone"))
-IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
-
+WRITES = select.EPOLLOUT
+# What this program or its machine ended is no engine's fault; where nothing was sent, nothing ran.
+OUR_DOING = frozenset(("stop", "engine-restarted", "engine-gone", "no-thread", "no-descriptor", "made-room"))
+OURS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
 NUMBER = re.compile(rb"\d{1,15}(\.\d{0,15})?\Z")
 
@@ -76,28 +76,49 @@
     return words[0], words[1], fields, body
 
 
+def is_number(family, host):
+    try:
+        return bool(socket.inet_pton(family, host))
+    except OSError:
+        return False
+
+
 class Connection:
     # Whether what is asked runs only once the last byte of it has come: a peer may act on a line's beginning.
     RUNS_WHOLE = False
+    READS = select.EPOLLIN  # what the keeper watches it for, once it is up
 
     def __init__(self, link):
         self.link, self.lock = link, Lock()
         self.open, self.past, self.outbox, self.rest = {}, {}, deque(), None
-        self.sock, self.dead, self.up, self.writing, self.retired = None, False, False, False, False
-        # While the writer is in a send only it will know how much went; half: whose ending is left to it.
-        self.sending, self.half, self.lost = False, None, i.RESET
-        self.links_stop = False
+        self.sock, self.dead, self.up, self.retired = None, False, False, False
+        self.found = None  # an engine's address, where the list has its name
+        self.stalled, self.links_stop = 0, False
         self.made = self.used = link.clock.now()
-        self.asked = 0
+        self.asked, self.buffer, self.midway = 0, bytearray(), 0
+        # When the keeper looks at it next, and whether it is called to.
+        self.look_at, self.called = None, False
         # Octets that came, those of them whose query is known by now, and those that went.
         self.accounts, self.account = link.links.accounts, None
         self.received = self.claimed = self.sent = 0
 
     def start(self):
-        Thread(target=self.guarded_work, daemon=True).start()
+        """From the keeper's thread: begins to connect; its end is an event of the descriptor."""
+        self.guard(self.dial)
 
-    def guarded_work(self):
-        self.guard(self.work)
+    def release(self):
+        """From the keeper's thread, which reads it: it has failed, or the program ends."""
+        self.let_go()
+
+    def let_go(self):
+        """Who reads it has done so for the last time, and closes it: nobody else may, or a descriptor given
+        anew would be read from for the one before. All writing is under the lock."""
+        with self.lock:
+            sock, self.sock = self.sock, None
+        if sock is None:
+            return
+        self.link.links.unwatch(self, sock.fileno())
+        sock.close()
         if self.account is not None:
             self.claim(NOBODY, self.received - self.claimed)
             self.accounts.closed(self.account, self.link.clock.now(), self.links_stop)
@@ -119,8 +140,6 @@
             work()
         except Malformed as error:
             self.fail("malformed", str(error))
-        except BlockingIOError:
-            self.fail("write-stalled")
         except OSError as error:
             self.fail("reset" if self.up else "connect-timeout" if isinstance(error, TimeoutError)
                       else "connect-refused", error.strerror)
@@ -159,7 +178,7 @@
 
     def flush(self):
         """Under the lock: (failure, submissions that are over with it). What the engine does not take at once
-        is left to a thread of its own, and all that follows waits behind it."""
+        is left to the keeper, and all that follows waits behind it."""
         dropped = []
         while self.outbox:
             kind, *more = self.outbox.popleft()
@@ -171,9 +190,7 @@
             if not data:
                 continue
             try:
-                sent = self.sock.send(data, socket.MSG_DONTWAIT)
-            except BlockingIOError:
-                sent = 0
+                sent = self.send(data)
             except OSError as failure:
                 return failure, dropped
             ticket, what = more[-1] if kind == "line" else more[0].ticket, 0
@@ -187,42 +204,39 @@
             over = tuple(more) if kind == "quit" else None
             if sent < len(data):
                 self.rest = (data[sent:], over, key, more[0] if kind == "ask" else None)
-                if not self.writing:
-                    self.writing = self.sending = True
-                    try:
-                        Thread(target=self.guard, args=(self.write_rest,), daemon=True).start()
-                    except RuntimeError as error:
-                        self.writing = self.sending = False
-                        return OSError(EAGAIN, str(error)), dropped
-                self.sending = True
+                self.stalled = self.link.clock.now()
+                self.link.links.call(self)
                 break
             if over:
                 dropped.append(over)
         return None, dropped
 
     def write_rest(self):
-        while self.writing:
-            with self.lock:
-                data, over, key, asked = self.rest
-            sent = 0
-            try:
-                while sent < len(data):
-                    sent += self.sock.send(data[sent:])
-            finally:
-                with self.lock:
-                    self.count_sent(key, sent, 0)
-                    self.rest, self.sending = (data[sent:], over, key, asked), False
-                    half, self.half = self.half, None
-                if half is not None:
-                    self.link.exchange.end(half, self.lost if sent < len(data) else i.RESET)
-            with self.lock:
-                self.rest = None
-                failure, dropped = (None, []) if self.dead else self.flush()
-                self.writing = self.rest is not None
-            for sub, ending in [over, *dropped] if over else dropped:
-                self.drop(sub, ending)
-            if failure:
-                raise failure
+        """From the keeper's thread: the engine may take more of what it did not take at once."""
+        with self.lock:
+            if self.dead or not self.rest:
+                return
+            data, over, key, asked = self.rest
+            sent = self.send(data)
+            self.count_sent(key, sent, 0)
+            if sent:
+                self.stalled = self.link.clock.now()
+            self.rest = (data[sent:], over, key, asked) if sent < len(data) else None
+            failure, dropped = (None, []) if self.rest else self.flush()
+        if over and sent == len(data):
+            self.drop(*over)
+        for sub, ending in dropped:
+            self.drop(sub, ending)
+        if failure:
+            raise failure
+        if not self.rest:
+            self.link.links.watch(self, self.READS)
+
+    def send(self, data):
+        try:
+            return self.sock.send(data, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return 0
 
     def fields(self, sub):
         """What an engine is told of a query beside its id and statement, as it leaves; None for one that does
@@ -286,63 +300,97 @@
             self.retired = self.retired or ending in (i.NO_ANSWER, i.CANCELLED)
             if len(self.past) > PAST_MOST:
                 del self.past[next(iter(self.past))]
-            self.used = self.link.clock.now()
+            self.used, idles = self.link.clock.now(), not self.open
         elapsed = sub.told - sub.at if sub.told else None
         self.link.exchange.end(sub, ending, elapsed, pages)
+        if idles:
+            self.link.links.call(self)
 
     # Reading
 
     def dial(self):
-        sock = socket.create_connection(self.link.address, timeout=self.link.connect_s)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.accounts is not None:
-            self.account = self.accounts.engine(sock, self.link.lane.name)
-        return sock
+        host = self.link.address[0]
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        if not is_number(family, host):
+            # A look-up waits on a name server, which the keeper does for nobody.
+            if not self.link.links.threads.spare(self.look_up, "engine-name"):
+                self.fail("no-thread")
+            return
+        self.connect(family, self.link.address)
 
-    def work(self):
-        self.come_up(self.dial())
+    def look_up(self):
+        try:
+            host, port = self.link.address
+            self.found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+        except OSError as error:
+            self.fail("connect-refused", error.strerror)
+        self.link.links.call(self)
+
+    def connect(self, family, address):
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as error:
+            return self.fail("no-descriptor", error.strerror)
+        with self.lock:
+            if self.dead:
+                sock.close()
+                return None
+            self.sock = sock
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(address)
+        if code in OURS:
+            return self.fail("no-descriptor", os.strerror(code))
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, os.strerror(code))
+        self.link.links.watch(self, WRITES)
+        self.link.links.look_at(self)
+        return None
 
     def come_up(self, sock):
-        """Queries may go out on it: what waited does, and answers are read to the connection's end."""
+        """Queries may go out on it: what waited does."""
         sock.settimeout(None)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, pack("ll", 0, WRITE_US))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, pack("ll", READ_S, 0))
         with self.lock:
             self.sock, self.up, dead = sock, True, self.dead
             failure, dropped = (None, ()) if dead else self.flush()
-        if dead:
-            sock.close()
-            return
         for sub, ending in dropped:
             self.drop(sub, ending)
         if failure:
             raise failure
-        self.read()
+        return not dead
 
-    def read(self):
-        buffer, midway, stalls = bytearray(), False, 0
-        while not self.dead:
-            try:
-                data = self.sock.recv(RECV)
-            except BlockingIOError:
-                # Only the receive time-out: silence is judged by the module, but half an answer here.
-                stalls += midway
-                if stalls >= STALLS:
-                    raise Malformed("an answer stopped midway") from None
-                continue
-            if not data:
-                return self.fail("peer-closed")
-            buffer += data
-            self.received += len(data)
-            before = len(buffer)
-            while answer := parse(buffer):
-                size, before = before - len(buffer), len(buffer)
-                self.answer(*answer, size)
-            stalls = 0
-            if midway != bool(buffer):
-                midway = not midway
-                wait = pack("ll", 0, STALL_US) if midway else pack("ll", READ_S, 0)
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, wait)
+    # Reading
+
+    def ready(self):
+        """From the keeper's thread: the descriptor has something."""
+        if self.dead:
+            return
+        if not self.up:
+            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, os.strerror(code))
+            if self.accounts is not None:
+                self.account = self.accounts.engine(self.sock, self.link.lane.name)
+            if self.come_up(self.sock):
+                self.link.links.watch(self, self.READS)
+            return
+        try:
+            data = self.sock.recv(RECV, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        if not data:
+            self.fail("peer-closed")
+            return
+        self.buffer += data
+        self.received += len(data)
+        self.link.heard = self.link.clock.now()
+        before = len(self.buffer)
+        while not self.dead and (answer := parse(self.buffer)):
+            size, before = before - len(self.buffer), len(self.buffer)
+            self.answer(*answer, size)
+        began, self.midway = not self.midway, self.link.heard if self.buffer else 0
+        if began and self.midway:
+            self.link.links.call(self)
 
     def answer(self, txn, word, fields, body, size):
         with self.lock:
@@ -364,6 +412,7 @@
             sub.ticket.stages["hit"] = sub.told
             if sheets > 1:
                 self.put("line", b"".join(b"NEXT %b %d\r\n" % (txn, n) for n in range(1, sheets)), sub.ticket)
+                self.link.links.call(self)
             else:
                 self.drop(sub, i.FINISHED, sub.pages)
         elif word == b"PART" and sub.pages is not None:
@@ -390,12 +439,48 @@
 
     # The end
 
+    def look(self, now):
+        """From the keeper's thread: ends what had its time. When to look again; None for a dead one."""
+        if self.sock is None and self.found and not self.dead:
+            family, *_, address = self.found
+            self.found = None
+            self.guard(lambda: self.connect(family, address))
+        if not self.dead and (why := self.overdue(now)):
+            self.fail(*why)
+        if self.idles() and (self.link.closing or self.retired or now - self.used >= self.link.idle_time):
+            self.fail("engine-gone" if self.link.closing else "retired" if self.retired else "idle")
+        if self.dead:
+            return None
+        if self.idles():
+            return self.used + self.link.idle_time
+        return self.due(now)
+
+    def idles(self):
+        return not self.dead and not self.open
+
     def overdue(self, now):
-        """Why the connection has had its time, or None."""
+        """Why the connection has had its time, as (reason code, detail), or None."""
+        if self.rest and now - self.stalled > WRITE_TIME:
+            return "write-stalled", None
+        if not self.up and now >= self.made + self.link.connect_s * 10_000:
+            return "connect-timeout", "timed out"
+        if self.midway and now - self.midway > STALL_TIME:
+            return "malformed", "an answer stopped midway"
         if any(sub.told and now - sub.told > PAGE_TIME for sub in list(self.open.values())):
-            return "page-missing"
+            return "page-missing", None
         return None
 
+    def due(self, now):
+        if not self.up:
+            return self.made + int(self.link.connect_s * 10_000)
+        if self.rest:
+            # TDS has a thread that reads; both have the keeper write.
+            self.link.links.watch(self, self.READS | WRITES)
+            return now + LOOK
+        if self.midway or any(sub.told for sub in list(self.open.values())):
+            return now + LOOK
+        return now + self.link.idle_time
+
     def fail(self, reason, detail=None):
         with self.lock:
             if self.dead:
@@ -406,186 +491,25 @@
             self.outbox.clear()
             # A query whose last bytes never left us cannot have begun where only whole ones do. What the peer
             # broke counts against it like a connection that cannot be had.
-            self.lost = i.NOT_SENT if reason in OUR_DOING else i.NO_CONNECTION
-            half = self.rest[3] if self.RUNS_WHOLE and self.rest and self.rest[0] else None
-            if half in subs and self.sending:
-                self.half = half
-                subs.remove(half)
-        if self.sock:
-            try:
-                self.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            self.sock.close()
-        link, unwritten = self.link, i.NOT_SENT if self.up else i.NO_CONNECTION
+            lost = i.NOT_SENT if reason in OUR_DOING else i.NO_CONNECTION
+            half = self.rest[3] if self.RUNS_WHOLE and self.rest else None
+            if self.sock:
+                try:
+                    self.sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+        link, unwritten = self.link, i.NOT_SENT if self.up or reason in OUR_DOING else i.NO_CONNECTION
         for sub in subs:
-            link.exchange.end(sub, self.lost if sub is half else i.RESET if sub.written else unwritten)
+            link.exchange.end(sub, lost if sub is half else i.RESET if sub.written else unwritten)
         link.ended(self)
         link.counters.add(f"engine-connections-ended-{reason}")
         link.log.line("engine-connection-ended", engine=link.lane.name, reason=reason, detail=detail,
                       asked=self.asked, open=count, lived=(link.clock.now() - self.made) / 10_000)
-
-
-class Link:
-    def __init__(self, lane, links):
-        self.lane, self.links = lane, links
-        self.exchange, self.clock, self.log = links.exchange, links.clock, links.log
-        self.counters, self.streams, self.connect_s = links.counters, links.streams, links.connect_s
-        self.idle_time = links.idle_time
-        self.address, self.waits, self.count, self.most_waits = lane.address, [], 0, WAITS_HELD
-        self.lock, self.connections, self.closing, self.next_look = Lock(), [], False, 0
-
-    def run(self):
-        while True:
-            now = self.clock.now()
-            wait = (self.waits[0][0] - now) / 10_000 if self.waits else 1.0
-            for kind, *rest in self.lane.take(min(0.25, wait)):
-                try:
-                    self.ORDERS[kind](self, *rest)
-                except Exception as error:  # no thread to be had, say: one order's fault ends no other's
-                    self.log.line("fault", error=f"{type(error).__name__}: {error}", where=f"link {kind}")
-                    self.counters.add("faults")
-                    if kind == "ask":
-                        self.exchange.end(rest[0], i.RESET if rest[0].written else i.NOT_SENT)
-            if self.look(self.clock.now()):
-                return
-
-    def ask(self, sub):
-        now = self.clock.now()
-        if sub.over:
-            return
-        if now >= sub.until or sub.ticket.answer is not None:
-            self.exchange.end(sub, i.NOT_SENT)
-            return
-        with self.lock:
-            connections = list(self.connections)
-        # What a connection that is spoilt or reset takes along is kept small: one query on each while there
-        # are descriptors for it, then where fewest are. One that died meanwhile proves that nothing ran.
-        fit = [next((c for c in connections if not c.open and c.takes(sub, now)), None)]
-        opened = fit[0] is None and self.links.may_open()
-        if fit[0] is None and not opened:
-            fit = sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
-        if opened:
-            fit = [self.lane.speaks.connection(self) if self.lane.speaks else Connection(self)]
-            with self.lock:
-                self.connections.append(fit[0])
-            self.counters.add("engine-connections")
-        place = next((c for c in fit if c.put("ask", sub)), None)
-        if place is None:
-            self.exchange.end(sub, i.NOT_SENT)
-            return
-        if opened:
-            # Not before the order is in: one refused at once would end it as never sent, and the module would
-            # not hear that the engine is down.
-            try:
-                place.start()
-            except RuntimeError as error:
-                place.fail("no-thread", str(error))
-        self.count += 1
-        heappush(self.waits, (sub.until, self.count, sub))
-
-    def find(self, sub):
-        with self.lock:
-            connections = list(self.connections)
-        return next((c for c in connections if c.open.get(sub.ticket.id) is sub), None)
-
-    def quit(self, sub, ending=i.CANCELLED, at_once=False):
-        place = self.find(sub)
-        if place:
-            place.give_up(sub, ending, at_once)
-
-    def terms(self, sub):
-        place = self.find(sub)
-        if place:
-            place.put("terms", sub)
-
-    def drain(self):
-        """What is still in line would go out after the engine's grace if a write stalls: it is taken back."""
-        with self.lock:
-            connections = list(self.connections)
-        for place in connections:
-            for sub in list(place.open.values()):
-                if not sub.written:
-                    place.give_up(sub, i.NOT_SENT, True)
-
-    def restarted(self, started):
-        # What was connected before the engine's start leads to a process that is no more.
-        with self.lock:
-            connections = [c for c in self.connections if c.made < started]
-        for place in connections:
-            place.fail("engine-restarted")
-
-    def close(self):
-        self.closing = True
-
-    ORDERS = {
-        "ask": ask, "quit": quit, "terms": terms, "drain": drain, "restarted": restarted, "close": close,
-    }
-
-    def look(self, now):
-        """Ends what ran out of time and what idles; True once nothing is left to keep."""
-        while self.waits and (self.waits[0][0] <= now or self.waits[0][2].over):
-            sub = heappop(self.waits)[2]
-            if not sub.over:
-                # At the client's own limit nothing can follow, and the answer is due now.
-                self.quit(sub, i.NO_ANSWER, sub.until >= sub.ticket.limit)
-        if len(self.waits) > self.most_waits:
-            # Long limits of queries that ended long ago would pile up behind one that is still out.
-            self.waits = [wait for wait in self.waits if not wait[2].over]
-            heapify(self.waits)
-            self.most_waits = max(WAITS_HELD, 2 * len(self.waits))
-        if now < self.next_look:
-            return False
-        self.next_look = now + LOOK
-        with self.lock:
-            connections = list(self.connections)
-        for place in connections:
-            if why := place.overdue(now):
-                place.fail(why)
-            elif not place.open:
-                if self.closing or place.retired or now - place.used >= self.idle_time:
-                    place.fail("engine-gone" if self.closing else "retired" if place.retired else "idle")
-        return self.closing and not connections
-
-    def ended(self, place):
-        with self.lock:
-            if place in self.connections:
-                self.connections.remove(place)
-        self.links.closed()
-
-
-class Links:
-    """Starts a link for each lane that the exchange opens, within the descriptors that engines may hold."""
-
-    def __init__(self, exchange, limits, most, clock, log, counters, accounts=None):
-        self.exchange, self.clock, self.log, self.counters = exchange, clock, log, counters
-        self.accounts, self.attention_time = accounts, 50_000
-        self.streams = int(limits.get("streams_per_conn") or STREAMS)
-        self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
-        self.idle_time = int((limits.get("conn_idle_ms") or 30_000) * 10 * IDLE_PART)
-        self.lock, self.held, self.most, self.links = Lock(), 0, most, []
-
-    def run(self):
-        while True:
-            for lane in self.exchange.lanes.take(WAKE_S):
-                link = Link(lane, self)
-                with self.lock:
-                    self.links = [old for old in self.links if old.connections or not old.closing] + [link]
-                Thread(target=link.run, daemon=True).start()
-
-    def stop(self):
-        with self.lock:
-            links = list(self.links)
-        for place in [place for link in links for place in list(link.connections)]:
-            place.fail("stop")
-
-    def may_open(self):
-        with self.lock:
-            if self.held >= self.most:
-                return False
-            self.held += 1
-            return True
-
-    def closed(self):
-        with self.lock:
-            self.held -= 1
+        link.links.call(self)
+
+    def end_idle(self, reason):
+        """From the keeper's thread, which alone hands in queries: whether it idled, and is ended."""
+        idles = self.idles()
+        if idles:
+            self.fail(reason)
+        return idles
--- /dev/null
+++ b/wickvane/net/lines/links.py
@@ -0,0 +1,297 @@
+"""The keeper: one thread for all engines. It takes orders from the lanes, watches the connections, keeps the
+waits, and ends what ran out of time or idles.
+
+Threads that mostly sleep cost a machine its process ids long before they cost memory: with one an engine and
+one a connection, dispatchers that share a machine ran it out of them. So nothing here grows with the list of
+engines: one poll over the descriptors, one heap of times, one line of those that call. Nothing in it waits on
+a peer, so that none holds up another's answers.
+"""
+
+import select
+from collections import OrderedDict
+from heapq import heapify, heappop, heappush
+from threading import Event, Lock
+
+from wickvane import interface as i
+from wickvane.net.exchange import Lane, Submission
+from wickvane.net.lines.connection import WRITES, Connection
+
+WAITS_HELD = 256
+LONGEST_S = 1.0  # a round without a call or a time that is due
+IDLE_SHARE = 2  # one in so many of the descriptors that engines may hold is kept open for what may come
+IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
+STREAMS = 100  # requests on a connection, where the settings name no bound
+FULL = select.EPOLLERR | select.EPOLLHUP
+
+
+class Link:
+    """One engine process: its lane and its connections."""
+
+    def __init__(self, lane, links):
+        self.lane, self.links, lane.link = lane, links, self
+        self.exchange, self.clock, self.log = links.exchange, links.clock, links.log
+        self.counters, self.streams, self.connect_s = links.counters, links.streams, links.connect_s
+        self.idle_time, self.address = links.idle_time, lane.address
+        # When it last said anything, on whichever connection.
+        self.heard = 0
+        self.lock, self.connections, self.closing = Lock(), [], False
+
+    def ask(self, sub):
+        now = self.clock.now()
+        if sub.over:
+            return
+        if now >= sub.until or sub.ticket.answer is not None:
+            self.exchange.end(sub, i.NOT_SENT)
+            return
+        with self.lock:
+            connections = list(self.connections)
+        # What a connection that is spoilt or reset takes along is kept small: one query on each while there
+        # are descriptors for it, then where fewest are. One that died meanwhile proves that nothing ran.
+        fit = [next((c for c in connections if not c.open and c.takes(sub, now)), None)]
+        opened = fit[0] is None and self.links.may_open()
+        if fit[0] is None and not opened:
+            fit = sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
+        if opened:
+            fit = [self.lane.speaks.connection(self) if self.lane.speaks else Connection(self)]
+            with self.lock:
+                self.connections.append(fit[0])
+            self.links.opened(fit[0])
+            self.counters.add("engine-connections")
+        place = next((c for c in fit if c.put("ask", sub)), None)
+        if place is None:
+            self.exchange.end(sub, i.NOT_SENT)
+            return
+        self.links.in_use(place)
+        if opened:
+            # Not before the order is in: one refused at once would end it as never sent, and the module would
+            # not hear that the engine is down.
+            place.start()
+        self.links.later(sub.until, sub)
+
+    def find(self, sub):
+        with self.lock:
+            connections = list(self.connections)
+        return next((c for c in connections if c.open.get(sub.ticket.id) is sub), None)
+
+    def quit(self, sub, ending=i.CANCELLED, at_once=False):
+        place = self.find(sub)
+        if place:
+            place.give_up(sub, ending, at_once)
+
+    def terms(self, sub):
+        place = self.find(sub)
+        if place:
+            place.put("terms", sub)
+
+    def drain(self):
+        """What is still in line would go out after the engine's grace if a write stalls: it is taken back."""
+        with self.lock:
+            connections = list(self.connections)
+        for place in connections:
+            for sub in list(place.open.values()):
+                if not sub.written:
+                    place.give_up(sub, i.NOT_SENT, True)
+
+    def restarted(self, started):
+        # What was connected before the engine's start leads to a process that is no more.
+        with self.lock:
+            connections = [c for c in self.connections if c.made < started]
+        for place in connections:
+            place.fail("engine-restarted")
+
+    def close(self):
+        self.closing = True
+        with self.lock:
+            connections = list(self.connections)
+        for place in connections:
+            self.links.look_at(place)
+
+    ORDERS = {
+        "ask": ask, "quit": quit, "terms": terms, "drain": drain, "restarted": restarted, "close": close,
+    }
+
+    def ended(self, place):
+        with self.lock:
+            if place in self.connections:
+                self.connections.remove(place)
+        self.links.closed(place)
+
+
+class Links:
+    """All links, and the thread that keeps them, within the descriptors that engines may hold.
+
+    limits: as the settings name them. most: descriptors. threads: what starts those that a peer needs alone.
+    """
+
+    def __init__(self, exchange, limits, most, clock, log, counters, accounts=None, threads=None):
+        self.exchange, self.clock, self.log, self.counters = exchange, clock, log, counters
+        self.accounts, self.attention_time, self.threads = accounts, 50_000, threads
+        self.streams = int(limits.get("streams_per_conn") or STREAMS)
+        self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
+        self.idle_time = int((limits.get("conn_idle_ms") or 30_000) * 10 * IDLE_PART)
+        self.lock, self.all, self.most, self.stopping, self.ended = Lock(), {}, most, False, Event()
+        self.waits, self.count, self.most_waits = [], 0, WAITS_HELD
+        # The connections that a descriptor's events are for; those that nothing is open on, longest first.
+        self.watched, self.idle = {}, OrderedDict()
+        self.calls, self.bell = exchange.calls, exchange.calls.bell
+        self.poll = select.epoll()
+        self.poll.register(self.bell.heard, select.EPOLLIN)
+
+    # The thread
+
+    def run(self):
+        while not self.stopping:
+            self.round(self.events())
+        for place in list(self.watched.values()):
+            place.release()
+        self.ended.set()
+
+    def events(self):
+        wait = LONGEST_S
+        if self.waits:
+            wait = min(wait, max(0, self.waits[0][0] - self.clock.now()) / 10_000)
+        self.bell.asleep = True
+        try:
+            return self.poll.poll(0 if self.calls.items or self.stopping else wait)
+        finally:
+            self.bell.asleep = False
+
+    def round(self, events):
+        for descriptor, what in events:
+            if descriptor == self.bell.heard:
+                self.bell.hear()
+            elif place := self.watched.get(descriptor):
+                if what & WRITES and place.up:
+                    place.guard(place.write_rest)
+                if what & ~WRITES or not place.up:
+                    place.guard(place.ready)
+                if what & FULL and not place.dead:
+                    # Read to its end, it has failed by now; what has not would ring here for ever.
+                    place.fail("reset" if place.up else "connect-refused")
+        for _ in range(len(self.calls.items)):
+            caller = self.calls.items.popleft()
+            if isinstance(caller, Lane):
+                self.take_orders(caller)
+            else:
+                caller.called = False
+                self.look_at(caller)
+        self.look(self.clock.now())
+
+    def take_orders(self, lane):
+        link = lane.link or Link(lane, self)
+        for kind, *rest in lane.take(0):
+            try:
+                link.ORDERS[kind](link, *rest)
+            except Exception as error:  # one order's fault ends no other's
+                self.log.line("fault", error=f"{type(error).__name__}: {error}", where=f"link {kind}")
+                self.counters.add("faults")
+                if kind == "ask":
+                    self.exchange.end(rest[0], i.RESET if rest[0].written else i.NOT_SENT)
+
+    # Times
+
+    def later(self, at, what):
+        """what: a submission whose wait ends then, or a connection to look at."""
+        self.count += 1
+        heappush(self.waits, (at, self.count, what))
+
+    def look(self, now):
+        """Ends what ran out of time, and looks at the connections whose time it is."""
+        while self.waits and (self.waits[0][0] <= now or over(self.waits[0][2])):
+            what = heappop(self.waits)[2]
+            if not isinstance(what, Submission):
+                what.look_at = None
+                self.look_at(what, now)
+            elif not what.over:
+                # At the client's own limit nothing can follow, and the answer is due now.
+                what.lane.link.quit(what, i.NO_ANSWER, what.until >= what.ticket.limit)
+        if len(self.waits) > self.most_waits:
+            # Long limits of queries that ended long ago would pile up behind one that is still out.
+            self.waits = [wait for wait in self.waits if not over(wait[2])]
+            heapify(self.waits)
+            self.most_waits = max(WAITS_HELD, 2 * len(self.waits))
+
+    def look_at(self, place, now=None):
+        """Ends a connection that had its time; else it is looked at again when something of it is due."""
+        now = now or self.clock.now()
+        try:
+            at = place.look(now)
+        except Exception as error:
+            place.fail("fault", f"{type(error).__name__}: {error}")
+            at = None
+        if place.dead:
+            self.idle.pop(place, None)
+            place.release()
+        elif at is not None and (place.look_at is None or at < place.look_at):
+            place.look_at = at
+            self.later(max(at, now + 1), place)
+        if place.idles():
+            self.now_idle(place)
+
+    def call(self, place):
+        """From any thread: the keeper is to look at this connection."""
+        if not place.called:
+            place.called = True
+            self.calls.put(place)
+
+    # Descriptors
+
+    def watch(self, place, what):
+        descriptor = place.sock.fileno()
+        if self.watched.get(descriptor) is place:
+            self.poll.modify(descriptor, what)
+        else:
+            self.watched[descriptor] = place
+            self.poll.register(descriptor, what)
+
+    def unwatch(self, place, descriptor):
+        if self.watched.get(descriptor) is place:
+            del self.watched[descriptor]
+            try:
+                self.poll.unregister(descriptor)
+            except OSError:
+                pass  # closed, which took it out
+
+    def in_use(self, place):
+        self.idle.pop(place, None)
+
+    def now_idle(self, place):
+        if place in self.idle:
+            return
+        self.idle[place] = None
+        while len(self.idle) > max(1, self.most // IDLE_SHARE):
+            self.make_room()
+
+    def make_room(self):
+        """Ends the connection that has idled longest; False where none idles."""
+        while self.idle:
+            place, _ = self.idle.popitem(last=False)
+            if place.end_idle("made-room"):
+                return True
+        return False
+
+    def may_open(self):
+        # Connections kept for what may come to some engines must not keep others from being reached.
+        return len(self.all) < self.most or self.make_room()
+
+    def opened(self, place):
+        with self.lock:
+            self.all[place] = None
+
+    def closed(self, place):
+        with self.lock:
+            self.all.pop(place, None)
+
+    def stop(self, seconds=1.0):
+        """From another thread: ends what is open, then the keeper, whose last counts are in when it has."""
+        with self.lock:
+            places = list(self.all)
+        for place in places:
+            place.fail("stop")
+        self.stopping = True
+        self.bell.ring()
+        self.ended.wait(seconds)
+
+
+def over(what):
+    return what.over if isinstance(what, Submission) else what.dead
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -3,7 +3,7 @@
 import socket
 import time
 from collections import deque
-from threading import Lock, Thread
+from threading import Lock
 
 BACKLOG = 256
 SPARE = 16  # connections past the most: to be told so, and for cancels, which matter most then
@@ -45,12 +45,10 @@
             session = self.session(sock, peer, self.service, full)
             with self.lock:
                 self.sessions.add(session)
-            try:
-                Thread(target=self.serve, args=(session,), daemon=True).start()
-            except RuntimeError:
+            if not self.service.threads.spare(self.serve, "session", session):
                 with self.lock:
                     self.sessions.discard(session)
-                self.refuse(sock, peer)
+                self.refuse(sock, peer, "no-thread")
 
     def make_room(self):
         """Whether the house is full, None if past bearing. Against clients that connect and say nothing, and
@@ -97,15 +95,15 @@
         self.service.counters.add("client-connections-ended-too-fast")
         self.gate.told(peer, away)
 
-    def refuse(self, sock, peer):
+    def refuse(self, sock, peer, reason="too-many"):
         try:
             sock.settimeout(0)
             sock.sendall(self.session.TOO_MANY)
         except OSError:
             pass
         sock.close()
-        self.service.counters.add("client-connections-ended-too-many")
-        self.service.log.line("client-connection-ended", peer=peer, reason="too-many", queries=0)
+        self.service.counters.add(f"client-connections-ended-{reason}")
+        self.service.log.line("client-connection-ended", peer=peer, reason=reason, queries=0)
 
     def serve(self, session):
         try:
--- a/wickvane/net/log.py
+++ b/wickvane/net/log.py
@@ -13,7 +13,7 @@
 class Log:
     def __init__(self, descriptor, clock):
         self.descriptor, self.clock = descriptor, clock
-        self.lines, self.dropped = SimpleQueue(), 0
+        self.lines, self.dropped, self.writer = SimpleQueue(), 0, False
 
     def line(self, event, **fields):
         if self.lines.qsize() >= LINES_HELD:
@@ -22,26 +22,36 @@
         self.lines.put((self.clock.now(), event, fields))
 
     def run(self):
+        self.writer = True
         while True:
-            held = [self.lines.get()]
-            if held[0] is not None:
+            first = self.lines.get()
+            if first is not None:
                 time.sleep(GATHER_S)
-            while not self.lines.empty() and len(held) < 1024:
-                held.append(self.lines.get())
-            # None is the last: what came before it is still written.
-            last = None in held
-            if last:
-                held = held[:held.index(None)]
-            if self.dropped:
-                dropped, self.dropped = self.dropped, 0
-                held.append((self.clock.now(), "log-lines-dropped", {"count": dropped}))
-            self.write(b"".join(
-                orjson.dumps({"at": at / 10_000, "event": event, **fields}, default=shown) + b"\n"
-                for at, event, fields in held
-            ))
-            if last:
+            if self.put_out([first]):
                 return
 
+    def pump(self):
+        """What is held so far, from the calling thread, where no thread was to be had for the log yet."""
+        if not self.writer:
+            self.put_out([])
+
+    def put_out(self, held):
+        """Writes what is held; whether the last line is out."""
+        while not self.lines.empty() and len(held) < 1024:
+            held.append(self.lines.get())
+        # None is the last: what came before it is still written.
+        last = None in held
+        if last:
+            held = held[:held.index(None)]
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            held.append((self.clock.now(), "log-lines-dropped", {"count": dropped}))
+        self.write(b"".join(
+            orjson.dumps({"at": at / 10_000, "event": event, **fields}, default=shown) + b"\n"
+            for at, event, fields in held
+        ))
+        return last
+
     def write(self, data):
         try:
             while data:
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -18,11 +18,12 @@
 from wickvane.net.counters import Counters
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Exchange
-from wickvane.net.lines.connection import Links
+from wickvane.net.lines.links import Links
 from wickvane.net.listener import SPARE, Listener
 from wickvane.net.log import Log
 from wickvane.net.postgres.session import Session
 from wickvane.net.statement import Reader
+from wickvane.net.threads import Stopped, Threads
 
 STACK = 128 * 1024
 # Each of many threads that wait for the interpreter wakes as often as this to ask for it: with a hundred of
@@ -96,6 +97,7 @@
     def __init__(self, found, log_to=1, parts=None):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
         self.log = Log(log_to, self.clock)
+        self.threads = Threads(self.log, self.counters)
         parts = parts or {}
         self.tds_part, fronts, speaks = parts.get("tds"), (), None
         if self.tds_part:
@@ -121,7 +123,7 @@
                 self.gate = self.decider.watch(self.storms, found.get("limits") or {}, seed)
             # One third for engines; what is left, less a few for the rest, for clients, who are promised one.
             self.links = Links(self.exchange, limits, max(8, sockets // 3), self.clock, self.log,
-                               self.counters, self.accounts)
+                               self.counters, self.accounts, self.threads)
         except (TypeError, ValueError, AttributeError) as error:
             raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
         if self.members_part:
@@ -181,7 +183,7 @@
             self.listen(self.tds_part.listen, self.tds_part.connections, session(self))
         self.writer = self.thread(self.log.run, "log")
         self.thread(self.decider.run, "decider")
-        self.thread(self.links.run, "links")
+        self.thread(self.links.run, "keeper")
         if self.members:
             self.members.start(self.known[1] if self.coordinator else ())
             if self.coordinator:
@@ -214,9 +216,7 @@
                     self.writer.join(1.0)
                 os._exit(70)
 
-        thread = threading.Thread(target=guarded, name=name, daemon=True)
-        thread.start()
-        return thread
+        return self.threads.needed(guarded, name)
 
     def died(self, hook):
         # One of the many threads of a single peer: its own guard should have met this.
@@ -228,7 +228,12 @@
     def run(self, path=None, parts_path=None):
         # Before any thread starts, so that each inherits it and only this one is told.
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-        self.start()
+        try:
+            self.start()
+        except Stopped as stopped:
+            self.log.line("stopped", reason="no-thread", detail=str(stopped))
+            self.log.pump()
+            return 0
         again = 0
         while True:
             got = signal.sigtimedwait(SIGNALS, RELOAD_S) if again else signal.sigwaitinfo(SIGNALS)
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -1,7 +1,8 @@
 """One connection to an engine that speaks TDS: a login, then a query at a time, given up by attention.
 
-It stands where a connection of the line protocol does: the link's keeper hands in orders, a thread of its own
-dials, logs in and reads, and each submission gets its one ending. What proves that nothing ran:
+It stands where a connection of the line protocol does: the keeper hands in orders, a thread of its own
+dials, logs in and reads (a stream waits for its client, which the keeper must not), and each submission gets
+its one ending. What proves that nothing ran:
 
     refused, not up in time, login refused, routed elsewhere    no connection   proven
     given up or lost before the first packet left               not sent        proven
@@ -13,6 +14,8 @@
 """
 
 import re
+import socket
+from struct import pack
 
 from wickvane import interface as i
 from wickvane.net.exchange import Pipe
@@ -25,12 +28,14 @@
 RESULT_MOST = 48_000  # octets gathered whole; what is longer streams
 PIPE_MOST = 256 << 10
 LOGIN_TOKENS_MOST, RECV, DONE_SIZE = 64, 32_768, 13
+READ_S, STALLS = 5, 2
 RECEIVED = frozenset((packets.RESULT, packets.PRELOGIN))
 MESSAGE_MOST = 1 << 62  # a result has no bound of its own: each packet is taken out of it as it comes
 WORK = re.compile(r"work=(\d{1,9}(?:\.\d{1,6})?) memory=(\d{1,9}(?:\.\d{1,6})?)\Z")
 
 
 class Connection(lines.Connection):
+    READS = 0  # its own thread does
     RUNS_WHOLE = True  # [MS-TDS] 2.2.1.3: a batch is whole with the packet that has the end-of-message bit
 
     def __init__(self, link):
@@ -64,6 +69,7 @@
         if not self.busy or self.submission is not sub or self.attending:
             return None
         self.attending = self.link.clock.now() + self.link.links.attention_time
+        self.link.links.call(self)
         return packets.frame(packets.ATTENTION, b"")
 
     def terms(self, sub):
@@ -88,14 +94,39 @@
             del self.open[sub.ticket.id]
             self.used = self.link.clock.now()
         self.link.exchange.end(sub, ending, sub.told - sub.at if sub.told else None, pages)
+        self.link.links.call(self)
+
+    def idles(self):
+        return super().idles() and not self.busy
 
     def overdue(self, now):
         if self.attending and now > self.attending and self.busy:
-            return "attention-unanswered"
-        return None
+            return "attention-unanswered", None
+        return super().overdue(now) if self.up else None
+
+    def due(self, now):
+        return now + lines.LOOK if self.attending or not self.up else super().due(now)
 
     # The start
 
+    def start(self):
+        if not self.link.links.threads.spare(self.work_out, "engine-reader"):
+            self.fail("no-thread")
+
+    def work_out(self):
+        self.guard(self.work)
+        self.let_go()
+
+    def release(self):
+        pass  # its own thread reads
+
+    def dial(self):
+        sock = socket.create_connection(self.link.address, timeout=self.link.connect_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.accounts is not None:
+            self.account = self.accounts.engine(sock, self.link.lane.name)
+        return sock
+
     def work(self):
         try:
             self.talk()
@@ -106,11 +137,14 @@
         sock = self.dial()
         with self.lock:
             self.sock = sock  # so that a connection that is ended meanwhile is closed under its login
+        if self.dead:
+            return
         refused = self.log_in(sock)
         if refused:
             self.fail("login-refused", refused)
-        else:
-            self.come_up(sock)
+        elif self.come_up(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, pack("ll", READ_S, 0))
+            self.read()
 
     def exchange_of(self, sock, message):
         """A message of the start and its answer's body."""
@@ -164,7 +198,7 @@
                 # Silence is judged by the module; half a packet or token is an answer that stopped.
                 half = self.assembler.buffer or self.stream and self.stream.midway()
                 stalls = stalls + 1 if half else 0
-                if stalls >= lines.STALLS:
+                if stalls >= STALLS:
                     raise packets.Malformed("an answer stopped midway") from None
                 continue
             if not data:
