--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -119,6 +119,9 @@
     def add(self, name, n=1):
         pass
 
+    def add_octets(self, side, received, sent):
+        pass
+
 
 def test_a_stream_and_an_answer_read_the_same_wherever_they_are_cut():
     stream = b": note\r\n\r\n" + sse(2, event(2, entry("e", "127.0.0.1:80")))
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -25,6 +25,8 @@
 
 SECOND = 10_000
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
+FIRST_OF_MANY = 5  # the same where the bound on an engine is less than a query, which leaves nothing to tell
+CONNECTING = 1.0  # threads a core by which, there, an engine must be easier that is to be connected to first
 BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
 PRESSED = 1.5  # latency above its best at which the bound binds, and below which it grows
 CROWDED = 2.5  # the usual crowd past which bounds are cut
@@ -95,6 +97,7 @@
         self.gap, self.answer_at, self.lasts = 0.0, 0, CROWD_LASTS
         self.heard, self.aside, self.aside_for, self.trial, self.loading = [], [], [], [], []
         self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
+        self.used_at, self.kept_open = [], site.kept_open  # engines: when last sent to or heard of
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
@@ -220,13 +223,14 @@
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.failing, self.full_at, self.heard, self.aside, self.aside_for, self.trial, self.down,
                 self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until, self.loading, self.takes,
+                self.used_at,
             ):
                 column.append(None)
             self.mine[-1] = 0
         if self.rank[e] != rank or self.started[e] != started:
             self.crowd[e], self.failing[e], self.full_at[e] = 1.0, 0.0, -SECOND
             self.crowd_at[e] = self.heard[e] = self.now
-            self.down[e], self.lot[e], self.lot_until[e] = False, 1.0, -1
+            self.down[e], self.lot[e], self.lot_until[e], self.used_at[e] = False, 1.0, -1, -FOREVER
             self.aside[e], self.aside_for[e], self.trial[e], self.takes[e] = 0, ASIDE_FIRST, False, FOREVER
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e], self.loading[e] = 0, deque(), []
@@ -309,6 +313,7 @@
 
     def judge(self, qy, e, ending, elapsed):
         self.down[e] = ending == i.NO_CONNECTION
+        self.used_at[e] = -FOREVER if ending in (i.NO_CONNECTION, i.RESET) else self.now
         if ending == i.FINISHED:
             self.failing[e] *= 0.8
             self.heard[e] = self.now
@@ -425,7 +430,8 @@
             if e not in usable or (qy.tries and e == qy.engine and len(usable) > 1) or not self.knows(qy, e):
                 continue
             met += 1
-            if met > FIRST_ENGINES and not all(self.loads_there(qy, e) for e in found):
+            first = FIRST_ENGINES if self.bound(e) >= 1 else FIRST_OF_MANY
+            if met > first and not all(self.loads_there(qy, e) for e in found):
                 break
             if self.room(qy, e):
                 found.append(e)
@@ -450,7 +456,10 @@
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
         others = max(0.0, self.seen(e) - 1.0) * (1 - 1 / self.gateways)
         far = CROSSING if self.home is not None and self.where[e] != self.home else 0.0
-        return self.mine[e] / (self.cores[e] * self.warmth(e)) + others + far
+        # Gateways that each come to every engine cost a connection for every second query. What each keeps to
+        # a few of the first is spread all the same, since others have met others of them.
+        new = CONNECTING if self.now - self.used_at[e] > self.kept_open and self.bound(e) < 1 else 0.0
+        return self.mine[e] / (self.cores[e] * self.warmth(e)) + others + far + new
 
     # What leaves
 
@@ -537,6 +546,7 @@
         g = self.groups[qy.rg]
         qy.engine, qy.sent, qy.out, qy.share, qy.counted = e, self.now, True, 0.0, False
         qy.tries += 1
+        self.used_at[e] = self.now
         self.mine[e], self.used = self.mine[e] + g.threads, self.used + g.threads
         self.loading[e] += [qy.coord] * g.loads
         if self.warmth(e) < 1.0:
--- a/wickvane/door.py
+++ b/wickvane/door.py
@@ -4,6 +4,7 @@
 
 from wickvane import interface as i
 
+IDLE_PART, IDLE_MS = 0.8, 30_000  # of an engine's own idle time: a request must not cross the engine's close
 EFFECTS = {"safe": i.READ_ONLY, "keyed": i.TOKENED, "unsafe": i.MUTATING}
 REPEATS = {"all": i.ANY_ENGINE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
 
@@ -17,6 +18,11 @@
     return ceil(ms * 10 - 1e-6) + 1 if ms else 0
 
 
+def kept_open(limits):
+    """How long a connection to an engine is kept that nothing is asked on."""
+    return int((limits.get("conn_idle_ms") or IDLE_MS) * 10 * IDLE_PART)
+
+
 class Names:
     """Names to small indices, in the order the wire first gave them."""
 
@@ -175,4 +181,5 @@
         fall_time=at_least(rules.get("fall_ms")),
         longest_advice=tenths(limits.get("max_retry_after_ms")) if limits.get("retry_after") else 0,
         reports=list((params.get("report") or {}).get("fields") or []),
+        kept_open=kept_open(limits),
     )
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -79,6 +79,7 @@
     fall_time: int
     longest_advice: int  # how long a client may be asked to stay away; 0: it is not told, and stay_away is 0
     reports: list[str]
+    kept_open: int = 240_000  # how long a connection to an engine is kept that nothing is asked on
     weighs: bool = False  # an engine's weight tells the part of it that may be used, 1 being all
 
 
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -13,13 +13,13 @@
 from threading import Event, Lock
 
 from wickvane import interface as i
+from wickvane.door import kept_open
 from wickvane.net.exchange import Lane, Submission
 from wickvane.net.lines.connection import WRITES, Connection
 
 WAITS_HELD = 256
 LONGEST_S = 1.0  # a round without a call or a time that is due
 IDLE_SHARE = 2  # one in so many of the descriptors that engines may hold is kept open for what may come
-IDLE_PART = 0.8  # of the engine's own idle time: a request must not cross the engine's close
 STREAMS = 100  # requests on a connection, where the settings name no bound
 FULL = select.EPOLLERR | select.EPOLLHUP
 
@@ -128,7 +128,7 @@
         self.accounts, self.attention_time, self.threads = accounts, 50_000, threads
         self.streams = int(limits.get("streams_per_conn") or STREAMS)
         self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
-        self.idle_time = int((limits.get("conn_idle_ms") or 30_000) * 10 * IDLE_PART)
+        self.idle_time = kept_open(limits)
         self.lock, self.all, self.most, self.stopping, self.ended = Lock(), {}, most, False, Event()
         self.waits, self.count, self.most_waits = [], 0, WAITS_HELD
         # The connections that a descriptor's events are for; those that nothing is open on, longest first.
@@ -213,12 +213,14 @@
 
     def look_at(self, place, now=None):
         """Ends a connection that had its time; else it is looked at again when something of it is due."""
-        now = now or self.clock.now()
         try:
-            at = place.look(now)
-        except Exception as error:
+            self.see_to(place, now or self.clock.now())
+        except Exception as error:  # one connection's fault ends no other's
             place.fail("fault", f"{type(error).__name__}: {error}")
-            at = None
+            self.counters.add("faults")
+
+    def see_to(self, place, now):
+        at = place.look(now)
         if place.dead:
             self.idle.pop(place, None)
             place.release()
