Gateways of many look at the first eight of a table group, not five

Change: FIRST_OF_MANY 8. Few gateways still look at three, since only there does a bound hold a query.

--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -25,7 +25,7 @@
 
 SECOND = 10_000
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
-FIRST_OF_MANY = 5  # the same where the bound on an engine is less than a query, which leaves nothing to tell
+FIRST_OF_MANY = 8  # the same where the bound on an engine is less than a query, which leaves nothing to tell
 CONNECTING = 1.0  # threads a core by which, there, an engine must be easier that is to be connected to first
 BOUND_THREADS = 2.0  # threads a core, over all gateways, where the bound starts
 PRESSED = 1.5  # latency above its best at which the bound binds, and below which it grows
