One loop for emulated engines in two measurements; state of a link that nobody read goes

Need: a last reading of the change found that a link kept when its engine last spoke for a use that was dropped, and paid for it at each read; and that benchmarks/threads wrote the serving loop of storm_sockets again. Change: the field is gone, the clock is read only where half an answer is left; storm_sockets.serve is called by both. Behaviour as before.

--- a/benchmarks/storm_sockets.py
+++ b/benchmarks/storm_sockets.py
@@ -73,16 +73,21 @@
         super().hears(query, submission, process, ending, work, rg)
 
 
-def engines(text, seed, pipe):
-    """A process: its configuration out, all that came back at the end."""
-    serving = Engines(scripts.read_text(text), seed)
-    serving.protocols = [Noting]
+def serve(serving, pipe):
+    """Its configuration out for the address that comes in; until something more comes."""
     pipe.send(serving.configuration(pipe.recv(), limits={"sockets": 1024, "cores": 1.0}))
     thread = Thread(target=serving.serve)
     thread.start()
     pipe.recv()
     serving.stopping = True
     thread.join()
+
+
+def engines(text, seed, pipe):
+    """A process: its configuration out, all that came back at the end."""
+    serving = Engines(scripts.read_text(text), seed)
+    serving.protocols = [Noting]
+    serve(serving, pipe)
     pipe.send(serving.noted)
 
 
--- a/benchmarks/threads.py
+++ b/benchmarks/threads.py
@@ -17,10 +17,9 @@
 import tempfile
 import time
 from multiprocessing import get_context
-from threading import Thread
 
 from benchmarks import conclude
-from benchmarks.storm_sockets import ROOT, port
+from benchmarks.storm_sockets import ROOT, port, serve
 from wickvane.rehearsal import script as scripts
 
 BEFORE = "b9d0b1f"  # the last landing with a keeper an engine and a reader a connection
@@ -41,13 +40,7 @@
     """A process: its configuration out, until it is told to stop."""
     from wickvane.rehearsal.sockets import Serving
 
-    serving = Serving(scripts.read_text(text), seed)
-    pipe.send(serving.configuration(pipe.recv(), limits={"sockets": 1024, "cores": 1.0}))
-    thread = Thread(target=serving.serve)
-    thread.start()
-    pipe.recv()
-    serving.stopping = True
-    thread.join()
+    serve(Serving(scripts.read_text(text), seed), pipe)
 
 
 def load(text, seed, address, pipe):
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -383,12 +383,11 @@
             return
         self.buffer += data
         self.received += len(data)
-        self.link.heard = self.link.clock.now()
         before = len(self.buffer)
         while not self.dead and (answer := parse(self.buffer)):
             size, before = before - len(self.buffer), len(self.buffer)
             self.answer(*answer, size)
-        began, self.midway = not self.midway, self.link.heard if self.buffer else 0
+        began, self.midway = not self.midway, self.link.clock.now() if self.buffer else 0
         if began and self.midway:
             self.link.links.call(self)
 
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -32,8 +32,6 @@
         self.exchange, self.clock, self.log = links.exchange, links.clock, links.log
         self.counters, self.streams, self.connect_s = links.counters, links.streams, links.connect_s
         self.idle_time, self.address = links.idle_time, lane.address
-        # When it last said anything, on whichever connection.
-        self.heard = 0
         self.lock, self.connections, self.closing = Lock(), [], False
 
     def ask(self, sub):
