One shape for all parts of a dispatcher; the service knows none by name, no circle of imports left

Need: the service had a branch for each part at start, reload, counters and stop, and four more are coming; members and TDS imported the service for the way to say that a program cannot start, and the rehearsal's sockets and its TDS each other. Change: net/shape.py has Unstartable and Part (prepare, build, join, open, start, settled, check, change, status, leave, stop); each part's module has its own, in the order of parts.PARTS; a line protocol connection of the rehearsal is a module of its own.

--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -473,7 +473,7 @@
 
 
 def state_in(serving, name):
-    return serving.service.members.membership.shown.get(name)
+    return serving.service.parts[0].source.membership.shown.get(name)
 
 
 def test_queries_on_engines_that_are_drained_or_taken_off_get_their_one_answer(path):
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -637,7 +637,8 @@
         assert ask(client, "SELECT 1 FROM sales_1.t") == [(1, "a")]
     issue(new)
     part = dispatcher.parts["tds"]
-    dispatcher.service.tds.change(part, part.users, dispatcher.service.tds.made(part))
+    door = dispatcher.service.parts[0].door
+    door.change(part, part.users, door.made(part))
     with dispatcher.connect(**secure) as client:
         assert ask(client, "SELECT 1 FROM sales_1.t") == [(1, "a")]
     if mode == "required":
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -126,7 +126,7 @@
 
 def parts_of(path):
     from wickvane import parts
-    from wickvane.net.service import Unstartable
+    from wickvane.net.shape import Unstartable
 
     try:
         return parts.read(path)
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -427,7 +427,7 @@
             else:
                 server.add_insecure_port(place)
         except (RuntimeError, OSError, ValueError) as error:
-            from wickvane.net.service import Unstartable
+            from wickvane.net.shape import Unstartable
 
             raise Unstartable(f"cannot listen on {place}: {error}", 1) from None
         self.restore()
--- a/wickvane/flows/part.py
+++ b/wickvane/flows/part.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from wickvane import parts
+from wickvane.net import shape
 
 ENTERPRISE = 32_473  # RFC 5612: kept for examples; a site that has a number of its own names it
 UDP_HEADS = 48  # of IPv6 and UDP, within the path's MTU
@@ -130,3 +131,36 @@
         width=node.value("name-width", parts.whole(16, 128), 32),
         spool=directory, spool_most=spool_most, segment=segment, collectors=tuple(collectors),
     )
+
+
+class At(shape.Part):
+    """The exporter and its accounts, in a dispatcher."""
+
+    name, threads = "flows", 1
+
+    def build(self, service, found):
+        from wickvane.flows.export import Exporter, Unusable
+
+        book = service.book
+        try:
+            self.exporter = Exporter(self.terms, service.clock, service.log, service.counters,
+                                     book.group_names, book.tenants.index, service.seed)
+        except Unusable as error:
+            raise shape.Unstartable(f"the parts document: {error}", 2) from None
+        service.accounts = self.exporter.accounts
+
+    def settled(self, service):
+        self.exporter.start()
+
+    def check(self, terms):
+        return self.exporter.prepare(terms)
+
+    def change(self, terms, ready):
+        super().change(terms, ready)
+        self.exporter.change(terms, ready)
+
+    def status(self):
+        return self.exporter.accounts.shown()
+
+    def stop(self):
+        self.exporter.stop()
--- a/wickvane/members/part.py
+++ b/wickvane/members/part.py
@@ -6,6 +6,7 @@
 from wickvane.members import checks
 from wickvane.members.findings import HOLD, NOTE, REFUSE, STEPS
 from wickvane.members.membership import Terms
+from wickvane.net import shape
 
 EVENTS, POLL = "events", "poll"
 
@@ -63,3 +64,39 @@
         node.value("most", parts.size("1KiB", "64MiB"), 16 << 20),
         node.value("engines", parts.whole(1, 100_000), 20_000),
         node.value("parts", parts.whole(1, 10_000), 1_000), terms)
+
+
+class At(shape.Part):
+    """The list of engines from watched files, in a dispatcher."""
+
+    name, threads = "members", 1
+
+    def prepare(self, service, found):
+        service.lister = self
+
+    def join(self, service, found):
+        from wickvane.members.checks import facts_of
+        from wickvane.members.source import Source
+
+        gateway, sent = service.decider.gateway, service.book.sent
+        self.source = Source(
+            self.terms, facts_of(service.book), service.listed, service.clock, service.log, service.counters,
+            lambda: gateway.used * gateway.gateways, lambda name: sent.get(name, 0) > 0, service.name)
+
+    def streamed(self, number, whole, entries):
+        self.source.streamed(number, whole, entries)
+
+    def start(self, service):
+        follows, (number, events) = service.coordinator, service.known
+        self.source.start(events if follows else ())
+        if follows:
+            follows.last = max(number, *(event[0] for event in events), 0)
+
+    def change(self, terms, ready):
+        self.source.wake()
+
+    def status(self):
+        return self.source.status()
+
+    def stop(self):
+        self.source.stop()
--- a/wickvane/members/source.py
+++ b/wickvane/members/source.py
@@ -18,7 +18,7 @@
 from wickvane.members.gather import Gathered
 from wickvane.members.membership import Membership
 from wickvane.members.part import EVENTS
-from wickvane.net.service import Unstartable
+from wickvane.net.shape import Unstartable
 from wickvane.net.threads import Threads
 
 AGAIN = 20_000  # a change that was refused by what is at work is looked at anew so often
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -2,6 +2,7 @@
 
 import ctypes
 import gc
+import importlib
 import os
 import signal
 import sys
@@ -22,6 +23,7 @@
 from wickvane.net.listener import SPARE, Listener
 from wickvane.net.log import Log
 from wickvane.net.postgres.session import Session
+from wickvane.net.shape import Unstartable
 from wickvane.net.statement import Reader
 from wickvane.net.threads import Stopped, Threads
 
@@ -40,12 +42,6 @@
 M_ARENA_MAX = -8  # of malloc.h
 
 
-class Unstartable(Exception):
-    def __init__(self, text, code):
-        super().__init__(text)
-        self.code = code
-
-
 def configuration(path):
     try:
         with open(path, "rb") as file:
@@ -93,80 +89,60 @@
         pass  # another C library
 
 
+def at_work(documented):
+    """The parts of a document in the order in which each is asked; nothing of another is imported."""
+    if not documented:
+        return []
+    from wickvane.parts import PARTS
+
+    made = ((getattr(importlib.import_module(PARTS[name]), "At", None), documented[name])
+            for name in PARTS if name in documented)
+    return [at(terms) for at, terms in made if at is not None]
+
+
 class Service:
+    """Parts set, before the configuration is understood: fronts, speaks (how engines of a kind are spoken
+    to), lister (who tells the list of engines beside the coordinator, or in its place); before the decider
+    is made: accounts, deciding (its class); and gate, which listeners heed."""
+
     def __init__(self, found, log_to=1, parts=None):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
         self.log = Log(log_to, self.clock)
         self.threads = Threads(self.log, self.counters)
-        parts = parts or {}
-        self.tds_part, fronts, speaks = parts.get("tds"), (), None
-        if self.tds_part:
-            from wickvane.net.tds import fronts as tds
-
-            fronts, speaks = tds.fronts(self.tds_part, found), tds.speaks(self.tds_part)
-        self.members_part, self.members = parts.get("members"), None
+        self.fronts, self.speaks, self.lister, self.accounts = (), None, None, None
+        self.deciding, self.gate, self.listeners = Decider, None, []
+        self.parts = at_work(parts)
+        for part in self.parts:
+            part.prepare(self, found)
         self.book, limits, self.address, sockets, coordinator, known = understood(
-            found, fronts, self.members_part)
-        self.name, seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
+            found, self.fronts, self.lister and self.lister.terms)
+        self.name, self.seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
         self.reader = Reader(self.book)
         self.exchange = Exchange(self.clock, self.counters)
         self.exchange.groups = self.book.deployment.groups
-        self.flows = self.export(parts.get("flows"), seed)
-        self.accounts = self.flows and self.flows.accounts
+        for part in self.parts:
+            part.build(self, found)
         try:
-            self.storms, made, self.gate = parts.get("storms"), Decider, None
-            if self.storms:
-                from wickvane.net.storms import Watching as made
-            self.decider = made(self.exchange, self.book, seed, self.clock, self.log, self.counters,
-                                self.accounts, speaks)
-            if self.storms:
-                self.gate = self.decider.watch(self.storms, found.get("limits") or {}, seed)
+            self.decider = self.deciding(self.exchange, self.book, self.seed, self.clock, self.log,
+                                         self.counters, self.accounts, self.speaks)
             # One third for engines; what is left, less a few for the rest, for clients, who are promised one.
             self.links = Links(self.exchange, limits, max(8, sockets // 3), self.clock, self.log,
                                self.counters, self.accounts, self.threads)
+            self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
+            for part in self.parts:
+                part.join(self, found)
         except (TypeError, ValueError, AttributeError) as error:
             raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
-        if self.members_part:
-            self.members = self.membership(self.members_part)
         self.coordinator, self.known = None, known
         if coordinator:
-            listed = self.members.streamed if self.members else self.listed
+            listed = self.lister.streamed if self.lister else self.listed
             # With files, what is known is told once what was at work is.
-            self.coordinator = Coordinator(coordinator, (0, []) if self.members else known, listed, seed,
+            self.coordinator = Coordinator(coordinator, (0, []) if self.lister else known, listed, self.seed,
                                            self.log, self.counters)
-        self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
-        self.listeners, self.tds = [], None
-        if self.tds_part:
-            self.tds = tds.door(self.tds_part)
-            self.links.attention_time = self.tds_part.acknowledge
-            if self.tds_part.listen:
-                # Of the descriptors that clients may hold, some are these clients'.
-                self.most_clients = max(8, self.most_clients - self.tds_part.connections - SPARE)
 
     def listed(self, number, whole, entries, back=()):
         self.exchange.inbox.put(("listed", whole, entries), always=True)
 
-    def membership(self, part):
-        """The list from watched files, where the parts document has it."""
-        from wickvane.members.checks import facts_of
-        from wickvane.members.source import Source
-
-        gateway, sent = self.decider.gateway, self.book.sent
-        return Source(part, facts_of(self.book), self.listed, self.clock, self.log, self.counters,
-                      lambda: gateway.used * gateway.gateways, lambda name: sent.get(name, 0) > 0, self.name)
-
-    def export(self, part, seed):
-        """The exporter of flows, where the parts document has it; nothing of it is imported otherwise."""
-        if part is None:
-            return None
-        from wickvane.flows.export import Exporter, Unusable
-
-        try:
-            return Exporter(part, self.clock, self.log, self.counters, self.book.group_names,
-                            self.book.tenants.index, seed)
-        except Unusable as error:
-            raise Unstartable(f"the parts document: {error}", 2) from None
-
     def start(self):
         one_arena()
         threading.stack_size(STACK)
@@ -177,23 +153,19 @@
         gc.freeze()
         gc.set_threshold(*COLLECT)
         self.listen(self.address, self.most_clients, Session)
-        if self.tds and self.tds_part.listen:
-            from wickvane.net.tds.fronts import session
-
-            self.listen(self.tds_part.listen, self.tds_part.connections, session(self))
+        for part in self.parts:
+            part.open(self)
         self.writer = self.thread(self.log.run, "log")
         self.thread(self.decider.run, "decider")
         self.thread(self.links.run, "keeper")
-        if self.members:
-            self.members.start(self.known[1] if self.coordinator else ())
-            if self.coordinator:
-                self.coordinator.last = max(self.known[0], *(event[0] for event in self.known[1]), 0)
+        for part in self.parts:
+            part.start(self)
         if self.coordinator:
             self.follower = self.thread(self.coordinator.run, "coordinator")
         for listener in self.listeners:
             self.thread(listener.run, "listener")
-        if self.flows:
-            self.flows.start()
+        for part in self.parts:
+            part.settled(self)
         self.log.line("ready", name=self.name, listen=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
 
     def listen(self, address, most, session):
@@ -249,38 +221,19 @@
     def reload(self, path, parts_path=None):
         """Takes in what may change while queries are open: the coordinator, what is known of its list, and
         the parts document. All is read and checked before any of it acts."""
-        flows = tds = None
+        changes = []
         try:
             found = configuration(path)
-            *_, coordinator, (_, events) = understood(found, (), self.members_part)
+            *_, coordinator, (_, events) = understood(found, (), self.lister and self.lister.terms)
             kept = [part for part, mark in fixed(found).items() if mark != self.fixed[part]]
             if parts_path:
-                from wickvane import parts
-
-                document = parts.read(parts_path)
-                flows = document.get("flows")
-                if self.tds_part or document.get("tds"):
-                    from wickvane.net.tds import fronts as tds
-
-                    context = tds.prepare(self.tds_part, document.get("tds"))
-                if (flows is None) != (self.flows is None):
-                    raise parts.Unusable(f"{parts_path}: flows: turning it on or off needs a restart")
-                if document.get("members") != self.members_part:
-                    raise parts.Unusable(f"{parts_path}: members: a change of it needs a restart")
-                if document.get("storms") != self.storms:
-                    raise parts.Unusable(f"{parts_path}: storms: a change of it needs a restart")
-                secure = self.flows.prepare(flows) if flows else None
+                changes = self.changed(parts_path)
         except Exception as error:  # whatever is wrong with it: the one at work stays
             self.counters.add("configurations-unusable")
             self.log.line("configuration-unusable", why=str(error))
             return False
-        if flows:
-            self.flows.change(flows, secure)
-        if tds:
-            self.tds_part = document["tds"]
-            self.tds.change(self.tds_part, self.tds_part.users, context)
-        if self.members:
-            self.members.wake()
+        for part, terms, ready in changes:
+            part.change(terms, ready)
         if self.coordinator:
             self.coordinator.move(coordinator, events)
         self.counters.add("configurations-taken")
@@ -288,14 +241,28 @@
                       needs_restart=kept)
         return True
 
+    def changed(self, parts_path):
+        """(part, its terms, what its check made ready) of the document that is at `parts_path` now."""
+        from wickvane import parts
+
+        document = parts.read(parts_path)
+        of = {part.name: part for part in self.parts}
+        for name in set(document) ^ set(of):
+            if getattr(importlib.import_module(parts.PARTS[name]), "At", None) is not None:
+                raise parts.Unusable(f"{parts_path}: {name}: turning it on or off needs a restart")
+        try:
+            return [(part, document[name], part.check(document[name])) for name, part in of.items()]
+        except parts.Unusable as error:
+            raise parts.Unusable(f"{parts_path}: {error}") from None
+
     def show_counters(self, why):
         with open("/proc/self/status", "rb") as status:
             memory = {line.split(b":")[0].decode(): int(line.split()[1]) for line in status
                       if line.startswith((b"VmHWM", b"VmRSS", b"Threads"))}
+        told = {part.name: said for part in self.parts if (said := part.status()) is not None}
         self.log.line("counters", why=why, descriptors=len(os.listdir("/proc/self/fd")) - 1, **memory,
                       cpu_s=time.process_time(), longest_round_ms=self.decider.longest / 10,
-                      **({"flows": self.accounts.shown()} if self.flows else {}),
-                      **({"members": self.members.status()} if self.members else {}), **self.counters.shown())
+                      **told, **self.counters.shown())
 
     def stop(self):
         began = time.monotonic()
@@ -303,6 +270,8 @@
         left = min(longest, TIMEOUT_MOST) + KILL_AFTER
         self.exchange.inbox.put(("stop", left), always=True)
         self.log.line("stopping")
+        for part in self.parts:
+            part.leave(self)
         time.sleep(COMING_S)
         for listener in self.listeners:
             listener.close()
@@ -315,10 +284,8 @@
         if self.coordinator:
             self.coordinator.stop()
             self.follower.join(0.1)
-        if self.members:
-            self.members.stop()
-        if self.flows:
-            self.flows.stop()
+        for part in self.parts:
+            part.stop()
         self.show_counters("exit")
         self.log.line("stopped", took=time.monotonic() - began)
         self.log.close()
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -8,6 +8,7 @@
 
 from wickvane import interface as i
 from wickvane import parts
+from wickvane.net import shape
 from wickvane.net.decider import Decider
 from wickvane.pace import Pace
 from wickvane.storm import STORM, Storm, mark_of
@@ -135,3 +136,13 @@
     def close(self, name):
         super().close(name)
         self.storm.gone(name)
+
+
+class At(shape.Part):
+    name = "storms"
+
+    def build(self, service, found):
+        service.deciding = Watching
+
+    def join(self, service, found):
+        service.gate = service.decider.watch(self.terms, found.get("limits") or {}, service.seed)
--- a/wickvane/net/tds/fronts.py
+++ b/wickvane/net/tds/fronts.py
@@ -2,6 +2,7 @@
 door."""
 
 from wickvane import parts
+from wickvane.net.shape import Unstartable
 from wickvane.net.statement import Reader
 from wickvane.net.tds.connection import Connection
 from wickvane.net.tds.session import Door, Session
@@ -19,8 +20,6 @@
 
 
 def unstartable(text):
-    from wickvane.net.service import Unstartable
-
     return Unstartable(f"the parts document: tds: {text}", 2)
 
 
@@ -53,8 +52,6 @@
 
 def prepare(old, new):
     """The TLS context for a changed document; parts.Unusable where it asks for what needs a restart."""
-    if old is None or new is None:
-        raise parts.Unusable("tds: turning it on or off needs a restart")
     for name in ("listen", "connections", "engines", "lines", "acknowledge"):
         if getattr(old, name) != getattr(new, name):
             raise parts.Unusable(f"tds: {name}: another value needs a restart")
@@ -64,11 +61,14 @@
         raise parts.Unusable(f"tds: certificate: its files cannot be used: {error}") from None
 
 
-def session(service):
-    """The class of sessions for the TDS listener: their groups are those of the second front."""
+def session(service, opened):
+    """The class of sessions for the TDS listener: their groups are those of the second front. opened: its
+    door."""
     reader = Reader(service.book, TDS)
 
     class TdsSession(Session):
+        door = opened
+
         def __init__(self, sock, peer, service, full):
             super().__init__(sock, peer, service, full)
             self.reader = reader
--- a/wickvane/net/tds/part.py
+++ b/wickvane/net/tds/part.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from wickvane import parts
+from wickvane.net import shape
 from wickvane.net.tds import logins
 
 LIMITS = parts.duration("1ms", "24h")
@@ -95,3 +96,39 @@
         node.value("idle", parts.duration("1s", "24h"), 600_000), encryption, certificate, key, users,
         tuple(rules), tuple(engines), node.value("lines-take-tds", parts.flag, False),
         node.value("attention-time", parts.duration("10ms", "1m"), 50_000))
+
+
+class At(shape.Part):
+    """The second front, and engines that speak its protocol."""
+
+    name, threads = "tds", 1
+
+    def prepare(self, service, found):
+        from wickvane.net.tds import fronts
+
+        service.fronts, service.speaks = fronts.fronts(self.terms, found), fronts.speaks(self.terms)
+
+    def join(self, service, found):
+        from wickvane.net.listener import SPARE
+        from wickvane.net.tds import fronts
+
+        self.door = fronts.door(self.terms)
+        service.links.attention_time = self.terms.acknowledge
+        if self.terms.listen:
+            # Of the descriptors that clients may hold, some are these clients'.
+            service.most_clients = max(8, service.most_clients - self.terms.connections - SPARE)
+
+    def open(self, service):
+        if self.terms.listen:
+            from wickvane.net.tds.fronts import session
+
+            service.listen(self.terms.listen, self.terms.connections, session(service, self.door))
+
+    def check(self, terms):
+        from wickvane.net.tds import fronts
+
+        return fronts.prepare(self.terms, terms)
+
+    def change(self, terms, ready):
+        super().change(terms, ready)
+        self.door.change(terms, terms.users, ready)
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -40,10 +40,10 @@
 
 class Session(Front):
     TOO_MANY = frame(RESULT, failed(errors.TOO_MANY, "too many clients", 20))
+    door = None  # what the parts document says of this listener: set by its class of sessions
 
     def __init__(self, sock, peer, service, full):
         super().__init__(sock, peer, service, full)
-        self.door = service.tds  # what the parts document says of this listener
         self.idle_s = self.door.idle_s
         self.assembler = Assembler(LOGIN_MOST)
         self.buffer = self.assembler.buffer
--- a/wickvane/parts.py
+++ b/wickvane/parts.py
@@ -10,7 +10,7 @@
 import re
 
 PART_MOST = 1 << 20  # bytes; a document longer than that is somebody's mistake
-# node: the module whose read() understands it
+# node: the module whose read() understands it, in the order in which a dispatcher puts them to work
 PARTS = {"flows": "wickvane.flows.part", "tds": "wickvane.net.tds.part", "storms": "wickvane.net.storms",
          "control": "wickvane.control.part", "members": "wickvane.members.part"}
 
--- a/wickvane/rehearsal/tds.py
+++ b/wickvane/rehearsal/tds.py
@@ -9,7 +9,7 @@
 from wickvane.net.tds import errors, packets, statements, types
 from wickvane.net.tds import login as lg
 from wickvane.net.tds import tokens as t
-from wickvane.rehearsal import load, sockets
+from wickvane.rehearsal import connection, load
 
 MESSAGE_MOST = 1 << 18
 HEAD = re.compile(r"/\* id=(\w{1,32}),([^*]*) \*/ (.*)", re.S)
@@ -19,7 +19,7 @@
 ANSWERS = {errors.DEFERRED: "deferred", errors.STOPPING: "deferred", errors.KILLED: "killed"}
 
 
-class Connection(sockets.Connection):
+class Connection(connection.Connection):
     """One to an engine: a login, then a batch at a time, given up by attention."""
 
     def __init__(self, serving, sock, process):
