Peers: membership, failure detection and standing without I/O, over UDP, with a rig of processes

Need: dispatchers that know each other (who is there, who failed, what one may do while cut off) are the users' first concern. Change: wickvane/peers (table of lives, SWIM with Lifeguard's refinements, standing, the messages' protocol, codec, socket and tool), a fleet in virtual time, tests/fleet with a relay between processes; off unless the parts document has the node. Cases on processes are being mended.

--- /dev/null
+++ b/tests/fleet/rig.py
@@ -0,0 +1,330 @@
+"""Several real `wickvane serve` processes on loopback, and faults between them.
+
+Every dispatcher advertises an address of the relay, so that each datagram from one to another passes it: who
+sent it is told by its source, whom it is for by where it came in. Engines, coordinator and clients are
+stand-ins in this process; what they saw goes to the one rule checker. What is done to processes and links is
+kept with its time, so that a verdict in a dispatcher's log can be held against what was true. Chance comes
+from the seed alone: `FLEET_SEED=n pytest tests/fleet -k NAME` plays one again.
+"""
+
+import json
+import os
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import time
+from heapq import heappop, heappush
+from random import Random
+from threading import Event, Lock, Thread
+
+import orjson
+from bench_free import PATIENCE, SETTINGS, Engine, Events, entry, event, free_port, hit
+from rules import Figures, Seen
+
+from wickvane.rehearsal.load import Postgres
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+SEEDS = [int(os.environ["FLEET_SEED"])] if "FLEET_SEED" in os.environ else [1, 2, 3]
+EFFECTS = {"lookup": "read-only", "load": "tokened", "change": "mutating"}
+KEY = b"a key that all of the fleet hold"
+
+
+class Link:
+    """What becomes of datagrams one way between two; chances from 0 to 1, times in seconds."""
+
+    def __init__(self):
+        self.cut, self.loss, self.double, self.spoil, self.delay, self.jitter = False, 0.0, 0.0, 0.0, 0.0, 0.0
+
+
+class Relay(Thread):
+    """Between all: one socket a dispatcher, at the address that it advertises."""
+
+    def __init__(self, listens, seed):
+        super().__init__(daemon=True)
+        self.chance, self.listens = Random(f"{seed}/relay"), [("127.0.0.1", port) for port in listens]
+        self.of = {address: n for n, address in enumerate(self.listens)}
+        self.links = {(a, b): Link() for a in range(len(listens)) for b in range(len(listens))}
+        self.selector, self.sockets, self.held, self.count = selectors.DefaultSelector(), [], [], 0
+        self.lock, self.passed, self.over, self.kept = Lock(), {}, False, None
+        for n in range(len(listens)):
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind(("127.0.0.1", 0))
+            sock.setblocking(False)
+            self.selector.register(sock, selectors.EVENT_READ, n)
+            self.sockets.append(sock)
+        self.addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in self.sockets]
+
+    def run(self):
+        while not self.over:
+            wait = min(0.05, self.held[0][0] - time.monotonic()) if self.held else 0.05
+            for key, _ in self.selector.select(max(0.0, wait)):
+                self.read(key.fileobj, key.data)
+            while self.held and self.held[0][0] <= time.monotonic():
+                _, _, to, data = heappop(self.held)
+                self.forward(to, data)
+        for sock in self.sockets:
+            sock.close()
+
+    def read(self, sock, to):
+        for _ in range(64):
+            try:
+                data, source = sock.recvfrom(4096)
+            except OSError:
+                return
+            with self.lock:
+                self.pass_on(self.of.get(source), to, data)
+
+    def pass_on(self, sender, to, data):
+        if sender is None:
+            return self.forward(to, data)  # a stranger's
+        self.passed[sender, to] = self.passed.get((sender, to), 0) + 1
+        if self.kept is not None:
+            self.kept.append((to, data))
+        link = self.links[sender, to]
+        if link.cut or self.chance.random() < link.loss:
+            return
+        for _ in range(1 + (self.chance.random() < link.double)):
+            spoilt = data
+            if self.chance.random() < link.spoil:
+                at = self.chance.randrange(len(data))
+                spoilt = data[:at] + bytes((data[at] ^ 1 << self.chance.randrange(8),)) + data[at + 1:]
+            late = link.delay + self.chance.random() * link.jitter
+            if late:
+                self.count += 1
+                heappush(self.held, (time.monotonic() + late, self.count, to, spoilt))
+            else:
+                self.forward(to, spoilt)
+
+    def forward(self, to, data):
+        try:
+            self.sockets[to].sendto(data, self.listens[to])
+        except OSError:
+            pass
+
+    def set(self, pairs, **what):
+        with self.lock:
+            for pair in pairs:
+                vars(self.links[pair]).update(what)
+
+    def heal(self):
+        with self.lock:
+            for pair in self.links:
+                self.links[pair] = Link()
+
+
+class Watched(Engine):
+    """An engine that answers each query after a little, and tells the checker what it saw."""
+
+    def __init__(self, name, seen, took=0.01):
+        self.name, self.seen, self.took, self.open = name, seen, took, {}
+        super().__init__(self.answer)
+
+    def answer(self, txn, words):
+        now = time.time()
+        if words[0] == b"ASK":
+            n = self.seen.submitted(now, txn.decode(), self.name)
+            time.sleep(self.took)
+            self.seen.ended(time.time(), n, "finished")
+            return hit(txn)
+        return b""
+
+
+class Coordinator(Events):
+    """Holds each stream open and is never silent; the list itself is known from the start."""
+
+    def serve(self, conn, lines):
+        while lines.readline().strip():
+            pass
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n")
+        while True:
+            time.sleep(0.4)
+            conn.sendall(b": here\n\n")
+
+
+class Fleet:
+    """size dispatchers before engines; more: what their node peers has beside the usual."""
+
+    def __init__(self, folder, size, seed, engines=3, seeds=2, more=""):
+        self.folder, self.size, self.seed, self.more = str(folder), size, seed, more
+        self.chance = Random(f"{seed}/fleet")
+        self.seen = Seen(Figures(EFFECTS, slack=0.5))
+        self.engines = [Watched(f"e{n}", self.seen) for n in range(engines)]
+        self.coordinator = Coordinator()
+        self.ports = [free_port() for _ in range(size)]
+        self.relay = Relay([udp_port() for _ in range(size)], seed)
+        self.seeds, self.history, self.processes = range(seeds), [], [None] * size
+        self.logs = [os.path.join(self.folder, f"n{n}.log") for n in range(size)]
+        self.key_file = os.path.join(self.folder, "key")
+        self.write_key(KEY)
+        self.asked, self.words, self.clients, self.over = 0, {}, [], Event()
+        for n in range(size):
+            self.write(n)
+        self.relay.start()
+
+    def write_key(self, *keys):
+        with open(f"{self.key_file}.new", "wb") as file:
+            file.write(b"\n".join(keys) + b"\n")
+        os.replace(f"{self.key_file}.new", self.key_file)
+
+    def write(self, n):
+        entries = [entry(e.name, e.address) for e in self.engines]
+        config = {
+            "name": f"n{n}", "listen": f"127.0.0.1:{self.ports[n]}", "seed": f"{self.seed}{n}",
+            "settings": SETTINGS | {"fleet_size": self.size}, "limits": {"sockets": 256},
+            "coordinator": self.coordinator.address,
+            "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]}}
+        with open(self.path(n, "json"), "w") as file:
+            json.dump(config, file)
+        seeds = "; ".join(f'seed "{self.relay.addresses[s]}"' for s in self.seeds)
+        host, port = self.relay.listens[n]
+        with open(self.path(n, "kdl"), "w") as file:
+            file.write(f'peers {{\n listen "{host}:{port}"\n advertise "{self.relay.addresses[n]}"\n'
+                       f' key-file "{self.key_file}"\n state "{self.state(n)}"\n {seeds}\n {self.more}\n}}\n')
+
+    def path(self, n, kind):
+        return os.path.join(self.folder, f"n{n}.{kind}")
+
+    def state(self, n):
+        return os.path.join(self.folder, f"state-{n}")
+
+    # Processes
+
+    def did(self, what, n):
+        self.history.append((time.time(), what, f"n{n}"))
+
+    def start(self, *which):
+        for n in which:
+            with open(self.logs[n], "ab") as log:
+                self.processes[n] = subprocess.Popen(
+                    [sys.executable, "-m", "wickvane", "serve", f"--config={self.path(n, 'json')}",
+                     f"--parts={self.path(n, 'kdl')}"], cwd=ROOT, stdout=log, stderr=subprocess.STDOUT,
+                    stdin=subprocess.DEVNULL)
+            self.did("start", n)
+
+    def begin(self):
+        """All up, and of one view."""
+        self.start(*range(self.size))
+        self.until(lambda: self.equal(range(self.size)), "views are not equal at the start")
+        return self
+
+    def kill(self, *which):
+        for n in which:
+            self.did("kill", n)
+            self.processes[n].kill()
+        for n in which:
+            self.processes[n].wait()
+
+    def stop(self, n):
+        self.did("stop", n)
+        self.processes[n].send_signal(signal.SIGSTOP)
+
+    def go_on(self, n):
+        self.processes[n].send_signal(signal.SIGCONT)
+        self.did("go-on", n)
+
+    def end(self):
+        self.over.set()
+        for client in self.clients:
+            client.join(10)
+        running = [p for p in self.processes if p is not None and p.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in running:
+            process.wait()
+        self.relay.over = True
+        for stand in (*self.engines, self.coordinator):
+            stand.end()
+
+    # What they say
+
+    def status(self, n):
+        try:
+            with open(os.path.join(self.state(n), "status.json"), "rb") as file:
+                return orjson.loads(file.read())
+        except (OSError, orjson.JSONDecodeError):
+            return None
+
+    def equal(self, which):
+        """Whether these hold one agreed view of just themselves."""
+        names, digests, now = {f"n{n}" for n in which}, set(), time.time()
+        for n in which:
+            found = self.status(n)
+            if found is None or now - found["at"] > 3 or not found["agreed"] and len(names) > 1:
+                return False
+            if {row["name"] for row in found["members"] if row["in_view"]} != names:
+                return False
+            digests.add(found["digest"])
+        return len(digests) == 1
+
+    def states(self, n, of):
+        """What n says of each life under a name."""
+        found = self.status(n) or {"members": []}
+        return [row["state"] for row in found["members"] if row["name"] == f"n{of}"]
+
+    def logged(self, n, *events):
+        with open(self.logs[n], "rb") as file:
+            lines = [orjson.loads(line) for line in file.read().splitlines() if line.startswith(b"{")]
+        return [line for line in lines if line["event"] in events]
+
+    def until(self, holds, words, seconds=PATIENCE):
+        by = time.monotonic() + seconds
+        while not holds():
+            assert time.monotonic() < by, f"{words}; seed {self.seed}: {self.told()}"
+            time.sleep(0.1)
+
+    def told(self):
+        return {n: {k: found[k] for k in ("standing", "part", "reasons", "digest", "agreed")} | {
+            "members": [(row["name"], row["state"]) for row in found["members"]]}
+            for n in range(self.size) if (found := self.status(n))}
+
+    def verdicts(self, since=0.0):
+        """(at, by whom, about whom) of every life that was called failed, from all logs."""
+        return [(line["at"], f"n{n}", line["name"]) for n in range(self.size)
+                for line in self.logged(n, "peers-failed") if line["at"] >= since]
+
+    def ran(self, name, at):
+        """Whether a program ran then, by what was done to it."""
+        what = [what for when, what, who in self.history if who == name and when <= at]
+        return bool(what) and what[-1] in ("start", "go-on")
+
+    # Clients
+
+    def serve(self, *which, every=0.05):
+        """A client at each of these from now on, to the end."""
+        for n in which:
+            client = Thread(target=self.ask, args=(n, every), daemon=True)
+            self.clients.append(client)
+            client.start()
+
+    def ask(self, n, every):
+        client, chance, count = Postgres(("127.0.0.1", self.ports[n])), Random(f"{self.seed}/client/{n}"), 0
+        while not self.over.wait(every * chance.uniform(0.5, 1.5)):
+            count += 1
+            id = f"{n << 32 | count:016x}"
+            group = chance.choice(["lookup", "lookup", "load", "change"])
+            more = f",unique={id},item=k{n}{count}" if group == "load" else ""
+            at = time.time()
+            self.seen.taken(at, id, group, 5.0, None)
+            word = client.ask(f"/* verb={group},txn={id},limit=5000,team=acme,cpu=10{more} */ "
+                              f"SELECT 1 FROM sales_{chance.randrange(20)}.t", 8)
+            known = word in ("finished", "deferred", "killed")
+            self.seen.answered(time.time(), id, word if known else "left")
+            self.words.setdefault(n, []).append((at, word))
+            if word == "lost":
+                client.close()
+
+    def served(self, n, since, until=None):
+        """Words that a dispatcher's client got to what it asked in that time."""
+        return [word for at, word in self.words.get(n, ()) if at >= since and (until is None or at <= until)]
+
+    def breaches(self):
+        return self.seen.breaches()
+
+
+def udp_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -21,6 +21,9 @@
   wickvane members (confirm | rollback) [--parts=FILE] [--state=DIR] GENERATION
   wickvane members stop [--parts=FILE] [--state=DIR]
   wickvane members agree [--json] DIR...
+  wickvane peers (status | members | events) [--parts=FILE] [--state=DIR] [--json]
+  wickvane peers leave [--parts=FILE] [--state=DIR]
+  wickvane peers forget [--parts=FILE] [--state=DIR] NAME
   wickvane version
   wickvane -h | --help
 
@@ -36,6 +39,8 @@
   control  Hand placement decisions to proxies over xDS; status: what each of them holds.
   members  What watched files list: what one would do, what was done, the list at work; confirm a held change,
            stop steps or turn them back; agree: which of several dispatchers are behind.
+  peers    What a dispatcher believes of the others: how it stands, members, events; leave: say so and serve
+           alone; forget: a member that failed has left for good.
   version  Print the version.
 
 Options:
@@ -59,7 +64,7 @@
   --jobs=N       So many processes at once.
   --plots        Draw them too.
   --tls=FILES    Authority, certificate and key, with commas between.
-  --state=DIR    The folder of a journal of members.
+  --state=DIR    The folder of a journal of members, or of what peers show.
   -h --help      Show this.
 """
 
@@ -80,6 +85,10 @@
     if asked["version"]:
         print(f"wickvane {__version__}")
         return 0
+    if asked["peers"]:
+        from wickvane.peers.tool import main as peers
+
+        return peers(asked)
     if asked["members"]:
         from wickvane.members.tool import main as members
 
