Peers: reads of the socket never wait for more; few can agree in a small fleet; cases on processes pass

Cause: on a socket with a time-out a read marked not to wait waits all the same, so a round lasted up to a second; a part of three counted on three more to agree before it judged.

--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -224,10 +224,14 @@
         self.processes[n].send_signal(signal.SIGCONT)
         self.did("go-on", n)
 
-    def end(self):
+    def quiet(self):
+        """The clients end, each with the answer that it waits for."""
         self.over.set()
         for client in self.clients:
             client.join(10)
+
+    def end(self):
+        self.quiet()
         running = [p for p in self.processes if p is not None and p.poll() is None]
         for process in running:
             process.send_signal(signal.SIGCONT)
--- a/wickvane/peers/detector.py
+++ b/wickvane/peers/detector.py
@@ -174,8 +174,10 @@
 
     def deadline(self, row):
         since, least, most = self.until[row]
-        others = len(self.table.confirmers.get(row, ())) - 1
-        part = log(1 + max(0, min(CONFIRMERS, others))) / log(1 + CONFIRMERS)
+        others = max(0, len(self.table.confirmers.get(row, ())) - 1)
+        # No more can agree than there are beside the suspect and this one.
+        many = min(CONFIRMERS, len(self.table.living) - 2)
+        part = log(1 + min(many, others)) / log(1 + many) if many > 0 else 1
         return since + int(most - (most - least) * part)
 
     def unheard(self, now):
--- a/wickvane/peers/membership.py
+++ b/wickvane/peers/membership.py
@@ -14,8 +14,9 @@
 """
 
 from collections import OrderedDict
+from functools import lru_cache
 from hashlib import blake2b
-from heapq import nsmallest
+from itertools import islice
 
 JOINING, ALIVE, SUSPECT, FAILED, LEFT = range(5)
 STATES = "joining", "alive", "suspect", "failed", "left"
@@ -30,16 +31,19 @@
 HEARD_LATELY = 3 * SECOND  # a life heard of at first hand since is not called failed on another's word
 SUSPECTED_LEAST = 2 * SECOND  # nor one that was not suspected here for so long
 SPREAD = 4  # a rumour is sent on so often, times the decimal logarithm of the members
+TURNS = 32  # more than times() can be
 CONFIRMERS = 3  # independent suspicions that are sent on, and shorten the time left to refute
 ENTRIES_MOST = 30  # in one datagram, whatever room there is
 WINDOW = 64  # counters behind the last that may still come, each once
 
 
+@lru_cache(1 << 14)
 def mark(name, epoch, incarnation=-1):
     """64 bits that stand for a life (and its incarnation) in sums."""
     return int.from_bytes(blake2b(f"{name}\0{epoch}\0{incarnation}".encode(), digest_size=8).digest())
 
 
+@lru_cache(1 << 14)
 def bucket_of(name):
     return blake2b(name.encode(), digest_size=2).digest()[0] % BUCKETS
 
@@ -58,6 +62,7 @@
         self.floors = OrderedDict()  # name: no life of it up to this epoch is there any more
         self.sums = [0] * BUCKETS
         self.rumours = {}  # row: how often it was sent on
+        self.turns = [{} for _ in range(TURNS)]  # by how often: rows, in the order in which they came there
         self.confirmers = {}  # row of a suspect: names that suspect it by themselves
         self.held = {}  # the view: name: (row, its mark)
         self.digest, self.number, self.highest, self.changed_at = 0, 1, 0, now
@@ -86,7 +91,7 @@
         self.of_name.setdefault(name, []).append(row)
         self.enter(row)
         self.summed(row)
-        self.rumours[row] = 0
+        self.rumour(row, 0)
         self.look(now, name)
         return row
 
@@ -123,7 +128,7 @@
         self.dead.discard(row)
         del self.rows[name, epoch]
         self.of_name[name].remove(row)
-        self.rumours.pop(row, None)
+        self.rumour(row, None)
         self.confirmers.pop(row, None)
         self.free.append(row)
         self.look(now, name)
@@ -212,7 +217,7 @@
             self.confirmers.pop(row, None)
             if state == SUSPECT:
                 self.confirmers[row] = {by}
-        self.rumours[row] = 0
+        self.rumour(row, 0)
         self.look(now, self.name[row])
         if was != state and row:
             self.told(f"peers-{STATES[state]}", self.shown(row) | {"was": STATES[was]})
@@ -223,7 +228,8 @@
         if by in known or len(known) > CONFIRMERS:
             return None
         known.add(by)
-        self.by[row], self.rumours[row] = by, min(self.rumours.get(row, 1 << 30), self.times() // 2)
+        self.by[row] = by
+        self.rumour(row, min(self.rumours.get(row, TURNS), self.times() // 2))
         return row
 
     def of_me(self, now, incarnation, state, by):
@@ -251,7 +257,8 @@
         self.epoch[0], self.incarnation[0] = epoch, 0
         self.rows[name, epoch] = 0
         self.summed(0)
-        self.state[0], self.rumours[0] = min(self.state[0], ALIVE), 0
+        self.state[0] = min(self.state[0], ALIVE)
+        self.rumour(0, 0)
         for row in list(self.of_name[name]):
             if row and self.address[row] == self.address[0]:
                 self.becomes(now, row, self.incarnation[row], LEFT, "")
@@ -333,22 +340,31 @@
 
     def pick(self, room, also=()):
         """Entries for one datagram of `room` octets, rows of `also` first, then those sent on least."""
-        rows, times = list(also), self.times()
-        rows += nsmallest(ENTRIES_MOST, (row for row in self.rumours if row not in also),
-                          key=lambda row: (self.rumours[row], row))
-        found = []
-        for row in rows:
+        rows, times, found = list(also), self.times(), []
+        for turn in self.turns:
+            if len(rows) >= ENTRIES_MOST:
+                break
+            rows.extend(row for row in islice(turn, ENTRIES_MOST) if row not in also)
+        for row in rows[:ENTRIES_MOST]:
             size = self.size(row)
             if size > room:
                 break
             room -= size
             found.append(self.entry(row))
-            if row in self.rumours:
-                self.rumours[row] += 1
-                if self.rumours[row] >= times:
-                    del self.rumours[row]
+            count = self.rumours.get(row)
+            if count is not None:
+                self.rumour(row, count + 1 if count + 1 < times else None)
         return found
 
+    def rumour(self, row, count):
+        """Sets how often a row was sent on as a rumour; None: it is one no more."""
+        before = self.rumours.pop(row, None)
+        if before is not None:
+            del self.turns[before][row]
+        if count is not None:
+            self.rumours[row] = count
+            self.turns[count][row] = None
+
     def size(self, row):
         """Octets that an entry takes at most."""
         return len(self.name[row].encode()) + len(self.address[row]) + len(str(self.by[row]).encode()) + 24
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import select
 import socket
 import threading
 import time
@@ -53,7 +54,7 @@
         self.events, self.lines, self.unsaid = deque(maxlen=EVENTS_HELD), 0, 0
         self.node = Node(now(), name, epoch(), text_of(part.advertise), self.seeds(), configured, seed,
                          self.told, part.period, part.most, part.remember)
-        self.sock, self.family, self.stopping = None, None, False
+        self.sock, self.family, self.poll, self.stopping = None, None, select.poll(), False
         self.addresses, self.refused, self.said = {}, Counter(), Counter()
         self.look_at, self.shown, self.shown_at = 0, None, 0
         self.lost_sends = 0
@@ -93,6 +94,8 @@
             self.sock = socket.socket(self.family, socket.SOCK_DGRAM)
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
             self.sock.bind((host, port))
+            self.sock.setblocking(False)
+            self.poll.register(self.sock, select.POLLIN)
         except OSError as error:
             raise Unstartable(f"peers: cannot listen on {host}:{port}: {error.strerror}", 1) from None
 
@@ -115,16 +118,14 @@
     def read(self, wait):
         """Messages of the datagrams that lie there, at most BATCH of them."""
         came, refused = [], 0
-        self.sock.settimeout(max(0.0005, min(wait, WAIT_MOST_S)))
-        for n in range(BATCH):
+        self.poll.poll(max(1, min(wait, WAIT_MOST_S) * 1000))
+        for _ in range(BATCH):
             try:
-                data = self.sock.recv(wire.DATAGRAM + 1, 0 if n == 0 else socket.MSG_DONTWAIT)
-            except TimeoutError:
-                break
-            except OSError:  # nothing more, or an earlier datagram's refusal by a host
-                if n == 0:
-                    continue
+                data = self.sock.recv(wire.DATAGRAM + 1)
+            except BlockingIOError:
                 break
+            except OSError:  # an earlier datagram's refusal by a host
+                continue
             try:
                 came.append(self.codec.open(data))
             except wire.Refused as why:
@@ -137,7 +138,7 @@
     def send(self, address, message):
         """The writer of the decisions. What cannot leave is as good as lost on the way."""
         try:
-            self.sock.sendto(self.codec.seal(message), socket.MSG_DONTWAIT, self.address_of(address))
+            self.sock.sendto(self.codec.seal(message), self.address_of(address))
         except (OSError, ValueError):
             self.lost_sends += 1
 
--- a/wickvane/rehearsal/peers.py
+++ b/wickvane/rehearsal/peers.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wickvane.peers.membership import SECOND
+from wickvane.peers.membership import ALIVE, SECOND
 from wickvane.peers.protocol import Node
 from wickvane.peers.wire import MAC
 
@@ -41,10 +41,10 @@
 
 class Fleet:
     """size: programs, all of which start within `spread`; seeds: how many of them all others ask first;
-    loss: of datagrams; delay: (least, most) tenths of a millisecond on the way."""
+    loss: of datagrams; settled: all know all at the start; delay: (least, most) tenths of a millisecond on the way."""
 
     def __init__(self, size, seed, loss=0.0, delay=(3, 30), seeds=3, spread=SECOND, period=SECOND // 2,
-                 doubled=0.0, configured=None):
+                 doubled=0.0, configured=None, settled=False):
         self.chance, self.seed, self.loss, self.delay = Random(f"{seed}/fleet"), seed, loss, delay
         self.doubled, self.period, self.configured = doubled, period, configured or size
         self.now, self.heap, self.count, self.events, self.marks = 0, [], 0, [], []
@@ -56,12 +56,35 @@
         self.seeds = [member.address for member in self.members[:seeds]]
         self.watch = None  # called with (now, n, event, fields)
         for n in range(size):
-            self.at(self.chance.randrange(max(1, spread)), self.start, n)
+            if settled:
+                self.start(n)
+            else:
+                self.at(self.chance.randrange(max(1, spread)), self.start, n)
+        if settled:
+            self.settle()
 
     def at(self, when, what, *words):
         self.count += 1
         heappush(self.heap, (max(self.now, when), self.count, what, words))
 
+    def settle(self):
+        """As after a start long ago: all know all, and nothing is left to say."""
+        epochs = [member.node.table.epoch[0] for member in self.members]
+        for n, member in enumerate(self.members):
+            table = member.node.table
+            member.node.told = table.told = lambda event, fields: None
+            table.becomes(0, 0, 0, ALIVE, "")
+            for other, epoch in zip(self.members, epochs):
+                if other is not member:
+                    table.hears(0, other.name, epoch, other.address, 0, ALIVE, "")
+            for row in list(table.rumours):
+                table.rumour(row, None)
+            table.number = len(self.members) + 1
+            member.node.told = table.told = self.teller(n)
+
+    def teller(self, n):
+        return lambda event, fields: self.told(n, event, fields)
+
     # Programs
 
     def start(self, n, epoch=None):
@@ -71,7 +94,7 @@
         member.node = Node(
             self.now, member.name, epoch, member.address, [s for s in self.seeds if s != member.address],
             self.configured, f"{self.seed}/{member.epochs}",
-            lambda event, fields: self.told(n, event, fields), self.period)
+            self.teller(n), self.period)
         member.up, member.inbox, member.wakes = True, [], None
         self.wake_at(n, self.now + 1)
 
