--- a/benchmarks/threads.py
+++ b/benchmarks/threads.py
@@ -60,9 +60,9 @@
 
 
 class Running:
-    """One program of one tree, before engines of its own."""
+    """One program of one tree, before engines of its own; words: more for its command line."""
 
-    def __init__(self, tree, count, length, folder):
+    def __init__(self, tree, count, length, folder, words=()):
         self.text = DAY.format(length=length, engines=count, rate=RATE)
         context = get_context("spawn")
         self.pipe, theirs = context.Pipe()
@@ -70,11 +70,11 @@
         self.serving.start()
         self.listen = f"127.0.0.1:{port()}"
         self.pipe.send(self.listen)
-        path = os.path.join(folder, f"{os.path.basename(tree)}-{count}.json")
+        path = os.path.join(folder, f"{os.path.basename(tree)}-{count}-{len(words)}.json")
         with open(path, "w") as file:
-            json.dump(self.pipe.recv(), file)
+            json.dump(self.pipe.recv() | {"name": "n0"}, file)
         self.program = subprocess.Popen(
-            [sys.executable, "-m", "wickvane", "serve", f"--config={path}"], cwd=tree,
+            [sys.executable, "-m", "wickvane", "serve", f"--config={path}", *words], cwd=tree,
             stdout=subprocess.DEVNULL, env=os.environ | {"PYTHONPATH": tree})
 
     def ask(self):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -377,8 +377,7 @@
     assert f.false_failures(healed) == []
 
 
-@pytest.mark.parametrize("seed", range(6))
-def test_generated_histories_end_in_one_view_of_just_those_that_run(seed):
+def history(seed):
     """Kills, restarts, standstills, cuts one way and both, loss, clocks that go back; then quiet."""
     chance = Random(f"history/{seed}")
     f = Fleet(9, seed, loss=0.05)
@@ -407,7 +406,13 @@
     for n in range(9):
         if not f.members[n].up:
             f.restarted(n)
-    assert f.until_equal(f.now + 120 * SECOND) is not None, (seed, f.views())
+    return f
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_generated_histories_end_in_one_view_of_just_those_that_run(seed):
+    f = history(seed)
+    assert f.until_equal(f.now + 60 * SECOND) is not None, (seed, f.views())
     late = f.now
     f.run(f.now + 20 * SECOND)
     assert f.equal() and f.false_failures(late) == []
@@ -416,6 +421,103 @@
         assert len(member.node.table.rows) < 9 * LIVES_MOST
 
 
+# Guards: each scenario holds as the program is, and no longer where its guard is gone.
+
+
+def a_suspicion_slept_through():
+    """One suspects another, then stands still past its time to refute, and the kernel keeps nothing."""
+    f = Fleet(5, 1, settled=True, buffer=0)
+    f.run(SECOND)
+    f.stand_still(1, 25 * SECOND // 10)
+    while not any(event == "peers-suspect" and n == 0 for _, n, event, _ in f.events):
+        f.run(f.now + 500)
+    f.stand_still(0, 5 * SECOND)
+    f.run(f.now + 30 * SECOND)
+    return not [v for v in f.false_failures() if v[1] == "n0"]
+
+
+def a_cut_healed():
+    f = Fleet(40, 1, settled=True, seeds=0)
+    f.run(SECOND)
+    f.cut = lambda a, b: (a < 20) != (b < 20)
+    f.run(f.now + 15 * SECOND)
+    f.cut, healed = None, f.now
+    return f.until_equal(f.now + 20 * SECOND) is not None and not f.false_failures(healed)
+
+
+def one_that_nobody_hears():
+    f = Fleet(5, 1, settled=True)
+    f.run(SECOND)
+    f.cut = lambda a, b: a == 2
+    f.run(f.now + 50 * SECOND)
+    judged = [v for v in f.false_failures() if v[1] == "n2"]
+    return not judged and f.members[2].node.stand(f.now)[0] == sd.ALONE
+
+
+def standstills():
+    f = Fleet(30, 1, loss=0.1, settled=True)
+
+    def again(n):
+        f.stand_still(n, 2 * SECOND)
+        f.at(f.now + 3 * SECOND, again, n)
+
+    for n in range(27):
+        f.at(f.chance.randrange(3 * SECOND), again, n)
+    f.run(60 * SECOND)
+    return not f.false_failures()
+
+
+def a_clock_that_went_back():
+    f = Fleet(5, 1, settled=True)
+    f.run(SECOND)
+    f.killed(2)
+    f.run(f.now + SECOND)
+    f.restarted(2, epoch=7)
+    return f.until_equal(f.now + 20 * SECOND) is not None
+
+
+def a_restart_at_once():
+    f = Fleet(9, 1, settled=True)
+    f.run(SECOND)
+    f.killed(2)
+    f.run(f.now + SECOND // 10)
+    f.restarted(2)
+    return f.until_equal(f.now + 3 * SECOND) is not None
+
+
+def never(*_, **__):
+    return None
+
+
+BECOMES = Table.becomes
+GUARDS = [
+    (a_suspicion_slept_through, Detector, "stands_still", never),
+    (a_suspicion_slept_through, Node, "STILL", None),
+    (a_cut_healed, Table, "may_fail", lambda self, now, row: True),
+    (a_cut_healed, Node, "ask_lost", never),
+    (one_that_nobody_hears, Detector, "unheard", lambda self, now: False),
+    (standstills, "wickvane.peers.detector", "LEAST", SECOND // 2),
+    (a_clock_that_went_back, Node, "tell_over", lambda self, entry: self.refuse("former-life")),
+    (a_clock_that_went_back, Table, "starts_over", never),
+    (a_restart_at_once, Table, "becomes", lambda self, now, row, incarnation, state, by: None
+        if state == LEFT and row else BECOMES(self, now, row, incarnation, state, by)),
+]
+
+
+@pytest.mark.parametrize("scenario", dict.fromkeys(guard[0] for guard in GUARDS))
+def test_each_scenario_holds(scenario):
+    assert scenario()
+
+
+@pytest.mark.parametrize("scenario, where, name, instead", GUARDS)
+def test_each_guard_is_missed_when_it_is_gone(scenario, where, name, instead, monkeypatch):
+    if name == "STILL":
+        where, name, instead = "wickvane.peers.protocol", "STILL", 1 << 60
+    monkeypatch.setattr(f"{where}.{name}" if isinstance(where, str) else where, *(
+        (instead,) if isinstance(where, str) else (name, instead)))
+    assert not scenario()
+
+
 def test_no_message_is_longer_than_a_datagram_and_what_is_sent_is_bounded():
     codec, sizes, sent = wire.Codec("c" * 64, [b"k" * 20]), [], []
 
--- a/wickvane/rehearsal/peers.py
+++ b/wickvane/rehearsal/peers.py
@@ -41,12 +41,14 @@
 
 class Fleet:
     """size: programs, all of which start within `spread`; seeds: how many of them all others ask first;
-    loss: of datagrams; settled: all know all at the start; delay: (least, most) tenths of a millisecond on the way."""
+    loss: of datagrams; settled: all know all at the start; delay: (least, most) tenths of a millisecond on
+    the way; buffer: datagrams that are kept for who stands still."""
 
     def __init__(self, size, seed, loss=0.0, delay=(3, 30), seeds=3, spread=SECOND, period=SECOND // 2,
-                 doubled=0.0, configured=None, settled=False):
+                 doubled=0.0, configured=None, settled=False,
+                 buffer=500):
         self.chance, self.seed, self.loss, self.delay = Random(f"{seed}/fleet"), seed, loss, delay
-        self.doubled, self.period, self.configured = doubled, period, configured or size
+        self.buffer, self.doubled, self.period, self.configured = buffer, doubled, period, configured or size
         self.now, self.heap, self.count, self.events, self.marks = 0, [], 0, [], []
         self.cut = None  # (from, to): whether nothing passes
         self.encode = msgspec.msgpack.Encoder().encode
@@ -150,7 +152,7 @@
         if not member.up:
             return
         if self.now < member.still_until:
-            if len(member.inbox) < 500:  # what a kernel's buffer holds
+            if len(member.inbox) < self.buffer:
                 member.inbox.append(message)
                 self.wake_at(n, member.still_until)
             return
