--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -1,16 +1,23 @@
 """Dispatchers that know each other, as processes of the program with faults between them."""
 
+import json
 import os
 import random
 import signal
 import socket
+import subprocess
+import sys
 import time
 from contextlib import contextmanager
 from threading import Thread
 
 import pytest
 
-from fleet.rig import KEY, SEEDS, Fleet
+from fleet.rig import KEY, ROOT, SEEDS, Fleet
+from wickvane import parts
+from wickvane.net.counters import Counters
+from wickvane.peers import shell
+from wickvane.rehearsal.relay import udp_port
 
 seeds = pytest.mark.parametrize("seed", SEEDS)
 
@@ -308,6 +315,99 @@
             held(f, range(7), since)
 
 
+def tool(f, n, *words):
+    return subprocess.run([sys.executable, "-m", "wickvane", "peers", *words, f"--parts={f.path(n, 'kdl')}"],
+                          cwd=ROOT, capture_output=True, text=True, timeout=60)
+
+
+def test_operators_see_members_and_events_forget_one_and_let_one_leave(tmp_path):
+    with fleet(tmp_path, 5, 1) as f:
+        f.serve(*range(4), every=0.1)
+        since = time.time()
+        said = tool(f, 0, "status")
+        assert said.returncode == 0 and "n0: whole, in the larger part" in said.stdout, said
+        rows = [json.loads(line) for line in tool(f, 0, "members", "--json").stdout.splitlines()]
+        assert [(row["name"], row["state"]) for row in rows] == [(f"n{n}", "alive") for n in range(5)]
+        assert json.loads(tool(f, 0, "status", "--json").stdout)["divisor"] == 5
+        refused = tool(f, 0, "forget", "n4")
+        assert refused.returncode == 1 and "no failed life of n4" in refused.stdout  # it is there
+        f.kill(4)
+        f.until(lambda: f.equal(range(4)), "the killed one is still in views", 20)
+        assert "peers-failed name=n4" in tool(f, 1, "events").stdout
+        assert tool(f, 1, "forget", "n4").returncode == 0
+        f.until(lambda: all(f.states(n, 4) == ["left"] for n in range(4)), "not forgotten by all", 10)
+        assert tool(f, 3, "leave").returncode == 0
+        f.until(lambda: all(f.states(n, 3) == ["left"] for n in range(3)), "no word of leaving", 10)
+        time.sleep(1)
+        assert f.served(3, time.time() - 0.8)  # and it serves alone
+        # Another seed is taken in at SIGHUP; what cannot change is refused, and the old one stays.
+        for find, put, event in (("seed", "seeds-file \"/nowhere\"; seed", "configuration-taken"),
+                                 ("listen ", "period \"2s\"; listen ", "configuration-unusable")):
+            with open(f.path(0, "kdl")) as file:
+                text = file.read().replace(find, put, 1)
+            with open(f.path(0, "kdl"), "w") as file:
+                file.write(text)
+            f.processes[0].send_signal(signal.SIGHUP)
+            f.until(lambda event=event: f.logged(0, event), f"no {event}")
+        why = f.logged(0, "configuration-unusable")[0]["why"]
+        assert "peers: period: another value needs a restart" in why
+        f.processes[0].send_signal(signal.SIGUSR1)
+        f.until(lambda: f.logged(0, "counters"), "no counters")
+        assert f.logged(0, "counters")[0]["peers"]["members"] == 3
+        held(f, range(4), since)
+    assert tool(f, 4, "status").returncode == 0  # old, and said so
+    assert "s old" in tool(f, 4, "status").stdout
+    gone = tool(f, 4, "leave")
+    assert gone.returncode == 1 and "no answer" in gone.stderr
+    assert subprocess.run([sys.executable, "-m", "wickvane", "peers", "status", "--state=/nowhere"], cwd=ROOT,
+                          capture_output=True).returncode == 1
+
+
+@pytest.mark.parametrize("text, words", [
+    ("peers", "peers: expected a node listen"),
+    ('peers { listen "127.0.0.1:1" }', "a node key-file"),
+    ('peers { listen "0.0.0.0:1"; key-file "/x" }', "an address that the others can send to"),
+    ('peers { listen "127.0.0.1:1"; key-file "/x"; seed "host:1" }', "an IP address and port"),
+    ('peers { listen "127.0.0.1:1"; key-file "/x"; members 1 }', "from 2 to 16384"),
+    ('peers { listen "127.0.0.1:1"; key-file "/x"; gossip 1 }', "peers > gossip"),
+])
+def test_what_a_document_cannot_say(text, words):
+    with pytest.raises(parts.Unusable) as wrong:
+        parts.read_text(text)
+    assert words in str(wrong.value)
+
+
+def test_a_dispatcher_that_cannot_be_a_peer_says_why_and_does_not_start(tmp_path):
+    f = Fleet(tmp_path, 2, 1)
+    try:
+        f.write_key(b"short")
+        f.start(0)
+        assert f.processes[0].wait(20) == 2
+        f.write_key(KEY)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(f.relay.listens[1])
+            f.start(1)
+            assert f.processes[1].wait(20) == 1
+        with open(f.logs[0]) as one, open(f.logs[1]) as two:
+            assert "keys of 16 to 64 octets" in one.read() and "peers: cannot listen" in two.read()
+    finally:
+        f.end()
+
+
+def test_a_mistake_in_the_part_costs_a_round_and_at_last_the_part_never_the_dispatcher(tmp_path, monkeypatch):
+    lines, key = [], tmp_path / "key"
+    key.write_bytes(KEY)
+    log = type("Log", (), {"line": lambda self, event, **fields: lines.append((event, fields))})()
+    part = parts.read_text(f'peers {{ listen "127.0.0.1:{udp_port()}"; key-file "{key}" }}')["peers"]
+    made = shell.Peers(part, "n0", 1, 1, log, Counters())
+    made.open()
+    monkeypatch.setattr(shell, "FAULTS_MOST", 3)
+    monkeypatch.setattr(made.node, "round", lambda *_: 1 / 0)
+    made.run()
+    assert [event for event, _ in lines] == ["fault"] * 3 + ["peers-given-up"]
+    assert lines[0][1]["where"].startswith("<lambda>") and made.brief()["standing"] == "whole"
+
+
 def test_threads_that_watch_do_not_outlive_a_fleet(tmp_path):
     # The rig itself: a fleet that ends leaves no process and no relay.
     with fleet(tmp_path, 2, 1, seeds=1) as f:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -109,7 +109,8 @@
 import sys
 from wickvane.net.service import Service, configuration
 Service(configuration(sys.argv[1]))
-print([name for name in sys.modules if name.startswith(("ckdl", "wickvane.flows", "wickvane.parts", "ssl"))])
+print([name for name in sys.modules if name.startswith((
+    "ckdl", "msgspec", "wickvane.flows", "wickvane.parts", "wickvane.peers", "wickvane.members", "ssl"))])
 """
     words = [sys.executable, "-c", code, str(configuration)]
     told = subprocess.run(words, cwd=ROOT, capture_output=True)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -436,6 +436,25 @@
     assert all(line["service"] == "demo" and line["at"] > 0 for line in said)
 
 
+def test_the_demo_of_three_shows_what_each_believes_through_a_cut_and_a_kill(tmp_path):
+    made = demo.Demo(scripts.read_text(demo.SCRIPT), 1, str(tmp_path), 3)
+    try:
+        made.start()
+        views = made.dispatchers.views
+        until(lambda: [view[1] for view in views()] == ["whole"] * 3, 30)
+        assert made.switch("p") == "n2 cut off"
+        until(lambda: [view[5].get("n2") for view in views()][:2] == ["failed"] * 2, 30)
+        until(lambda: views()[0][2] == "larger" and views()[2][1] in ("alone", "degraded"), 30)
+        console = Console(file=io.StringIO(), width=160)
+        console.print(demo.screen(made, made.figures()))
+        assert "what each dispatcher believes" in console.file.getvalue()
+        assert "n2 failed" in demo.plain_views(views())
+        assert made.switch("p") == "n2 let back" and made.switch("k").startswith("n0 killed")
+        until(lambda: made.dispatchers.tend() and [view[1] for view in views()] == ["whole"] * 3, 40)
+    finally:
+        made.stop()
+
+
 def test_a_query_takes_its_work_s_time_is_given_up_and_known_again_by_its_token():
     served = Served(SMALL.format(more=""))
     client = Client(served)
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -11,7 +11,7 @@
   wickvane rehearse load --to=ADDRESS [--tds] [--seed=N] FILE
   wickvane rehearse experiment --out=PATH [--jobs=N] [--plots] FILE
   wickvane rehearse run [--seed=N] [--log=PATH] [--until-broken] [--tries=N] FILE
-  wickvane demo [--script=FILE] [--seed=N] [--for=TIME]
+  wickvane demo [--script=FILE] [--seed=N] [--for=TIME] [--fleet=N]
   wickvane control [--config=FILE] --parts=FILE
   wickvane control status --to=ADDRESS [--tls=FILES] [--json]
   wickvane members check [--config=FILE] [--parts=FILE] [--state=DIR] [--json] [PATH]
@@ -62,6 +62,7 @@
   --script=FILE  A script of a rehearsal, in place of the demo's own.
   --tds          By TDS instead of PostgreSQL.
   --jobs=N       So many processes at once.
+  --fleet=N      So many dispatchers, up to 9, that know each other where there are several.
   --plots        Draw them too.
   --tls=FILES    Authority, certificate and key, with commas between.
   --state=DIR    The folder of a journal of members, or of what peers show.
--- a/wickvane/peers/part.py
+++ b/wickvane/peers/part.py
@@ -61,7 +61,8 @@
         self.peers.open()
 
     def start(self, service):
-        service.thread(self.peers.run, "peers")
+        # Queries do without it: its death would not end the program.
+        service.threads.needed(self.peers.run, "peers")
 
     def check(self, terms):
         for field in Part._fields:
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -10,6 +10,7 @@
 import socket
 import threading
 import time
+import traceback
 from collections import Counter, deque
 
 import orjson
@@ -18,6 +19,7 @@
 from wickvane.peers import wire
 from wickvane.peers.protocol import Node
 
+FAULTS_MOST = 50  # after which it is no peer any more
 BATCH, WAIT_MOST_S = 128, 0.25
 FLOOD, FLOOD_PAUSE_S = 32, 0.005  # refused in one round, past which the next waits a little
 BUFFER = 1 << 20
@@ -103,17 +105,33 @@
 
     def run(self):
         # Between the start of the program and of this thread nobody was waited for.
-        self.node.wakes = now() + self.part.period
+        self.node.wakes, faults = now() + self.part.period, 0
         while not self.stopping:
-            came = self.read((self.node.wakes - now()) / 10_000)
-            if self.stopping:
-                return
-            with self.lock:
-                self.node.round(now(), came, self)
-                self.node.wakes = min(self.node.wakes, now() + int(WAIT_MOST_S * 10_000))
-            if time.monotonic() >= self.look_at:
-                self.look_at = time.monotonic() + LOOK_S
-                self.look()
+            try:
+                self.turn()
+            except Exception as error:
+                # A mistake of this part's costs what came in this round, never the dispatcher.
+                faults += 1
+                at = traceback.extract_tb(error.__traceback__)[-1]
+                self.counters.add("faults")
+                self.log.line("fault", part="peers", error=f"{type(error).__name__}: {error}",
+                              where=f"{at.name}:{at.lineno}")
+                if faults >= FAULTS_MOST:
+                    self.counters.add("peers-given-up")
+                    self.log.line("peers-given-up", reason="faults")
+                    return
+                time.sleep(FLOOD_PAUSE_S)
+
+    def turn(self):
+        came = self.read((self.node.wakes - now()) / 10_000)
+        if self.stopping:
+            return
+        with self.lock:
+            self.node.round(now(), came, self)
+            self.node.wakes = min(self.node.wakes, now() + int(WAIT_MOST_S * 10_000))
+        if time.monotonic() >= self.look_at:
+            self.look_at = time.monotonic() + LOOK_S
+            self.look()
 
     def read(self, wait):
         """Messages of the datagrams that lie there, at most BATCH of them."""
--- a/wickvane/rehearsal/command.py
+++ b/wickvane/rehearsal/command.py
@@ -96,13 +96,13 @@
         raise parts.Unusable("load needs the package hdrhistogram (requirements-parts.txt)") from None
 
 
-def demo(path, seed, words):
+def demo(path, seed, words, fleet):
     """`wickvane demo`, for good where no time is said."""
     try:
         from wickvane.rehearsal.demo import main as show
     except ImportError as error:
         raise parts.Unusable(f"demo needs {error.name} (requirements-parts.txt)") from None
-    return show(path, seed, None if words == "24h" else seconds_of(words), sys.stdout)
+    return show(path, seed, None if words == "24h" else seconds_of(words), sys.stdout, fleet)
 
 
 def seconds_of(words):
@@ -137,7 +137,9 @@
         if not all((asked[word] or "1").isdigit() for word in ("--seed", "--tries", "--jobs")):
             raise parts.Unusable("--seed, --tries and --jobs: expected whole numbers")
         if asked["demo"]:
-            return demo(path, int(seed), asked["--for"])
+            if asked["--fleet"] not in (None, *"123456789"):
+                raise parts.Unusable("--fleet: expected a whole number from 1 to 9")
+            return demo(path, int(seed), asked["--for"], int(asked["--fleet"] or 1))
         if asked["experiment"]:
             return experiment(path, asked["--out"], int(asked["--jobs"] or 0), asked["--plots"])
         if asked["check"]:
--- a/wickvane/rehearsal/demo.py
+++ b/wickvane/rehearsal/demo.py
@@ -2,14 +2,14 @@
 them.
 
 The engines and the clients are this process's threads, the dispatcher is the program as it is, a process of
-its own. Troubles are switched on by a key. What it says of itself goes through structlog into a file, in the
-same JSON lines as the dispatcher's.
+its own; several of them know each other, and what each believes of the others is shown. Troubles are
+switched on by a key. What it says of itself goes through structlog into a file, in the same JSON lines as
+the dispatchers'.
 """
 
 import os
 import select
 import socket
-import subprocess
 import sys
 import tempfile
 import termios
@@ -17,11 +17,10 @@
 import tty
 from threading import Thread
 
-import orjson
-
 from wickvane import interface as i
 from wickvane.rehearsal import logs
 from wickvane.rehearsal import script as scripts
+from wickvane.rehearsal.fleet import Dispatchers
 from wickvane.rehearsal.load import Load
 from wickvane.rehearsal.script import SECOND, Trouble
 from wickvane.rehearsal.sockets import Serving
@@ -43,53 +42,49 @@
 KEYS = {"s": ("stall", 0.34, 1, 10), "n": ("neighbour", 0.5, 0.5, 10), "l": ("slow", 1.0, 3, 10),
         "i": ("silent", 0.2, 1, 10), "r": ("reset", 0.5, 1, 0), "c": ("crash", 0.17, 1, 5),
         "d": ("drain", 0.17, 1, 5)}
-START_S, STOP_S, EVERY_S = 10, 5, 0.5
+START_S, EVERY_S = 10, 0.5
 
 
 class Demo:
-    def __init__(self, script, seed, folder):
+    def __init__(self, script, seed, folder, fleet=1):
         self.script, self.folder, self.said = script, folder, []
         self.log = logs.logger(os.path.join(folder, "demo.log"), "demo")
         self.serving = Serving(script, seed)
-        self.dispatcher, self.port, self.before, self.shown = None, 0, {}, time.monotonic()
-        self.load = None
+        self.before, self.shown, self.load = {}, time.monotonic(), None
+        ports = [free_port() for _ in range(fleet)]
+        self.port = ports[0]
+        self.dispatchers = Dispatchers(fleet, seed, folder, ports, self.serving.configuration)
         self.seed, self.switched = seed, 0
 
     def start(self):
         """All of it. Raises RuntimeError where the dispatcher does not come up."""
         Thread(target=self.serving.serve, daemon=True).start()
-        self.port = free_port()
-        path = os.path.join(self.folder, "config.json")
-        with open(path, "wb") as file:
-            file.write(orjson.dumps(self.serving.configuration(f"127.0.0.1:{self.port}")))
-        self.output = open(os.path.join(self.folder, "dispatcher.log"), "wb")
-        self.dispatcher = subprocess.Popen(
-            [sys.executable, "-m", "wickvane", "serve", f"--config={path}"], stdout=self.output,
-            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
-        self.log.info("dispatcher-started", pid=self.dispatcher.pid, port=self.port)
+        ports = self.dispatchers.ports
+        for n, port in enumerate(ports):
+            self.log.info("dispatcher-started", pid=self.dispatchers.start(n), port=port)
         by = time.monotonic() + START_S
-        while not connects(self.port):
-            if self.dispatcher.poll() is not None or time.monotonic() > by:
-                raise RuntimeError(f"the dispatcher does not come up; see {self.output.name}")
-            time.sleep(0.05)
-        self.load = Load(self.script, self.seed, ("127.0.0.1", self.port), 96)
+        for port in ports:
+            while not connects(port):
+                if not self.dispatchers.tend() or time.monotonic() > by:
+                    raise RuntimeError(f"a dispatcher does not come up; see its log in {self.folder}")
+                time.sleep(0.05)
+        self.load = Load(self.script, self.seed, ("127.0.0.1", self.port), 96,
+                         more=[("127.0.0.1", port) for port in ports[1:]])
         Thread(target=self.load.run, daemon=True).start()
 
     def stop(self):
         self.serving.stopping = True
-        if self.dispatcher is not None and self.dispatcher.poll() is None:
-            self.dispatcher.terminate()
-            try:
-                self.dispatcher.wait(STOP_S)
-            except subprocess.TimeoutExpired:
-                self.dispatcher.kill()
-                self.dispatcher.wait()
+        self.dispatchers.stop()
         self.log.info("ended")
 
     def switch(self, key):
         """The trouble of a key, from the serving thread's next turn on; its words, or None."""
         if key not in KEYS:
-            return None
+            told = self.dispatchers.switch(key)
+            if told:
+                self.log.info("fleet", what=told)
+                self.said = [f"{time.strftime('%H:%M:%S')} {told}", *self.said[:5]]
+            return told
         kind, part, size, seconds = KEYS[key]
         self.switched += 1
         trouble = Trouble(kind, 0, seconds * SECOND, part, size)
@@ -149,6 +144,16 @@
     return "; ".join(words)
 
 
+def plain_views(views):
+    """A line of what each dispatcher believes."""
+    return "; ".join(f"{name} {standing}, part {part}, view {number}: {others(name, members)}"
+                     for name, standing, part, number, _, members in views)
+
+
+def others(name, members):
+    return ", ".join(f"{other} {state}" for other, state in sorted(members.items()) if other != name)
+
+
 def screen(demo, figures):
     from rich.console import Group
     from rich.table import Table
@@ -163,7 +168,14 @@
         other = sum(rates.values()) - sum(known)
         answers.add_row(name, *(f"{rate:.1f}" for rate in (*known, other)), f"{median:.0f}", f"{high:.0f}")
     keys = ", ".join(f"{key} {kind}" for key, (kind, *_) in KEYS.items())
-    return Group(demo.psql(), f"keys: {keys}, q end", answers, fleet, *demo.said)
+    views = demo.dispatchers.views()
+    if len(demo.dispatchers.ports) > 1:
+        keys += ", p cut one dispatcher off, k kill one"
+    peers = Table("dispatcher", "stands", "part", "view", "agreed", "what it says of the others",
+                  title="what each dispatcher believes")
+    for name, standing, part, number, agreed, members in views:
+        peers.add_row(name, standing, part, str(number), str(agreed).lower(), others(name, members))
+    return Group(demo.psql(), f"keys: {keys}, q end", answers, fleet, *([peers] if views else []), *demo.said)
 
 
 def pressed(seconds):
@@ -179,7 +191,7 @@
     tty.setcbreak(sys.stdin)
     try:
         with Live(screen(demo, demo.figures()), auto_refresh=False, screen=True) as live:
-            while time.monotonic() < until and demo.dispatcher.poll() is None:
+            while time.monotonic() < until and demo.dispatchers.tend():
                 key = pressed(EVERY_S)
                 if key == "q":
                     return
@@ -189,12 +201,12 @@
         termios.tcsetattr(sys.stdin, termios.TCSADRAIN, before)
 
 
-def main(path, seed, seconds, out):
+def main(path, seed, seconds, out, fleet=1):
     """The command: until q, an interrupt, or so many seconds are over; 1 where the dispatcher ended by
     itself."""
     script = scripts.read(path) if path else scripts.read_text(SCRIPT)
     with tempfile.TemporaryDirectory(prefix="wickvane-demo-") as folder:
-        demo = Demo(script, seed, folder)
+        demo = Demo(script, seed, folder, fleet)
         try:
             demo.start()
             until = time.monotonic() + seconds if seconds else float("inf")
@@ -202,11 +214,13 @@
                 watch(demo, until)
             else:
                 out.write(demo.psql() + "\n")
-                while time.monotonic() < until and demo.dispatcher.poll() is None:
+                while time.monotonic() < until and demo.dispatchers.tend():
                     time.sleep(min(1.0, max(0.0, until - time.monotonic())))
                     out.write(plain(demo.figures()) + "\n")
+                    if fleet > 1:
+                        out.write(plain_views(demo.dispatchers.views()) + "\n")
                     out.flush()
-            ended = demo.dispatcher.poll()
+            ended = demo.dispatchers.ended()
         except KeyboardInterrupt:
             return 0
         except RuntimeError as error:
--- a/wickvane/rehearsal/load.py
+++ b/wickvane/rehearsal/load.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 from heapq import heappop, heappush
+from itertools import count
 from queue import Empty, Queue
 from random import Random
 from threading import Condition, Lock, Thread
@@ -107,12 +108,13 @@
 
 
 class Load:
-    """speaks: what makes a client of an address."""
+    """speaks: what makes a client of an address; more: addresses that others of its connections go to."""
 
-    def __init__(self, script, seed, address, workers=64, speaks=Postgres):
+    def __init__(self, script, seed, address, workers=64, speaks=Postgres, more=()):
         from hdrh.histogram import HdrHistogram
 
-        self.script, self.seed, self.address, self.speaks = script, seed, address, speaks
+        self.script, self.seed, self.addresses, self.speaks = script, seed, (address, *more), speaks
+        self.turns = count()
         self.workers, self.line, self.lock = min(workers, WORKERS_MOST), Queue(), Lock()
         self.histograms = {g.name: HdrHistogram(1, HIGHEST_US, 3) for g in script.groups}
         self.answers = {g.name: Counter() for g in script.groups}
@@ -214,7 +216,7 @@
                     self.at(at + self.draws.gap(what, what.rate), what)
 
     def work(self):
-        client = self.speaks(self.address)
+        client = self.speaks(self.addresses[next(self.turns) % len(self.addresses)])
         while True:
             try:
                 due = self.line.get(timeout=60)
