--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -377,6 +377,24 @@
     assert f.false_failures(healed) == []
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_a_roll_a_tenth_at_a_time_needs_no_verdict(seed):
+    """SIGTERM says that it leaves; a new life is back after a second, at the old address or another's."""
+    f = Fleet(20, seed, loss=0.05, settled=True)
+    f.run(2 * SECOND)
+    for n in range(0, 20, 2):
+        for m in (n, n + 1):
+            f.marks.append((f.now, f.members[m].name, False))
+            f.leave(m)
+        f.run(f.now + SECOND)
+        for m in (n, n + 1):
+            f.restarted(m)
+        f.run(f.now + SECOND)
+    assert f.until_equal(f.now + 10 * SECOND) is not None
+    assert not [event for event in f.events if event[2] == "peers-failed"]
+    assert {m.node.stand(f.now)[5] for m in f.members} == {20}
+
+
 def history(seed):
     """Kills, restarts, standstills, cuts one way and both, loss, clocks that go back; then quiet."""
     chance = Random(f"history/{seed}")
