--- /dev/null
+++ b/tests/fleet/test_shares.py
@@ -0,0 +1,115 @@
+"""Counts that dispatchers share, as processes of the program with faults between them: held against what
+engines and clients counted, never against a dispatcher's own word."""
+
+import signal
+import time
+from contextlib import contextmanager
+
+import pytest
+
+from fleet.rig import SEEDS, Fleet
+
+seeds = pytest.mark.parametrize("seed", SEEDS)
+
+
+@contextmanager
+def fleet(folder, size, seed, **more):
+    made = Fleet(folder, size, seed, parts="shares\n", **more)
+    try:
+        yield made.begin()
+    finally:
+        made.end()
+
+
+def shares(f, n):
+    """What n says of its counts, by a line of counters that is asked for now."""
+    before = len(f.logged(n, "counters"))
+    f.processes[n].send_signal(signal.SIGUSR1)
+    f.until(lambda: len(f.logged(n, "counters")) > before, "no counters")
+    return f.logged(n, "counters")[-1]["shares"]
+
+
+def truth(f):
+    """By key, as engines and clients counted: submissions that came, those that were answered, and what each
+    client asked for by group and how it ended."""
+    found = {}
+
+    def add(key):
+        found[key] = found.get(key, 0) + 1
+
+    for sent in f.seen.sent:
+        add(f"sent/{sent['engine']}")
+        add(f"done/{sent['engine']}")
+    for query in f.seen.queries.values():
+        add(f"taken/{query['group']}/acme")
+        add(f"{query['answers'][0][1]}/{query['group']}/acme")
+    return found
+
+
+def by_engine(totals):
+    return {key: n for key, n in totals.items() if key[:5] in ("sent/", "done/")}
+
+
+def equal(f, which):
+    wanted, found = truth(f), [shares(f, n)["totals"] for n in which]
+    return all({key: totals.get(key, 0) for key in wanted} == wanted for totals in found)
+
+
+@seeds
+def test_counts_are_what_engines_and_clients_counted_after_a_cut_and_noise(tmp_path, seed):
+    with fleet(tmp_path, 5, seed) as f:
+        f.serve(*range(5))
+        small = f.chance.sample(range(5), 2)
+        large = [n for n in range(5) if n not in small]
+        f.relay.set(f.relay.links, loss=0.1, double=0.2, spoil=0.05, jitter=0.2)
+        f.relay.set([pair for a in small for b in large for pair in ((a, b), (b, a))], cut=True)
+        time.sleep(8)
+        # Each side still counts what its own have at work, and says whom it leaves out.
+        inside = shares(f, large[0])
+        assert inside["counted"] <= 2
+        f.relay.heal()
+        f.until(lambda: f.equal(range(5)), "views differ after the healing", 20)
+        time.sleep(1)
+        f.quiet()
+        f.until(lambda: equal(f, range(5)), "counts differ from what engines counted", 20)
+        assert len(f.seen.queries) > 100 and not f.breaches()[0]
+        last = shares(f, 0)
+        assert last["counted"] == 4 and last["held_by_others"] == {} and last["age_ms"] < 1000
+
+
+@seeds
+def test_one_that_ends_in_order_is_counted_to_its_last_query_and_its_next_life_apart(tmp_path, seed):
+    with fleet(tmp_path, 5, seed) as f:
+        victim = f.chance.randrange(5)
+        f.serve(*range(5))
+        time.sleep(3)
+        f.processes[victim].send_signal(signal.SIGTERM)
+        assert f.processes[victim].wait(30) == 0
+        f.did("kill", victim)
+        f.start(victim)
+        f.until(lambda: f.equal(range(5)), "the next life is not taken in", 20)
+        time.sleep(1)
+        f.quiet()
+        rest = [n for n in range(5) if n != victim]
+        # Its client may have been turned away as it ended: what engines saw is exact, by whomever it is told.
+        f.until(lambda: all(by_engine(shares(f, x)["totals"]) == by_engine(truth(f)) for x in rest),
+                "counts differ from what engines counted", 20)
+
+
+@seeds
+def test_one_that_is_killed_holds_nothing_any_more_and_what_it_told_still_counts(tmp_path, seed):
+    with fleet(tmp_path, 5, seed) as f:
+        victim = f.chance.randrange(5)
+        rest = [n for n in range(5) if n != victim]
+        f.serve(*range(5))
+        time.sleep(3)
+        f.kill(victim)
+        f.until(lambda: f.equal(rest), "it is still in views", 20)
+        f.quiet()
+        f.until(lambda: all(shares(f, n)["held_by_others"] == {} for n in rest), "it still holds engines", 10)
+        totals = [{key: n for key, n in shares(f, n)["totals"].items()} for n in rest]
+        assert totals[0] == totals[1] == totals[2] == totals[3]
+        # It told last within a tenth of a second: a few queries of it are lost, and never one too many.
+        for key, n in truth(f).items():
+            if key.startswith("sent/"):
+                assert n - 8 <= totals[0].get(key, 0) <= n
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -42,6 +42,7 @@
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
+TOLD_LASTS = 2.0  # times that queries run alone, until what others told that they hold stands for nothing
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY, LOTS = 0.5, 0.35  # of the collapse budget: true speeds are not told; where lots are drawn
@@ -97,6 +98,8 @@
         self.gap, self.answer_at, self.lasts = 0.0, 0, CROWD_LASTS
         self.heard, self.aside, self.aside_for, self.trial, self.loading = [], [], [], [], []
         self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
+        self.others, self.others_at = [], []  # threads that others told that they hold, and when
+        self.lasting = 0.0  # how long that counts
         self.used_at, self.kept_open = [], site.kept_open  # engines: when last sent to or heard of
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
@@ -107,6 +110,7 @@
     def round(self, now, events, out):
         self.now, self.out = now, out
         self.no_room, self.pool = set(), None
+        self.lasting = TOLD_LASTS * self.mean_all * self.per_query[1] / max(1.0, self.per_query[0])
         for event in events:
             HANDLERS[event[0]](self, *event[1:])
         if self.ask_at is not None and now >= self.ask_at:
@@ -223,7 +227,7 @@
                 self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
                 self.failing, self.full_at, self.heard, self.aside, self.aside_for, self.trial, self.down,
                 self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until, self.loading, self.takes,
-                self.used_at,
+                self.used_at, self.others, self.others_at,
             ):
                 column.append(None)
             self.mine[-1] = 0
@@ -231,6 +235,7 @@
             self.crowd[e], self.failing[e], self.full_at[e] = 1.0, 0.0, -SECOND
             self.crowd_at[e] = self.heard[e] = self.now
             self.down[e], self.lot[e], self.lot_until[e], self.used_at[e] = False, 1.0, -1, -FOREVER
+            self.others[e], self.others_at[e] = 0, -FOREVER
             self.aside[e], self.aside_for[e], self.trial[e], self.takes[e] = 0, ASIDE_FIRST, False, FOREVER
             if self.rank[e] != rank:
                 self.mine[e], self.sent_work[e], self.loading[e] = 0, deque(), []
@@ -242,6 +247,9 @@
         self.cell[e], self.started[e] = cell, started
         self.fit.clear()
 
+    def told(self, e, threads, age):
+        self.others[e], self.others_at[e] = threads, self.now - age
+
     def list_lost(self):
         self.ask_at = self.now + SECOND
 
@@ -455,6 +463,10 @@
     def load(self, e):
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
         others = max(0.0, self.seen(e) - 1.0) * (1 - 1 / self.gateways)
+        # What others hold is told late, and gateways that all go by one late figure crowd the engine that it
+        # praises: it counts while queries last longer than it is old, beside what answers tell.
+        if self.now - self.others_at[e] < self.lasting:
+            others = (others + self.others[e] / (self.cores[e] * self.warmth(e))) / 2
         far = CROSSING if self.home is not None and self.where[e] != self.home else 0.0
         # Gateways that each come to every engine cost a connection for every second query. What each keeps to
         # a few of the first is spread all the same, since others have met others of them.
@@ -675,4 +687,4 @@
 
 
 HANDLERS = (Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
-            Gateway.list_lost, Gateway.stopping)
+            Gateway.list_lost, Gateway.stopping, Gateway.told)
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -20,12 +20,14 @@
 ENGINE    engine, rank, state, zone, kind, cell, started, weight
           rank: the wire id's own bytes, the same at every gateway, for the shared hash order
 LIST_LOST the list of engines could not be had
+OTHERS    engine, threads, age: what all other gateways together hold of it, as was last heard, and how long
+          ago that was in the mean; never told where gateways do not tell each other
 STOPPING  left: time until the process that holds this gateway may be ended, with all that it has not answered
 """
 
 from typing import NamedTuple, Protocol
 
-TAKEN, ENDED, LEFT, DUE, PROGRESS, ENGINE, LIST_LOST, STOPPING = range(8)
+TAKEN, ENDED, LEFT, DUE, PROGRESS, ENGINE, LIST_LOST, STOPPING, OTHERS = range(9)
 
 # How a submission ended. From TURNED_AWAY on it is proven that nothing ran.
 FINISHED, ERROR, NO_ANSWER, RESET, CANCELLED, TURNED_AWAY, NO_CONNECTION, NOT_SENT = range(8)
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -61,7 +61,7 @@
             self.taken(ticket)
         for kind, *rest in items:
             if kind != "taken":
-                self.READERS[kind](self, *rest)
+                getattr(self, self.READERS[kind])(*rest)
         while self.alarms and self.alarms[0][0] <= self.now:
             self.events.append((i.DUE, heappop(self.alarms)[1]))
         events, self.events = self.events, []
@@ -177,7 +177,8 @@
     def stop(self, left):
         self.events.append((i.STOPPING, left))
 
-    READERS = {"ended": ended, "left": left, "listed": listed, "stop": stop}
+    # By name, so that who lays more over a decider is asked.
+    READERS = {kind: kind for kind in ("ended", "left", "listed", "stop")}
 
     # What was decided
 
--- a/wickvane/parts.py
+++ b/wickvane/parts.py
@@ -13,7 +13,7 @@
 # node: the module whose read() understands it, in the order in which a dispatcher puts them to work
 PARTS = {"flows": "wickvane.flows.part", "tds": "wickvane.net.tds.part", "storms": "wickvane.net.storms",
          "control": "wickvane.control.part", "members": "wickvane.members.part",
-         "peers": "wickvane.peers.part"}
+         "peers": "wickvane.peers.part", "shares": "wickvane.shares.part"}
 
 DURATION = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)(ms|s|m|h)\Z", re.A)
 SIZE = re.compile(r"(\d{1,12})(B|KiB|MiB|GiB)\Z", re.A)
--- a/wickvane/peers/detector.py
+++ b/wickvane/peers/detector.py
@@ -23,6 +23,7 @@
 NACK = 0.45  # part of a period within which a helper tells that it got no answer
 STILL = 3_000  # later than that past its moment, this process stood still or was kept from its core
 LEAST, MOST = 35 * SECOND // 10, 12 * SECOND  # to refute: with CONFIRMERS others, and with none
+SAID_A_SECOND = 300  # entries that a member can send on, with all that it sends
 BACK_MOST = 3  # a life that refuted lately gets up to 2 to the power of this as long
 HELPED_MOST = 64  # probes for others' sake at once
 
@@ -113,7 +114,9 @@
                 out.ping(row, self.seq)
         for row in [row for row in self.until if row not in self.table.confirmers]:
             del self.until[row]  # replaced by a later life
-        for row in [row for row in self.until if self.deadline(row) <= now]:
+        # What lies unsaid here lies unsaid elsewhere: a refutation cannot be ahead of all those rumours.
+        unsaid = len(self.table.rumours) * self.table.times() * SECOND // SAID_A_SECOND
+        for row in [row for row in self.until if self.deadline(row) + min(unsaid, MOST) <= now]:
             del self.until[row]
             out.failed(row)
 
--- a/wickvane/peers/protocol.py
+++ b/wickvane/peers/protocol.py
@@ -27,8 +27,7 @@
     Table,
 )
 
-PING, ACK, ASK, NACK, RELAYED, SYNC, ENTRIES, GOSSIP = range(8)
-KINDS = "ping", "ack", "ask", "nack", "relayed", "sync", "entries", "gossip"
+PING, ACK, ASK, NACK, RELAYED, SYNC, ENTRIES, GOSSIP, CARRY = range(9)
 DATAGRAM = 1200  # octets, so that no path cuts it up
 HEAD = 180  # of them for what is no entry, at most
 GOSSIP_EVERY, FANOUT = SECOND // 5, 3
@@ -59,7 +58,7 @@
         self.stray_at, self.stray = now, None
         self.tokens, self.tokens_at = float(SENT_BURST), now
         self.wakes, self.hearing_at, self.refused, self.stands = now + period, now, {}, None
-        self.over = False
+        self.over, self.rider = False, None  # rider: what else goes round by these datagrams
 
     def spread(self, time):
         return int(time * self.chance.uniform(0.75, 1.25))
@@ -79,6 +78,8 @@
         if not self.over:
             self.detector.tick(now, self)
             self.due()
+        if self.rider is not None:
+            self.rider.round(now)  # also past the end: what it counted until the last query is told
         self.out = None
         self.wakes = self.next_at()
         return self.wakes
@@ -89,6 +90,8 @@
             times.append(self.join_at)
         if self.table.rumours and len(self.table.living) > 1:
             times.append(self.gossip_at)
+        if self.rider is not None:
+            times.append(self.rider.next_at)
         return max(self.now + 1, min(times))
 
     def due(self):
@@ -182,6 +185,8 @@
         if row is not None and not table.fresh(row, counter):
             return self.refuse("replayed")
         if row is not None and table.state[row] == LEFT:
+            if kind == CARRY and entries[0][4] == LEFT:
+                return self.carried(row, seq, about, sums)  # it ends what it has, and tells of that
             return self.tell_over(entries[0])
         self.hears(*entries[0], direct=True)
         if row is None:
@@ -281,7 +286,15 @@
     def nothing(self, row, seq, about, sums):
         pass  # entries and rumours were taken in already
 
-    ANSWERS = pinged, acked, asked_to_ping, nacked, relayed, synced, nothing, nothing
+    def carried(self, row, seq, about, payload):
+        if self.rider is not None:
+            self.rider.came(self.now, row, payload)
+
+    ANSWERS = pinged, acked, asked_to_ping, nacked, relayed, synced, nothing, nothing, carried
+
+    def carry(self, row, payload):
+        """A rider's word to a life: may be lost, comes once at most, from whom it says."""
+        self.say(row, CARRY, sums=payload)
 
     def refuse(self, reason):
         self.refused[reason] = self.refused.get(reason, 0) + 1
--- a/wickvane/peers/wire.py
+++ b/wickvane/peers/wire.py
@@ -22,10 +22,10 @@
 Incarnation = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
 Entry = tuple[Name, Whole, Address, Incarnation, Annotated[int, msgspec.Meta(ge=0, le=4)], By]
 # cluster, kind, sender, its epoch, its counter, the receiver's epoch, view number, view digest, seq, about
-# whom, sums, entries
+# whom, sums or what a rider says, entries
 Message = tuple[
-    Name, Annotated[int, msgspec.Meta(ge=0, le=7)], Name, Whole, Whole, Whole, Whole, int, Whole,
-    tuple[Name, Whole] | None, Annotated[bytes, msgspec.Meta(max_length=512)],
+    Name, Annotated[int, msgspec.Meta(ge=0, le=8)], Name, Whole, Whole, Whole, Whole, int, Whole,
+    tuple[Name, Whole] | None, Annotated[bytes, msgspec.Meta(max_length=960)],
     Annotated[list[Entry], msgspec.Meta(max_length=40)]]
 
 
--- /dev/null
+++ b/wickvane/shares/__init__.py
@@ -0,0 +1,1 @@
+"""What dispatchers hold together, within bounds while part of the fleet hears nothing."""
