--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -20,7 +20,7 @@
 from wickvane.peers.protocol import Node
 
 FAULTS_MOST = 50  # after which it is no peer any more
-BATCH, WAIT_MOST_S = 128, 0.25
+BATCH, WAIT_MOST_S = 128, 0.5
 FLOOD, FLOOD_PAUSE_S = 32, 0.005  # refused in one round, past which the next waits a little
 BUFFER = 1 << 20
 LOOK_S, LINES_A_LOOK, EVENTS_HELD = 1.0, 50, 200
