--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -24,7 +24,7 @@
     mark,
 )
 from wickvane.peers.protocol import DATAGRAM, SENT_BURST, SENT_RATE, Node
-from wickvane.rehearsal.peers import Fleet
+from wickvane.rehearsal.peers import Fleet, fill
 
 NAMES, ADDRESSES = ["me", "a", "b", "c"], ["1.0.0.1:1", "1.0.0.2:1", "1.0.0.3:1"]
 MINE = 50
@@ -346,6 +346,23 @@
     assert not [e for e in f.events if e[2] in ("peers-suspect", "peers-failed")]
 
 
+def test_a_fleet_that_is_filled_is_as_one_that_heard_of_all():
+    heard, filled = ([Table(0, f"n{n}", 7 + n, f"{n}:1", 64, SECOND, lambda event, fields: None)
+                      for n in range(9)] for _ in range(2))
+    fill(filled)
+    for one in heard:
+        one.becomes(0, 0, 0, ALIVE, "")
+        for other in heard:
+            if other is not one:
+                one.hears(0, other.name[0], other.epoch[0], other.address[0], 0, ALIVE, "")
+        for row in list(one.rumours):
+            one.rumour(row, None)
+        one.number = 10
+    for one, other in zip(heard, filled):
+        assert {k: v for k, v in vars(one).items() if k != "told"} == {
+            k: v for k, v in vars(other).items() if k != "told"}
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_lost_datagrams_and_standstills_of_two_seconds_fail_nobody(seed):
     f = Fleet(30, seed, loss=0.1, doubled=0.1, delay=(3, 600))
