Peers: one that has left wakes only for what comes

Cause: after SIGTERM the times of probes lay in the past, so that the thread woke a thousand times a second until the end. Change: no times but the rider's. Result: a test asks for the next wake.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -578,6 +578,22 @@
     assert len(sent) <= SENT_BURST + SENT_RATE * 21 and node.refused["sent-too-much"]
 
 
+def test_one_that_has_left_answers_until_its_end_and_wakes_for_nothing_else():
+    f = Fleet(3, 1, settled=True)
+    f.run(SECOND)
+    node, sent = f.members[0].node, []
+    out = type("Out", (), {"send": lambda self, address, message: sent.append(message)})()
+    node.leave(f.now, out)
+    for _ in range(20):
+        assert node.round(f.now + 30 * SECOND, [], out) >= f.now + 31 * SECOND
+    before = len(sent)
+    other = f.members[1].node
+    ping = (0, "n1", other.table.epoch[0], 1 << 20, node.table.epoch[0], 1, 1, 5, None, b"",
+            [other.table.entry(0)])
+    node.round(f.now + 30 * SECOND, [ping], out)
+    assert [message[0] for message in sent[before:]] == [1] and sent[-1][7] == 5  # a ping's answer
+
+
 # The codec
 
 GOOD = (0, "a", 5, 1, 7, 3, 2, 9, None, b"", [("a", 5, "1.1.1.1:1", 0, 1, "")])
--- a/wickvane/peers/protocol.py
+++ b/wickvane/peers/protocol.py
@@ -85,6 +85,9 @@
         return self.wakes
 
     def next_at(self):
+        if self.over:
+            # Only what came is answered: the times of what is no longer done lie in the past.
+            return max(self.now + 1, self.rider.next_at if self.rider is not None else self.now + SECOND)
         times = [self.detector.next_at(), self.sync_at, self.lost_at, self.age_at]
         if self.seeds:
             times.append(self.join_at)
