--- a/benchmarks/threads.py
+++ b/benchmarks/threads.py
@@ -106,19 +106,24 @@
         self.serving.join()
 
 
+def together(running, length):
+    """{name: figures} of programs that have just been started, all asked for so many seconds at once."""
+    time.sleep(2.0)
+    for each in running.values():
+        each.ask()
+    until = time.monotonic() + length
+    while time.monotonic() < until:
+        time.sleep(0.25)
+        for each in running.values():
+            each.look()
+    return {name: each.figures() for name, each in running.items()}
+
+
 def side_by_side(old, count, length):
     with tempfile.TemporaryDirectory() as folder:
         running = {"before": Running(old, count, length, folder), "now": Running(ROOT, count, length, folder)}
         try:
-            time.sleep(2.0)
-            for each in running.values():
-                each.ask()
-            until = time.monotonic() + length
-            while time.monotonic() < until:
-                time.sleep(0.25)
-                for each in running.values():
-                    each.look()
-            return {name: each.figures() for name, each in running.items()}
+            return together(running, length)
         finally:
             for each in running.values():
                 each.end()
--- a/wickvane/peers/membership.py
+++ b/wickvane/peers/membership.py
@@ -65,8 +65,8 @@
         self.turns = [{} for _ in range(TURNS)]  # by how often: rows, in the order in which they came there
         self.confirmers = {}  # row of a suspect: names that suspect it by themselves
         self.held = {}  # the view: name: (row, its mark)
-        self.digest, self.number, self.highest, self.changed_at = 0, 1, 0, now
-        self.living, self.dead = [0], set()  # living: joining, alive or suspect rows but for those aside
+        self.digest, self.number, self.highest = 0, 1, 0
+        self.living, self.dead = [0], set()  # living: joining, alive or suspect rows
         self.place = {0: 0}
         self.full = 0
         self.add(now, name, epoch, address, 0, JOINING, "")
@@ -92,7 +92,7 @@
         self.enter(row)
         self.summed(row)
         self.rumour(row, 0)
-        self.look(now, name)
+        self.look(name)
         return row
 
     def enter(self, row):
@@ -114,7 +114,7 @@
             self.sums[self.bucket[row]] ^= (
                 mark(self.name[row], self.epoch[row], self.incarnation[row]) & 0xFFFFFFFF)
 
-    def drop(self, now, row):
+    def drop(self, row):
         """A dead or unanswered life is forgotten; no life of its name up to it comes back by an old word."""
         name, epoch = self.name[row], self.epoch[row]
         self.summed(row)
@@ -131,7 +131,7 @@
         self.rumour(row, None)
         self.confirmers.pop(row, None)
         self.free.append(row)
-        self.look(now, name)
+        self.look(name)
         if not self.of_name[name]:
             del self.of_name[name]
 
@@ -189,7 +189,7 @@
             if not over or state in DEAD:
                 self.full += 1
                 return None
-            self.drop(now, min(over, key=lambda row: (self.since[row], row)))
+            self.drop(min(over, key=lambda row: (self.since[row], row)))
         row = self.add(now, name, epoch, address, incarnation, state, by)
         for other in list(self.of_name[name]):
             if other != row and self.address[other] == address and self.epoch[other] < epoch and other:
@@ -218,7 +218,7 @@
             if state == SUSPECT:
                 self.confirmers[row] = {by}
         self.rumour(row, 0)
-        self.look(now, self.name[row])
+        self.look(self.name[row])
         if was != state and row:
             self.told(f"peers-{STATES[state]}", self.shown(row) | {"was": STATES[was]})
 
@@ -262,7 +262,7 @@
         for row in list(self.of_name[name]):
             if row and self.address[row] == self.address[0]:
                 self.becomes(now, row, self.incarnation[row], LEFT, "")
-        self.look(now, name)
+        self.look(name)
         return 0
 
     def fresh(self, row, counter):
@@ -281,10 +281,10 @@
     def age(self, now):
         """Forgets the long dead, and newcomers that nobody could answer."""
         for row in [row for row in sorted(self.dead) if row and now - self.since[row] > self.remember]:
-            self.drop(now, row)
+            self.drop(row)
         for row in [row for row in self.living if row and self.state[row] == JOINING
                     and now - self.since[row] > JOINING_LASTS]:
-            self.drop(now, row)
+            self.drop(row)
 
     # The view
 
@@ -298,7 +298,7 @@
         found = self.holder(self.name[0])
         return found not in (None, 0) and self.epoch[found] < self.epoch[0]
 
-    def look(self, now, name):
+    def look(self, name):
         """The view's part that belongs to a name, after something of it changed."""
         row = self.holder(name)
         found = None if row is None else (row, mark(name, self.epoch[row]))
@@ -311,11 +311,7 @@
         if found is not None:
             self.digest ^= found[1]
             self.held[name] = found
-        self.number, self.changed_at = max(self.number, self.highest) + 1, now
-
-    def members(self):
-        """Rows of the view, in the order of their names."""
-        return [self.held[name][0] for name in sorted(self.held)]
+        self.number = max(self.number, self.highest) + 1
 
     def hears_view(self, now, row, number, digest):
         """Of the view that another holds. Equal ones come to one number, the highest; a change here gets one
--- a/wickvane/peers/protocol.py
+++ b/wickvane/peers/protocol.py
@@ -55,7 +55,7 @@
         self.join_pause, self.join_at = JOIN_FIRST, now + self.chance.randrange(JOIN_FIRST)
         self.gossip_at, self.sync_at = now + GOSSIP_EVERY, now + self.spread(SYNC_EVERY)
         self.lost_at, self.age_at = now + self.spread(LOST_EVERY), now + AGE_EVERY
-        self.stray_at, self.stray = now, None
+        self.stray_at = now
         self.tokens, self.tokens_at = float(SENT_BURST), now
         self.wakes, self.hearing_at, self.refused, self.stands = now + period, now, {}, None
         self.over, self.rider = False, None  # rider: what else goes round by these datagrams
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -53,7 +53,7 @@
             self.codec = wire.Codec(part.cluster, wire.read_keys(part.key_file))
         except wire.Unusable as error:
             raise Unstartable(f"the parts document: peers: key-file: {error}", 2) from None
-        self.stamps = {path: stamp(path) for path in (part.key_file, part.seeds_file) if path}
+        self.stamps = stamps_of(part)
         self.events, self.lines, self.unsaid = deque(maxlen=EVENTS_HELD), 0, 0
         self.node = Node(now(), name, epoch(), text_of(part.advertise), self.seeds(), configured, seed,
                          self.told, part.period, part.most, part.remember)
@@ -226,16 +226,18 @@
                 self.log.line("peers-key-taken", keys=len(self.codec.keys))
             else:
                 with self.lock:
-                    self.node.seeds = self.seeds()
-                    self.node.join_at = min(self.node.join_at, now())
+                    self.take_seeds()
+
+    def take_seeds(self):
+        self.node.seeds = self.seeds()
+        self.node.join_at = min(self.node.join_at, now())
 
     def change(self, part, keys):
         """From the thread of signals; `keys` were read and can be used."""
         with self.lock:
             self.part, self.codec.keys = part, keys
-            self.stamps = {path: stamp(path) for path in (part.key_file, part.seeds_file) if path}
-            self.node.seeds = self.seeds()
-            self.node.join_at = min(self.node.join_at, now())
+            self.stamps = stamps_of(part)
+            self.take_seeds()
 
     def show(self):
         with self.lock:
@@ -301,6 +303,10 @@
             self.show()
 
 
+def stamps_of(part):
+    return {path: stamp(path) for path in (part.key_file, part.seeds_file) if path}
+
+
 def stamp(path):
     try:
         found = os.stat(path)
--- a/wickvane/peers/wire.py
+++ b/wickvane/peers/wire.py
@@ -12,7 +12,9 @@
 
 import msgspec
 
-VERSION, MAC, DATAGRAM = 1, 16, 1200
+from wickvane.peers.protocol import DATAGRAM
+
+VERSION, MAC = 1, 16
 KEY_LEAST, KEY_MOST, FILE_MOST = 16, 64, 4096
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
--- a/wickvane/shares/counts.py
+++ b/wickvane/shares/counts.py
@@ -173,7 +173,7 @@
 
     # What is sent on
 
-    def page(self, now, room):
+    def page(self, room):
         """(levels, sums) for one datagram of `room` octets at most: [(life, t, [(engine, threads)])] and
         [(life, key, n)]."""
         levels, sums, room = [], [], room - HEAD
--- a/wickvane/shares/escrow.py
+++ b/wickvane/shares/escrow.py
@@ -42,7 +42,7 @@
 
     # What may be spent
 
-    def away(self, now):
+    def away(self):
         """Units of mine that are lent or rest."""
         return sum(units for units, _ in self.lent.values()) + sum(units for units, _ in self.coming)
 
@@ -64,7 +64,7 @@
     def mine(self, now):
         """Units of my own part that I may spend now."""
         self.settle(now)
-        free = self.own - self.away(now)
+        free = self.own - self.away()
         return free if now >= self.whole_at else min(free, self.kept)
 
     def usable(self, now):
--- a/wickvane/shares/spread.py
+++ b/wickvane/shares/spread.py
@@ -58,12 +58,12 @@
             counts.over(now, {(table.name[row], table.epoch[row]) for row in table.living
                               if table.state[row] in (ALIVE, SUSPECT)})
             self.name()
-        self.tell(now, FANOUT)
+        self.tell(FANOUT)
         self.told(*counts.held(now, LASTS))
 
-    def tell(self, now, many):
+    def tell(self, many):
         for row in self.node.detector.some(many):
-            levels, sums = self.counts.page(now, ROOM)
+            levels, sums = self.counts.page(ROOM)
             self.node.carry(row, wire.seal([(short_of(life), *rest) for life, *rest in levels],
                                            [(short_of(life), *rest) for life, *rest in sums]))
 
@@ -72,7 +72,7 @@
         self.next_at = now
         self.node.round(now, [], out)
         self.node.out = out
-        self.tell(now, LAST_TOLD)
+        self.tell(LAST_TOLD)
         self.node.out = None
 
     def name(self):
