A test of a full house waits for each client's own query, not for one asked before

Cause: one run of the tests saw a client let in where the house should have been full. An engine's order of an earlier query was left unread, so each later wait was for the query before its own, and the last client was still asking nothing when the next came. Change: that order is read; the dispatcher is as it was. Result: passes three times on end; the failure is explained by the order of reads, it was not brought about.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -420,6 +420,7 @@
     for n, client in enumerate(busy[1:]):
         open_for_long(client, n)
     assert rows(busy[0].ask(statement(n=100)))
+    engine.next("ASK")  # that one's: else each wait below would be for the query before
     # Who has said nothing goes first, then who asked and idles; those with a query open stay.
     late = [Client(dispatcher), Client(dispatcher)]
     assert silent.message() is None and busy[0].message() is None
