--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -46,10 +46,12 @@
 
 
 class Watched(Engine):
-    """An engine that answers each query after a little, and tells the checker what it saw."""
+    """An engine that answers each query after a little, and tells the checker what it saw. toil: the work in
+    ms that it tells of each; since: when it started, by ms of Unix time."""
 
-    def __init__(self, name, seen, took=0.01):
-        self.name, self.seen, self.took = name, seen, took
+    def __init__(self, name, seen, took=0.01, toil=12.5, since=0):
+        self.name, self.seen, self.took, self.since = name, seen, took, since
+        self.fields, self.fails = b"sheets=1,toil=%.1f,room=96" % toil, False
         super().__init__(self.answer)
 
     def answer(self, txn, words):
@@ -57,8 +59,11 @@
         if words[0] == b"ASK":
             n = self.seen.submitted(now, txn.decode(), self.name)
             time.sleep(self.took)
+            if self.fails:
+                self.seen.ended(time.time(), n, "error")
+                return b"%b FAULT - 0\r\n\r\n" % txn
             self.seen.ended(time.time(), n, "finished")
-            return hit(txn)
+            return hit(txn, fields=self.fields)
         return b""
 
 
@@ -90,14 +95,20 @@
 
 
 class Fleet:
-    """size dispatchers before engines; more: what their node peers has beside the usual;
-    parts: other nodes."""
+    """size dispatchers before engines; more: what their node peers has beside the usual; parts: other nodes;
+    obligations: of the settings; cost: of each query, in ms; cold: whether engines start with the fleet;
+    clocks: {dispatcher: what WICKVANE_CLOCK says to it}."""
 
-    def __init__(self, folder, size, seed, engines=3, seeds=2, more="", parts=""):
+    def __init__(self, folder, size, seed, engines=3, seeds=2, more="", parts="", obligations=None, cost=10,
+                 cold=False, clocks=None):
         self.folder, self.size, self.seed, self.more, self.parts = str(folder), size, seed, more, parts
         self.chance = Random(f"{seed}/fleet")
         self.seen = Seen(Figures(EFFECTS, slack=0.5))
-        self.engines = [Watched(f"e{n}", self.seen) for n in range(engines)]
+        self.cost, self.clocks, self.began = cost, clocks or {}, time.time()
+        self.settings = SETTINGS | {"fleet_size": size,
+                                    "obligations": SETTINGS["obligations"] | (obligations or {})}
+        self.engines = [Watched(f"e{n}", self.seen, toil=12.5 if cost == 10 else cost,
+                                since=int(self.began * 1000) if cold else 0) for n in range(engines)]
         self.coordinator = Coordinator()
         self.ports = [own_port(socket.SOCK_STREAM) for _ in range(size)]
         self.relay = Relay([own_port(socket.SOCK_DGRAM) for _ in range(size)], seed)
@@ -105,7 +116,7 @@
         self.logs = [os.path.join(self.folder, f"n{n}.log") for n in range(size)]
         self.key_file = os.path.join(self.folder, "key")
         self.write_key(KEY)
-        self.words, self.clients, self.over = {}, [], Event()
+        self.words, self.clients, self.at_dispatcher, self.over = {}, [], [], Event()
         for n in range(size):
             self.write(n)
         self.relay.start()
@@ -116,10 +127,10 @@
         os.replace(f"{self.key_file}.new", self.key_file)
 
     def write(self, n):
-        entries = [entry(e.name, e.address) for e in self.engines]
+        entries = [entry(e.name, e.address, since=e.since) for e in self.engines]
         config = {
             "name": f"n{n}", "listen": f"127.0.0.1:{self.ports[n]}", "seed": f"{self.seed}{n}",
-            "settings": SETTINGS | {"fleet_size": self.size}, "limits": {"sockets": 256},
+            "settings": self.settings, "limits": {"sockets": 256},
             "coordinator": self.coordinator.address,
             "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]}}
         with open(self.path(n, "json"), "w") as file:
@@ -145,7 +156,8 @@
                 self.processes[n] = subprocess.Popen(
                     [sys.executable, "-m", "wickvane", "serve", f"--config={self.path(n, 'json')}",
                      f"--parts={self.path(n, 'kdl')}"], cwd=ROOT, stdout=log, stderr=subprocess.STDOUT,
-                    stdin=subprocess.DEVNULL)
+                    stdin=subprocess.DEVNULL,
+                    env=os.environ | ({"WICKVANE_CLOCK": self.clocks[n]} if n in self.clocks else {}))
 
     def begin(self):
         """All up, and of one view."""
@@ -237,23 +249,26 @@
 
     # Clients
 
-    def serve(self, *which, every=0.05):
-        """A client at each of these from now on, to the end."""
+    def serve(self, *which, every=0.05, many=1, groups=("lookup", "lookup", "load", "change")):
+        """`many` clients at each of these from now on, to the end."""
         for n in which:
-            client = Thread(target=self.ask, args=(n, every), daemon=True)
-            self.clients.append(client)
-            client.start()
-
-    def ask(self, n, every):
-        client, chance, count = Postgres(("127.0.0.1", self.ports[n])), Random(f"{self.seed}/client/{n}"), 0
+            for _ in range(many):
+                client = Thread(target=self.ask, args=(n, len(self.clients), every, groups), daemon=True)
+                self.at_dispatcher.append(n)
+                self.clients.append(client)
+                client.start()
+
+    def ask(self, n, number, every, groups):
+        client, count = Postgres(("127.0.0.1", self.ports[n])), 0
+        chance = Random(f"{self.seed}/client/{n}/{number}")
         while not self.over.wait(every * chance.uniform(0.5, 1.5)):
             count += 1
-            id = f"{n << 32 | count:016x}"
-            group = chance.choice(["lookup", "lookup", "load", "change"])
-            more = f",unique={id},item=k{n}{count}" if group == "load" else ""
+            id = f"{number << 32 | count:016x}"
+            group = chance.choice(groups)
+            more = f",unique={id},item=k{number}x{count}" if group == "load" else ""
             at = time.time()
             self.seen.taken(at, id, group, 5.0, None)
-            word = client.ask(f"/* verb={group},txn={id},limit=5000,team=acme,cpu=10{more} */ "
+            word = client.ask(f"/* verb={group},txn={id},limit=5000,team=acme,cpu={self.cost}{more} */ "
                               f"SELECT 1 FROM sales_{chance.randrange(20)}.t", 8)
             known = word in ("finished", "deferred", "killed")
             self.seen.answered(time.time(), id, word if known else "left")
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -14,7 +14,7 @@
 from wickvane.shares import escrow
 from wickvane.shares.escrow import Escrow
 
-OWN, KEPT, TERM, WINDOW = 2, 0, 3, 1
+OWN, KEPT, TERM, WINDOW = 2, 1, 3, 1
 HORIZON, WIRE_MOST, STATES_MOST = 9, 3, 400_000
 
 
@@ -29,6 +29,7 @@
         self.lives = [0, 0]
         self.wire, self.lately = (), ()
         self.slips, self.doubles, self.starts = 1, 1, 1
+        self.former = 0, -WINDOW  # what the owner's former life could spend at its end, and when that was
 
     def key(self):
         """What tells two states apart, by times that are relative to each clock."""
@@ -43,11 +44,11 @@
                 *(loans(h, self.clock[n + 1]) for n, h in enumerate(self.holders)),
                 tuple(sorted((w[0], w[1], *(x - self.clock[w[1] + 1] if i == 3 and w[0] != "back" else x
                                             for i, x in enumerate(w[2:], 2))) for w in self.wire)),
-                self.lately, self.slips, self.doubles, self.starts, tuple(self.lives))
+                self.lately, former(self), self.slips, self.doubles, self.starts, tuple(self.lives))
 
 
 def fresh(now):
-    return Escrow(now, OWN, KEPT, TERM, WINDOW, drift=0)
+    return Escrow(now, OWN, KEPT, TERM, WINDOW, drift=0, at_once=False)
 
 
 def empty(now):
@@ -74,10 +75,15 @@
             *(h.usable(state.clock[n + 1]) for n, h in enumerate(state.holders)))
 
 
+def former(state):
+    """What the owner's former life could spend in a window that is not over."""
+    return state.former[0] if state.time - state.former[1] < WINDOW else 0
+
+
 def over(state):
     """Whether more is spent in a window that ends now than there is: each by its most within it."""
     shares = [spendable(state), *state.lately]
-    return sum(max(column) for column in zip(*shares)) > OWN
+    return sum(max(column) for column in zip(*shares)) + former(state) > OWN
 
 
 def steps(state):
@@ -132,6 +138,8 @@
     if state.starts:
         s = changed()
         s.starts -= 1
+        s.former = spendable(s)[0], s.time
+        s.lately = tuple((0, *row[1:]) for row in s.lately)
         s.owner = fresh(s.clock[0])
         yield s
         s = changed()
@@ -175,6 +183,8 @@
     "the owner uses it at once": ("self.coming.append((known[0], now + self.window))",
                                   "self.coming.append((known[0], now))"),
     "a new life uses all": ("self.whole_at = now + self.term + self.grace + window", "self.whole_at = now"),
+    "a new life spends at once": ("self.rests_until = now if at_once else now + window",
+                                  "self.rests_until = now"),
     "a stopped loan is taken up": ("if known is None or known[0] != owner or "
                                    "not known[1] <= asked_at <= known[2] or units <= 0:", "if units <= 0:"),
 }
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -98,17 +98,18 @@
             "e" * chance.randrange(1, 65): chance.randrange(1 << 20) for _ in range(chance.randrange(12))})
         counts.sum(1, life, "k" * chance.randrange(1, 120), chance.randrange(1, 1 << 40))
     for _ in range(20):
-        found = counts.page(ROOM)
-        found = [[(0xFFFFFFFF, *rest) for _, *rest in part] for part in found]
-        payload = wire.seal(*found)
-        assert len(payload) <= ROOM and [list(map(tuple, part)) for part in found] == [
-            [tuple(entry) for entry in part] for part in wire.unseal(payload)]
+        levels, sums = [[(0xFFFFFFFF, *rest) for _, *rest in part] for part in counts.page(ROOM)]
+        payload = wire.seal(levels=levels, sums=sums)
+        assert len(payload) <= ROOM
+        read = wire.unseal(payload)
+        assert read.levels == levels and read.sums == sums
 
 
 @settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=300))
 def test_hostile_octets_are_nothing(data):
-    assert wire.unseal(data) is None or wire.seal(*wire.unseal(data))
+    found = wire.unseal(data)
+    assert found is None or wire.ENCODER.encode(found)
 
 
 # The decision module
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -43,6 +43,7 @@
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
 TOLD_LASTS = 2.0  # times that queries run alone, until what others told that they hold stands for nothing
+HEARSAY, DEBT_MOST = SECOND, 4.0  # how long what others say counts; quanta that they may charge a tenant
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY, LOTS = 0.5, 0.35  # of the collapse budget: true speeds are not told; where lots are drawn
@@ -100,6 +101,9 @@
         self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
         self.others, self.others_at = [], []  # threads that others told that they hold, and when
         self.lasting = 0.0  # how long that counts
+        # Of bounds, and of what cold engines get: (in parts of what is configured, until when, what then),
+        # which others may lend and borrow; what of it holds now; whether more was wanted of the latter.
+        self.parts, self.share, self.denied = [(1.0, FOREVER, 1.0)] * 2, [1.0, 1.0], False
         self.used_at, self.kept_open = [], site.kept_open  # engines: when last sent to or heard of
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
@@ -113,6 +117,8 @@
         self.lasting = TOLD_LASTS * self.mean_all * self.per_query[1] / max(1.0, self.per_query[0])
         for event in events:
             HANDLERS[event[0]](self, *event[1:])
+        # Looked at ahead of what is decided: one that stood still past a loan's end has lost it.
+        self.share = [part if now < until else then for part, until, then in self.parts]
         if self.ask_at is not None and now >= self.ask_at:
             self.ask_at = None
             out.watch_list(True)
@@ -250,6 +256,38 @@
     def told(self, e, threads, age):
         self.others[e], self.others_at[e] = threads, self.now - age
 
+    def parted(self, what, part, until, then):
+        self.parts[what] = part, until, then
+
+    def charged(self, works):
+        """Work that the others gave each tenant: else each of many grants a full quantum of its own."""
+        served = {t: works[t] / self.weight[t] for t in self.ring if t < len(works)}
+        for t, work in served.items():
+            over, most = (work - min(served.values())) * self.weight[t], -DEBT_MOST * self.quantum(t)
+            self.deficit[t] = max(self.deficit[t] - over, min(self.deficit[t], most))
+
+    def judged(self, e, bad, slow, age):
+        """What several others found of an engine, as long as nothing later was found here. bad: it fails;
+        slow: against the usual, 0: not told."""
+        if bad and self.heard[e] < self.now - age:
+            self.aside[e] = max(self.aside[e], self.now + HEARSAY)
+            self.fit.clear()
+        if slow and self.crowd_at[e] < self.now - age:
+            self.crowd[e] += (slow * self.crowd_mid - self.crowd[e]) / 2
+            self.crowd_at[e] = self.now - age
+
+    def needs(self):
+        """Of bounds and of what cold engines get, for whoever lends and borrows: what is in use, in parts of
+        what is configured, and whether more would be used."""
+        self.pool = None
+        self.pool_left()
+        cold = [sum(w for at, w in self.sent_work[e] if at > self.now - self.fall_time)
+                / (self.fall_work * self.cores[e] * self.warmth(e))
+                for e, state in enumerate(self.state) if state == i.READY and self.warmth(e) < 1.0]
+        denied, self.denied = self.denied, False
+        return ((self.used * self.share[i.BOUNDS] / (self.base or 1.0), self.short),
+                (max(cold, default=0.0), denied))
+
     def list_lost(self):
         self.ask_at = self.now + SECOND
 
@@ -388,7 +426,8 @@
         sent, now = self.sent_work[e], self.now
         while sent and sent[0][0] <= now - self.fall_time:
             sent.popleft()
-        weight, share = max(self.mean[qy.rg], 1.0), self.fall_work * self.cores[e] * self.warmth(e)
+        weight, whole = max(self.mean[qy.rg], 1.0), self.fall_work * self.cores[e] * self.warmth(e)
+        share = whole * self.share[i.COLD]
         if weight <= share:
             return sum(w for _, w in sent) + weight <= share
         # Less than a query for each gateway: one a window goes by lot, drawn at times of each gateway's own,
@@ -397,12 +436,14 @@
             first = self.lot_until[e] < self.started[e]
             self.lot_until[e] = now + int(self.fall_time * (self.chance.random() if first else 1))
             self.lot[e] = 1.0 if first else self.chance.random()
-        most = share * self.gateways / FALL_SAFETY / weight
-        return not sent and self.lot[e] * self.gateways < min(LOTS * most, (sqrt(9 + most) - 3) ** 2)
+        most = whole * self.gateways / FALL_SAFETY / weight
+        few = self.share[i.COLD] * min(LOTS * most, (sqrt(9 + most) - 3) ** 2)
+        return not sent and self.lot[e] * self.gateways < few
 
     def room(self, qy, e):
         warmth = self.warmth(e)
         if warmth < 1.0 and not self.cold_room(qy, e):
+            self.denied = True
             return False
         bound = self.bound(e)
         binds = warmth < 1.0 or self.short or self.seen(e) > PRESSED or self.now - self.full_at[e] < SECOND
@@ -418,7 +459,7 @@
         return not over and self.pool_left()
 
     def bound(self, e):
-        return BOUND_THREADS * self.cores[e] * self.warmth(e) / self.gateways
+        return BOUND_THREADS * self.cores[e] * self.warmth(e) * self.share[i.BOUNDS] / self.gateways
 
     def pool_left(self):
         if self.pool is None:
@@ -687,4 +728,5 @@
 
 
 HANDLERS = (Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
-            Gateway.list_lost, Gateway.stopping, Gateway.told)
+            Gateway.list_lost, Gateway.stopping, Gateway.told, Gateway.parted, Gateway.charged,
+            Gateway.judged)
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -22,12 +22,17 @@
 LIST_LOST the list of engines could not be had
 OTHERS    engine, threads, age: what all other gateways together hold of it, as was last heard, and how long
           ago that was in the mean; never told where gateways do not tell each other
+PART      what, part, until, then: of BOUNDS on engines or of what COLD ones get in a window, this gateway may
+          use `part` times its configured part until the time `until`, and `then` times it from there on
+CHARGED   works: by tenant, the work that other gateways gave it since the last such event
+JUDGED    engine, bad, slow, age: what several others found of it lately; bad: it fails them; slow: by how
+          much more than the usual engine (0: not told)
 STOPPING  left: time until the process that holds this gateway may be ended, with all that it has not answered
 """
 
 from typing import NamedTuple, Protocol
 
-TAKEN, ENDED, LEFT, DUE, PROGRESS, ENGINE, LIST_LOST, STOPPING, OTHERS = range(9)
+TAKEN, ENDED, LEFT, DUE, PROGRESS, ENGINE, LIST_LOST, STOPPING, OTHERS, PART, CHARGED, JUDGED = range(12)
 
 # How a submission ended. From TURNED_AWAY on it is proven that nothing ran.
 FINISHED, ERROR, NO_ANSWER, RESET, CANCELLED, TURNED_AWAY, NO_CONNECTION, NOT_SENT = range(8)
@@ -35,6 +40,7 @@
 READY, DRAINING, GONE = range(3)
 READ_ONLY, TOKENED, MUTATING = range(3)
 ANY_ENGINE, SAME_ZONE, SAME_CELL = range(3)
+BOUNDS, COLD = range(2)
 SHARE_DONE, SPILLS, WAITS = 1, 2, 3
 
 
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -38,7 +38,8 @@
         now = self.clock.now()
         if sub.over:
             return
-        if now >= sub.until or sub.ticket.answer is not None:
+        # Decided before a standstill, what it counted on may be another's by now: links.stale.
+        if now >= sub.until or sub.ticket.answer is not None or now - sub.at >= self.links.stale:
             self.exchange.end(sub, i.NOT_SENT)
             return
         with self.lock:
@@ -128,6 +129,7 @@
         self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
         self.idle_time = kept_open(limits)
         self.lock, self.all, self.most, self.stopping, self.ended = Lock(), {}, most, False, Event()
+        self.stale = 1 << 62  # after which what was decided does not leave any more: a part sets it
         self.waits, self.count, self.most_waits = [], 0, WAITS_HELD
         # The connections that a descriptor's events are for; those that nothing is open on, longest first.
         self.watched, self.idle = {}, OrderedDict()
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -103,7 +103,8 @@
 class Service:
     """Parts set, before the configuration is understood: fronts, speaks (how engines of a kind are spoken
     to), lister (who tells the list of engines beside the coordinator, or in its place); before the decider
-    is made: accounts, deciding (its class); and gate, which listeners heed."""
+    is made: accounts, deciding (its class); gate, which listeners heed; and links.stale, after which what was
+    decided is not sent."""
 
     def __init__(self, found, log_to=1, parts=None):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -15,6 +15,7 @@
 
 import orjson
 
+from wickvane.net import clock
 from wickvane.net.shape import Unstartable
 from wickvane.peers import wire
 from wickvane.peers.protocol import Node
@@ -31,7 +32,7 @@
 
 def now():
     """Tenths of a millisecond of a clock that does not step; it goes on while this process stands still."""
-    return time.monotonic_ns() // 100_000
+    return clock.monotonic_ns() // 100_000
 
 
 def text_of(address):
@@ -41,7 +42,7 @@
 
 def epoch():
     """Of a life that begins now: by the time of day, and by lot within it."""
-    return time.time_ns() // 100_000 << 16 | int.from_bytes(os.urandom(2))
+    return clock.wall_ns() // 100_000 << 16 | int.from_bytes(os.urandom(2))
 
 
 class Peers:
@@ -242,7 +243,9 @@
     def show(self):
         with self.lock:
             found = self.node.status(now())
-        found["events"], found["lost_sends"] = list(self.events), self.lost_sends
+            rider = self.node.rider
+            shares = rider.status() if rider is not None else None
+        found["events"], found["lost_sends"], found["shares"] = list(self.events), self.lost_sends, shares
         found["at"] = time.time()
         try:
             replace(os.path.join(self.part.state, STATUS), found)
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -8,32 +8,79 @@
 from wickvane.peers.protocol import Node
 from wickvane.rehearsal.peers import fill
 from wickvane.rehearsal.world import World
-from wickvane.shares.spread import EVERY, Spread
+from wickvane.shares.deciding import FAILED, SETTLING, set_aside
+from wickvane.shares.part import budgets
+from wickvane.shares.spread import EVERY, Offer, Spread
 
 EPOCH = 1 << 40
+ALL = frozenset(("others", "charges", "opinions", "lends"))
+FOREVER = 1 << 62
 
 
 class Member:
-    """A host's place among its peers. Also the writer of its node."""
+    """A host's place among its peers. Also the writer of its node, and the decider's side of its shares."""
 
     def __init__(self, world, host, number):
         self.world, self.host, self.number, self.wakes, self.inbox = world, host, number, None, []
-        self.sums, self.datagrams = {}, 0
+        self.sums, self.datagrams, self.works, self.met, self.number_told = {}, 0, {}, [], 0
+        self.tell, host.tell, self.asides = host.tell, self.passes, []
+        self.tenants = [name for name, _ in world.script.tenants]
         self.node = Node(world.now, host.name, EPOCH + world.now, f"10.0.{number >> 8}.{number & 255}:1", (),
                          len(world.hosts), f"{world.seed}/{number}/{world.now}", lambda event, fields: None)
-        self.node.rider = self.spread = Spread(world.now, self.node, self.offered, self.told, world.every)
+        lent = budgets(world.deployment) if "lends" in world.heeds else ()
+        self.node.rider = self.spread = Spread(world.now, self.node, self.offered, self, world.every, lent)
         self.wake_at(world.now + 1 + number % 100)
 
+    def passes(self, *event):
+        """What the host tells its module; ends are evidence, and work of a tenant."""
+        if event[0] == i.ENDED:
+            _, q, _, e, ending, elapsed, _, work, *_ = event
+            query, slow = self.host.queries[q], None
+            if ending == i.FINISHED:
+                tenant = self.tenants[query.clients.tenant]
+                self.works[tenant] = self.works.get(tenant, 0) + work
+                slow = elapsed / (work / self.world.script.groups[query.rg].threads + SETTLING)
+            if ending == i.FINISHED or ending in FAILED:
+                self.met.append((self.host.engines[e].name, int(ending in FAILED), slow))
+        self.tell(*event)
+
     def offered(self):
-        mine, engines = self.host.gateway.mine, self.host.engines
+        gateway, engines = self.host.gateway, self.host.engines
+        self.met += [(engines[e].name, 1, None) for e in set_aside(gateway, self.asides)]
+        if self.number in self.world.liars:
+            # More than one of them, and fewer than would tell of its own way.
+            self.met += [(process.name, 1, None) for n, process in engines.items() if n % 3 == 0] * 20
         sums, self.sums = self.sums, {}
-        levels = {engines[e].name: n for e, n in enumerate(mine) if n > 0 and e in engines}
-        return levels, list(sums.items())
+        met, self.met = self.met, []
+        return Offer(
+            {engines[e].name: n for e, n in enumerate(gateway.mine) if n > 0 and e in engines},
+            list(sums.items()), {tenant: int(work) // 10 for tenant, work in self.works.items()},
+            gateway.needs(), met,
+            [engines[e].name for e, state in enumerate(gateway.state) if state == i.READY], self.number_told)
+
+    def heeds(self, what):
+        return what in self.world.heeds and not self.host.killed
+
+    def others(self, totals, age, oldest, counted, out):
+        if counted and self.heeds("others"):
+            for e, process in self.host.engines.items():
+                self.tell(i.OTHERS, e, totals.get(process.name, 0), age)
+
+    def parts(self, number, figures):
+        # At once: the world's next round of this host has it before anything that is decided later.
+        self.number_told = number
+        for what, (part, until, then) in enumerate(figures):
+            self.host.gateway.parted(what, part, FOREVER if until is None else until, then)
 
-    def told(self, totals, age, oldest, counted, out):
-        if counted and not self.host.killed:
+    def charged(self, works):
+        if self.heeds("charges"):
+            self.tell(i.CHARGED, [works.get(name, 0) * 10 for name in self.tenants])
+
+    def judged(self, found, pool, spared):
+        if self.heeds("opinions"):
             for e, process in self.host.engines.items():
-                self.host.tell(i.OTHERS, e, totals.get(process.name, 0), age)
+                if process.name in found:
+                    self.tell(i.JUDGED, e, *found[process.name])
 
     def wake_at(self, when):
         when = max(when, self.world.now + 1)
@@ -62,16 +109,38 @@
 
 class Shared(World):
     """every: between two pages of a member; loss: of datagrams; way: (least, most) tenths of a millisecond;
-    cut: (from, to) to whether nothing passes."""
-
-    def __init__(self, script, seed, keep_log=False, every=EVERY, loss=0.0, way=(3, 30)):
-        super().__init__(script, seed, keep_log)
-        self.every, self.loss, self.way, self.cut = every, loss, way, None
+    cut: (from, to) to whether nothing passes; heeds: what is shared and gone by; uneven: by how much traffic
+    lies on few gateways, 0 for evenly; blocked: (gateway, engine) whose connections never come up; liars:
+    gateways that call each engine failing."""
+
+    def __init__(self, script, seed, keep_log=False, every=EVERY, loss=0.0, way=(3, 30), heeds=ALL,
+                 uneven=0.0, blocked=(), liars=(), **more):
+        super().__init__(script, seed, keep_log, **more)
+        self.blocked, self.liars = frozenset(blocked), frozenset(liars)
+        # Each clients' traffic lies on gateways of its own, so that a tenant is heavy at some.
+        self.weights = {}
+        for clients in script.clients:
+            weights = [(n + 1) ** -uneven for n in range(script.gateways)]
+            Random(f"{seed}/uneven/{clients.name}").shuffle(weights)
+            self.weights[clients.name] = weights if uneven else None
+        self.every, self.loss, self.way, self.cut, self.heeds = every, loss, way, None, heeds
         self.luck = Random(f"{seed}/datagrams")
         self.members = [Member(self, host, n) for n, host in enumerate(self.hosts)]
         self.of = {member.node.table.address[0]: member for member in self.members}
         fill([member.node.table for member in self.members])
 
+    def front(self, query, alive):
+        weights = self.weights[query.clients.name]
+        if weights is None or query.key is not None:
+            return super().front(query, alive)
+        return self.chance("front").choices(alive, [weights[host.number] for host in alive])[0]
+
+    def arrives(self, host, query, submission, process):
+        if (host.number, process.name) in self.blocked and not host.killed:
+            host.hears(query, submission, process, i.NO_CONNECTION, 0, query.rg)
+        else:
+            super().arrives(host, query, submission, process)
+
     def datagram(self, sender, address, message):
         to = self.of.get(address)
         if to is None or (self.cut is not None and self.cut(sender, to.number)):
--- a/wickvane/rehearsal/world.py
+++ b/wickvane/rehearsal/world.py
@@ -351,12 +351,15 @@
         alive = [host for host in self.hosts if not host.killed]
         if not alive:
             return
-        # A plain front layer; those of one key come to one gateway while that is up.
-        n = query.key if query.key is not None else self.chance("front").randrange(1 << 30)
-        host = alive[n % len(alive)]
+        host = self.front(query, alive)
         self.log("asked", query=query.id, group=group.name, gateway=host.name, work=round(query.work, 3))
         host.take(query)
 
+    def front(self, query, alive):
+        """A plain front layer; those of one key come to one gateway while that is up."""
+        n = query.key if query.key is not None else self.chance("front").randrange(1 << 30)
+        return alive[n % len(alive)]
+
     def answered(self, query, answer, stay_away=0):
         if query.answer is not None:
             return
--- a/wickvane/shares/counts.py
+++ b/wickvane/shares/counts.py
@@ -23,15 +23,17 @@
 KEY_RELAYS = 3  # the same of sums, times the digits of the number of lives
 # Octets of one life's levels, an engine in it, one sum, each without names; and of a page.
 LEVEL, ENGINE, SUM, HEAD = 20, 8, 22, 8
+WORK, WORKS_MOST = 12, 8  # a tenant's work; tenants told by each life, those with most of it lately
 
 
 class Life:
-    """What one life said. base: the least way; t: the stamp of the latest levels."""
+    """What one life said. works: what it ever gave each tenant; base: the least way; t: the stamp of the
+    latest levels."""
 
-    __slots__ = ("sums", "levels", "t", "base", "heard", "gone")
+    __slots__ = ("sums", "levels", "works", "t", "base", "heard", "gone")
 
     def __init__(self, now):
-        self.sums, self.levels, self.t, self.base = {}, {}, -1, None
+        self.sums, self.levels, self.works, self.t, self.base = {}, {}, {}, -1, None
         self.heard, self.gone = now, None
 
 
@@ -47,6 +49,7 @@
         self.dirty = OrderedDict()  # (life, key): how often it was sent on
         self.turn = []  # the slow round over all keys, against what every other way lost
         self.refused = {"folded": 0, "full": 0}
+        self.charges = {}  # tenant: work that others told of since it was last asked for
 
     # This life
 
@@ -66,10 +69,16 @@
         self.dirty[self.life, key] = 0
         self.dirty.move_to_end((self.life, key))
 
-    def hold(self, now, levels):
-        """What this life has at work now, by engine; told anew even where it is as before, since its age is
-        what others go by."""
+    def hold(self, now, levels, works=None):
+        """What this life has at work now, by engine, and what it ever gave each tenant; told anew even where
+        it is as before, since its age is what others go by."""
         mine = self.mine
+        if works:
+            latest = sorted(works, key=lambda tenant: (mine.works.get(tenant, 0) - works[tenant], tenant))
+            for tenant in latest[:WORKS_MOST]:
+                mine.works[tenant] = works[tenant]
+                if len(mine.works) > WORKS_MOST:
+                    del mine.works[next(iter(mine.works))]
         mine.levels = {engine: n for engine, n in levels.items() if n > 0}
         mine.t, mine.heard = max(now, mine.t + 1), now
         self.spreads(self.life)
@@ -93,7 +102,7 @@
             found = self.lives[life] = Life(now)
         return found
 
-    def levels(self, now, life, t, levels):
+    def levels(self, now, life, t, levels, works=()):
         """Another's levels by its stamp `t`, by whatever way they came; whether they were news."""
         if life == self.life:
             return False
@@ -105,6 +114,12 @@
             found.base += (now - found.heard) // DRIFT
         found.base = way if found.base is None else min(found.base, way)
         found.levels, found.t, found.heard = dict(levels), t, now
+        for tenant, n in works:
+            # Of a tenant first heard of nobody knows how much of its work is new.
+            if (more := n - found.works.get(tenant, n)) > 0:
+                self.charges[tenant] = self.charges.get(tenant, 0) + more
+            if tenant in found.works or len(found.works) < self.keys:
+                found.works[tenant] = max(n, found.works.get(tenant, 0))
         self.spreads(life)
         return True
 
@@ -142,8 +157,16 @@
     # Readings
 
     def age(self, now, life):
-        found = self.lives[life]
-        return now - found.t - found.base if found.base is not None else None
+        return self.since(now, life, self.lives[life].t)
+
+    def since(self, now, life, t):
+        """How old a stamp of a life is; None where its clock is not known yet."""
+        found = self.lives.get(life)
+        return max(0, now - t - found.base) if found is not None and found.base is not None else None
+
+    def take_charges(self):
+        found, self.charges = self.charges, {}
+        return found
 
     def held(self, now, within):
         """({engine: threads of all others}, age in the mean, age of the oldest, lives counted, lives left
@@ -179,11 +202,12 @@
         levels, sums, room = [], [], room - HEAD
         for life in list(self.fresh):
             found = self.lives[life]
-            size = LEVEL + sum(len(engine.encode()) + ENGINE for engine in found.levels)
+            size = (LEVEL + sum(len(engine.encode()) + ENGINE for engine in found.levels)
+                    + sum(len(tenant.encode()) + WORK for tenant in found.works))
             if size > room - 100:
                 break
             room -= size
-            levels.append((life, found.t, list(found.levels.items())))
+            levels.append((life, found.t, list(found.levels.items()), list(found.works.items())))
             self.fresh[life] += 1
             if self.fresh[life] >= RELAYS:
                 del self.fresh[life]
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -1,45 +1,79 @@
-"""What the decider counts for others, and hears of them: laid over whatever decider is at work."""
+"""What the decider counts and finds for others, and hears of them: laid over whatever decider is at work."""
 
 from threading import Lock
 
 from wickvane import interface as i
+from wickvane.shares.spread import Offer
 
 BUSY = 10_000  # without a query for so long, what others hold is nothing to this dispatcher
+LOOK = 1_000  # how often it is worked out what is needed
+FAILED = frozenset((i.ERROR, i.RESET, i.NO_CONNECTION, i.NO_ANSWER))
+SETTLING = 500  # added to the time expected, as the module does, so that a short pause is no slowness
+MET_MOST = 1024  # ends that wait to be told
+NOTHING = ((0.0, False), (0.0, False))
 
 
 class Box:
     """Between the decider's thread and that of peers."""
 
     def __init__(self):
-        self.lock, self.levels, self.sums, self.busy_at = Lock(), {}, {}, -BUSY
+        self.lock, self.sums, self.works, self.met = Lock(), {}, {}, []
+        self.levels, self.ready = {}, ()
+        self.needs, self.needs_at, self.busy_at, self.taken = NOTHING, -BUSY, -BUSY, 0
 
     def count(self, key):
         with self.lock:
             self.sums[key] = self.sums.get(key, 0) + 1
 
-    def take(self):
-        """(levels by engine, [(key, counted since the last call)])"""
+    def take(self, now):
+        """An Offer; now: by the decider's clock. What was needed long ago is needed no more."""
         with self.lock:
             sums, self.sums = self.sums, {}
-            return self.levels, list(sums.items())
+            met, self.met = self.met, []
+            needs = self.needs if now - self.needs_at < BUSY else NOTHING
+            return Offer(self.levels, list(sums.items()), {t: int(w) // 10 for t, w in self.works.items()},
+                         needs, met, self.ready, self.taken)
 
 
-def counting(base):
-    """The class of deciders `base` that also counts into its `box`."""
+def set_aside(gateway, before):
+    """Engines that the module set aside by what it met itself since the last call, which some do without an
+    ending: silence. before: kept for the next call. What others said sets no longer time to stay away."""
+    found = [e for e, length in enumerate(gateway.aside_for) if e < len(before) and length > before[e]]
+    before[:] = gateway.aside_for
+    return found
+
+
+def counting(base, apart=0):
+    """The class of deciders `base` that also counts into its `box`. apart: its clock less that of peers."""
     class Counting(base):
         def __init__(self, *words):
             super().__init__(*words)
-            self.box = Box()
+            self.box, self.looked, self.told_parts, self.asides = Box(), 0, 0, []
             self.tenant_names = list(self.book.tenants.index)
 
+        def tenant(self, ticket):
+            return self.tenant_names[ticket.tenant] if ticket.tenant < len(self.tenant_names) else ""
+
+        def met(self, engine, failed, slow):
+            with self.box.lock:
+                if engine and len(self.box.met) < MET_MOST:
+                    self.box.met.append((engine, failed, slow))
+
         def tally(self, what, ticket):
-            tenant = self.tenant_names[ticket.tenant] if ticket.tenant < len(self.tenant_names) else ""
-            self.box.count(f"{what}/{self.book.group_names[ticket.rg]}/{tenant}")
+            self.box.count(f"{what}/{self.book.group_names[ticket.rg]}/{self.tenant(ticket)}")
 
         def round(self, items):
             super().round(items)
-            names, mine = self.book.engines.names, self.gateway.mine
-            self.box.levels = {names[e]: n for e, n in enumerate(mine) if n > 0 and names[e]}
+            names, gateway, box = self.book.engines.names, self.gateway, self.box
+            box.levels = {names[e]: n for e, n in enumerate(gateway.mine) if n > 0 and names[e]}
+            box.taken = self.told_parts  # the module has them: whatever it decides from here on goes by them
+            if self.now - self.looked >= LOOK:
+                self.looked = self.now
+                for e in set_aside(gateway, self.asides):
+                    self.met(names[e], 1, None)
+                box.ready = [names[e] for e, state in enumerate(gateway.state)
+                             if state == i.READY and names[e]]
+                box.needs, box.needs_at = gateway.needs(), self.now
 
         def taken(self, ticket, again=False):
             super().taken(ticket, again)
@@ -52,9 +86,21 @@
 
         def ended(self, submission, ending, elapsed, complete):
             super().ended(submission, ending, elapsed, complete)
-            if ending == i.FINISHED and submission.lane is not None:
+            if submission.lane is None:
+                return
+            ticket, slow = submission.ticket, None
+            threads = self.book.deployment.groups[ticket.rg].threads
+            if ending == i.FINISHED:
                 self.box.count(f"done/{submission.lane.name}")
-                self.tally("finished", submission.ticket)
+                self.tally("finished", ticket)
+                work = submission.work or elapsed * threads
+                with self.box.lock:
+                    tenant = self.tenant(ticket)
+                    self.box.works[tenant] = self.box.works.get(tenant, 0) + work
+                if ticket.cost or submission.work:
+                    slow = elapsed / ((submission.work or ticket.cost) / threads + SETTLING)
+            if ending == i.FINISHED or ending in FAILED:
+                self.met(submission.lane.name, int(ending in FAILED), slow)
 
         def defer(self, q, stay_away):
             self.tally("deferred", self.book.queries.names[q])
@@ -70,6 +116,64 @@
                 if name in self.book.listed:
                     self.events.append((i.OTHERS, e, totals.get(name, 0), late))
 
-        READERS = base.READERS | {"others": "others"}
+        def parted(self, number, figures):
+            self.told_parts = number
+            for what, (part, until, then) in enumerate(figures):
+                # One without an end stands until the next is told.
+                self.events.append((i.PART, what, part, 1 << 62 if until is None else until + apart, then))
+
+        def charged(self, works):
+            self.events.append((i.CHARGED, [works.get(name, 0) * 10 for name in self.tenant_names]))
+
+        def judged(self, found, at):
+            late = max(0, self.now - at)
+            for name, (bad, slow, age) in found.items():
+                if name in self.book.listed:
+                    self.events.append((i.JUDGED, self.book.engines.of[name], bad, slow, age + late))
+
+        READERS = base.READERS | {name: name for name in ("others", "parted", "charged", "judged")}
 
     return Counting
+
+
+class Out:
+    """The decider's side of a Spread: what is heard goes into its inbox. heeds: a set of what decisions may
+    go by: "others", "charges", "opinions"; parts they always go by."""
+
+    def __init__(self, inbox, clock, box, heeds, told):
+        """told(event, fields): a line of the log."""
+        self.inbox, self.clock, self.box, self.heeds, self.told = inbox, clock, box, heeds, told
+        self.slow, self.doubted = False, frozenset()
+
+    def busy(self, at):
+        return at - self.box.busy_at < BUSY
+
+    def others(self, totals, age, oldest, counted, left_out):
+        at = self.clock.now()
+        if "others" in self.heeds and counted and self.busy(at):
+            self.inbox.put(("others", totals, age, at))
+
+    def charged(self, works):
+        if "charges" in self.heeds and self.busy(self.clock.now()):
+            self.inbox.put(("charged", works))
+
+    def parts(self, number, figures):
+        # Never left out: what was lent is used by another as soon as this is taken in.
+        self.inbox.put(("parted", number, figures), always=True)
+
+    def judged(self, found, pool, spared):
+        from wickvane.shares.opinions import SLOW_ALL
+
+        at = self.clock.now()
+        if "opinions" in self.heeds and found and self.busy(at):
+            self.inbox.put(("judged", found, at))
+        slow = pool is not None and pool >= SLOW_ALL
+        if slow != self.slow:
+            self.slow = slow
+            self.told("shares-pool-slow" if slow else "shares-pool-well", {"slowness": round(pool or 0, 2)})
+        doubted = frozenset(engine for engine, (bad, _, _) in found.items() if bad)
+        for engine in sorted(doubted - self.doubted):
+            self.told("shares-engine-doubted", {"engine": engine, "spared": len(spared)})
+        for engine in sorted(self.doubted - doubted):
+            self.told("shares-engine-cleared", {"engine": engine})
+        self.doubted = doubted
--- a/wickvane/shares/escrow.py
+++ b/wickvane/shares/escrow.py
@@ -13,7 +13,8 @@
 - What is spent is counted in windows. A unit that changes hands rests one window, so that no window sees it
   spent twice: lent units are used a window after the grant, and come back a window after the stop.
 - An owner that starts anew does not know what its former life lent. It uses and lends what it always keeps,
-  and the rest once a term, its drift and a window are over.
+  and the rest once a term, its drift and a window are over. Nor does it know what its former life spent just
+  before: where that counts, it spends nothing for a window.
 - A loan has a number of the holder's life and own counting; one that was ended is never taken up again by
   that number, whatever comes late or twice.
 
@@ -27,12 +28,14 @@
 
 class Escrow:
     """own: units of this dispatcher; kept: of them, never lent; term: of a loan; drift: parts of a thousand
-    by which two clocks may differ; window: in which what is spent is counted."""
+    by which two clocks may differ; window: in which what is spent is counted; at_once: whether a new life may
+    spend within its first window."""
 
-    def __init__(self, now, own, kept, term, window, drift=10):
+    def __init__(self, now, own, kept, term, window, drift=10, at_once=True):
         self.own, self.kept, self.term, self.window = own, kept, term, window
         self.grace = term * drift // 1000 + 1
         self.whole_at = now + self.term + self.grace + window  # what a former life lent is surely over then
+        self.rests_until = now if at_once else now + window
         self.lent = {}  # (holder, number): (units, surely over at)
         self.coming = []  # (units, from when they are mine again)
         self.ended = {}  # holder: the highest number that was ended
@@ -64,7 +67,7 @@
     def mine(self, now):
         """Units of my own part that I may spend now."""
         self.settle(now)
-        free = self.own - self.away()
+        free = self.own - self.away() if now >= self.rests_until else 0
         return free if now >= self.whole_at else min(free, self.kept)
 
     def usable(self, now):
@@ -118,13 +121,13 @@
     def lend(self, now, holder, number, units, need):
         """Another asks for up to `units`; what it gets, 0 for nothing. need: what this one wants itself."""
         mine = self.mine(now)
-        if number <= self.ended.get(holder, 0):
-            return 0
         until = now + self.term + self.grace + self.window
         known = self.lent.get((holder, number))
         if known is not None:
             self.lent[holder, number] = known[0], max(known[1], until)
             return known[0]
+        if number <= self.ended.get(holder, 0):
+            return 0
         if now < self.whole_at or len(self.lent) >= LOANS_MOST:
             return 0
         units = min(units, mine - max(self.kept, need))
--- a/wickvane/shares/part.py
+++ b/wickvane/shares/part.py
@@ -5,45 +5,55 @@
 from wickvane import parts
 from wickvane.net import shape
 
+FENCE = 5_000  # a submission that was decided longer ago does not leave: what it counted on may be another's
+SETTLED = 10_000  # a thread that was in use may be so for a while after its part was lent
+
 
 class Part(NamedTuple):
     every: int  # between two pages of counts, in tenths of a millisecond
-    heeds: bool  # whether decisions go by what others hold
+    heeds: frozenset  # what decisions go by: others, charges, opinions
+    lends: bool  # whether parts of budgets are lent and borrowed
 
 
 def read(node):
-    return Part(node.value("every", parts.duration("20ms", "10s"), 1_000),
-                node.value("heeds-others", parts.flag, True))
+    heeds = {word for word, name in (("others", "heeds-others"), ("charges", "heeds-charges"),
+                                     ("opinions", "heeds-opinions")) if node.value(name, parts.flag, True)}
+    return Part(node.value("every", parts.duration("20ms", "10s"), 1_000), frozenset(heeds),
+                node.value("lends", parts.flag, True))
+
+
+def budgets(deployment):
+    """Of bounds on engines, and of what cold engines get, as a Broker takes them."""
+    return ((SETTLED, True), (deployment.fall_time + FENCE, False))
 
 
 class At(shape.Part):
-    """Counts that all dispatchers share, on peers."""
+    """What all dispatchers share, on peers."""
 
     name, threads = "shares", 0
 
     def build(self, service, found):
+        from wickvane.peers.shell import now
         from wickvane.shares.deciding import counting
 
-        service.deciding = counting(service.deciding)
+        service.deciding = counting(service.deciding, service.clock.now() - now())
 
     def join(self, service, found):
         peers = next((part.peers for part in service.parts if part.name == "peers"), None)
         if peers is None:
             raise shape.Unstartable("the parts document: shares: expected a node peers beside it", 2)
         from wickvane.peers.shell import now
-        from wickvane.shares.deciding import BUSY
+        from wickvane.shares.deciding import Out
         from wickvane.shares.spread import Spread
 
-        box, heeds = service.decider.box, self.terms.heeds
-        inbox, clock = service.exchange.inbox, service.clock
-
-        def told(totals, age, oldest, counted, left_out):
-            at = clock.now()
-            if heeds and counted and at - box.busy_at < BUSY:
-                inbox.put(("others", totals, age, at))
-
+        box, clock = service.decider.box, service.clock
+        out = Out(service.exchange.inbox, clock, box, self.terms.heeds, peers.told)
+        lent = budgets(service.book.deployment) if self.terms.lends else ()
+        if lent:
+            service.links.stale = FENCE
         self.peers = peers
-        self.spread = peers.node.rider = Spread(now(), peers.node, box.take, told, self.terms.every)
+        self.spread = peers.node.rider = Spread(now(), peers.node, lambda: box.take(clock.now()), out,
+                                                self.terms.every, lent)
 
     def stop(self):
         from wickvane.peers.shell import now
--- a/wickvane/shares/spread.py
+++ b/wickvane/shares/spread.py
@@ -1,31 +1,58 @@
-"""How counts go round: a rider on the datagrams of peers, free of I/O. Every EVERY, a page to a few members,
-the latest levels first: what is said of one life reaches all in a few steps, whatever the size of the fleet.
+"""How what is shared goes round: a rider on the datagrams of peers, free of I/O.
+
+Every EVERY a page of counts to a few members, the latest levels first, so that what is said of one life
+reaches all in a few steps, whatever the size of the fleet; every OPINE opinions likewise; a broker's words go
+to whom they are for, and come once at most.
 """
 
 from wickvane.peers.membership import ALIVE, SUSPECT, mark
 from wickvane.shares import wire
+from wickvane.shares.broker import Broker
 from wickvane.shares.counts import SECOND, Counts
+from wickvane.shares.opinions import Evidence, Opinions, merge
 
 EVERY, FANOUT, OVER_EVERY = SECOND // 10, 3, SECOND
+LOOK, OPINE = SECOND // 5, SECOND // 2
 LAST_TOLD = 8
 ROOM = 720  # octets of a datagram that are a rider's, beside its sender's own entry
 LASTS = 2 * SECOND  # levels older than that are not counted
+CANDIDATES = 8  # members by lot, of which those with least at work are asked for parts
 
 
 def short_of(life):
     return mark(*life) & 0xFFFFFFFF
 
 
+class Offer:
+    """What a dispatcher's decider has for the others. levels: threads by engine; sums: [(key, counted
+    since)]; works: {tenant: work ever, in ms}; needs: by budget (part in use, whether more would be used);
+    met: [(engine, failed, slow)] since; ready: engines that may be sent to; taken: the number of the parts
+    that it goes by."""
+
+    __slots__ = ("levels", "sums", "works", "needs", "met", "ready", "taken")
+
+    def __init__(self, levels=None, sums=(), works=None, needs=((0.0, False),) * 2, met=(),
+                 ready=(), taken=0):
+        self.levels, self.sums, self.works, self.needs = levels or {}, sums, works or {}, needs
+        self.met, self.ready, self.taken = met, ready, taken
+
+
 class Spread:
-    """node: the peers' node. offered(): (levels by engine, [(key, n)] counted since) of this dispatcher, or
-    None; told(totals, mean age, oldest age, counted, left_out): what
-    all others hold."""
+    """node: the peers' node. offered(): this dispatcher's Offer, or None. out: the decider's side, told
+    others(totals, mean age, oldest age, counted, left out), charged(works by tenant), parts(number, figures)
+    and judged(found, the pool's slowness, spared). budgets: as a Broker's; none: nothing is lent."""
 
-    def __init__(self, now, node, offered, told, every=EVERY):
-        self.node, self.offered, self.told, self.every = node, offered, told, every
+    def __init__(self, now, node, offered, out, every=EVERY, budgets=()):
+        self.node, self.offered, self.out, self.every = node, offered, out, every
         self.counts = Counts(now, self.life(), node.table.most)
+        self.broker = Broker(now, budgets, node.configured) if budgets else None
+        self.evidence, self.opinions = Evidence(), Opinions(node.table.most)
         self.next_at = now + node.chance.randrange(every)
         self.over_at, self.malformed, self.named = now, 0, {}
+        self.look_at, self.opine_at = now, now + node.chance.randrange(OPINE)
+        self.judged = {}, None, []
+        if self.broker:
+            self.tell_parts(now)
 
     def life(self):
         return self.node.table.name[0], self.node.table.epoch[0]
@@ -35,43 +62,110 @@
         if found is None:
             self.malformed += 1
             return
-        for short, t, levels in found[0]:
+        for short, t, levels, works in found.levels:
             if (life := self.named.get(short)) is not None:
-                self.counts.levels(now, life, t, levels)
-        for short, key, n in found[1]:
+                self.counts.levels(now, life, t, levels, works)
+        for short, key, n in found.sums:
             if (life := self.named.get(short)) is not None:
                 self.counts.sum(now, life, key, n)
+        for short, t, rows in found.opinions:
+            if (life := self.named.get(short)) is not None and life != self.counts.life:
+                self.opinions.says(life, t, rows)
+        if found.words and self.broker:
+            table = self.node.table
+            for word in found.words:
+                self.broker.came(now, (table.name[row], table.epoch[row]), word)
 
     def round(self, now):
+        if self.broker and self.broker.out:
+            self.say_words()
         if now < self.next_at:
             return
         self.next_at = now + self.every
         counts, table = self.counts, self.node.table
         counts.renamed(self.life())
-        offered = self.offered()
-        if offered is not None:
-            for key, n in offered[1]:
+        offer = self.offered()
+        if offer is not None:
+            for key, n in offer.sums:
                 counts.count(key, n)
-            counts.hold(now, offered[0])
+            counts.hold(now, offer.levels, offer.works)
+            for met in offer.met:
+                self.evidence.met(now, *met)
         if now >= self.over_at:
             self.over_at = now + OVER_EVERY
-            counts.over(now, {(table.name[row], table.epoch[row]) for row in table.living
-                              if table.state[row] in (ALIVE, SUSPECT)})
+            living = {(table.name[row], table.epoch[row]) for row in table.living
+                      if table.state[row] in (ALIVE, SUSPECT)}
+            counts.over(now, living)
+            self.opinions.over(living)
             self.name()
         self.tell(FANOUT)
-        self.told(*counts.held(now, LASTS))
+        self.out.others(*counts.held(now, LASTS))
+        if charges := counts.take_charges():
+            self.out.charged(charges)
+        if offer is not None:
+            self.look(now, offer)
+
+    def look(self, now, offer):
+        if self.broker:
+            if now >= self.look_at:
+                self.look_at = now + LOOK
+                self.broker.look(now, offer.needs, self.owners())
+            self.broker.took(offer.taken)
+            self.tell_parts(now)
+            self.say_words()
+        if now >= self.opine_at:
+            self.opine_at = now + OPINE
+            self.opinions.says(self.life(), now, self.evidence.told(now))
+            for row in self.node.detector.some(FANOUT):
+                page = [(short_of(life), *rest) for life, *rest in self.opinions.page(ROOM)]
+                if page:
+                    self.node.carry(row, wire.seal(opinions=page))
+            said = self.opinions.heard(now, lambda life, t: self.counts.since(now, life, t), self.life()[0])
+            self.judged = merge(said, frozenset(offer.ready))
+            self.out.judged(*self.judged)
+
+    # Budgets
+
+    def owners(self):
+        """Whom to ask for parts: of some by lot, those with least at work, as was last heard."""
+        table, lives = self.node.table, self.counts.lives
+        rows = [row for row in self.node.detector.some(CANDIDATES) if table.state[row] == ALIVE]
+        found = [(table.name[row], table.epoch[row]) for row in rows]
+        return sorted(found, key=lambda life: sum(lives[life].levels.values()) if life in lives else 0)
+
+    def tell_parts(self, now):
+        from wickvane.peers.standing import divisor
+
+        found = self.broker.tell(now, divisor(self.node.configured, self.node.table))
+        if found:
+            self.out.parts(*found)
+
+    def say_words(self):
+        by = {}
+        for life, word in self.broker.sent():
+            by.setdefault(life, []).append(word)
+        for life, words in by.items():
+            row = self.node.table.rows.get(life)
+            if row is not None:
+                for at in range(0, len(words), wire.WORDS_MOST):
+                    self.node.carry(row, wire.seal(words=words[at:at + wire.WORDS_MOST]))
+
+    # Counts
 
     def tell(self, many):
         for row in self.node.detector.some(many):
             levels, sums = self.counts.page(ROOM)
-            self.node.carry(row, wire.seal([(short_of(life), *rest) for life, *rest in levels],
-                                           [(short_of(life), *rest) for life, *rest in sums]))
+            self.node.carry(row, wire.seal(levels=[(short_of(life), *rest) for life, *rest in levels],
+                                           sums=[(short_of(life), *rest) for life, *rest in sums]))
 
     def last(self, now, out):
-        """The end: what was counted until now, to a few more at once."""
+        """The end: what was counted until now, to a few more at once, and what others lent is given back."""
         self.next_at = now
         self.node.round(now, [], out)
         self.node.out = out
+        if self.broker:
+            self.broker.end(now)
+            self.say_words()
         self.tell(LAST_TOLD)
         self.node.out = None
 
@@ -90,8 +184,15 @@
         """Plain figures: what the fleet counts, how old and how whole it is; times in milliseconds."""
         counts, now = self.counts, self.node.now
         held, mean, oldest, counted, out = counts.held(now, LASTS)
+        found, pool, spared = self.judged
         return {"lives": len(counts.lives), "counted": counted, "left_out": out, "age_ms": mean // 10,
                 "oldest_ms": oldest // 10,
                 "held_by_others": dict(sorted(held.items())), "folded_lives": len(counts.floors),
                 "refused": dict(counts.refused), "malformed": self.malformed,
+                "budgets": self.broker.status(now) if self.broker else {},
+                "opinions": {"of": len(self.opinions.said), "pool_slow": pool and round(pool, 2),
+                             "doubted": sorted(e for e, (bad, _, _) in found.items() if bad),
+                             "spared": sorted(spared),
+                             "slow": {engine: round(slow, 2)
+                                      for engine, (_, slow, _) in sorted(found.items()) if slow}},
                 "totals": dict(sorted(counts.totals().items()))}
--- a/wickvane/shares/wire.py
+++ b/wickvane/shares/wire.py
@@ -8,24 +8,40 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
-Levels = Annotated[list[tuple[Name, Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]]],
-                   msgspec.Meta(max_length=200)]
+Threads = Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]
+Figure = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+Levels = Annotated[list[tuple[Name, Threads]], msgspec.Meta(max_length=200)]
+Works = Annotated[list[tuple[Name, Whole]], msgspec.Meta(max_length=16)]
+Rows = Annotated[list[tuple[Name, Figure, Figure, Figure]], msgspec.Meta(max_length=64)]
 Life = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]  # of peers' mark of it: both know the life itself
-# version; levels: life, stamp, by engine; sums: life, key, figure
-Message = tuple[
-    Annotated[int, msgspec.Meta(ge=VERSION, le=VERSION)],
-    Annotated[list[tuple[Life, Whole, Levels]], msgspec.Meta(max_length=64)],
-    Annotated[list[tuple[Life, Key, Whole]], msgspec.Meta(max_length=64)]]
+Word = tuple[
+    Annotated[int, msgspec.Meta(ge=0, le=2)], Annotated[int, msgspec.Meta(ge=0, le=7)], Whole,
+    Annotated[int, msgspec.Meta(ge=0, le=4096)], Whole]
+
+
+class Message(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """levels: life, stamp, threads by engine, work ever by tenant; sums: life, key, figure; words of a
+    broker to this very receiver: verb, budget, number, units, asked at; opinions: life, stamp, engine with
+    tried, failed, slow in tenths."""
+
+    version: Annotated[int, msgspec.Meta(ge=VERSION, le=VERSION)] = VERSION
+    levels: Annotated[list[tuple[Life, Whole, Levels, Works]], msgspec.Meta(max_length=64)] = []
+    sums: Annotated[list[tuple[Life, Key, Whole]], msgspec.Meta(max_length=64)] = []
+    words: Annotated[list[Word], msgspec.Meta(max_length=16)] = []
+    opinions: Annotated[list[tuple[Life, Whole, Rows]], msgspec.Meta(max_length=32)] = []
+
+
+WORDS_MOST = 16  # in one datagram
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
 
-def seal(levels, sums):
-    return ENCODER.encode((VERSION, levels, sums))
+def seal(**parts):
+    return ENCODER.encode(Message(**parts))
 
 
 def unseal(payload):
-    """(levels, sums), or None where it is nothing of this version."""
+    """A Message, or None where it is nothing of this version."""
     try:
-        return DECODER.decode(payload)[1:]
+        return DECODER.decode(payload)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
