Work of tenants and traffic ride apart from levels; what cold engines get is lent by traffic

Change: shares/latest.py, of which opinions and charges are made; rows are counted by their octets, not by a guess, and a rider has 860 of them; each tells for how much it is asked, and cold parts are lent by that share of the traffic.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -23,7 +23,7 @@
 
     def __init__(self, now, fleet, n, life):
         self.fleet, self.n, self.life = fleet, n, (f"n{n}", life)
-        self.broker = Broker(now, ((WINDOW, False),), fleet.size)
+        self.broker = Broker(now, ((WINDOW, False, False),), fleet.size)
         self.part, self.inbox, self.stalled = (0.0, None, 0.0), [], 0
         self.use = 0.2
 
@@ -184,7 +184,7 @@
 
 
 def test_more_lives_than_configured_make_each_part_less():
-    one = Broker(0, ((WINDOW, True),), 4)
+    one = Broker(0, ((WINDOW, True, False),), 4)
     one.budgets[0].escrow.whole_at = 0
     assert one.parts(1, 4) == [(1.0, None, 1.0)] and one.parts(1, 8) == [(0.5, None, 0.5)]
 
@@ -194,7 +194,7 @@
                           st.integers(0, 4096), st.integers(0, 1 << 40)), max_size=60),
        st.lists(st.integers(0, 3 * WINDOW), min_size=60, max_size=60))
 def test_whatever_others_say_a_part_is_never_less_than_what_is_kept_nor_more_than_was_asked_for(words, times):
-    one, now = Broker(0, ((WINDOW, True), (WINDOW, True)), 4), 3 * WINDOW + TERM
+    one, now = Broker(0, ((WINDOW, True, False), (WINDOW, True, True)), 4), 3 * WINDOW + TERM
     for word, more in zip(words, times, strict=False):
         now += more
         one.look(now, [(0.5, False), (0.5, False)], [("a", 1)])
--- a/tests/test_opinions.py
+++ b/tests/test_opinions.py
@@ -7,6 +7,8 @@
 
 from wickvane.rehearsal import script as scripts
 from wickvane.rehearsal.shared import ALL, Shared
+from wickvane.shares import wire
+from wickvane.shares.charges import ASKED, TOLD_MOST, Charges
 from wickvane.shares.opinions import (
     FADES,
     FAILING,
@@ -87,9 +89,10 @@
     assert len(mine.of) == 4 and len(all_said.said) == 3
     assert all(max(row[1:]) <= FIGURE_MOST for row in mine.told(2))
     for _ in range(9):
-        page = all_said.page(720)
-        assert sum(20 + sum(len(e) + 12 for e, *_ in word) for _, _, word in page) <= 720
-    assert all_said.page(720) == []  # sent on often enough
+        page, room = all_said.page(300)
+        data = wire.seal(opinions=[(1 << 31, t + (1 << 60), rows) for _, t, rows in page])
+        assert len(data) <= 300 - room + 16
+    assert all_said.page(300)[0] == []  # sent on often enough
 
 
 def test_an_opinion_is_its_lifes_latest_and_not_an_old_one():
@@ -161,6 +164,41 @@
     assert after - before <= others
 
 
+def test_work_of_tenants_is_charged_once_whatever_order_it_is_heard_in():
+    one = Charges()
+    one.hears(("a", 1), 10, [("t", 500)])
+    assert one.take(0) == {}  # nobody knows how much of it is new
+    one.hears(("a", 1), 30, [("t", 800)])
+    one.hears(("a", 1), 20, [("t", 600)])
+    one.hears(("a", 1), 30, [("t", 800)])
+    one.hears(("a", 1), 40, [("u", 50)])
+    one.hears(("a", 1), 50, [("t", 900), ("u", 60)])
+    assert one.take(0) == {"t": 400, "u": 10} and one.take(0) == {}
+    one.over(set())
+    assert one.works == {} and one.page(300)[0] == []
+
+
+def test_the_tenants_that_got_most_lately_are_told():
+    one, works = Charges(), {f"t{n:02}": 100 * n for n in range(20)}
+    one.tells(("me", 1), 1, works, 5)
+    one.tells(("me", 1), 2, works | {"t00": 50, "t03": 301}, 9)
+    (_, _, rows), = one.page(300)[0]
+    assert len(rows) == 1 + TOLD_MOST and rows[:3] == [(ASKED, 9), ("t00", 50), ("t03", 301)]
+
+
+def test_a_dispatchers_traffic_is_weighed_against_the_mean_over_seconds():
+    one = Charges()
+    assert one.weight() == 1.0
+    for n in range(60):
+        one.hears(("a", 1), n, [(ASKED, 100 * n)])
+        one.hears(("b", 1), n, [(ASKED, 0)])
+        assert one.take(200 * n) == {}
+    assert one.weight() == pytest.approx(2.0, abs=0.05)
+    one.hears(("a", 1), 70, [(ASKED, 6_500)])
+    one.take(200 * 60)
+    assert one.weight() > 1.0  # one look is no change of traffic
+
+
 # The decision module
 
 
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -24,6 +24,7 @@
     def __init__(self, world, host, number):
         self.world, self.host, self.number, self.wakes, self.inbox = world, host, number, None, []
         self.sums, self.datagrams, self.octets, self.works, self.met, self.number_told = {}, 0, 0, {}, [], 0
+        self.asked = 0
         self.tell, host.tell, self.asides = host.tell, self.passes, []
         self.tenants = [name for name, _ in world.script.tenants]
         self.node = Node(world.now, host.name, EPOCH + world.now, f"10.0.{number >> 8}.{number & 255}:1", (),
@@ -34,6 +35,8 @@
 
     def passes(self, *event):
         """What the host tells its module; ends are evidence, and work of a tenant."""
+        if event[0] == i.TAKEN:
+            self.asked += event[4]
         if event[0] == i.ENDED:
             _, q, _, e, ending, elapsed, _, work, *_ = event
             query, slow = self.host.queries[q], None
@@ -56,6 +59,7 @@
         return Offer(
             {engines[e].name: n for e, n in enumerate(gateway.mine) if n > 0 and e in engines},
             list(sums.items()), {tenant: int(work) // 10 for tenant, work in self.works.items()},
+            self.asked // 10,
             gateway.needs(), met,
             [engines[e].name for e, state in enumerate(gateway.state) if state == i.READY], self.number_told)
 
--- a/wickvane/shares/broker.py
+++ b/wickvane/shares/broker.py
@@ -1,9 +1,11 @@
 """Who asks whom for parts of a budget, who gives, who gives back: no socket, clock or thread.
 
 What may never happen is escrow's; here is only what is sensible, so a mistake here costs use, never a bound.
-One Escrow a budget. Each dispatcher owns UNITS of each, of which KEPT are never lent; it lends what it did
-not need lately, and borrows where it lacked. Idle parts so move to where work waits in one step, and are back
-a term after their owner wants them: it does not renew what it needs itself.
+One Escrow a budget. What is needed is told by what is in use, or, where a unit that changes hands rests so
+long that use of the moment says nothing, by this dispatcher's share of the traffic. Each dispatcher owns
+UNITS of each, of which KEPT are never lent; it lends what it did not need lately, and borrows where it
+lacked. Idle parts so move to where work waits in one step, and are back a term after their owner wants them:
+it does not renew what it needs itself.
 
 A lent part has left its owner's decider before its holder hears of the grant: figures are told with a number,
 and a grant waits until the decider has said that it took that number in. Times are tenths of a millisecond.
@@ -28,24 +30,28 @@
 class Budget:
     """One whole. need: units that this dispatcher wants; lacks: it would use more than it has."""
 
-    __slots__ = ("escrow", "need", "lacks", "at", "open", "borrowed", "lent")
+    __slots__ = ("escrow", "by_traffic", "need", "lacks", "at", "open", "borrowed", "lent")
 
-    def __init__(self, now, window, at_once):
+    def __init__(self, now, window, at_once, by_traffic):
         self.escrow = Escrow(now, UNITS, KEPT, TERM, window, at_once=at_once)
-        self.need, self.lacks, self.at = 0.0, False, now
+        self.by_traffic, self.need, self.lacks, self.at = by_traffic, 0.0, False, now
         self.open = {}  # number: (units asked for, until when it is counted upon)
         self.borrowed = self.lent = 0  # units, ever
 
-    def uses(self, now, part, lacks, usable):
-        """part: of the configured part, what is in use now."""
+    def uses(self, now, part, lacks, usable, weight):
+        """part: of the configured part, what is in use now; weight: this dispatcher's traffic over the
+        mean."""
+        if self.by_traffic:
+            self.at, self.lacks, self.need = now, lacks, min(MOST, weight * UNITS * MARGIN + 1)
+            return
         self.need -= self.need * min(1.0, (now - self.at) / FADES)
         self.at, self.lacks = now, lacks
         self.need = min(MOST, max(self.need, part * UNITS * MARGIN + 1, usable * MORE if lacks else 0))
 
 
 class Broker:
-    """budgets: (window in which what is spent is counted, whether a new life may use what it keeps at once)
-    of each; configured: dispatchers that the settings count."""
+    """budgets: (window in which what is spent is counted, whether a new life may use what it keeps at once,
+    whether need goes by traffic) of each; configured: dispatchers that the settings count."""
 
     def __init__(self, now, budgets, configured):
         self.budgets = [Budget(now, *budget) for budget in budgets]
@@ -87,13 +93,13 @@
 
     # Rounds
 
-    def look(self, now, needs, owners):
-        """needs: by budget (part in use, whether more would be used); owners: lives to ask, the best
-        first."""
+    def look(self, now, needs, owners, weight=1.0):
+        """needs: by budget (part in use, whether more would be used); owners: lives to ask, the best first;
+        weight: this dispatcher's traffic over the mean of all."""
         for kind, (budget, (part, lacks)) in enumerate(zip(self.budgets, needs, strict=True)):
             escrow = budget.escrow
             usable = escrow.usable(now)
-            budget.uses(now, part, lacks, usable)
+            budget.uses(now, part, lacks, usable, weight)
             self.give_back(now, kind, usable)
             for number, (owner, units, _, until) in list(escrow.held.items()):
                 if until - now < RENEW and escrow.again(now, number):
--- a/wickvane/shares/counts.py
+++ b/wickvane/shares/counts.py
@@ -15,25 +15,25 @@
 
 from collections import OrderedDict
 
+from wickvane.shares import wire
+
 SECOND = 10_000
 DRIFT = 1_000  # the least way grows by one in so many, so that two clocks that go apart are not seen as age
 FOLD_AFTER = 600 * SECOND
 FLOORS = 4096
 RELAYS = 3  # levels are sent on so often: whom they miss the next ones reach
 KEY_RELAYS = 3  # the same of sums, times the digits of the number of lives
-# Octets of one life's levels, an engine in it, one sum, each without names; and of a page.
-LEVEL, ENGINE, SUM, HEAD = 20, 8, 22, 8
-WORK, WORKS_MOST = 12, 8  # a tenant's work; tenants told by each life, those with most of it lately
+# Octets of one life's levels and of a sum beside what wire.size() counts, and of a page.
+LEVEL, SUM, HEAD = 17, 7, 12
 
 
 class Life:
-    """What one life said. works: what it ever gave each tenant; base: the least way; t: the stamp of the
-    latest levels."""
+    """What one life said. base: the least way; t: the stamp of the latest levels."""
 
-    __slots__ = ("sums", "levels", "works", "t", "base", "heard", "gone")
+    __slots__ = ("sums", "levels", "t", "base", "heard", "gone")
 
     def __init__(self, now):
-        self.sums, self.levels, self.works, self.t, self.base = {}, {}, {}, -1, None
+        self.sums, self.levels, self.t, self.base = {}, {}, -1, None
         self.heard, self.gone = now, None
 
 
@@ -49,7 +49,6 @@
         self.dirty = OrderedDict()  # (life, key): how often it was sent on
         self.turn = []  # the slow round over all keys, against what every other way lost
         self.refused = {"folded": 0, "full": 0}
-        self.charges = {}  # tenant: work that others told of since it was last asked for
 
     # This life
 
@@ -69,16 +68,10 @@
         self.dirty[self.life, key] = 0
         self.dirty.move_to_end((self.life, key))
 
-    def hold(self, now, levels, works=None):
-        """What this life has at work now, by engine, and what it ever gave each tenant; told anew even where
-        it is as before, since its age is what others go by."""
+    def hold(self, now, levels):
+        """What this life has at work now, by engine; told anew even where it is as before, since its age is
+        what others go by."""
         mine = self.mine
-        if works:
-            latest = sorted(works, key=lambda tenant: (mine.works.get(tenant, 0) - works[tenant], tenant))
-            for tenant in latest[:WORKS_MOST]:
-                mine.works[tenant] = works[tenant]
-                if len(mine.works) > WORKS_MOST:
-                    del mine.works[next(iter(mine.works))]
         mine.levels = {engine: n for engine, n in levels.items() if n > 0}
         mine.t, mine.heard = max(now, mine.t + 1), now
         self.spreads(self.life)
@@ -102,7 +95,7 @@
             found = self.lives[life] = Life(now)
         return found
 
-    def levels(self, now, life, t, levels, works=()):
+    def levels(self, now, life, t, levels):
         """Another's levels by its stamp `t`, by whatever way they came; whether they were news."""
         if life == self.life:
             return False
@@ -114,12 +107,6 @@
             found.base += (now - found.heard) // DRIFT
         found.base = way if found.base is None else min(found.base, way)
         found.levels, found.t, found.heard = dict(levels), t, now
-        for tenant, n in works:
-            # Of a tenant first heard of nobody knows how much of its work is new.
-            if (more := n - found.works.get(tenant, n)) > 0:
-                self.charges[tenant] = self.charges.get(tenant, 0) + more
-            if tenant in found.works or len(found.works) < self.keys:
-                found.works[tenant] = max(n, found.works.get(tenant, 0))
         self.spreads(life)
         return True
 
@@ -164,10 +151,6 @@
         found = self.lives.get(life)
         return max(0, now - t - found.base) if found is not None and found.base is not None else None
 
-    def take_charges(self):
-        found, self.charges = self.charges, {}
-        return found
-
     def held(self, now, within):
         """({engine: threads of all others}, age in the mean, age of the oldest, lives counted, lives left
         out): of the levels that are at most `within` old."""
@@ -202,19 +185,18 @@
         levels, sums, room = [], [], room - HEAD
         for life in list(self.fresh):
             found = self.lives[life]
-            size = (LEVEL + sum(len(engine.encode()) + ENGINE for engine in found.levels)
-                    + sum(len(tenant.encode()) + WORK for tenant in found.works))
+            size = LEVEL + sum(wire.size(*row) for row in found.levels.items())
             if size > room - 100:
                 break
             room -= size
-            levels.append((life, found.t, list(found.levels.items()), list(found.works.items())))
+            levels.append((life, found.t, list(found.levels.items())))
             self.fresh[life] += 1
             if self.fresh[life] >= RELAYS:
                 del self.fresh[life]
             else:
                 self.fresh.move_to_end(life)
         for life, key in self.next_keys():
-            size = SUM + len(key.encode())
+            size = SUM + wire.size(key, self.lives[life].sums[key])
             if size > room:
                 break
             room -= size
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -18,7 +18,7 @@
 
     def __init__(self):
         self.lock, self.sums, self.works, self.met = Lock(), {}, {}, []
-        self.levels, self.ready = {}, ()
+        self.levels, self.ready, self.asked = {}, (), 0
         self.needs, self.needs_at, self.busy_at, self.taken = NOTHING, -BUSY, -BUSY, 0
 
     def count(self, key):
@@ -32,7 +32,7 @@
             met, self.met = self.met, []
             needs = self.needs if now - self.needs_at < BUSY else NOTHING
             return Offer(self.levels, list(sums.items()), {t: int(w) // 10 for t, w in self.works.items()},
-                         needs, met, self.ready, self.taken)
+                         self.asked // 10, needs, met, self.ready, self.taken)
 
 
 def set_aside(gateway, before):
@@ -78,6 +78,7 @@
         def taken(self, ticket, again=False):
             super().taken(ticket, again)
             self.box.busy_at = self.now
+            self.box.asked += ticket.cost or int(self.gateway.mean[ticket.rg])
             self.tally("taken", ticket)
 
         def submit(self, q, engine, wait):
--- a/wickvane/shares/opinions.py
+++ b/wickvane/shares/opinions.py
@@ -17,6 +17,9 @@
 
 from statistics import median
 
+from wickvane.shares import wire
+from wickvane.shares.latest import Latest
+
 SECOND = 10_000
 FADES, LASTS = 4 * SECOND, 4 * SECOND
 QUORUM = 3  # names that must agree, whatever the size: two may share a bad path, or speak first of all
@@ -114,48 +117,11 @@
     return found, whole, doubted[most:]
 
 
-class Opinions:
-    """What each life said last, and what is to be sent on. Lives are held in all to `most`."""
+class Opinions(Latest):
+    """What each life said last of engines."""
 
     def __init__(self, most=4096):
-        self.said, self.most = {}, most  # life: (stamp, rows)
-        self.fresh = {}  # life: how often its word was sent on
-
-    def says(self, life, t, rows):
-        """A life's word by its own stamp, by whatever way it came; whether it was news."""
-        before = self.said.get(life)
-        if before is not None and t <= before[0] or before is None and len(self.said) >= self.most:
-            return False
-        self.said[life] = t, rows
-        self.fresh[life] = 0
-        return True
-
-    def over(self, living):
-        for life in [life for life in self.said if life not in living]:
-            del self.said[life]
-            self.fresh.pop(life, None)
-
-    def page(self, room, relays=3):
-        """[(life, stamp, rows)] for one datagram of `room` octets, what was sent on least first; a long word
-        is cut to its first rows."""
-        found = []
-        for life, _ in sorted(self.fresh.items(), key=lambda entry: (entry[1], entry[0])):
-            t, rows = self.said[life]
-            room, fit = room - 20, 0
-            for engine, *_ in rows:
-                room -= len(engine.encode()) + 12
-                if room < 0:
-                    break
-                fit += 1
-            if fit < len(rows) and found:
-                break
-            found.append((life, t, rows[:fit]))
-            self.fresh[life] += 1
-            if self.fresh[life] >= relays:
-                del self.fresh[life]
-            if room < 60:
-                break
-        return found
+        super().__init__(lambda row: wire.size(*row), most)
 
     def heard(self, age_of):
         """{name: (rows, age)}, as merge() takes it; age_of(life, stamp): None where it is not known."""
--- a/wickvane/shares/part.py
+++ b/wickvane/shares/part.py
@@ -24,7 +24,7 @@
 
 def budgets(deployment):
     """Of bounds on engines, and of what cold engines get, as a Broker takes them."""
-    return ((SETTLED, True), (deployment.fall_time + FENCE, False))
+    return (SETTLED, True, False), (deployment.fall_time + FENCE, False, True)
 
 
 class At(shape.Part):
--- a/wickvane/shares/spread.py
+++ b/wickvane/shares/spread.py
@@ -8,13 +8,15 @@
 from wickvane.peers.membership import ALIVE, SUSPECT, mark
 from wickvane.shares import wire
 from wickvane.shares.broker import Broker
+from wickvane.shares.charges import Charges
 from wickvane.shares.counts import SECOND, Counts
 from wickvane.shares.opinions import Evidence, Opinions, merge
 
 EVERY, FANOUT, OVER_EVERY = SECOND // 10, 3, SECOND
 LOOK, OPINE = SECOND // 5, SECOND // 2
 LAST_TOLD = 8
-ROOM = 720  # octets of a datagram that are a rider's, beside its sender's own entry
+ROOM = 860  # octets of a datagram that are a rider's, beside its sender's own entry
+WORKS_ROOM, FRAMES = 300, 16  # of them, for what was given to tenants; and for what frames it all
 LASTS = 2 * SECOND  # levels older than that are not counted
 CANDIDATES = 8  # members by lot, of which those with least at work are asked for parts
 
@@ -23,17 +25,22 @@
     return mark(*life) & 0xFFFFFFFF
 
 
+def short(rows):
+    return [(short_of(life), *rest) for life, *rest in rows]
+
+
 class Offer:
     """What a dispatcher's decider has for the others. levels: threads by engine; sums: [(key, counted
-    since)]; works: {tenant: work ever, in ms}; needs: by budget (part in use, whether more would be used);
-    met: [(engine, failed, slow)] since; ready: engines that may be sent to; taken: the number of the parts
-    that it goes by."""
+    since)]; works, asked: {tenant: work given ever} and asked for, in ms; needs: by budget (part in use,
+    whether more would be used); met: [(engine, failed, slow)] since; ready: engines that may be sent to;
+    taken: the number of the parts that it goes by."""
 
-    __slots__ = ("levels", "sums", "works", "needs", "met", "ready", "taken")
+    __slots__ = ("levels", "sums", "works", "asked", "needs", "met", "ready", "taken")
 
-    def __init__(self, levels=None, sums=(), works=None, needs=((0.0, False),) * 2, met=(),
+    def __init__(self, levels=None, sums=(), works=None, asked=0, needs=((0.0, False),) * 2, met=(),
                  ready=(), taken=0):
         self.levels, self.sums, self.works, self.needs = levels or {}, sums, works or {}, needs
+        self.asked = asked
         self.met, self.ready, self.taken = met, ready, taken
 
 
@@ -47,6 +54,7 @@
         self.counts = Counts(now, self.life(), node.table.most)
         self.broker = Broker(now, budgets, node.configured) if budgets else None
         self.evidence, self.opinions = Evidence(), Opinions(node.table.most)
+        self.charges = Charges(node.table.most)
         self.next_at = now + node.chance.randrange(every)
         self.over_at, self.malformed, self.named = now, 0, {}
         self.look_at, self.opine_at = now, now + node.chance.randrange(OPINE)
@@ -62,15 +70,18 @@
         if found is None:
             self.malformed += 1
             return
-        for short, t, levels, works in found.levels:
+        for short, t, levels in found.levels:
             if (life := self.named.get(short)) is not None:
-                self.counts.levels(now, life, t, levels, works)
+                self.counts.levels(now, life, t, levels)
         for short, key, n in found.sums:
             if (life := self.named.get(short)) is not None:
                 self.counts.sum(now, life, key, n)
         for short, t, rows in found.opinions:
             if (life := self.named.get(short)) is not None and life != self.counts.life:
                 self.opinions.says(life, t, rows)
+        for short, t, works in found.works:
+            if (life := self.named.get(short)) is not None and life != self.counts.life:
+                self.charges.hears(life, t, works)
         if found.words and self.broker:
             table = self.node.table
             for word in found.words:
@@ -88,7 +99,7 @@
         if offer is not None:
             for key, n in offer.sums:
                 counts.count(key, n)
-            counts.hold(now, offer.levels, offer.works)
+            counts.hold(now, offer.levels)
             for met in offer.met:
                 self.evidence.met(now, *met)
         if now >= self.over_at:
@@ -97,11 +108,10 @@
                       if table.state[row] in (ALIVE, SUSPECT)}
             counts.over(now, living)
             self.opinions.over(living)
+            self.charges.over(living)
             self.name()
         self.tell(FANOUT)
         self.out.others(*counts.held(now, LASTS))
-        if charges := counts.take_charges():
-            self.out.charged(charges)
         if offer is not None:
             self.look(now, offer)
 
@@ -109,17 +119,21 @@
         if self.broker:
             if now >= self.look_at:
                 self.look_at = now + LOOK
-                self.broker.look(now, offer.needs, self.owners())
+                self.broker.look(now, offer.needs, self.owners(), self.charges.weight())
             self.broker.took(offer.taken)
             self.tell_parts(now)
             self.say_words()
         if now >= self.opine_at:
             self.opine_at = now + OPINE
             self.opinions.says(self.life(), now, self.evidence.told(now))
+            self.charges.tells(self.life(), now, offer.works, offer.asked)
             for row in self.node.detector.some(FANOUT):
-                page = [(short_of(life), *rest) for life, *rest in self.opinions.page(ROOM)]
-                if page:
-                    self.node.carry(row, wire.seal(opinions=page))
+                works, room = self.charges.page(WORKS_ROOM)
+                said, _ = self.opinions.page(ROOM - FRAMES - WORKS_ROOM + room)
+                if works or said:
+                    self.node.carry(row, wire.seal(opinions=short(said), works=short(works)))
+            if charges := self.charges.take(offer.asked):
+                self.out.charged(charges)
             me = self.life()
             said = self.opinions.heard(
                 lambda life, t: now - t if life == me else self.counts.since(now, life, t))
@@ -157,8 +171,7 @@
     def tell(self, many):
         for row in self.node.detector.some(many):
             levels, sums = self.counts.page(ROOM)
-            self.node.carry(row, wire.seal(levels=[(short_of(life), *rest) for life, *rest in levels],
-                                           sums=[(short_of(life), *rest) for life, *rest in sums]))
+            self.node.carry(row, wire.seal(levels=short(levels), sums=short(sums)))
 
     def last(self, now, out):
         """The end: what was counted until now, to a few more at once, and what others lent is given back."""
@@ -191,6 +204,7 @@
                 "oldest_ms": oldest // 10,
                 "held_by_others": dict(sorted(held.items())), "folded_lives": len(counts.floors),
                 "refused": dict(counts.refused), "malformed": self.malformed,
+                "traffic": round(self.charges.weight(), 2),
                 "budgets": self.broker.status(now) if self.broker else {},
                 "opinions": {"of": len(self.opinions.said), "pool_slow": pool and round(pool, 2),
                              "doubted": sorted(e for e, (bad, _, _) in found.items() if bad),
--- a/wickvane/shares/tool.py
+++ b/wickvane/shares/tool.py
@@ -34,6 +34,7 @@
     yield (f"{name}: counts of {found['counted']} others, {found['age_ms']} ms old (the oldest "
            f"{found['oldest_ms']} ms), {found['left_out']} left out; {found['lives']} lives known, "
            f"{found['folded_lives']} folded")
+    yield f"traffic: {found['traffic']} times the mean of all"
     for kind, budget in found["budgets"].items():
         wants = ", more would be used" if budget["lacks"] else ""
         late = f"; its own whole in {budget['whole_in_ms'] / 1000:.1f} s" if budget["whole_in_ms"] else ""
--- a/wickvane/shares/wire.py
+++ b/wickvane/shares/wire.py
@@ -20,21 +20,29 @@
 
 
 class Message(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
-    """levels: life, stamp, threads by engine, work ever by tenant; sums: life, key, figure; words of a
-    broker to this very receiver: verb, budget, number, units, asked at; opinions: life, stamp, engine with
-    tried, failed, slow in tenths."""
+    """levels: life, stamp, threads by engine; sums: life, key, figure; words of a broker to this very
+    receiver: verb, budget, number, units, asked at; opinions: life, stamp, engine with tried, failed, slow in
+    tenths; works: life, stamp, work ever by tenant in ms."""
 
     version: Annotated[int, msgspec.Meta(ge=VERSION, le=VERSION)] = VERSION
-    levels: Annotated[list[tuple[Life, Whole, Levels, Works]], msgspec.Meta(max_length=64)] = []
-    sums: Annotated[list[tuple[Life, Key, Whole]], msgspec.Meta(max_length=64)] = []
+    levels: Annotated[list[tuple[Life, Whole, Levels]], msgspec.Meta(max_length=64)] = []
+    sums: Annotated[list[tuple[Life, Key, Whole]], msgspec.Meta(max_length=128)] = []
     words: Annotated[list[Word], msgspec.Meta(max_length=16)] = []
-    opinions: Annotated[list[tuple[Life, Whole, Rows]], msgspec.Meta(max_length=32)] = []
+    opinions: Annotated[list[tuple[Life, Whole, Rows]], msgspec.Meta(max_length=64)] = []
+    works: Annotated[list[tuple[Life, Whole, Works]], msgspec.Meta(max_length=64)] = []
 
 
 WORDS_MOST = 16  # in one datagram
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
 
+def size(name, *figures):
+    """Octets of a row of a name and whole figures."""
+    octets = len(name.encode())
+    return 1 + octets + (1 if octets < 32 else 2) + sum(
+        1 if n < 128 else 2 if n < 256 else 3 if n < 1 << 16 else 5 if n < 1 << 32 else 9 for n in figures)
+
+
 def seal(**parts):
     return ENCODER.encode(Message(**parts))
 
