Bounds are cut also where no answer comes in time, and none ever would again

Cause: a pool slowed four times, its load spread evenly: each engine held twice its cores, all queries took eight times their time, none ended in time, and only an answer cuts the bound. 11 of some 5,000 queries ended in 6 s; the median was known (8.5 times the best, of what is overdue), the width stayed at 1.8 to 2. Alone some engines happened to be easy, so that a few answers came and cut it. Excluded: opinions, lent parts and charges, each by itself as alone; a lower least width, which was never reached.

--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -101,8 +101,8 @@
         self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
         self.others, self.others_at = [], []  # threads that others told that they hold, and when
         self.lasting = 0.0  # how long that counts
-        # Of bounds, and of what cold engines get: (in parts of what is configured, until when, what then),
-        # which others may lend and borrow; what of it holds now; whether more was wanted of the latter.
+        # Of bounds and of what cold engines get, which may be lent: (in parts of what is configured, until
+        # when, what then); what holds now; whether more was wanted of the latter.
         self.parts, self.share, self.denied = [(1.0, FOREVER, 1.0)] * 2, [1.0, 1.0], False
         self.used_at, self.kept_open = [], site.kept_open  # engines: when last sent to or heard of
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
@@ -267,8 +267,7 @@
             self.deficit[t] = max(self.deficit[t] - over, min(self.deficit[t], most))
 
     def judged(self, e, bad, slow, age):
-        """What several others found of an engine, as long as nothing later was found here. bad: it fails;
-        slow: against the usual, 0: not told."""
+        """What several found of an engine, where nothing later was found here; slow: against the usual."""
         if bad and self.heard[e] < self.now - age:
             self.aside[e] = max(self.aside[e], self.now + HEARSAY)
             self.fit.clear()
@@ -277,8 +276,7 @@
             self.crowd_at[e] = self.now - age
 
     def needs(self):
-        """Of bounds and of what cold engines get, for whoever lends and borrows: what is in use, in parts of
-        what is configured, and whether more would be used."""
+        """By budget, what is in use, in parts of what is configured, and whether more would be used."""
         self.pool = None
         self.pool_left()
         cold = [sum(w for at, w in self.sent_work[e] if at > self.now - self.fall_time)
@@ -592,8 +590,8 @@
             self.extra_at.popleft()
         while self.taken_at and self.taken_at[0] <= self.now - self.extra_window + 4:
             self.taken_at.popleft()
-        few = len(self.extra_at) + 1 <= self.extra_free + self.extra_share * len(self.taken_at)
-        return few or not self.extra_window
+        most = self.extra_free + self.extra_share * len(self.taken_at)
+        return len(self.extra_at) + 1 <= most or not self.extra_window
 
     def submit(self, qy, e):
         g = self.groups[qy.rg]
@@ -698,6 +696,9 @@
             if not qy.counted and slower * self.warmth(e) > OVERDUE * max(self.median, self.easy):
                 qy.counted, self.median = True, self.median * MID_STEP
                 self.crowd_mid = self.median / self.easy
+                # Where all end too late no answer comes that would cut the bound, and none ever does again.
+                if self.crowd_mid > CROWDED and now - self.answer_at > SECOND // 2:
+                    self.narrow()
             if qy.over:
                 continue
             useless = self.may_cancel and g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target
