--- a/wickvane/policy/agreement.py
+++ b/wickvane/policy/agreement.py
@@ -142,9 +142,12 @@
 
     def asked_vote(self, sender, term, last_term, last_place, only_asks):
         newer = (last_term, last_place) >= self.last()
+        if only_asks and term <= self.term:
+            # Else one with the newest log and an old term would be refused for good, and elect nobody.
+            return self.say(sender, VOTE, self.term, False, False)
         if only_asks:
             quiet = self.now - self.leader_at >= ELECT_LEAST and self.role != LEADER
-            self.say(sender, VOTE, term, newer and quiet and term > self.term, True)
+            self.say(sender, VOTE, term, newer and quiet, True)
             return
         if term > self.term:
             self.follows(term, None)
--- a/wickvane/policy/lease.py
+++ b/wickvane/policy/lease.py
@@ -7,9 +7,10 @@
 lease on it then; only after that is the new number opened, by an entry of the log.
 
 Terms: a holder counts from when it asked, a voter from when it answered, which is later, and it waits longer
-by the stated drift of clocks. Whoever wakes from a standstill looks at its own clock before it serves. A voter
-that starts anew does not know what it lent: it calls nothing closed until a term and its drift are over. What
-it has closed is on disk before it is said. Times are tenths of a millisecond of clocks that do not step.
+by the stated drift of clocks. Whoever wakes from a standstill looks at its own clock before it serves. A
+voter that starts anew does not know what it lent: it calls nothing closed until a term and its drift are
+over. What it has closed is on disk before it is said. Times are tenths of a millisecond of clocks that do not
+step.
 """
 
 SECOND = 10_000
