--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -24,6 +24,7 @@
   wickvane peers (status | members | events) [--parts=FILE] [--state=DIR] [--json]
   wickvane peers leave [--parts=FILE] [--state=DIR]
   wickvane peers forget [--parts=FILE] [--state=DIR] NAME
+  wickvane policy check [--config=FILE] [--json] FILE
   wickvane shares status [--parts=FILE] [--state=DIR] [--json]
   wickvane version
   wickvane -h | --help
@@ -42,6 +43,7 @@
            stop steps or turn them back; agree: which of several dispatchers are behind.
   peers    What a dispatcher believes of the others: how it stands, members, events; leave: say so and serve
            alone; forget: a member that failed has left for good.
+  policy   What a policy would change of the settings, and whether it could be taken.
   shares   What a dispatcher holds together with others: parts of budgets, counts and their age, opinions.
   version  Print the version.
 
@@ -92,6 +94,10 @@
         from wickvane.peers.tool import main as peers
 
         return peers(asked)
+    if asked["policy"]:
+        from wickvane.policy.tool import main as policy
+
+        return policy(asked)
     if asked["shares"]:
         from wickvane.shares.tool import main as shares
 
