Shared state that nobody read goes, and what was said twice is said once

Cause: read once more. A row's octets were handed to each table of latest words though all count them alike; how often a word is sent on, and what needs nothing, stood twice; a counter and two names of steps were read by nobody; the divisor was imported at each telling of parts. Change: each stands once, behaviour as it was.

--- a/wickvane/policy/course.py
+++ b/wickvane/policy/course.py
@@ -26,8 +26,6 @@
 CLOSE_MOST = 60 * SECOND  # a change that no majority closes for is abandoned: too many voters are gone
 HISTORY_MOST, TEXT_MOST = 256, 65_536
 CHECKING, AGREEING, CLOSING, OPENING, DONE, REFUSED, ABANDONED = range(7)
-STEPS = "checking", "agreeing", "closing", "opening", "done", "refused", "abandoned"
-NEVER = -1
 
 
 def digest_of(text):
--- a/wickvane/shares/broker.py
+++ b/wickvane/shares/broker.py
@@ -57,7 +57,6 @@
         self.budgets = [Budget(now, *budget) for budget in budgets]
         self.configured, self.out = configured, []  # words to send: (life, word)
         self.number, self.told, self.taken, self.waiting = 0, None, 0, []
-        self.late = 0  # grants that came when they were of no more use
 
     # What may be used
 
@@ -152,7 +151,6 @@
                 budget.borrowed += units * (not before)
             elif not before and budget.escrow.asked.get(number, (life,))[0] == life:
                 # Given up meanwhile: its owner need not wait for the term.
-                self.late += 1
                 budget.escrow.stop(now, number)
                 self.out.append((life, (BACK, kind, number, 0, 0)))
             budget.open.pop(number, None)
--- a/wickvane/shares/charges.py
+++ b/wickvane/shares/charges.py
@@ -6,7 +6,6 @@
 tenant that a life is first heard of with, nobody knows how much is new: nothing is charged.
 """
 
-from wickvane.shares import wire
 from wickvane.shares.latest import Latest
 
 TOLD_MOST = 8  # tenants in one life's word: those that it gave most lately
@@ -17,7 +16,7 @@
 
 class Charges(Latest):
     def __init__(self, most=4096):
-        super().__init__(lambda row: wire.size(*row), most)
+        super().__init__(most)
         self.works, self.new = {}, {}  # life: {tenant: work}; tenant: what was not taken yet
         self.told = {}  # what this life told last
         self.asked, self.mine, self.mean = None, 0.0, 0.0
--- a/wickvane/shares/counts.py
+++ b/wickvane/shares/counts.py
@@ -17,13 +17,13 @@
 from itertools import islice
 
 from wickvane.shares import wire
+from wickvane.shares.latest import RELAYS
 
 SECOND = 10_000
 DRIFT = 1_000  # the least way grows by one in so many, so that two clocks that go apart are not seen as age
 FOLD_AFTER = 600 * SECOND
 FLOORS = 4096
 NEW_MOST, SLOW_MOST = 64, 4  # keys of one page: what is new, and of the slow round: it is against the rare
-RELAYS = 3  # levels are sent on so often: whom they miss the next ones reach
 KEY_RELAYS = 3  # the same of sums, times the digits of the number of lives
 # Octets of one life's levels and of a sum beside what wire.size() counts, and of a page.
 LEVEL, SUM, HEAD = 17, 7, 12
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -3,14 +3,13 @@
 from threading import Lock
 
 from wickvane import interface as i
-from wickvane.shares.spread import Offer
+from wickvane.shares.spread import NOTHING, Offer
 
 BUSY = 10_000  # without a query for so long, what others hold is nothing to this dispatcher
 LOOK = 1_000  # how often it is worked out what is needed
 FAILED = frozenset((i.ERROR, i.RESET, i.NO_CONNECTION, i.NO_ANSWER))
 SETTLING = 500  # added to the time expected, as the module does, so that a short pause is no slowness
 MET_MOST = 1024  # ends that wait to be told
-NOTHING = ((0.0, False), (0.0, False))
 
 
 class Box:
--- a/wickvane/shares/latest.py
+++ b/wickvane/shares/latest.py
@@ -4,15 +4,17 @@
 times: whom that misses, the next reaches.
 """
 
+from wickvane.shares import wire
+
 RELAYS = 3
 HEAD = 17  # octets of a word without its rows: life, stamp, their frames
 
 
 class Latest:
-    """size(row): octets of one row of a word; most: lives that are held."""
+    """A word's rows are a name and whole figures each; most: lives that are held."""
 
-    def __init__(self, size, most=4096):
-        self.size, self.most = size, most
+    def __init__(self, most=4096):
+        self.most = most
         self.said, self.fresh = {}, {}  # life: (stamp, rows), how often it was sent on
 
     def says(self, life, t, rows):
@@ -37,7 +39,7 @@
             t, rows = self.said[life]
             left, fit = room - HEAD, 0
             for row in rows:
-                left -= self.size(row)
+                left -= wire.size(*row)
                 if left < 0:
                     break
                 fit += 1
--- a/wickvane/shares/opinions.py
+++ b/wickvane/shares/opinions.py
@@ -17,7 +17,6 @@
 
 from statistics import median
 
-from wickvane.shares import wire
 from wickvane.shares.latest import Latest
 
 SECOND = 10_000
@@ -120,9 +119,6 @@
 class Opinions(Latest):
     """What each life said last of engines."""
 
-    def __init__(self, most=4096):
-        super().__init__(lambda row: wire.size(*row), most)
-
     def heard(self, age_of):
         """{name: (rows, age)}, as merge() takes it; age_of(life, stamp): None where it is not known."""
         found = {}
--- a/wickvane/shares/spread.py
+++ b/wickvane/shares/spread.py
@@ -8,6 +8,7 @@
 from functools import lru_cache
 
 from wickvane.peers.membership import ALIVE, SUSPECT, mark
+from wickvane.peers.standing import divisor
 from wickvane.shares import wire
 from wickvane.shares.broker import Broker
 from wickvane.shares.charges import Charges
@@ -20,6 +21,7 @@
 ROOM = 860  # octets of a datagram that are a rider's, beside its sender's own entry
 WORKS_ROOM, FRAMES = 300, 16  # of them, for what was given to tenants; and for what frames it all
 LASTS = 2 * SECOND  # levels older than that are not counted
+NOTHING = ((0.0, False),) * 2  # is needed of any budget
 CANDIDATES = 8  # members by lot, of which those with least at work are asked for parts
 
 
@@ -40,7 +42,7 @@
 
     __slots__ = ("levels", "sums", "works", "asked", "needs", "met", "ready", "taken")
 
-    def __init__(self, levels=None, sums=(), works=None, asked=0, needs=((0.0, False),) * 2, met=(),
+    def __init__(self, levels=None, sums=(), works=None, asked=0, needs=NOTHING, met=(),
                  ready=(), taken=0):
         self.levels, self.sums, self.works, self.needs = levels or {}, sums, works or {}, needs
         self.asked = asked
@@ -153,8 +155,6 @@
         return sorted(found, key=lambda life: sum(lives[life].levels.values()) if life in lives else 0)
 
     def tell_parts(self, now):
-        from wickvane.peers.standing import divisor
-
         found = self.broker.tell(now, divisor(self.node.configured, self.node.table))
         if found:
             self.out.parts(*found)
