A client, a window and an engine's end are looked at again right before an attempt is written

Cause, found by reading each path that ends something: a client that had gone was looked for every half second and not at all behind commands it had sent ahead, so an attempt could begin up to 0.5 s after it left (front.py, postgres/session.py vanished); the window for a keyed repeat was checked when the retry was decided, not after its connection had come up (choice.py may_resubmit); a connection that its engine had closed while idle was written to, which killed a non-idempotent query (connection.py flush); an answer that came an octet at a time never stood still (connection.py ready); at a stop resting sessions were woken by closing their reading side, so a request that crossed was reset, and commands read ahead were sent on after the end (front.py, service.py stop); connections still in the accept line were reset (listener.py close); a gap in the coordinator's numbers passed unseen; an engine that came back under its name and address was reached over old connections (decider.py change_lane).

Change: Exchange.may_start asks right before the first byte whether the client is there (POLLRDHUP), the query unanswered and its window open; the module tells the window's end with each submission. Sessions wait on their socket and a pipe that is readable once the program stops; what is read after that is refused with 57P03.

--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 from queue import Queue
-from threading import Thread
+from threading import Lock, Thread
 
 from wickvane import interface as i
 from wickvane.choice import Gateway
@@ -65,7 +65,7 @@
         done = ending == i.FINISHED or q in self.final
         self.round((i.ENDED, q, self.count[q] - 1, e, ending, elapsed, done, work, 0, None), after=after)
 
-    def submit(self, q, engine, wait):
+    def submit(self, q, engine, wait, start_by):
         self.sent[q].append((self.now, engine))
         self.out[q] = engine
         self.count[q] += 1
@@ -194,20 +194,40 @@
                 conn.sendall(answer)
 
 
+class LatestQueue:
+    """What is put in goes to whoever subscribed last; before anybody has, it waits."""
+
+    def __init__(self):
+        self.lock, self.current = Lock(), Queue()
+        self.subscribed = False
+
+    def put(self, item):
+        with self.lock:
+            self.current.put(item)
+
+    def subscribe(self):
+        with self.lock:
+            if self.subscribed:
+                self.current = Queue()
+            self.subscribed = True
+            return self.current
+
+
 class Events(Stand):
     """A coordinator: each connection's Last-Event-ID is told, then what the test puts in is sent."""
 
-    def __init__(self):
-        self.send = Queue()
-        super().__init__()
+    def __init__(self, port=0):
+        self.send = LatestQueue()
+        super().__init__(port)
 
     def serve(self, conn, lines):
         head = []
         while line := lines.readline().strip():
             head.append(line)
+        messages = self.send.subscribe()
         self.came.put(("connected", dict(part.split(b": ", 1) for part in head[1:])[b"Last-Event-ID"]))
         conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n")
-        while (text := self.send.get()) is not None:
+        while (text := messages.get()) is not None:
             conn.sendall(text)
         conn.close()
 
@@ -239,8 +259,9 @@
 class Dispatcher:
     """The real program's threads in this process, on a free port, with its log in a file."""
 
-    def __init__(self, *engines, coordinator=None, **limits):
+    def __init__(self, *engines, coordinator=None, settings=None, **limits):
         self.found = found(engines, coordinator or Events(), **limits)
+        self.found["settings"] = settings or SETTINGS
         self.log = tempfile.TemporaryFile()
         STANDING.append(self.log)
         self.service = Service(self.found, self.log.fileno())
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -161,7 +161,7 @@
     def __init__(self):
         self.sent, self.deferred, self.killed, self.cancelled = {}, [], [], []
 
-    def submit(self, q, engine, wait):
+    def submit(self, q, engine, wait, start_by):
         assert q not in self.sent
         self.sent[q] = engine
 
@@ -298,7 +298,7 @@
     def round(self, now, events, out):
         for event in events:
             if event[0] == i.TAKEN:
-                out.submit(event[1], 0, 0)
+                out.submit(event[1], 0, 0, i.FOREVER)
             elif event[0] == i.ENDED:
                 self.heard.append((event[1], event[4]))
                 if not event[6]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -45,7 +45,7 @@
     def may_have_run(self, q):
         return [s for s in self.history[q] if s[2] is None or s[2] < i.TURNED_AWAY]
 
-    def submit(self, q, engine, wait):
+    def submit(self, q, engine, wait, start_by):
         _, rg, key, came, left = self.taken[q]
         g, now = self.site.groups[rg], self.now
         state, zone, kind, cell, started = self.told[engine]
@@ -83,8 +83,12 @@
             part = self.site.fall_multiple * capacity / self.site.gateways
             # One query beyond a part of less than one goes by lot: the next test adds up all gateways.
             self.must(work <= part or (part < mean and work == mean), "4 cold")
+        may_have_run = self.may_have_run(q)
+        window_binds = may_have_run and g.effect == i.TOKENED
+        window_end = may_have_run[0][3] + g.repeat_window if window_binds else 1 << 62
+        self.must(start_by == window_end, "2 told when its window ends")
         self.history[q].append([None, engine, None, now])
-        super().submit(q, engine, wait)
+        super().submit(q, engine, wait, start_by)
 
     def defer(self, q, stay_away):
         g = self.site.groups[self.taken[q][1]]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -22,7 +22,6 @@
     Events,
     entry,
     event,
-    found,
     hit,
     reset,
     rows,
@@ -312,7 +311,8 @@
 def test_an_id_that_is_open_is_not_taken_again_nor_called_harmless():
     engine = Engine(lambda txn, words: b"")
     dispatcher = Dispatcher(engine)
-    Client(dispatcher).send(statement(n=3))
+    first = Client(dispatcher)  # held: a client that has gone is sent nothing for
+    first.send(statement(n=3))
     engine.next("ASK")
     assert sqlstate(Client(dispatcher).ask(statement(n=3))) == "55000"
     assert dispatcher.service.counters.shown()["taken"] == 1
@@ -454,26 +454,6 @@
 # Life, as a process of its own
 
 
-@pytest.fixture
-def started(tmp_path):
-    ended = []
-
-    def start(*engines, **changes):
-        told = found(engines, Events()) | changes
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps(told))
-        process = subprocess.Popen([sys.executable, "-m", "wickvane", "serve"], stdout=subprocess.PIPE,
-                                   stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(path)})
-        process.found, process.path = told, path
-        ended.append(process)
-        return process
-
-    yield start
-    for process in ended:
-        process.kill()
-        process.communicate()
-
-
 def lines(process):
     return (json.loads(line) for line in process.stdout)
 
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -22,6 +22,7 @@
 from random import Random
 
 from wickvane import interface as i
+from wickvane.query import Query
 
 SECOND = 10_000
 FIRST_ENGINES = 3  # of the hash order, among which the least loaded takes the query
@@ -37,7 +38,7 @@
 HEARD_GAPS = 3.0  # it takes to hear of all engines once, where that is longer
 QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
-STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, 1 << 62, 4096
+STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, i.FOREVER, 4096
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
@@ -52,7 +53,6 @@
 RUNAWAY = 3.0  # time still to run over a fresh start's, from which a new plan is worth the lost work
 
 
-
 def hash_place(rank, coord):
     """Where an engine, by its own id, stands in a table group's shared order; what proxies are told too."""
     return blake2b(rank + b"/" + str(coord).encode(), digest_size=8).digest()
@@ -63,12 +63,6 @@
     return 1.0 if age >= cold_time else cold_from + (1 - cold_from) * max(0, age) / cold_time
 
 
-class Query:
-    __slots__ = ("q", "rg", "tenant", "cost", "need", "key", "coord", "limit", "target", "hold", "out",
-                 "engine", "sent", "tries", "ran_at", "ran_on", "over", "known_slow", "priority", "share",
-                 "density", "erred", "counted")
-
-
 class Gateway:
     def __init__(self, seed, site):
         self.chance = Random(seed)
@@ -604,7 +598,7 @@
             self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
         self.set_terms(qy)
-        self.out.submit(qy.q, e, 0)
+        self.out.submit(qy.q, e, 0, self.repeat_by(qy))
 
     def set_terms(self, qy):
         g = self.groups[qy.rg]
@@ -625,11 +619,15 @@
 
     # What ends
 
-    def may_resubmit(self, qy):
+    def repeat_by(self, qy):
+        """When a repeat of what may have run has to be on its way: a token makes it harmless for so long."""
         g = self.groups[qy.rg]
-        harmless = (qy.ran_at is None or g.effect == i.READ_ONLY
-                    or g.effect == i.TOKENED and self.now < qy.ran_at + g.repeat_window)
-        return harmless and qy.erred != -1 and qy.tries < self.most_tries and self.now < self.last_start(qy)
+        return FOREVER if qy.ran_at is None or g.effect != i.TOKENED else qy.ran_at + g.repeat_window
+
+    def may_resubmit(self, qy):
+        harmless = qy.ran_at is None or self.groups[qy.rg].effect != i.MUTATING
+        return (harmless and qy.erred != -1 and qy.tries < self.most_tries
+                and self.now < min(self.repeat_by(qy), self.last_start(qy)))
 
     def give_up(self, qy):
         g = self.groups[qy.rg]
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -41,6 +41,7 @@
 READ_ONLY, TOKENED, MUTATING = range(3)
 ANY_ENGINE, SAME_ZONE, SAME_CELL = range(3)
 BOUNDS, COLD = range(2)
+FOREVER = 1 << 62  # a time that never comes
 SHARE_DONE, SPILLS, WAITS = 1, 2, 3
 
 
@@ -92,7 +93,8 @@
 
 
 class Writer(Protocol):
-    def submit(self, q: int, engine: int, wait: int) -> None: ...  # wait 0: until the client gives up
+    # wait 0: until the client gives up. It must not begin at start_by or later, whatever holds it up.
+    def submit(self, q: int, engine: int, wait: int, start_by: int) -> None: ...
 
     def defer(self, q: int, stay_away: int) -> None: ...
 
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -135,6 +135,7 @@
         self.address, self.told, self.log, self.counters = address, told, log, counters
         self.sock, self.stopping, self.lock, self.hurry = None, False, Lock(), Event()
         self.chance, self.last, self.pause = Random(f"{seed}/coordinator"), 0, PAUSE_FIRST
+        self.gap_at = -1  # the number before a gap that has been asked for
         index, events = known
         for event in events:
             self.tell(event)
@@ -227,5 +228,10 @@
             event = read_event(orjson.loads(data))
         except orjson.JSONDecodeError:
             raise Malformed("an event is no JSON") from None
+        number, whole, _ = event
+        if self.last and number > self.last + 1 and not whole and self.gap_at != self.last:
+            # What lies in between may be the end of an engine. One that stays a gap when asked for is none.
+            self.gap_at = self.last
+            raise Malformed(f"event {number} came after {self.last}")
         self.tell(event)
         self.pause = PAUSE_FIRST
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -160,8 +160,10 @@
         if state != i.READY:
             if lane:
                 lane.put(("drain",), always=True)
-        elif lane is None or lane.address != address:
-            # An address that another engine had before must not be reached over that one's connections.
+                lane.gone = state == i.GONE
+        elif lane is None or lane.gone or lane.address != address:
+            # Another process must not be reached over the connections of the one before it at that name or
+            # address: where its machine has vanished, they stay open and silent.
             if lane:
                 lane.put(("close",), always=True)
             self.lanes[name] = Lane(name, address, started, speaks, self.exchange.calls)
@@ -182,11 +184,11 @@
 
     # What was decided
 
-    def submit(self, q, engine, wait):
+    def submit(self, q, engine, wait, start_by):
         ticket, name = self.book.queries.names[q], self.book.engines.names[engine]
         until = min(ticket.limit, self.now + wait) if wait else ticket.limit
         lane = self.lanes.get(name)
-        ticket.submission = Submission(ticket, ticket.count, engine, lane, self.now, until)
+        ticket.submission = Submission(ticket, ticket.count, engine, lane, self.now, until, start_by)
         ticket.count += 1
         self.book.submitted(q, name)
         ticket.stages.setdefault("submitted", self.now)
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -13,6 +13,7 @@
 
 FINISHED, DEFERRED, KILLED, LEFT = "finished", "deferred", "killed", "left"
 INBOX_MOST, LANE_MOST = 20_000, 4_000
+STOPS = "57P03"  # the SQLSTATE of what a dispatcher that ends does not take
 
 
 class NotTaken(Exception):
@@ -49,7 +50,7 @@
     __slots__ = (
         "id", "rg", "verb", "limit", "tenant", "token", "key", "cost", "memory", "coord", "body", "tag",
         "arrived", "q", "count", "urgency", "submission", "asked_on", "answer", "pages", "ready", "stages",
-        "why", "away", "source",
+        "why", "away", "source", "client",
     )
 
     def __init__(self, arrived, limit, **read):
@@ -59,17 +60,21 @@
         self.q, self.count, self.urgency, self.submission, self.asked_on = -1, 0, -1, None, []
         self.answer, self.pages, self.stages, self.why = None, None, {}, ""
         self.away, self.source = 0, None
+        self.client = None  # its session, which tells whether the client is still connected
         self.ready = Lock()
         self.ready.acquire()
 
 
 class Submission:
-    __slots__ = ("ticket", "number", "engine", "lane", "at", "until", "over", "written", "pages", "told",
-                 "work", "memory")
+    """One attempt. start_by: when its first byte has to be on its way, or it is not sent any more."""
 
-    def __init__(self, ticket, number, engine, lane, at, until):
+    __slots__ = ("ticket", "number", "engine", "lane", "at", "until", "start_by", "over", "written", "pages",
+                 "told", "work", "memory")
+
+    def __init__(self, ticket, number, engine, lane, at, until, start_by=None):
         self.ticket, self.number, self.engine, self.lane = ticket, number, engine, lane
         self.at, self.until, self.over, self.written = at, until, False, False
+        self.start_by = until if start_by is None else min(until, start_by)
         self.pages, self.told, self.work, self.memory = None, 0, 0, 0
 
 
@@ -117,6 +122,7 @@
         super().__init__(LANE_MOST)
         self.name, self.address, self.started, self.speaks = name, address, started, speaks
         self.calls, self.link = calls, None
+        self.gone = False  # the engine has left the list
 
     def put(self, item, always=False):
         with self.more:
@@ -179,11 +185,14 @@
         self.inbox, self.calls = Line(INBOX_MOST), Calls()
         self.cancels, self.open, self.next_pid, self.groups = {}, set(), 0, []
         self.storm = 0  # the number of the retry storm that lasts, 0 for none
+        self.closed = False
 
     # Clients
 
     def take(self, ticket):
         with self.lock:
+            if self.closed:
+                raise NotTaken(STOPS, "the dispatcher stops; it may be sent again")
             if ticket.id in self.open:
                 # Not of class 53: that would tell that trying again is harmless, and the open one may run.
                 raise NotTaken("55000", "a query with this txn is open")
@@ -194,6 +203,23 @@
             raise NotTaken("53000", "too much is waiting to be decided on")
         self.counters.add("taken")
 
+    def close(self):
+        """Takes no query from here on: each is told that it may be sent again."""
+        with self.lock:
+            self.closed = True
+
+    def may_start(self, submission):
+        """Whether an attempt may still begin, asked right before its first byte is written. What was true
+        when it was decided may not be any more: it waited for a connection, or its client has gone."""
+        ticket = submission.ticket
+        if ticket.answer is not None or self.clock.now() >= submission.start_by:
+            return False
+        if ticket.client is not None and ticket.client.has_gone():
+            self.counters.add("clients-gone-before-an-attempt")
+            self.leave(ticket)
+            return False
+        return True
+
     def leave(self, ticket, answer=LEFT):
         if self.settle(ticket, answer):
             self.inbox.put(("left", ticket), always=True)
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -6,6 +6,7 @@
 nothing else.
 """
 
+import select
 import socket
 import time
 from struct import unpack_from
@@ -18,8 +19,11 @@
 # who has asked once and stays would hold descriptors for good.
 FIRST_S, IDLE_S, MESSAGE_S, WRITE_S = 2.5, 5.0, 2.0, 5.0
 RECV = 8_192  # at a time: a larger buffer is paid by each of many threads
-PEEK_S = 0.5  # how soon a client that vanished while it waits is noticed; each look costs a thread's waking
-FAREWELL_S = 0.25
+# How soon a client that vanished while its query is out is noticed; each look costs a thread's waking. It is
+# also looked for right before an attempt, so that nothing begins for one that has gone.
+PEEK_S = 0.5
+FAREWELL_S, FAREWELL_MOST = 0.25, 1 << 20  # for what a client still sends after its last message, in all
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 STREAM_S = 1.0  # between looks for a client while a long result stands still
 OVERDUE = 300  # past its limit: a query is answered here if the module's own thread is stuck or lost it
 STORM_TEXT = "a retry storm lasts: try again only after the time that a deferral tells, one try at a time"
@@ -38,11 +42,13 @@
     """One client's connection."""
 
     idle_s = None  # how long one that asks nothing is kept, where it is not IDLE_S
+    peek_s = None  # how often a waiting query's client is looked at, where it is not PEEK_S
 
     def __init__(self, sock, peer, service, full):
         self.sock, self.peer, self.full = sock, peer, full
         self.exchange, self.reader, self.clock = service.exchange, service.reader, service.clock
         self.log, self.counters, self.stopping = service.log, service.counters, service.stopping
+        self.stop_descriptor = service.stop_descriptor
         self.buffer, self.ticket, self.pid, self.queries, self.idle = bytearray(), None, 0, 0, True
         self.since, self.sent_away, self.first_by = service.clock.now(), False, time.monotonic() + FIRST_S
         # Octets that came, those of them whose group is known by now, and those that went.
@@ -88,8 +94,9 @@
             self.put(last)
             self.sock.shutdown(socket.SHUT_WR)
             # Input left unread would turn the close into a reset, which can overtake the last message.
-            self.sock.settimeout(FAREWELL_S)
-            for _ in range(16):
+            until, most = time.monotonic() + FAREWELL_S, self.received + FAREWELL_MOST
+            while (left := until - time.monotonic()) > 0 and self.received < most:
+                self.sock.settimeout(left)
                 data = self.sock.recv(65_536)
                 if not data:
                     break
@@ -160,18 +167,26 @@
         return data
 
     def await_first(self, stop):
-        """The first byte of a next message; `stop` is what the client is told where the dispatcher ends."""
-        if self.stopping.is_set():
-            raise stop
+        """The first byte of a next message; `stop` is what the client is told where the dispatcher ends. What
+        came before that end is read first, since it is owed an answer."""
         self.since = self.clock.now()
-        try:
-            self.want(1, time.monotonic() + (self.idle_s or IDLE_S))
-        except TimeoutError:
-            raise Ended("idle") from None
-        except Ended as end:
-            raise (stop if self.stopping.is_set() else end) from None
+        until = time.monotonic() + (self.idle_s or IDLE_S)
+        if not self.queries:
+            until = min(until, self.first_by)
+        readable = self.await_input(until)
+        if not readable:
+            raise stop if self.stopping.is_set() else Ended("idle")
+        self.want(1, until)
         self.sent_away = False  # it asked just as it was to go
 
+    def await_input(self, until):
+        """Whether there is something to read before `until` and before the dispatcher ends."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        poll.register(self.stop_descriptor, select.POLLIN)
+        ready = dict(poll.poll(max(0, until - time.monotonic()) * 1000))
+        return self.sock.fileno() in ready
+
     # Queries
 
     def ask(self, text, arrived, **marks):
@@ -180,7 +195,7 @@
         try:
             self.queries += 1
             ticket = ex.Ticket(arrived, **self.reader.read(text, **marks))
-            ticket.source = self.peer
+            ticket.source, ticket.client = self.peer, self
             self.claim((ticket.rg, ticket.tenant))
             self.ticket = ticket
             try:
@@ -208,13 +223,24 @@
 
     def wait(self, ticket):
         due = ticket.limit + OVERDUE
-        while not ticket.ready.acquire(timeout=max(0.001, min(PEEK_S, (due - self.clock.now()) / 10_000))):
+        look_s = self.peek_s or PEEK_S
+        while not ticket.ready.acquire(timeout=max(0.001, min(look_s, (due - self.clock.now()) / 10_000))):
             if self.vanished():
                 self.exchange.leave(ticket)
             elif self.clock.now() >= due:
                 self.counters.add("overdue")
                 self.exchange.leave(ticket, ex.KILLED)
 
+    def has_gone(self):
+        """Whether the client has closed or reset its connection, also behind what it sent before. From any
+        thread; reads nothing and does not wait."""
+        try:
+            poll = select.poll()
+            poll.register(self.sock, select.POLLRDHUP)
+            return any(events & GONE for _, events in poll.poll(0))
+        except (OSError, ValueError):
+            return True  # its session has closed it
+
     def answer(self, ticket):
         kind, storm = ticket.answer, self.exchange.storm
         if storm and storm != self.warned:
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -93,7 +93,7 @@
         self.open, self.past, self.outbox, self.rest = {}, {}, deque(), None
         self.sock, self.dead, self.up, self.retired = None, False, False, False
         self.found = None  # an engine's address, where the list has its name
-        self.stalled, self.links_stop = 0, False
+        self.stalled, self.links_stop, self.started = 0, False, False
         self.made = self.used = link.clock.now()
         self.asked, self.buffer, self.midway = 0, bytearray(), 0
         # When the keeper looks at it next, and whether it is called to.
@@ -182,14 +182,16 @@
         dropped = []
         while self.outbox:
             kind, *more = self.outbox.popleft()
-            # Answered while it waited here, by its client's going or by its session: not sent at all.
-            if kind == "ask" and more[0].ticket.answer is not None:
-                dropped.append((more[0], i.NOT_SENT))
-                continue
-            data = self.FORMS[kind](self, *more)
-            if not data:
-                continue
+            if kind == "ask":
+                if not self.link.exchange.may_start(more[0]):
+                    dropped.append((more[0], i.NOT_SENT))
+                    continue
             try:
+                if kind == "ask":
+                    self.check_idle_close()
+                data = self.FORMS[kind](self, *more)
+                if not data:
+                    continue
                 sent = self.send(data)
             except OSError as failure:
                 return failure, dropped
@@ -232,6 +234,18 @@
         if not self.rest:
             self.link.links.watch(self, self.READS)
 
+    def check_idle_close(self):
+        """Raises where the engine has closed the connection while nothing was open on it: what is written
+        after that is lost without proof that it never ran."""
+        if len(self.open) > 1 or not self.asked:
+            return
+        try:
+            closed = self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return
+        if closed:
+            raise ConnectionResetError(errno.ECONNRESET, "closed by the engine while idle")
+
     def send(self, data):
         try:
             return self.sock.send(data, socket.MSG_DONTWAIT)
@@ -384,12 +398,19 @@
         self.buffer += data
         self.received += len(data)
         before = len(self.buffer)
+        whole = False
         while not self.dead and (answer := parse(self.buffer)):
             size, before = before - len(self.buffer), len(self.buffer)
             self.answer(*answer, size)
-        began, self.midway = not self.midway, self.link.clock.now() if self.buffer else 0
-        if began and self.midway:
-            self.link.links.call(self)
+            whole = True
+        # Counted from the first octet of an answer that is not whole: else one octet now and then would
+        # keep it from ever standing still.
+        if not self.buffer:
+            self.midway = 0
+        elif whole or not self.midway:
+            first, self.midway = not self.midway, self.link.clock.now()
+            if first:
+                self.link.links.call(self)
 
     def answer(self, txn, word, fields, body, size):
         with self.lock:
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -42,31 +42,41 @@
         if now >= sub.until or sub.ticket.answer is not None or now - sub.at >= self.links.stale:
             self.exchange.end(sub, i.NOT_SENT)
             return
-        with self.lock:
-            connections = list(self.connections)
-        # What a connection that is spoilt or reset takes along is kept small: one query on each while there
-        # are descriptors for it, then where fewest are. One that died meanwhile proves that nothing ran.
-        fit = [next((c for c in connections if not c.open and c.takes(sub, now)), None)]
-        opened = fit[0] is None and self.links.may_open()
-        if fit[0] is None and not opened:
-            fit = sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
-        if opened:
-            fit = [self.lane.speaks.connection(self) if self.lane.speaks else Connection(self)]
-            with self.lock:
-                self.connections.append(fit[0])
-            self.links.opened(fit[0])
-            self.counters.add("engine-connections")
-        place = next((c for c in fit if c.put("ask", sub)), None)
+        # One that died meanwhile proves that nothing ran.
+        place = next((c for c in self.candidates(sub, now) if c.put("ask", sub)), None)
         if place is None:
             self.exchange.end(sub, i.NOT_SENT)
             return
         self.links.in_use(place)
-        if opened:
+        if not place.started:
+            place.started = True
             # Not before the order is in: one refused at once would end it as never sent, and the module would
             # not hear that the engine is down.
             place.start()
         self.links.later(sub.until, sub)
 
+    def candidates(self, sub, now):
+        """The connections that may carry an attempt, best first. What one that is spoilt or reset takes along
+        is kept small: one query on each while there are descriptors for it, then where fewest are."""
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            if not connection.open and connection.takes(sub, now):
+                yield connection
+        if self.links.may_open():
+            yield self.open_connection()
+            return
+        yield from sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
+
+    def open_connection(self):
+        """A connection that is not dialled yet."""
+        connection = self.lane.speaks.connection(self) if self.lane.speaks else Connection(self)
+        with self.lock:
+            self.connections.append(connection)
+        self.links.opened(connection)
+        self.counters.add("engine-connections")
+        return connection
+
     def find(self, sub):
         with self.lock:
             connections = list(self.connections)
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -1,5 +1,6 @@
 """Takes in connections and gives each its session."""
 
+import select
 import socket
 import time
 from collections import deque
@@ -8,6 +9,7 @@
 BACKLOG = 256
 SPARE = 16  # connections past the most: to be told so, and for cancels, which matter most then
 ROOM_TRIES, ROOM_S, FRESH = 10, 0.005, 2_500
+LINE_S = 0.5  # for connections that wait to be taken in as the dispatcher ends
 LINGER = 32  # of those that are not let in, kept open a while: a close ahead of what they send is a reset
 PEEK = 8
 
@@ -113,6 +115,12 @@
                 self.sessions.discard(session)
 
     def close(self):
+        """Ends taking in connections, once those that the machine has accepted have their sessions: a close
+        would reset what waits in line, with what it has asked already."""
+        waiting, until = select.poll(), time.monotonic() + LINE_S
+        waiting.register(self.sock, select.POLLIN)
+        while waiting.poll(0) and time.monotonic() < until:
+            time.sleep(ROOM_S)
         self.closed = True
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -120,9 +128,6 @@
             pass
         self.sock.close()
 
-    def close_idle(self):
+    def open_sessions(self):
         with self.lock:
-            sessions = list(self.sessions)
-        for session in sessions:
-            session.close()
-        return len(sessions)
+            return len(self.sessions)
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -101,6 +101,9 @@
             elif kind == b"H" or skipping and kind in b"PBEDCFQdcfp":
                 continue
             elif kind == b"Q":
+                # Who sends many commands at once and goes wants none of those left.
+                if self.queries and self.has_gone():
+                    raise Ended("client-closed")
                 self.query(body)
             elif kind in EXTENDED:
                 skipping = kind != b"F"
@@ -116,7 +119,7 @@
         self.idle = not self.buffer
         try:
             if self.idle:
-                self.await_first(Ended("stop", error("57P01", "the dispatcher stops", b"FATAL")))
+                self.await_first(Ended("stop", error("57P03", "the dispatcher stops", b"FATAL")))
         finally:
             self.idle = False
         until = time.monotonic() + MESSAGE_S
@@ -153,10 +156,10 @@
 
     def vanished(self):
         if self.buffer:
-            return False
+            return self.has_gone()  # commands that wait behind the query hide an end of the connection
         try:
             self.sock.settimeout(0)
-            return self.sock.recv(1, socket.MSG_PEEK) in (b"", b"X")
+            return self.sock.recv(1, socket.MSG_PEEK) in (b"", b"X") or self.has_gone()
         except BlockingIOError:
             return False
         except OSError:
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -31,7 +31,7 @@
 # Each of many threads that wait for the interpreter wakes as often as this to ask for it: with a hundred of
 # them, a short interval spends the core on waking. None computes for long, so a long one delays nobody.
 SWITCH_S = 0.5
-OTHERS = 12  # descriptors that are neither clients' nor engines'
+OTHERS = 14  # descriptors that are neither clients' nor engines'
 COMING_S = 0.75  # connections and requests go on coming after SIGTERM
 KILL_AFTER, TIMEOUT_MOST = 7_000, 30_000  # SIGKILL comes so long after the longest queue timeout, itself cut
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
@@ -108,6 +108,8 @@
 
     def __init__(self, found, log_to=1, parts=None):
         self.clock, self.counters, self.stopping = Clock(), Counters(), threading.Event()
+        # Readable once `stopping` is set: wakes all that wait for their clients to ask something.
+        self.stop_descriptor, self.stop_writer = os.pipe2(os.O_CLOEXEC | os.O_NONBLOCK)
         self.log = Log(log_to, self.clock)
         self.threads = Threads(self.log, self.counters)
         self.fronts, self.speaks, self.lister, self.accounts = (), None, None, None
@@ -276,10 +278,13 @@
         time.sleep(COMING_S)
         for listener in self.listeners:
             listener.close()
+        # What is read from here on is answered, and not sent on.
+        self.exchange.close()
         self.stopping.set()
+        os.write(self.stop_writer, b"\0")
         # A client that does not read its answer is not waited for into the kill.
         by = began + left / 10_000 - 0.05
-        while sum(listener.close_idle() for listener in self.listeners) and time.monotonic() < by:
+        while any(listener.open_sessions() for listener in self.listeners) and time.monotonic() < by:
             time.sleep(0.02)
         self.links.stop()
         if self.coordinator:
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -40,6 +40,7 @@
 
 class Session(Front):
     TOO_MANY = frame(RESULT, failed(errors.TOO_MANY, "too many clients", 20))
+    peek_s = 0.08  # an attention comes on the connection of its query, which nobody reads meanwhile
     door = None  # what the parts document says of this listener: set by its class of sessions
 
     def __init__(self, sock, peer, service, full):
@@ -293,7 +294,8 @@
         return frame(RESULT, failed(errors.INTERNAL, "internal error", 20))
 
     def unusable(self, unusable):
-        return self.framed(failed(errors.UNUSABLE, f"{unusable.sqlstate}: {unusable.text}"))
+        number = errors.STOPPING if unusable.sqlstate == ex.STOPS else errors.UNUSABLE
+        return self.framed(failed(number, f"{unusable.sqlstate}: {unusable.text}"))
 
     def framed(self, body):
         data, self.prefix = frame(RESULT, self.prefix + body, self.size, SPID), b""
--- a/wickvane/rehearsal/baselines.py
+++ b/wickvane/rehearsal/baselines.py
@@ -50,7 +50,7 @@
         e = self.chosen(fit)
         self.out[e] += 1
         self.open[q] = group
-        out.submit(q, e, 0)
+        out.submit(q, e, 0, i.FOREVER)
 
     def ended(self, out, q, submission, e, ending, elapsed, complete, work, memory, report):
         self.out[e] -= 1
--- a/wickvane/rehearsal/world.py
+++ b/wickvane/rehearsal/world.py
@@ -175,7 +175,7 @@
 
     # The writer
 
-    def submit(self, q, engine, wait):
+    def submit(self, q, engine, wait, start_by):  # what is decided is on its way at once
         query, process = self.queries[q], self.engines[engine]
         submission = len(query.submissions)
         query.submissions.append([self.world.now, None, False, process])
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -80,9 +80,9 @@
             self.box.asked += ticket.cost or int(self.gateway.mean[ticket.rg])
             self.tally("taken", ticket)
 
-        def submit(self, q, engine, wait):
+        def submit(self, q, engine, wait, start_by):
             self.box.count(f"sent/{self.book.engines.names[engine]}")
-            super().submit(q, engine, wait)
+            super().submit(q, engine, wait, start_by)
 
         def ended(self, submission, ending, elapsed, complete):
             super().ended(submission, ending, elapsed, complete)
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -108,7 +108,7 @@
     def act(self, kind, **fields):
         self.actions.append({"type": kind, **fields})
 
-    def submit(self, q, engine, wait):
+    def submit(self, q, engine, wait, start_by):  # on the wire a decision acts at once
         node = self.book.engines.names[engine]
         self.book.submitted(q, node)
         self.act("hand_off", id=self.name(q), node=node, max_wait_ms=wait / 10)
