--- /dev/null
+++ b/tests/test_cold_fleets.py
@@ -0,0 +1,111 @@
+"""Cold engines under the sum of a whole fleet, each dispatcher knowing its own part alone.
+
+Generated fleets in virtual time, counted at the engines by a plain model.
+"""
+
+from math import sqrt
+from random import Random
+
+import pytest
+from bench_free import Gateways, group, i, site
+
+from wickvane.choice import Gateway
+
+BUSY, CORES, STEP = 0.85, 8, 500  # the share of cores that is an engine's capacity; a step in tenths of a ms
+FALL_MULTIPLE, FALL_TIME, COLD_FROM, COLD_TIME = 2.5, 30_000, 0.3, 150_000
+
+
+def budget(age, mean_work):
+    """How many queries of mean work an engine of this age may get in a window, chance allowed for."""
+    share = COLD_FROM + (1 - COLD_FROM) * min(1.0, age / COLD_TIME)
+    whole = FALL_MULTIPLE * BUSY * CORES * share * FALL_TIME / mean_work
+    return whole + 2 * sqrt(whole) + 2
+
+
+class Fleet:
+    """Dispatchers of uneven traffic before warm engines and cold ones that start at their own times."""
+
+    def __init__(self, seed):
+        self.chance = Random(seed)
+        self.size = self.chance.choice([2, 5, 12, 20, 30])
+        # Light ones, and ones of which one dispatcher's part of a cold engine holds less than one.
+        self.work = self.chance.choice([1500, 8000, 30_000])
+        self.site = site([group(timeout=200_000, promise=150_000)], gateways=self.size, fall_time=FALL_TIME,
+                         fall_multiple=FALL_MULTIPLE, cold_from=COLD_FROM, cold_time=COLD_TIME)
+        self.made, self.sent = 0, {}
+        self.dispatchers = [self.dispatcher() for _ in range(self.size)]
+        self.traffic = [self.chance.choice([0.02, 0.1, 0.1, 0.8]) for _ in self.dispatchers]
+        self.now = self.began = self.dispatchers[0].now
+        self.engines = {e: 0 for e in range(3)}  # when each started; 0: long ago
+        for one in self.dispatchers:
+            one.engines(3)
+
+    def dispatcher(self):
+        self.made += 1
+        one = Gateways(self.site, self.made * 1000 + self.chance.randrange(1000))
+        submit = one.submit
+
+        def counted(q, engine, wait, start_by):
+            self.sent.setdefault(engine, []).append(one.now)
+            submit(q, engine, wait, start_by)
+
+        one.submit = counted
+        return one
+
+    def start_engine(self, engine):
+        self.engines[engine] = self.now
+        for one in self.dispatchers:
+            one.engine(engine, started=self.now)
+
+    def restart_dispatcher(self, n):
+        """From nothing: what it sent before is unknown to it."""
+        one = self.dispatchers[n] = self.dispatcher()
+        one.now = self.now
+        for engine, started in self.engines.items():
+            one.engine(engine, started=started)
+
+    def step(self, burst):
+        self.now += STEP
+        for one, rate in zip(self.dispatchers, self.traffic):
+            one.now = self.now
+            one.round((i.DUE, 1))
+            while self.chance.random() < min(0.95, rate * burst):
+                one.take(cost=self.work, coord=self.chance.randrange(8), left=150_000)
+            for q in [q for q in one.out if self.chance.random() < STEP / max(STEP, self.work)]:
+                one.end(q, elapsed=self.work, work=self.work)
+
+    def play(self):
+        for step in range(240):
+            if step in (20, 24, 90):
+                self.start_engine(len(self.engines))
+            if step in (30, 60, 100) and self.chance.random() < 0.7:
+                self.restart_dispatcher(self.chance.randrange(self.size))
+            self.step(burst=3 if 40 <= step < 80 else 1)
+
+    def worst_share(self):
+        """The most that a cold engine got in a window, of what it may get."""
+        most = 0.0
+        for engine, started in self.engines.items():
+            times = self.sent.get(engine, []) if started else []
+            for first, at in enumerate(times):
+                came = sum(at <= later < at + FALL_TIME for later in times[first:])
+                most = max(most, came / budget(at - started, self.work))
+        return most
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_no_cold_engine_gets_more_than_its_budget_of_a_whole_fleet(seed):
+    fleet = Fleet(seed)
+    fleet.play()
+    assert any(fleet.sent.get(engine) for engine in fleet.engines if engine >= 3), "no cold engine was used"
+    assert fleet.worst_share() <= 1.0
+
+
+def test_without_the_ramp_the_same_fleets_push_cold_engines_over(monkeypatch):
+    monkeypatch.setattr(Gateway, "cold_room", lambda self, qy, e: True)
+    worst = []
+    for seed in range(16):
+        fleet = Fleet(seed)
+        fleet.play()
+        worst.append(fleet.worst_share())
+    assert max(worst) > 1.0
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,109 @@
+"""Settings of other deployments, and ones that cannot be used: served, or refused by name."""
+
+import copy
+import math
+import os
+import subprocess
+import sys
+
+import orjson
+import pytest
+from bench_free import SETTINGS, Gateways, found, i
+
+from wickvane.door import Book
+from wickvane.settings import SettingsError
+
+FULL = copy.deepcopy(SETTINGS) | {
+    "tariffs": {"cross_zone": 0.02}, "report": {"fields": ["inflight"], "how": "piggyback"},
+    "membership_mode": "automatic",
+}
+FULL["family_info"] |= {"class_threads": [1, 2, 2], "memory_heeded": True, "most_grant": 0.4,
+                        "writes_tables": [False, False, True], "yields_to_loads": [False, False, False]}
+FULL["obligations"] |= {"cold_from": 0.3, "cold_ms": 15000.0, "fall_ms": 3000.0, "fall_multiple": 2.5,
+                        "further_ratio": 0.1, "extra_free": 3.0, "budget_window_ms": 5000.0,
+                        "ask_within_ms": 10000.0}
+FULL["limits"] |= {"retry_after": True, "max_retry_after_ms": 1000.0}
+MISSING = object()
+ODD = [MISSING, None, 0, -1, math.nan, math.inf, 1e300, "", "x", "é", [], {}, True, [None], ["x"], [0], [-1]]
+
+
+def paths(values, path=()):
+    """Each place in the settings."""
+    items = ()
+    if isinstance(values, dict):
+        items = values.items()
+    elif isinstance(values, list):
+        items = enumerate(values)
+    for key, value in items:
+        yield (*path, key)
+        yield from paths(value, (*path, key))
+
+
+def changed(path, value):
+    settings = copy.deepcopy(FULL)
+    inner = settings
+    for key in path[:-1]:
+        inner = inner[key]
+    if value is MISSING:
+        del inner[path[-1]]
+    else:
+        inner[path[-1]] = value
+    return settings
+
+
+def play(deployment):
+    """Queries of each class through cold and warm engines, and each kind of ending."""
+    gateways = Gateways(deployment)
+    for e in range(3):
+        gateways.engine(e, started=0 if e else gateways.now - 10)
+    endings = (i.FINISHED, i.TURNED_AWAY, i.RESET, i.NO_CONNECTION, i.ERROR, i.NO_ANSWER)
+    for rg in range(len(deployment.groups)):
+        for n, ending in enumerate(endings):
+            q = gateways.take(rg=rg, cost=1000 * (n % 2), key=n if deployment.groups[rg].ordered else None,
+                              left=50_000)
+            if q in gateways.out:
+                gateways.end(q, ending, elapsed=900, work=900, after=900)
+    for _ in range(20):
+        gateways.round((i.DUE, 1), after=600)
+
+
+@pytest.mark.parametrize("path", list(paths(FULL)), ids=lambda path: ".".join(map(str, path)))
+def test_each_setting_with_each_odd_value_is_served_or_refused_by_name(path):
+    for value in ODD:
+        settings = changed(path, value)
+        try:
+            deployment = Book(settings).deployment
+        except SettingsError as error:
+            # The name of the setting, or of the object or list that it stands in.
+            assert str(path[0]) in error.path and error.expected
+            continue
+        play(deployment)
+
+
+@pytest.mark.parametrize("path, value, named", [
+    (("classes", 0, "effect"), "sometimes", "settings.classes[0].effect is 'sometimes'"),
+    (("classes", 1, "name"), "lookup", "settings.classes[1].name is 'lookup', where a name that stands once"),
+    (("classes", 1, "worth"), -3, "settings.classes[1].worth is -3, where a number from 0"),
+    (("family_info", "class_threads", 1), "two", "settings.family_info.class_threads[1] is 'two'"),
+    (("obligations", "cold_from"), 1.5, "settings.obligations.cold_from is 1.5, where a number from 0 to 1"),
+    (("limits", "max_attempts"), [5], "settings.limits.max_attempts is [5]"),
+    (("az",), MISSING, "settings.az is None"), (("classes",), MISSING, "settings.classes is None"),
+])
+def test_what_cannot_be_served_ends_the_start_with_its_name(tmp_path, path, value, named):
+    told = found([], type("Nobody", (), {"address": "127.0.0.1:1"})) | {"settings": changed(path, value)}
+    (tmp_path / "config.json").write_bytes(orjson.dumps(told))
+    done = subprocess.run([sys.executable, "-m", "wickvane", "check"], capture_output=True, text=True,
+                          env=os.environ | {"LB_CONFIG": str(tmp_path / "config.json")})
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and named in done.stderr
+
+
+def test_lists_shorter_than_the_classes_and_zeroes_stand_for_the_usual():
+    settings = changed(("family_info", "class_threads"), [0, 4])
+    assert [group.threads for group in Book(settings).deployment.groups] == [1, 4, 1]
+    assert Book(changed(("family_info", "size_cores"), [0])).deployment.cores == [1]
+    assert Book(changed(("accounts",), [])).deployment.tenants == []
+
+
+def test_classes_and_tenants_may_have_names_in_any_script():
+    book = Book(changed(("classes", 0, "name"), "запрос") | {"accounts": [{"name": "Ærø", "share": 1.0}]})
+    assert list(book.groups.index)[0] == "запрос" and list(book.tenants.index) == ["Ærø"]
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -13,9 +13,9 @@
 from threading import Event, Lock
 
 from wickvane import interface as i
-from wickvane.door import kept_open
 from wickvane.net.exchange import Lane, Submission
 from wickvane.net.lines.connection import WRITES, Connection
+from wickvane.settings import MS_MOST, kept_open
 
 WAITS_HELD = 256
 LONGEST_S = 1.0  # a round without a call or a time that is due
@@ -129,14 +129,14 @@
 class Links:
     """All links, and the thread that keeps them, within the descriptors that engines may hold.
 
-    limits: as the settings name them. most: descriptors. threads: what starts those that a peer needs alone.
+    limits: that section of the settings. most: descriptors. threads: starts those that one peer needs.
     """
 
     def __init__(self, exchange, limits, most, clock, log, counters, accounts=None, threads=None):
         self.exchange, self.clock, self.log, self.counters = exchange, clock, log, counters
         self.accounts, self.attention_time, self.threads = accounts, 50_000, threads
-        self.streams = int(limits.get("streams_per_conn") or STREAMS)
-        self.connect_s = max(0.01, (limits.get("dial_timeout_ms") or 250) / 1000)
+        self.streams = limits.count("streams_per_conn", STREAMS)
+        self.connect_s = max(0.01, limits.number("dial_timeout_ms", 250, MS_MOST) / 1000)
         self.idle_time = kept_open(limits)
         self.lock, self.all, self.most, self.stopping, self.ended = Lock(), {}, most, False, Event()
         self.stale = 1 << 62  # after which what was decided does not leave any more: a part sets it
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -26,11 +26,13 @@
 from wickvane.net.shape import Unstartable
 from wickvane.net.statement import Reader
 from wickvane.net.threads import Stopped, Threads
+from wickvane.settings import Section, SettingsError, limits_of
 
 STACK = 128 * 1024
 # Each of many threads that wait for the interpreter wakes as often as this to ask for it: with a hundred of
 # them, a short interval spends the core on waking. None computes for long, so a long one delays nobody.
 SWITCH_S = 0.5
+SOCKETS = 1024  # descriptors that may be held, where the configuration names no limit
 OTHERS = 14  # descriptors that are neither clients' nor engines'
 COMING_S = 0.75  # connections and requests go on coming after SIGTERM
 KILL_AFTER, TIMEOUT_MOST = 7_000, 30_000  # SIGKILL comes so long after the longest queue timeout, itself cut
@@ -57,19 +59,21 @@
     """The parts of a configuration in the form that is worked with; Unstartable where one cannot be used.
     members: that part, with which no coordinator is needed unless it overrides what one lists."""
     try:
-        settings, limits = found["settings"], found.get("limits") or {}
+        settings, limits = found["settings"], Section(found.get("limits") or {}, "limits")
         alone = members is not None and not members.terms.overrides
         coordinator = None if alone else address_of(found["coordinator"])
         book = Book(settings, fronts)
         if members is not None:
             book.deployment = book.deployment._replace(weighs=True)
-        return (book, settings["limits"], address_of(found["listen"]),
-                int(limits.get("sockets") or 1024), coordinator,
+        return (book, limits_of(settings), address_of(found["listen"]),
+                limits.count("sockets", SOCKETS), coordinator,
                 read_known(found.get("known") or {}))
     except Malformed as error:
         raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
     except (KeyError, IndexError) as error:
         raise Unstartable(f"the configuration lacks, or does not know, {error}", 2) from None
+    except SettingsError as error:
+        raise Unstartable(f"the configuration cannot be used: {error}", 2) from None
     except (TypeError, ValueError, AttributeError) as error:
         raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
 
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -2,8 +2,8 @@
 
 import re
 
-from wickvane.door import tenths
 from wickvane.interface import TOKENED
+from wickvane.settings import tenths
 
 FIELD_MOST, LIMIT_MOST = 256, 86_400_000
 
--- /dev/null
+++ b/wickvane/settings.py
@@ -0,0 +1,221 @@
+"""The settings of a deployment, read into the typed values of wickvane.interface and checked on the way.
+
+What is missing or null has its default, and so has a zero where none can be meant. Anything else that cannot
+be used is named, with the value found and what was expected; keys that are not known here are skipped.
+"""
+
+import math
+from math import ceil
+
+from wickvane import interface as i
+
+IDLE_PART, IDLE_MS = 0.8, 30_000  # of an engine's own idle time: a request must not cross the engine's close
+EFFECTS = {"safe": i.READ_ONLY, "keyed": i.TOKENED, "unsafe": i.MUTATING}
+REPEATS = {"all": i.ANY_ENGINE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
+MS_MOST, FIGURE_MOST, COUNT_MOST = 1e9, 1e9, 1e6
+SHOWN_MOST = 60  # characters of a value that is quoted
+
+
+class SettingsError(ValueError):
+    """A setting that cannot be used: where it stands, what was found, what was expected."""
+
+    def __init__(self, path, value, expected):
+        shown = repr(value)
+        if len(shown) > SHOWN_MOST:
+            shown = shown[:SHOWN_MOST] + "…"
+        super().__init__(f"{path} is {shown}, where {expected} is expected")
+        self.path, self.expected = path, expected
+
+
+def tenths(ms):
+    """Milliseconds as whole tenths of them."""
+    return int(ms * 10 + 1e-6) if ms else 0
+
+
+def at_least(ms):
+    """Milliseconds as tenths, rounded up: one more, since the clock is cut at both ends of a wait."""
+    return ceil(ms * 10 - 1e-6) + 1 if ms else 0
+
+
+class Section:
+    """One object of the settings, whose values are asked for by name."""
+
+    def __init__(self, values, path):
+        if not isinstance(values, dict):
+            raise SettingsError(path, values, "an object")
+        self.values, self.path = values, path
+
+    def at(self, name):
+        return f"{self.path}.{name}" if self.path else name
+
+    def has(self, name):
+        return self.values.get(name) is not None
+
+    def needed(self, name):
+        if not self.has(name):
+            raise SettingsError(self.at(name), self.values.get(name), "a value")
+        return self.values[name]
+
+    def number(self, name, default=0.0, most=FIGURE_MOST):
+        """A figure from 0 to `most`; the default for none, and for a zero."""
+        if not self.has(name):
+            return default
+        return checked_number(self.values[name], self.at(name), most) or default
+
+    def ms(self, name):
+        return self.number(name, most=MS_MOST)
+
+    def count(self, name, default):
+        return int(self.number(name, default, COUNT_MOST)) or default
+
+    def flag(self, name):
+        return bool(self.values.get(name))
+
+    def text(self, name):
+        value = self.needed(name)
+        if not isinstance(value, str) or not value:
+            raise SettingsError(self.at(name), value, "a name")
+        return value
+
+    def choice(self, name, choices, default=None):
+        """What a word stands for."""
+        value = self.values.get(name) or default
+        if not isinstance(value, str) or value not in choices:
+            raise SettingsError(self.at(name), value, "one of " + ", ".join(choices))
+        return choices[value]
+
+    def items(self, name):
+        """A list; empty for none."""
+        values = self.values.get(name)
+        if values is None:
+            return []
+        if not isinstance(values, list):
+            raise SettingsError(self.at(name), values, "a list")
+        return values
+
+    def names(self, name):
+        """A list of words."""
+        values = self.items(name)
+        for n, value in enumerate(values):
+            if not isinstance(value, str):
+                raise SettingsError(f"{self.at(name)}[{n}]", value, "a name")
+        return values
+
+    def counts(self, name):
+        """A list of whole numbers, where a zero or null stands for 1."""
+        return [int(checked_number(value or 1, f"{self.at(name)}[{n}]", COUNT_MOST)) or 1
+                for n, value in enumerate(self.items(name))]
+
+    def figures(self, name):
+        return [checked_number(value or 0.0, f"{self.at(name)}[{n}]", FIGURE_MOST)
+                for n, value in enumerate(self.items(name))]
+
+    def section(self, name):
+        """An object in it; empty for none."""
+        return Section(self.values.get(name) or {}, self.at(name))
+
+    def sections(self, name):
+        """A list of objects in it, each with a name of its own."""
+        found = [Section(value, f"{self.at(name)}[{n}]") for n, value in enumerate(self.items(name))]
+        known = set()
+        for section in found:
+            called = section.text("name")
+            if called in known:
+                raise SettingsError(section.at("name"), called, "a name that stands once")
+            known.add(called)
+        return found
+
+
+def checked_number(value, path, most):
+    usable = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not usable or not math.isfinite(value) or not 0 <= value <= most:
+        raise SettingsError(path, value, f"a number from 0 to {most:g}")
+    return value
+
+
+def names_of(values, name, needed=False):
+    """The names of the classes or tenants, in order."""
+    if needed:
+        Section(values, "settings").needed(name)
+    return [section.text("name") for section in Section(values, "settings").sections(name)]
+
+
+def words_of(values, name):
+    return Section(values, "settings").names(name)
+
+
+def limits_of(values):
+    """The limits of the connections to engines."""
+    return Section(values, "settings").section("limits")
+
+
+def kept_open(limits):
+    """How long a connection to an engine is kept that nothing is asked on."""
+    return int(limits.number("conn_idle_ms", IDLE_MS, MS_MOST) * 10 * IDLE_PART)
+
+
+def value_at(values, n, default):
+    """The n-th of a list that may be shorter than the classes are many."""
+    return values[n] if n < len(values) else default
+
+
+def resource_group(group, n, family, zones, kinds):
+    """The n-th class as the decision module knows it."""
+    def placed(name, indices):
+        return frozenset(map(indices, group.names(name))) if group.has(name) else None
+
+    return i.ResourceGroup(
+        effect=group.choice("effect", EFFECTS),
+        drops_repeats=group.choice("group", REPEATS, "all"),
+        repeat_window=max(0, tenths(group.ms("repeat_window_ms")) - 1),
+        promise=tenths(group.ms("promise_ms")),
+        stretch=group.number("aim_stretch"),
+        timeout=tenths(group.ms("deadline_ms")),
+        value=checked_number(group.values["worth"], group.at("worth"), FIGURE_MOST)
+        if group.has("worth") else 1.0,
+        late_value=group.number("late_worth"),
+        ordered=group.flag("sequential"),
+        zones=placed("zones_only", zones),
+        kinds=placed("host_types_open", kinds),
+        threads=value_at(family.counts("class_threads"), n, 1),
+        loads=bool(value_at(family.items("writes_tables"), n, False)),
+        stands_behind_loads=bool(value_at(family.items("yields_to_loads"), n, False)),
+    )
+
+
+def deployment(values, zones, kinds):
+    """All that the decision module is told of a deployment. zones, kinds: names to small indices."""
+    settings = Section(values, "settings")
+    family, limits, rules = (settings.section(name) for name in ("family_info", "limits", "obligations"))
+    # A budget is kept where its window is named, whatever the figure.
+    budgeted = rules.has("budget_window_ms")
+    return i.Deployment(
+        groups=[resource_group(group, n, family, zones, kinds)
+                for n, group in enumerate(settings.sections("classes"))],
+        tenants=[(tenant.number("share"), tenant.number("quota_per_s"))
+                 for tenant in settings.sections("accounts")],
+        cores=family.counts("size_cores"),
+        memory=family.figures("size_mb"),
+        gateways=max(1, settings.count("fleet_size", 1)),
+        zone=zones(settings.text("az")),
+        crossing=settings.section("tariffs").number("cross_zone"),
+        most_submissions=limits.count("max_attempts", 1),
+        may_cancel=limits.flag("cancel"),
+        grants=family.flag("memory_heeded"),
+        priorities=family.flag("priorities"),
+        most_grant=family.number("most_grant", 1.0),
+        note_period=tenths(family.ms("note_period_ms")),
+        asks_for_list=settings.values.get("membership_mode") == "subscribe",
+        ask_within=tenths(rules.ms("ask_within_ms")),
+        key_rest=at_least(rules.ms("key_rest_ms")),
+        extra_free=rules.number("extra_free"),
+        extra_share=rules.number("further_ratio"),
+        extra_window=at_least(rules.ms("budget_window_ms")) if budgeted else 0,
+        cold_from=rules.number("cold_from", 1.0, 1.0),
+        cold_time=at_least(rules.ms("cold_ms")),
+        fall_multiple=rules.number("fall_multiple", 1.0),
+        fall_time=at_least(rules.ms("fall_ms")),
+        longest_advice=tenths(limits.ms("max_retry_after_ms")) if limits.flag("retry_after") else 0,
+        reports=settings.section("report").names("fields"),
+        kept_open=kept_open(limits),
+    )
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -4,7 +4,8 @@
 
 from wickvane import interface as i
 from wickvane.choice import Gateway
-from wickvane.door import Book, tenths
+from wickvane.door import Book
+from wickvane.settings import tenths
 
 ENDINGS = {
     "served": i.FINISHED, "server_error": i.ERROR, "no_answer": i.NO_ANSWER, "connection_lost": i.RESET,
