Queues between threads stand in a module of their own, under standard names

Need: exchange.py held the queues beside the object in which both sides meet, under names of the withdrawn style.

Change: net/queues.py with BoundedQueue, EngineQueue, ReadyQueue, WakeupPipe and ResultStream (Line, Lane, Calls, Bell, Pipe before); Ticket is PendingQuery, NotTaken is RequestRejected. Behaviour as it was.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,7 +24,7 @@
 
     def start(*engines, descriptors=None, **changes):
         told = found(engines, Events()) | changes
-        path = tmp_path / "config.json"
+        path = tmp_path / f"config-{len(ended)}.json"
         path.write_text(json.dumps(told))
 
         def bounded():
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -125,7 +125,7 @@
     coordinator.send.put(sse(2, event(2, entry("late", engine.address))))
     assert rows(witness.until_ready())
     assert ids_asked(engine) == [2]
-    assert dispatcher.logged("query")[0]["answer"] == "left"
+    counted(dispatcher, "left", 1)
 
 
 def test_a_burst_of_leavers_costs_the_engine_nothing(no_looks):
@@ -424,6 +424,38 @@
     assert engines[1 - first].came.empty()
 
 
+@pytest.mark.parametrize("verb, answered", [("change", "58000"), ("load", None)])
+@pytest.mark.parametrize("half", [
+    b"%b HI", b"%b HIT sheets=1 600\r\na\tb", b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n",
+])
+def test_half_an_answer_ahead_of_a_close_proves_nothing(half, verb, answered):
+    """A query that may not be repeated is killed; one with a key goes again, in its window."""
+    asked = []
+
+    class Closing(Engine):
+        def serve(self, conn, lines):
+            asked.append(lines.readline().split()[1])
+            if len(asked) > 1:
+                conn.sendall(hit(asked[-1]))
+                lines.read()
+            conn.sendall(half.replace(b"%b", asked[-1]))
+            conn.shutdown(socket.SHUT_RDWR)
+
+    dispatcher = Dispatcher(Closing(), Closing())
+    answer = Client(dispatcher).ask(statement(verb=verb, item="k", unique="u"))
+    assert sqlstate(answer) == answered and bool(rows(answer)) == (answered is None)
+    assert dispatcher.service.counters.shown()["submissions"] == len(asked) == (1 if answered else 2)
+
+
+def test_a_query_hung_in_an_engine_is_given_up_at_its_time_and_asked_of_no_other():
+    engines = [Engine(silent), Engine(silent)]
+    dispatcher = Dispatcher(*engines)
+    answer = Client(dispatcher).ask(statement(verb="change", limit=1200))
+    assert sqlstate(answer) == "58000"
+    assert 1150 <= dispatcher.logged("query")[0]["took"] < 3000
+    assert sum(len(ids_asked(engine)) for engine in engines) == 1
+
+
 def full_line():
     """Something that listens and takes in nobody: a dial to it never ends."""
     stack = ExitStack()
@@ -559,6 +591,16 @@
     assert time.monotonic() - began < 10
 
 
+def test_seven_that_start_at_once_are_ready_and_serve_within_ten_seconds(started):
+    engine = Engine()
+    began = time.monotonic()
+    processes = [started(engine) for _ in range(7)]
+    for n, process in enumerate(processes):
+        await_ready(process)
+        assert rows(Client(process).ask(statement(n=n)))
+    assert time.monotonic() - began < 10
+
+
 def test_idle_clients_that_fill_the_descriptors_keep_discovery_engines_and_service_from_nothing(started):
     engine, port = Engine(), free_port()
     process = started(coordinator=f"127.0.0.1:{port}", limits={"sockets": 64}, descriptors=64)
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -12,11 +12,12 @@
 from wickvane.door import Book
 from wickvane.net import coordinator
 from wickvane.net.decider import Decider
-from wickvane.net.exchange import Exchange, Lane, Submission, Ticket
+from wickvane.net.exchange import Exchange, PendingQuery, Submission
 from wickvane.net.lines import connection as lines
 from wickvane.net.lines import links as link
 from wickvane.net.lines.connection import Connection
 from wickvane.net.postgres.rows import result
+from wickvane.net.queues import EngineQueue
 from wickvane.net.statement import Reader, Unusable, is_empty, plain_group, split, table_group
 from wickvane.net.threads import Threads
 from wickvane.settings import limits_of
@@ -174,7 +175,7 @@
 
 
 def take(decider, n, age, **fields):
-    ticket = Ticket(Clock().now() - age, **READER.read(statement(n=n, **fields).encode()))
+    ticket = PendingQuery(Clock().now() - age, **READER.read(statement(n=n, **fields).encode()))
     decider.exchange.take(ticket)
     return ticket
 
@@ -203,8 +204,8 @@
     clock, exchange = Clock(), Exchange(Clock(), Counts())
     threads = Threads(clock, Counts())
     links = link.Links(exchange, limits_of(SETTINGS), 8, clock, clock, Counts(), threads=threads)
-    keeper = link.Link(Lane("e", ("127.0.0.1", 0), 0), links)
-    ticket = Ticket(clock.now(), **READER.read(statement().encode()))
+    keeper = link.Link(EngineQueue("e", ("127.0.0.1", 0), 0), links)
+    ticket = PendingQuery(clock.now(), **READER.read(statement().encode()))
     submission = Submission(ticket, 0, 0, keeper.lane, clock.now(), ticket.limit)
     keeper.ask(submission)
     return keeper, submission, exchange.inbox
@@ -263,7 +264,7 @@
     keeper, submission, inbox = line_of_one(monkeypatch)
     place, theirs = on_a_pair(keeper)
     theirs.close()
-    ticket = Ticket(submission.at, **READER.read(statement(n=2).encode()))
+    ticket = PendingQuery(submission.at, **READER.read(statement(n=2).encode()))
     other = Submission(ticket, 0, 0, keeper.lane, submission.at, ticket.limit)
     assert not place.put("ask", other) and not other.over
     assert [item[:3] for item in inbox.take(0)] == [("ended", submission, i.NOT_SENT)]
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -6,7 +6,8 @@
 
 from wickvane import interface as i
 from wickvane.choice import Gateway
-from wickvane.net.exchange import DEFERRED, KILLED, Lane, Submission
+from wickvane.net.exchange import DEFERRED, KILLED, Submission
+from wickvane.net.queues import EngineQueue
 
 LONGEST_WAIT = 10_000
 LATE, SETTLE_S, SETTLES = 250, 0.01, 6
@@ -166,7 +167,7 @@
             # address: where its machine has vanished, they stay open and silent.
             if lane:
                 lane.put(("close",), always=True)
-            self.lanes[name] = Lane(name, address, started, speaks, self.exchange.calls)
+            self.lanes[name] = EngineQueue(name, address, started, speaks, self.exchange.calls)
         elif started and lane.started != started:
             lane.started = started
             lane.put(("restarted", started), always=True)
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -13,6 +13,7 @@
 
 from wickvane.net import exchange as ex
 from wickvane.net.counters import ANSWERS, FORWARD, NOBODY, REVERSE
+from wickvane.net.queues import ResultStream
 from wickvane.net.statement import Unusable
 
 # Who connects is owed a word or a close within three seconds, so all up to the first whole query has less;
@@ -194,13 +195,13 @@
         places for than the comment ahead of the statement."""
         try:
             self.queries += 1
-            ticket = ex.Ticket(arrived, **self.reader.read(text, **marks))
+            ticket = ex.PendingQuery(arrived, **self.reader.read(text, **marks))
             ticket.source, ticket.client = self.peer, self
             self.claim((ticket.rg, ticket.tenant))
             self.ticket = ticket
             try:
                 self.exchange.take(ticket)
-            except ex.NotTaken as refused:
+            except ex.RequestRejected as refused:
                 self.ticket = None
                 raise Unusable(refused.sqlstate, refused.text) from None
         except Unusable as unusable:
@@ -248,7 +249,7 @@
             self.warned = storm
             self.warn()
             self.counters.add("storm-notices")
-        if isinstance(ticket.pages, ex.Pipe):
+        if isinstance(ticket.pages, ResultStream):
             self.stream(ticket, ticket.pages)
             return
         try:
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -13,8 +13,9 @@
 from threading import Event, Lock
 
 from wickvane import interface as i
-from wickvane.net.exchange import Lane, Submission
+from wickvane.net.exchange import Submission
 from wickvane.net.lines.connection import WRITES, Connection
+from wickvane.net.queues import EngineQueue
 from wickvane.settings import MS_MOST, kept_open
 
 WAITS_HELD = 256
@@ -180,7 +181,7 @@
                     place.fail("reset" if place.up else "connect-refused")
         for _ in range(len(self.calls.items)):
             caller = self.calls.items.popleft()
-            if isinstance(caller, Lane):
+            if isinstance(caller, EngineQueue):
                 self.take_orders(caller)
             else:
                 caller.called = False
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -18,8 +18,8 @@
 from struct import pack
 
 from wickvane import interface as i
-from wickvane.net.exchange import Pipe
 from wickvane.net.lines import connection as lines
+from wickvane.net.queues import ResultStream
 from wickvane.net.tds import errors, packets, statements
 from wickvane.net.tds import login as lg
 from wickvane.net.tds import tokens as t
@@ -271,7 +271,7 @@
         self.finish(self.submission, int.from_bytes(end[1:3], "little"))
 
     def begin_stream(self, sub):
-        pipe = Pipe(PIPE_MOST)
+        pipe = ResultStream(PIPE_MOST)
         pipe.put(list(self.result), 0)
         self.result = Tokens()
         with self.lock:
