--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -1,6 +1,7 @@
 """A gateway with a recording writer, settings made up for tests, and stand-ins for what is on the sockets."""
 
 import json
+import math
 import os
 import socket
 import struct
@@ -121,6 +122,21 @@
 PATIENCE = 30  # seconds after which a test has failed; none waits so long to pass
 
 
+def collapse_budget(whole):
+    """What a cold engine may get in a window that holds `whole` queries: the rest is put down to chance."""
+    return whole + 2 * math.sqrt(whole) + 2
+
+
+def until(holds, seconds=PATIENCE, words="not in time"):
+    """What `holds` gives, once it gives anything."""
+    by = time.monotonic() + seconds
+    while time.monotonic() < by:
+        if found := holds():
+            return found
+        time.sleep(0.002)
+    raise AssertionError(words)
+
+
 STANDING = []  # else a port or a descriptor would be given anew while a dispatcher still writes there
 
 
--- a/tests/fleet/test_cold_engines.py
+++ b/tests/fleet/test_cold_engines.py
@@ -1,17 +1,17 @@
 """A cold engine under several processes of the program that share nothing, counted at the engine alone."""
 
 import time
-from math import sqrt
 
 import pytest
+from bench_free import collapse_budget
 
 from fleet.rig import SEEDS, fleet
 from fleet.test_budgets import COLD, COST, WINDOW, at_engine, worst
 
 SIZE = 8
-# What makes an engine of eight cores fall, in queries a window, and what is put down to chance.
+# What makes an engine of eight cores fall, in queries a window.
 WHOLE = 2.5 * 0.85 * 8 * 0.3 * WINDOW / (COST / 1000)
-BUDGET = WHOLE + 2 * sqrt(WHOLE) + 2
+BUDGET = collapse_budget(WHOLE)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -3,11 +3,10 @@
 Generated fleets in virtual time, counted at the engines by a plain model.
 """
 
-from math import sqrt
 from random import Random
 
 import pytest
-from bench_free import Gateways, group, i, site
+from bench_free import Gateways, collapse_budget, group, i, site
 
 from wickvane.choice import Gateway
 
@@ -16,10 +15,9 @@
 
 
 def budget(age, mean_work):
-    """How many queries of mean work an engine of this age may get in a window, chance allowed for."""
+    """How many queries of mean work an engine of this age may get in a window."""
     share = COLD_FROM + (1 - COLD_FROM) * min(1.0, age / COLD_TIME)
-    whole = FALL_MULTIPLE * BUSY * CORES * share * FALL_TIME / mean_work
-    return whole + 2 * sqrt(whole) + 2
+    return collapse_budget(FALL_MULTIPLE * BUSY * CORES * share * FALL_TIME / mean_work)
 
 
 class Fleet:
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -14,9 +14,8 @@
 import grpc
 import pytest
 import trustme
-from bench_free import SETTINGS, STANDING, Events, Stand, entry, event, free_port, sse
+from bench_free import SETTINGS, STANDING, Events, Stand, entry, event, free_port, sse, until
 from standins.xds_proxy import CDS, EDS, LDS, Proxy
-from test_flow_export import until
 from test_rehearsal import ROOT
 
 from wickvane import parts
--- a/tests/test_damping.py
+++ b/tests/test_damping.py
@@ -8,10 +8,9 @@
 import psycopg
 import pytest
 from bench_free import Client as Plain
-from bench_free import Gateways, group, rows, site, sqlstate, statement
+from bench_free import Gateways, group, rows, site, sqlstate, statement, until
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_flow_export import until
 from test_rehearsal import SMALL, Served
 from test_storm import DAY, begun, told
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -32,6 +32,7 @@
     sqlstate,
     sse,
     statement,
+    until,
 )
 
 from wickvane.net.lines import connection as engine_connection
@@ -72,10 +73,14 @@
 
 def counted(dispatcher, name, least):
     """Waits until a counter has got so far."""
-    until = time.monotonic() + PATIENCE
-    while dispatcher.service.counters.shown().get(name, 0) < least:
-        assert time.monotonic() < until, f"{name} never got to {least}"
-        time.sleep(0.002)
+    until(lambda: dispatcher.service.counters.shown().get(name, 0) >= least,
+          words=f"{name} never got to {least}")
+
+
+def first_asked(engines):
+    """The place of the first engine that has been asked something."""
+    place, _ = until(lambda: next(((n, e) for n, e in enumerate(engines) if not e.came.empty()), None))
+    return place
 
 
 def ids_asked(engine):
@@ -178,11 +183,7 @@
     leaver = Client(dispatcher)
     leaver.send(statement(n=1, limit=20_000))
     counted(dispatcher, "submissions", 1)
-    until = time.monotonic() + PATIENCE
-    while all(engine.came.empty() for engine in engines) and time.monotonic() < until:
-        time.sleep(0.002)
-    first = next(engine for engine in engines if not engine.came.empty())
-    *_, conn = first.next("ASK")
+    *_, conn = engines[first_asked(engines)].next("ASK")
     leave(leaver)
     conn.sendall(b"%016x SHED - 0\r\n\r\n" % 1)
     counted(dispatcher, "left", 1)
@@ -290,10 +291,7 @@
     text = statement(n=1).encode() + b"\0"
     whole = b"Q" + struct.pack("!I", 4 + len(text)) + text
     client.sock.sendall(whole[:20])
-    until = time.monotonic() + PATIENCE
-    while any(session.idle for session in dispatcher.service.listeners[0].sessions):
-        assert time.monotonic() < until
-        time.sleep(0.002)
+    until(lambda: not any(session.idle for session in dispatcher.service.listeners[0].sessions))
     ending(dispatcher)
     assert dispatcher.service.stopping.wait(PATIENCE)
     client.sock.sendall(whole[20:])
@@ -408,10 +406,7 @@
     dispatcher = Dispatcher(*engines, settings=brief)
     client = Client(dispatcher)
     client.send(statement(verb="load", item="k", unique="u", limit=5000))
-    until = time.monotonic() + PATIENCE
-    while all(engine.came.empty() for engine in engines) and time.monotonic() < until:
-        time.sleep(0.002)
-    first = 0 if not engines[0].came.empty() else 1
+    first = first_asked(engines)
     *_, conn = engines[first].next("ASK")
     asked = time.monotonic()
     held.append(f"e{first}")
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -9,10 +9,10 @@
 import time
 
 import pytest
+from bench_free import until
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from scipy.stats import ttest_1samp
-from test_flow_export import until
 from test_rehearsal import ROOT, SMALL, offer
 
 from wickvane import interface as i
--- a/tests/test_flow_export.py
+++ b/tests/test_flow_export.py
@@ -29,6 +29,7 @@
     sqlstate,
     sse,
     statement,
+    until,
 )
 from standins.collector import ENTERPRISE, Collector
 
@@ -90,15 +91,6 @@
                     if way.collector.name == name)
 
 
-def until(holds, seconds=30):
-    by = time.monotonic() + seconds
-    while time.monotonic() < by:
-        if found := holds():
-            return found
-        time.sleep(0.005)
-    raise AssertionError("not in time")
-
-
 def told(collector, exporting, seconds=30):
     collected = collector.until(lambda c: exporting.whole(c) and not c.lost, seconds)
     assert collected.malformed == 0 and collected.unknown == 0
--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -24,8 +24,9 @@
     rows,
     sqlstate,
     statement,
+    until,
 )
-from test_flow_export import Lines, until
+from test_flow_export import Lines
 from test_members import FACTS, Members, fleet, kdl, member
 from test_rehearsal import ROOT
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -20,7 +20,7 @@
 from wickvane.net.queues import EngineQueue
 from wickvane.net.statement import Reader, Unusable, is_empty, plain_group, split, table_group
 from wickvane.net.threads import Threads
-from wickvane.settings import limits_of
+from wickvane.settings import settings_of
 
 READER = Reader(Book(SETTINGS))
 
@@ -203,7 +203,8 @@
     monkeypatch.setattr(Connection, "start", lambda self: None)
     clock, exchange = Clock(), Exchange(Clock(), Counts())
     threads = Threads(clock, Counts())
-    links = link.Links(exchange, limits_of(SETTINGS), 8, clock, clock, Counts(), threads=threads)
+    limits = settings_of(SETTINGS).section("limits")
+    links = link.Links(exchange, limits, 8, clock, clock, Counts(), threads=threads)
     keeper = link.Link(EngineQueue("e", ("127.0.0.1", 0), 0), links)
     ticket = PendingQuery(clock.now(), **READER.read(statement().encode()))
     submission = Submission(ticket, 0, 0, keeper.lane, clock.now(), ticket.limit)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -12,11 +12,10 @@
 
 import orjson
 import pytest
-from bench_free import STANDING, Client, free_port, rows, sqlstate, statement
+from bench_free import STANDING, Client, free_port, rows, sqlstate, statement, until
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from rich.console import Console
-from test_flow_export import until
 
 from wickvane import interface as i
 from wickvane import parts
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -30,10 +30,11 @@
     sqlstate,
     sse,
     statement,
+    until,
 )
 from rules import Figures, Seen
 from standins.tds_engine import COLUMNS, TdsEngine, result, row
-from test_flow_export import document, until
+from test_flow_export import document
 from test_readers import line_of_one
 
 from wickvane import interface as i
--- a/wickvane/door.py
+++ b/wickvane/door.py
@@ -1,7 +1,7 @@
 """Ids of the wire as small indices, for queries and engines, and when an index may stand for another."""
 
 from wickvane import interface as i
-from wickvane.settings import deployment, names_of, tenths, words_of
+from wickvane.settings import deployment, settings_of, tenths
 
 
 class Names:
@@ -47,10 +47,12 @@
         """fronts: the kinds of engines that each client protocol's queries may go to, by name; none: all to
         all. With them each resource group stands once a front, since which engines may take a query depends
         on the front it came by: placement, which the module keeps already, covers it."""
-        self.zones, self.kinds = Names(words_of(params, "zones")), Names(words_of(params, "host_types"))
-        self.groups = Names(names_of(params, "classes", needed=True))
-        self.tenants = Names(names_of(params, "accounts"))
-        self.deployment = deployment(params, self.zones, self.kinds)
+        settings = settings_of(params)
+        settings.needed("classes")
+        self.zones, self.kinds = Names(settings.names("zones")), Names(settings.names("host_types"))
+        self.groups = Names(group.text("name") for group in settings.sections("classes"))
+        self.tenants = Names(tenant.text("name") for tenant in settings.sections("accounts"))
+        self.deployment = deployment(settings, self.zones, self.kinds)
         self.group_names = list(self.groups.index)
         if fronts:
             self.group_names *= len(fronts)
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -111,11 +111,8 @@
         return 1 if self.queries else 2 * (self.since > fresh)
 
     def send_away(self):
+        """From another thread: ends a session that has no query open, to make room."""
         self.sent_away = True
-        self.close()
-
-    def close(self):
-        """From another thread: ends a session that has no query open."""
         if self.idle:
             try:
                 self.sock.shutdown(socket.SHUT_RD)
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -182,13 +182,10 @@
         dropped = []
         while self.outbox:
             kind, *more = self.outbox.popleft()
-            if kind == "ask":
-                if not self.link.exchange.may_start(more[0]):
-                    dropped.append((more[0], i.NOT_SENT))
-                    continue
+            if kind == "ask" and not self.link.exchange.may_start(more[0]):
+                dropped.append((more[0], i.NOT_SENT))
+                continue
             try:
-                if kind == "ask":
-                    self.check_idle_close()
                 data = self.FORMS[kind](self, *more)
                 if not data:
                     continue
@@ -264,6 +261,7 @@
         return b"queue=%b,budget=%d%b%b" % (ticket.verb, max(1, (sub.until - now) // 10), token, urgency)
 
     def ask(self, sub):
+        self.check_idle_close()
         fields, ticket = self.fields(sub), sub.ticket
         return fields and b"ASK %b %b %d\r\n%b\r\n" % (ticket.id, fields, len(ticket.body), ticket.body)
 
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -16,7 +16,7 @@
 from wickvane.net.exchange import Submission
 from wickvane.net.lines.connection import WRITES, Connection
 from wickvane.net.queues import EngineQueue
-from wickvane.settings import MS_MOST, kept_open
+from wickvane.settings import kept_open
 
 WAITS_HELD = 256
 LONGEST_S = 1.0  # a round without a call or a time that is due
@@ -137,10 +137,10 @@
         self.exchange, self.clock, self.log, self.counters = exchange, clock, log, counters
         self.accounts, self.attention_time, self.threads = accounts, 50_000, threads
         self.streams = limits.count("streams_per_conn", STREAMS)
-        self.connect_s = max(0.01, limits.number("dial_timeout_ms", 250, MS_MOST) / 1000)
+        self.connect_s = max(0.01, limits.ms("dial_timeout_ms", 250) / 1000)
         self.idle_time = kept_open(limits)
         self.lock, self.all, self.most, self.stopping, self.ended = Lock(), {}, most, False, Event()
-        self.stale = 1 << 62  # after which what was decided does not leave any more: a part sets it
+        self.stale = i.FOREVER  # after which what was decided does not leave any more: a part sets it
         self.waits, self.count, self.most_waits = [], 0, WAITS_HELD
         # The connections that a descriptor's events are for; those that nothing is open on, longest first.
         self.watched, self.idle = {}, OrderedDict()
--- a/wickvane/net/queues.py
+++ b/wickvane/net/queues.py
@@ -67,7 +67,7 @@
 
 class EngineQueue(BoundedQueue):
     """The orders for one engine process, and where it listens. speaks: None for the line protocol, else what
-    its connections are made by. Nobody waits on a lane: it calls when it begins to hold something."""
+    its connections are made by. Nobody waits on it: it calls when it begins to hold something."""
 
     def __init__(self, name, address, started, speaks=None, calls=None):
         super().__init__(ORDERS_MOST)
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -26,7 +26,7 @@
 from wickvane.net.shape import Unstartable
 from wickvane.net.statement import Reader
 from wickvane.net.threads import Stopped, Threads
-from wickvane.settings import Section, SettingsError, limits_of
+from wickvane.settings import Section, SettingsError, settings_of
 
 STACK = 128 * 1024
 # Each of many threads that wait for the interpreter wakes as often as this to ask for it: with a hundred of
@@ -65,7 +65,7 @@
         book = Book(settings, fronts)
         if members is not None:
             book.deployment = book.deployment._replace(weighs=True)
-        return (book, limits_of(settings), address_of(found["listen"]),
+        return (book, settings_of(settings).section("limits"), address_of(found["listen"]),
                 limits.count("sockets", SOCKETS), coordinator,
                 read_known(found.get("known") or {}))
     except Malformed as error:
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -104,9 +104,6 @@
             return "attention-unanswered", None
         return super().overdue(now) if self.up else None
 
-    def check_idle_close(self):
-        pass  # its own thread reads, and has ended the connection by then
-
     def due(self, now):
         return now + lines.LOOK if self.attending or not self.up else super().due(now)
 
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from wickvane import interface as i
+from wickvane.interface import FOREVER
 from wickvane.peers.protocol import Node
 from wickvane.rehearsal.peers import fill
 from wickvane.rehearsal.world import World
@@ -14,7 +15,6 @@
 
 EPOCH = 1 << 40
 ALL = frozenset(("others", "charges", "opinions", "lends"))
-FOREVER = 1 << 62
 HEADS = 150  # octets of a datagram beside what rides in it, about: peers' own, UDP's and IP's
 
 
--- a/wickvane/settings.py
+++ b/wickvane/settings.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from math import ceil
+from itertools import chain, repeat
 
 from wickvane import interface as i
 
@@ -34,7 +34,7 @@
 
 def at_least(ms):
     """Milliseconds as tenths, rounded up: one more, since the clock is cut at both ends of a wait."""
-    return ceil(ms * 10 - 1e-6) + 1 if ms else 0
+    return math.ceil(ms * 10 - 1e-6) + 1 if ms else 0
 
 
 class Section:
@@ -56,14 +56,16 @@
             raise SettingsError(self.at(name), self.values.get(name), "a value")
         return self.values[name]
 
+    def figure(self, name, default, most=FIGURE_MOST):
+        """A number from 0 to `most`; the default for none."""
+        return checked_number(self.values[name], self.at(name), most) if self.has(name) else default
+
     def number(self, name, default=0.0, most=FIGURE_MOST):
-        """A figure from 0 to `most`; the default for none, and for a zero."""
-        if not self.has(name):
-            return default
-        return checked_number(self.values[name], self.at(name), most) or default
+        """The same where a zero cannot be meant, and has the default too."""
+        return self.figure(name, default, most) or default
 
-    def ms(self, name):
-        return self.number(name, most=MS_MOST)
+    def ms(self, name, default=0.0):
+        return self.number(name, default, MS_MOST)
 
     def count(self, name, default):
         return int(self.number(name, default, COUNT_MOST)) or default
@@ -133,34 +135,18 @@
     return value
 
 
-def names_of(values, name, needed=False):
-    """The names of the classes or tenants, in order."""
-    if needed:
-        Section(values, "settings").needed(name)
-    return [section.text("name") for section in Section(values, "settings").sections(name)]
-
-
-def words_of(values, name):
-    return Section(values, "settings").names(name)
-
-
-def limits_of(values):
-    """The limits of the connections to engines."""
-    return Section(values, "settings").section("limits")
+def settings_of(values):
+    """The settings as a whole."""
+    return Section(values, "settings")
 
 
 def kept_open(limits):
     """How long a connection to an engine is kept that nothing is asked on."""
-    return int(limits.number("conn_idle_ms", IDLE_MS, MS_MOST) * 10 * IDLE_PART)
-
-
-def value_at(values, n, default):
-    """The n-th of a list that may be shorter than the classes are many."""
-    return values[n] if n < len(values) else default
+    return int(limits.ms("conn_idle_ms", IDLE_MS) * 10 * IDLE_PART)
 
 
-def resource_group(group, n, family, zones, kinds):
-    """The n-th class as the decision module knows it."""
+def resource_group(group, threads, loads, stands_behind_loads, zones, kinds):
+    """A class as the decision module knows it."""
     def placed(name, indices):
         return frozenset(map(indices, group.names(name))) if group.has(name) else None
 
@@ -171,32 +157,38 @@
         promise=tenths(group.ms("promise_ms")),
         stretch=group.number("aim_stretch"),
         timeout=tenths(group.ms("deadline_ms")),
-        value=checked_number(group.values["worth"], group.at("worth"), FIGURE_MOST)
-        if group.has("worth") else 1.0,
+        value=group.figure("worth", 1.0),
         late_value=group.number("late_worth"),
         ordered=group.flag("sequential"),
         zones=placed("zones_only", zones),
         kinds=placed("host_types_open", kinds),
-        threads=value_at(family.counts("class_threads"), n, 1),
-        loads=bool(value_at(family.items("writes_tables"), n, False)),
-        stands_behind_loads=bool(value_at(family.items("yields_to_loads"), n, False)),
+        threads=threads,
+        loads=bool(loads),
+        stands_behind_loads=bool(stands_behind_loads),
     )
 
 
-def deployment(values, zones, kinds):
+def resource_groups(settings, family, zones, kinds):
+    """The classes in order; those past the end of one of the family's lists have its default."""
+    groups = settings.sections("classes")
+    threads = chain(family.counts("class_threads"), repeat(1))
+    loads = chain(family.items("writes_tables"), repeat(False))
+    stands = chain(family.items("yields_to_loads"), repeat(False))
+    return [resource_group(*values, zones, kinds) for values in zip(groups, threads, loads, stands)]
+
+
+def deployment(settings, zones, kinds):
     """All that the decision module is told of a deployment. zones, kinds: names to small indices."""
-    settings = Section(values, "settings")
     family, limits, rules = (settings.section(name) for name in ("family_info", "limits", "obligations"))
     # A budget is kept where its window is named, whatever the figure.
     budgeted = rules.has("budget_window_ms")
     return i.Deployment(
-        groups=[resource_group(group, n, family, zones, kinds)
-                for n, group in enumerate(settings.sections("classes"))],
+        groups=resource_groups(settings, family, zones, kinds),
         tenants=[(tenant.number("share"), tenant.number("quota_per_s"))
                  for tenant in settings.sections("accounts")],
         cores=family.counts("size_cores"),
         memory=family.figures("size_mb"),
-        gateways=max(1, settings.count("fleet_size", 1)),
+        gateways=settings.count("fleet_size", 1),
         zone=zones(settings.text("az")),
         crossing=settings.section("tariffs").number("cross_zone"),
         most_submissions=limits.count("max_attempts", 1),
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -120,7 +120,7 @@
             self.told_parts = number
             for what, (part, until, then) in enumerate(figures):
                 # One without an end stands until the next is told.
-                self.events.append((i.PART, what, part, 1 << 62 if until is None else until + apart, then))
+                self.events.append((i.PART, what, part, i.FOREVER if until is None else until + apart, then))
 
         def charged(self, works):
             self.events.append((i.CHARGED, [works.get(name, 0) * 10 for name in self.tenant_names]))
