Clients of the load tool tell the time that is left; two tests judge by causes, not by wall time

Cause, of the test known to fail (a clock that steps): followed by id through the log of one lost query, the client had stood in line for a connection and told its group's whole time-out although it waited less, or its work took all of its time, so that the refusal at its limit came 2.6 ms after the client had gone (took 995.6 ms, limit 993). Leftover threads of earlier tests, which were suspected, only made the line longer. Also found: the test patched time.time_ns, which wickvane.net.clock had bound when it was imported, so it could not fail for a clock that steps.

Ten runs at once: 1.05 to 2.4 s of wall time, while the service's own loop used 0.50 to 0.65 s.

Change: the load tool tells int(what is left), and sends nothing below a millisecond. The clock test starts engines, dispatcher and load as processes of their own, and the dispatcher's time of day steps back by an hour in the middle of the load; its queries have no work as long as their limit. The reconnect test holds all 300 (201 before) to two seconds of the service's processor time, and to the first response having the drain.

--- a/tests/standins/xds_proxy.py
+++ b/tests/standins/xds_proxy.py
@@ -138,6 +138,10 @@
                 self.left[engine] = now
         return names
 
+    def endpoint_updates(self):
+        """How many responses about endpoints it has taken."""
+        return sum(url == EDS for _, url, _, _ in self.log)
+
     def sends_to(self):
         return {engine for ends in self.ends.values() for engine, _, _ in ends}
 
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -93,6 +93,10 @@
         self.coordinator.send.put(sse(self.index, event(self.index, *entries)))
         return time.monotonic()
 
+    def processor_seconds(self):
+        """What the service's event loop has used, which a busy machine around it does not lengthen."""
+        return time.clock_gettime(time.pthread_getcpuclockid(self.thread.ident))
+
     def stop(self):
         self.server.stop()
         self.thread.join(10)
@@ -430,12 +434,16 @@
         loop.stop(proxy)
         proxy.octets = 0
     gone = min(held[0])
-    began = control.tell(one(int(gone[1:]), "Terminating"))
+    updates_before = [proxy.endpoint_updates() for proxy in proxies]
+    used_before = control.processor_seconds()
+    control.tell(one(int(gone[1:]), "Terminating"))
     for proxy in proxies:
         loop.start(proxy, control.port)
     until(lambda: all(gone not in proxy.sends_to() for proxy in proxies), 60)
-    late = [proxy.left[gone] - began for proxy in proxies]
-    assert sum(lateness > 2.0 for lateness in late) < 100  # they all came back first, in one second
+    # How soon they are back is the machine's affair. The service's: that the first response to each has the
+    # drain, and that it is done with all of them within the two seconds that the drain allows.
+    assert control.processor_seconds() - used_before < 2.0
+    assert {proxy.endpoint_updates() - before for proxy, before in zip(proxies, updates_before)} == {1}
     # What they held is not sent again: one cluster's endpoints, or none, not all.
     assert max(proxy.octets for proxy in proxies) < 4000
     told = control.tell(one(int(max(held[0])[1:]), "Terminating"))
--- a/tests/test_damping.py
+++ b/tests/test_damping.py
@@ -1,17 +1,18 @@
 """Storms are damped: first tries ahead of repeats, connections at a pace that the core bears, a notice while
 one lasts; and the cases in which that could do harm."""
 
+import json
+import os
 import subprocess
 import sys
-import time
 
 import psycopg
 import pytest
 from bench_free import Client as Plain
-from bench_free import Gateways, group, rows, site, sqlstate, statement, until
+from bench_free import Gateways, free_port, group, rows, site, sqlstate, statement, until
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_rehearsal import SMALL, Served
+from test_rehearsal import ROOT, SMALL, Served
 from test_storm import DAY, begun, told
 
 from wickvane import interface as i
@@ -21,7 +22,6 @@
 from wickvane.pace import EASE, LEAST, SECOND, STEP, Pace
 from wickvane.rehearsal import script as scripts
 from wickvane.rehearsal import tds, world
-from wickvane.rehearsal.load import Load
 from wickvane.storm import STORM
 
 # First tries
@@ -278,17 +278,55 @@
         "g0"} and begun(lines)
 
 
-def test_a_clock_that_steps_moves_neither_advice_nor_storm(monkeypatch):
-    """All of it is by a clock that cannot step, taken to Unix time once."""
+STEP_AT_S = 4  # of the dispatcher's life, in the middle of the load
+
+
+@pytest.fixture
+def programs(tmp_path):
+    """Starts wickvane's commands, each with its output in a file, and ends them."""
+    running = []
+
+    def start(name, *words, **environment):
+        with open(tmp_path / name, "wb") as output:
+            process = subprocess.Popen([sys.executable, "-m", "wickvane", *words], cwd=ROOT, stdout=output,
+                                       env=os.environ | environment)
+        running.append(process)
+        return process, tmp_path / name
+
+    yield start
+    for process in running:
+        process.kill()
+        process.wait()
+
+
+def lines_of(path):
+    text = path.read_bytes()
+    return [json.loads(line) for line in text[:text.rfind(b"\n") + 1].splitlines()]
+
+
+def test_a_clock_that_steps_moves_neither_advice_nor_storm(programs, tmp_path):
+    """A dispatcher whose time of day steps back by an hour under load goes on by a clock that cannot step."""
     text = SMALL.format(more='longest-advice "2s"').replace('timeout "3s"', 'timeout "1s"')
-    served = Served(text, watch=storms.Part(None))
-    now = time.time
-    monkeypatch.setattr(time, "time", lambda: now() - 3600)
-    monkeypatch.setattr(time, "time_ns", lambda: int(now() * 1e9) - 3600 * 10**9)
-    script = scripts.read_text(text.replace('"12s"', '"2s"').replace("rate 60", "rate 200"))
-    driving = Load(script, 1, served.address, 32)
-    driving.run()
-    told_of = served.service.counters.shown()
-    assert driving.answers["lookup"]["finished"] > 100 and driving.answers["lookup"]["lost"] == 0
-    assert told_of.get("advised-ms", 0) <= 2000 * max(1, told_of.get("advised", 0))
-    served.end()
+    # None so long that its answer and the end of its client's patience come at one moment.
+    text = text.replace('"12s"', '"6s"').replace("rate 60", "rate 200")
+    text = text.replace('work "60ms"', 'work "60ms"; spread 0.3')
+    script, config, document = (tmp_path / name for name in ("script.kdl", "config.json", "parts.kdl"))
+    script.write_text(text)
+    document.write_text("storms { }")
+    _, told = programs("engines", "rehearse", "serve", "--for=60s", str(script))
+    found = until(lambda: lines_of(told))[0]
+    found["listen"] = f"127.0.0.1:{free_port()}"
+    config.write_text(json.dumps(found))
+    dispatcher, log = programs("dispatcher", "serve", f"--config={config}", f"--parts={document}",
+                               WICKVANE_CLOCK=f"step=-3600@{STEP_AT_S}")
+    until(lambda: any(line["event"] == "ready" for line in lines_of(log)))
+    load, figures = programs("load", "rehearse", "load", f"--to={found['listen']}", str(script))
+    assert load.wait(60) == 0
+    dispatcher.terminate()
+    assert dispatcher.wait(30) == 0
+    answers = next(line["answers"] for line in lines_of(figures) if line.get("group") == "lookup")
+    assert answers["finished"] > 300 and "lost" not in answers
+    counted = next(line for line in lines_of(log) if line["event"] == "counters")
+    assert counted.get("advised-ms", 0) <= 2000 * max(1, counted.get("advised", 0))
+    moments = [line["at"] for line in lines_of(log)]
+    assert max(moments) - min(moments) < 60  # no line is an hour off
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -2,6 +2,7 @@
 
 import io
 import os
+import re
 import socket
 import subprocess
 import sys
@@ -363,6 +364,34 @@
     assert set(nobody.run()["lookup"]["answers"]) == {"lost"} and nobody.service() == 0
 
 
+def test_a_query_that_stood_in_line_for_a_connection_tells_the_time_that_is_left():
+    """A dispatcher that is told the whole time-out may answer once the client has gone: a lost answer."""
+    script = scripts.read_text(SMALL.format(more='clients "c" { group "lookup"; closed 4; think "20s" }'))
+    alone = script._replace(length=5000, clients=script.clients[2:])
+    asked = []
+
+    class OneAtATime:
+        """Each answer takes a fifth of a second, and the next order waits for it."""
+
+        away = 0
+
+        def __init__(self, address):
+            pass
+
+        def ask(self, text, seconds):
+            asked.append((int(re.search(r"limit=(\d+)", text)[1]), seconds))
+            time.sleep(0.2)
+            return "finished"
+
+        def close(self):
+            pass
+
+    Load(alone, 1, ("127.0.0.1", 1), 1, OneAtATime).run()
+    assert len(asked) == 4
+    assert all(0 < told_ms <= seconds * 1000 < told_ms + 2 for told_ms, seconds in asked)
+    assert asked[-1][0] < 2500  # of three seconds
+
+
 def test_a_query_asked_again_here_ahead_of_its_first_one_s_quit_is_a_query_of_its_own():
     served = Served(SMALL.format(more="").replace('work "60ms"', 'work "400ms"; spread 0'))
     host, _, port = served.serving.processes[0].address.rpartition(":")
--- a/wickvane/rehearsal/load.py
+++ b/wickvane/rehearsal/load.py
@@ -145,13 +145,16 @@
     def sending(self, order, group, left):
         """A try is about to be sent, with so many seconds: for who looks on."""
 
-    def statement(self, order):
-        """(what is sent, the work that an emulated engine of this script and seed makes of it)"""
+    def statement(self, order, limit_ms):
+        """(what is sent, the work that an emulated engine of this script and seed makes of it)
+
+        limit_ms: how long the client still waits. An order that stood in line for a connection waits less
+        than its group's time-out, and a dispatcher that is told the whole may answer after it has gone."""
         clients, group, ids = order.clients, self.script.groups[order.clients.group], self.ids
         with self.lock:
             txn = order.txn = f"{ids.getrandbits(64):016x}"
         work = lognormal(Random(f"{self.seed}/{txn}"), group.work, group.spread)
-        fields = {"verb": group.name, "txn": txn, "limit": group.timeout // 10,
+        fields = {"verb": group.name, "txn": txn, "limit": limit_ms,
                   "team": self.script.tenants[clients.tenant][0], "cpu": f"{work * order.error:.1f}",
                   "memory": f"{group.memory:.0f}"}
         if order.token is not None:
@@ -227,11 +230,12 @@
                 return
             at, order = due
             group, moment = self.script.groups[order.clients.group], self.began + at / SECOND
-            text, work = self.statement(order)
             left = moment + group.timeout / SECOND - time.monotonic()
-            if left > 0:
+            limit_ms = int(left * 1000)
+            text, work = self.statement(order, limit_ms)
+            if limit_ms > 0:
                 self.sending(order, group, left)
-            answer = client.ask(text, left) if left > 0 else "not sent"
+            answer = client.ask(text, left) if limit_ms > 0 else "not sent"
             self.answered(order, at, group, work, answer, client.away)
 
     def answered(self, order, at, group, work, answer, away=0):
