Engine figures stand in one declared table of storage, under standard names

Names as mine, aside, trial, crowd and takes say little to a newcomer.

Change: wickvane/engine_table.py declares each column with its lifetime and initial value; the module asks it to grow and to reset. The query record sets its own initial values, and settings are read from the deployment in place of copies. in_flight, ejected_until, half_open, load_factor, slow_start_work, concurrency_limit and others replace the old words. No decision changes; no assertion was changed, tests name the new columns.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -94,7 +94,7 @@
             before, spent = made.counters.shown()["members-entries-told"], time.process_time()
             began_at = time.perf_counter()
             put(path, text)
-            known = until(lambda e=index[row[0]], want=want: gateway.cores[e] == want)
+            known = until(lambda e=index[row[0]], want=want: gateway.engines.cores[e] == want)
             took.append((known - began_at) * 1000)
             cpu.append((time.process_time() - spent) * 1000)
             told.append(made.counters.shown()["members-entries-told"] - before)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -79,7 +79,7 @@
     for _ in range(30):
         g.take()
     assert len(g.out) == 30
-    g.gateway.full_at[0] = g.now
+    g.gateway.engines.rejected_at[0] = g.now
     g.take()
     assert len(g.out) == 30
 
@@ -156,7 +156,7 @@
 def test_bounds_below_one_query_are_pooled_over_all_engines():
     g = Gateways(site([group()], gateways=40))
     g.engines(10)
-    g.gateway.full_at = [g.now] * 10
+    g.gateway.engines.rejected_at = [g.now] * 10
     for coord in range(60):
         g.take(coord=coord)
     # Two threads a core of ten engines with eight, over forty gateways.
@@ -168,7 +168,7 @@
         g = Gateways(site([group()], gateways=gateways))
         g.engines(5)
         slow = g.gateway.order_of(1)[0]
-        g.gateway.crowd[slow], g.gateway.crowd_at[slow] = 1.4, g.now
+        g.gateway.engines.load_factor[slow], g.gateway.engines.load_factor_at[slow] = 1.4, g.now
         assert (g.out[g.take(coord=1)] == slow) == stays
 
 
@@ -206,7 +206,7 @@
         assert moved > 10
     g = of_many(1)
     e = one_query(g)
-    g.gateway.crowd[e], g.gateway.crowd_at[e] = 2.9, g.now
+    g.gateway.engines.load_factor[e], g.gateway.engines.load_factor_at[e] = 2.9, g.now
     assert one_query(g, after=1) != e  # a thread a core fuller than the others: worth a connection
 
 
@@ -278,7 +278,7 @@
             gates.end(q, i.ERROR, elapsed=20)
         assert gates.final[q] == "deferred" and len(gates.sent[q]) == 2
         assert len({engine for _, engine in gates.sent[q]}) == 2
-    assert not any(gates.gateway.aside) and max(gates.gateway.failing) < 0.01
+    assert not any(gates.gateway.engines.ejected_until) and max(gates.gateway.engines.failure_rate) < 0.01
 
 
 def test_an_engine_that_answers_all_with_errors_is_set_aside_still():
@@ -293,7 +293,7 @@
             gates.end(q, i.ERROR if at_fault else i.FINISHED, elapsed=20 if at_fault else 1000, after=100)
             if not at_fault:
                 break
-    assert gates.gateway.aside[bad] and max(len(sent) for sent in gates.sent.values()) == 2
+    assert gates.gateway.engines.ejected_until[bad] and max(len(sent) for sent in gates.sent.values()) == 2
 
 
 def test_queries_taken_are_forgotten_after_the_budgets_window():
@@ -319,11 +319,11 @@
     for q in first[4:]:
         gates.end(q, i.TURNED_AWAY, elapsed=5)
     out = [q for q in gates.out if gates.out[q] == 0]
-    assert 1 <= len(out) <= 5 and gates.gateway.takes[0] <= 6
-    before = gates.gateway.takes[0]
+    assert 1 <= len(out) <= 5 and gates.gateway.engines.concurrency_limit[0] <= 6
+    before = gates.gateway.engines.concurrency_limit[0]
     for q in out:
         gates.end(q)
-    assert before < gates.gateway.takes[0] <= before + len(out)
+    assert before < gates.gateway.engines.concurrency_limit[0] <= before + len(out)
 
 
 def test_what_was_seen_of_an_engine_lasts_until_all_were_heard_of_again():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -195,7 +195,7 @@
     "1 in time": ("sweep", lambda self: None),
     "2 mutating": ("may_resubmit", lambda self, qy: qy.tries < 5 and self.now < qy.limit),
     "2 deferral": ("give_up", lambda self, qy: (self.out.defer(qy.q, 0), self.close(qy))),
-    "3 drains": ("usable", lambda self, rg: [e for e in range(len(self.rank)) if self.permitted(rg, e)]),
+    "3 drains": ("usable", lambda self, rg: [e for e in range(len(self.engines)) if self.permitted(rg, e)]),
     "4 cold": ("cold_room", lambda self, qy, e: True),
     "5 turn": ("key_free", lambda self, qy: True),
     "6": ("permitted", lambda self, rg, e: True),
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -463,9 +463,9 @@
     client.tokens()
     engine.next("ATTENTION")
     gateway = dispatcher.service.decider.gateway
-    assert sum(gateway.mine) == 1  # its work goes on, as far as anybody knows
+    assert sum(gateway.engines.in_flight) == 1  # its work goes on, as far as anybody knows
     until(lambda: dispatcher.service.counters.shown().get("engine-connections-ended-attention-unanswered"))
-    until(lambda: sum(gateway.mine) == 0)
+    until(lambda: sum(gateway.engines.in_flight) == 0)
 
 
 def test_a_client_that_drops_midway_leaves_no_query_behind():
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -22,6 +22,7 @@
 from random import Random
 
 from wickvane import interface as i
+from wickvane.engine_table import EngineTable, Lifetime
 from wickvane.query import Query
 
 SECOND = 10_000
@@ -66,15 +67,10 @@
 class Gateway:
     def __init__(self, seed, site):
         self.chance = Random(seed)
-        self.groups, self.gateways = site.groups, site.gateways
-        self.cores_of, self.home = site.cores, site.zone if site.crossing else None
-        self.weighs = site.weighs
-        self.most_tries, self.may_cancel, self.grants = site.most_submissions, site.may_cancel, site.grants
-        self.priorities, self.advice, self.key_rest = site.priorities, site.longest_advice, site.key_rest
+        self.site, self.groups, self.gateways = site, site.groups, site.gateways
+        self.home = site.zone if site.crossing else None
         self.ask_at = 0 if site.asks_for_list else None
-        self.extra_free, self.extra_share = site.extra_free, site.extra_share
-        self.extra_window, self.until = site.extra_window, FOREVER
-        self.cold_from, self.cold_time, self.fall_time = site.cold_from, site.cold_time, site.fall_time
+        self.until = FOREVER  # when this process may be ended
         # What a cold engine may get of one gateway in a window, in work a core.
         self.fall_work = FALL_SAFETY * site.fall_multiple * BUSY * site.fall_time / site.gateways
         self.queries, self.running, self.again = {}, {}, deque()
@@ -85,20 +81,13 @@
         self.weight = [share * len(shares) / (sum(shares) or 1) or 1.0 for share in shares]
         self.lines, self.deficit = [[] for _ in shares], [0.0] * len(shares)
         self.ring, self.at, self.visiting, self.short = [], 0, False, False
-        # Engines, by index
-        self.rank, self.state, self.where, self.cell, self.kind = [], [], [], [], []
-        self.cores, self.started, self.mine, self.failing, self.full_at = [], [], [], [], []
-        self.crowd, self.crowd_at, self.per_query = [], [], (0.0, 0.0)
+        self.engines, self.per_query = EngineTable(), (0.0, 0.0)
         self.crowd_mid = self.median = self.easy = 1.0
         self.gap, self.answer_at, self.lasts = 0.0, 0, CROWD_LASTS
-        self.heard, self.aside, self.aside_for, self.trial, self.loading = [], [], [], [], []
-        self.sent_work, self.down, self.lot, self.lot_until, self.takes = [], [], [], [], []
-        self.others, self.others_at = [], []  # threads that others told that they hold, and when
-        self.lasting = 0.0  # how long that counts
+        self.lasting = 0.0  # how long counts what others told that they hold
         # Of bounds and of what cold engines get, which may be lent: (in parts of what is configured, until
         # when, what then); what holds now; whether more was wanted of the latter.
         self.parts, self.share, self.denied = [(1.0, FOREVER, 1.0)] * 2, [1.0, 1.0], False
-        self.used_at, self.kept_open = [], site.kept_open  # engines: when last sent to or heard of
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
@@ -139,9 +128,7 @@
             self.lines.append([])
             self.deficit.append(0.0)
             self.weight.append(1.0)
-        qy = Query()
-        qy.q, qy.rg, qy.tenant, qy.need, qy.coord = q, rg, tenant, memory, coord
-        qy.key = key if g.ordered else None
+        qy = Query(q, rg, tenant, memory, coord, key if g.ordered else None)
         qy.cost = cost or self.mean[rg] or SECOND * g.threads
         if cost:
             self.learn(rg, cost)
@@ -152,9 +139,6 @@
         qy.target = min(now + g.promise + int(g.stretch * qy.cost / g.threads), qy.limit)
         # A wait for its key is no wait for room: it may take all the time that is of use.
         qy.hold = min(self.last_start(qy), now + int(WAIT_PART * left) if qy.key is None else qy.limit)
-        qy.out, qy.engine, qy.sent, qy.tries, qy.over = False, -1, 0, 0, False
-        qy.ran_at, qy.ran_on, qy.known_slow, qy.priority, qy.share, qy.erred = None, -1, False, -1, 0.0, None
-        qy.counted = False
         self.queries[q] = qy
         self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
         self.taken_at.append(now)
@@ -175,9 +159,10 @@
             return
         g, now, qy.out = self.groups[qy.rg], self.now, False
         self.running.pop(q, None)
-        self.mine[engine], self.used = self.mine[engine] - g.threads, self.used - g.threads
+        self.engines.in_flight[engine] -= g.threads
+        self.used -= g.threads
         if g.loads:
-            self.loading[engine].remove(qy.coord)
+            self.engines.loads[engine].remove(qy.coord)
         self.judge(qy, engine, ending, elapsed)
         if ending == i.FINISHED:
             self.see(engine, elapsed / self.usual(qy, work), report, qy.counted)
@@ -197,7 +182,7 @@
             elif qy.ran_at is None:
                 qy.ran_at, qy.ran_on = qy.sent, engine
         if ending in (i.NO_ANSWER, i.RESET, i.CANCELLED) and qy.key is not None:
-            self.rests[qy.key] = now + self.key_rest
+            self.rests[qy.key] = now + self.site.key_rest
         qy.over = qy.over or complete or ending == i.FINISHED
         if qy.over:
             self.forget(qy)
@@ -214,7 +199,7 @@
         qy = self.queries.get(q)
         if qy is None or not qy.out or qy.over:
             return
-        self.heard[engine] = self.now
+        self.engines.heard_at[engine] = self.now
         if what == i.SHARE_DONE:
             qy.share = amount
             still = (self.now - qy.sent) * (1 - amount) / max(amount, 0.005)
@@ -222,33 +207,24 @@
                 self.renew([qy])
 
     def engine(self, e, rank, state, zone, kind, cell, started, weight):
-        while e >= len(self.rank):
-            for column in (
-                self.rank, self.state, self.where, self.cell, self.kind, self.cores, self.started, self.mine,
-                self.failing, self.full_at, self.heard, self.aside, self.aside_for, self.trial, self.down,
-                self.sent_work, self.crowd, self.crowd_at, self.lot, self.lot_until, self.loading, self.takes,
-                self.used_at, self.others, self.others_at,
-            ):
-                column.append(None)
-            self.mine[-1] = 0
-        if self.rank[e] != rank or self.started[e] != started:
-            self.crowd[e], self.failing[e], self.full_at[e] = 1.0, 0.0, -SECOND
-            self.crowd_at[e] = self.heard[e] = self.now
-            self.down[e], self.lot[e], self.lot_until[e], self.used_at[e] = False, 1.0, -1, -FOREVER
-            self.others[e], self.others_at[e] = 0, -FOREVER
-            self.aside[e], self.aside_for[e], self.trial[e], self.takes[e] = 0, ASIDE_FIRST, False, FOREVER
-            if self.rank[e] != rank:
-                self.mine[e], self.sent_work[e], self.loading[e] = 0, deque(), []
-                self.orders.clear()
-        self.rank[e], self.state[e], self.where[e], self.kind[e] = rank, state, zone, kind
-        self.cores[e] = self.cores_of[kind] if kind < len(self.cores_of) else 1
-        if self.weighs:
-            self.cores[e] *= max(0.01, min(1.0, weight))  # no engine has more than all of it
-        self.cell[e], self.started[e] = cell, started
+        table = self.engines
+        table.grow(e + 1)
+        if table.rank[e] != rank or table.started_at[e] != started:
+            table.reset(e, Lifetime.RUN)
+            table.load_factor_at[e] = table.heard_at[e] = self.now
+            table.ejection_time[e] = ASIDE_FIRST
+        if table.rank[e] != rank:
+            table.reset(e, Lifetime.PROCESS)
+            self.orders.clear()
+        table.rank[e], table.state[e], table.zone[e], table.kind[e] = rank, state, zone, kind
+        table.cores[e] = self.site.cores[kind] if kind < len(self.site.cores) else 1
+        if self.site.weighs:
+            table.cores[e] *= max(0.01, min(1.0, weight))  # no engine has more than all of it
+        table.cell[e], table.started_at[e] = cell, started
         self.fit.clear()
 
     def told(self, e, threads, age):
-        self.others[e], self.others_at[e] = threads, self.now - age
+        self.engines.others_in_flight[e], self.engines.others_told_at[e] = threads, self.now - age
 
     def parted(self, what, part, until, then):
         self.parts[what] = part, until, then
@@ -262,20 +238,20 @@
 
     def judged(self, e, bad, slow, age):
         """What several found of an engine, where nothing later was found here; slow: against the usual."""
-        if bad and self.heard[e] < self.now - age:
-            self.aside[e] = max(self.aside[e], self.now + HEARSAY)
+        if bad and self.engines.heard_at[e] < self.now - age:
+            self.engines.ejected_until[e] = max(self.engines.ejected_until[e], self.now + HEARSAY)
             self.fit.clear()
-        if slow and self.crowd_at[e] < self.now - age:
-            self.crowd[e] += (slow * self.crowd_mid - self.crowd[e]) / 2
-            self.crowd_at[e] = self.now - age
+        if slow and self.engines.load_factor_at[e] < self.now - age:
+            self.engines.load_factor[e] += (slow * self.crowd_mid - self.engines.load_factor[e]) / 2
+            self.engines.load_factor_at[e] = self.now - age
 
     def needs(self):
         """By budget, what is in use, in parts of what is configured, and whether more would be used."""
         self.pool = None
         self.pool_left()
-        cold = [sum(w for at, w in self.sent_work[e] if at > self.now - self.fall_time)
-                / (self.fall_work * self.cores[e] * self.warmth(e))
-                for e, state in enumerate(self.state) if state == i.READY and self.warmth(e) < 1.0]
+        cold = [sum(w for at, w in self.engines.slow_start_work[e] if at > self.now - self.site.fall_time)
+                / (self.fall_work * self.engines.cores[e] * self.warmth(e))
+                for e, state in enumerate(self.engines.state) if state == i.READY and self.warmth(e) < 1.0]
         denied, self.denied = self.denied, False
         return ((self.used * self.share[i.BOUNDS] / (self.base or 1.0), self.short),
                 (max(cold, default=0.0), denied))
@@ -311,7 +287,7 @@
         # Where an engine is heard of less often than what was seen of it fades, its jam is never known, and
         # all gateways go on to send there by the shared order alone.
         self.gap += 0.05 * (min(self.now - self.answer_at, SECOND) - self.gap)
-        self.answer_at, self.lasts = self.now, max(CROWD_LASTS, HEARD_GAPS * self.gap * len(self.state))
+        self.answer_at, self.lasts = self.now, max(CROWD_LASTS, HEARD_GAPS * self.gap * len(self.engines))
         # The median over recent answers, not over engines: with many, most were last seen long ago. Against
         # its best, since estimates may all lie to one side.
         if not counted:
@@ -324,11 +300,11 @@
             self.narrow()
         held, threads = report.get("inflight") if report else None, self.per_query
         if held is not None and threads[1]:
-            slower = max(slower, held * threads[0] / threads[1] / (BOUND_THREADS * self.cores[e]))
+            slower = max(slower, held * threads[0] / threads[1] / (BOUND_THREADS * self.engines.cores[e]))
         # The rarer the answers, the more each of them tells.
-        share = min(1.0, max(0.3, 2 * (self.now - self.crowd_at[e]) / CROWD_LASTS))
-        self.crowd[e] += (slower - self.crowd[e]) * share
-        self.crowd_at[e] = self.now
+        share = min(1.0, max(0.3, 2 * (self.now - self.engines.load_factor_at[e]) / CROWD_LASTS))
+        self.engines.load_factor[e] += (slower - self.engines.load_factor[e]) * share
+        self.engines.load_factor_at[e] = self.now
 
     def narrow(self):
         if self.now - self.narrowed > SECOND // 2:
@@ -336,8 +312,8 @@
 
     def seen(self, e):
         # What was seen some time ago fades into what is usual over all engines now.
-        still = max(0.0, 1 - (self.now - self.crowd_at[e]) / self.lasts)
-        return self.crowd_mid + (self.crowd[e] - self.crowd_mid) * still
+        still = max(0.0, 1 - (self.now - self.engines.load_factor_at[e]) / self.lasts)
+        return self.crowd_mid + (self.engines.load_factor[e] - self.crowd_mid) * still
 
     def last_start(self, qy):
         g = self.groups[qy.rg]
@@ -346,39 +322,41 @@
         return int(end - max(self.runs_for(qy), 2 * SWEEP))
 
     def warmth(self, e):
-        started = self.started[e]
-        return warm_part(self.now - started, self.cold_from, self.cold_time) if started else 1.0
+        started = self.engines.started_at[e]
+        return warm_part(self.now - started, self.site.cold_from, self.site.cold_time) if started else 1.0
 
     def judge(self, qy, e, ending, elapsed):
-        self.down[e] = ending == i.NO_CONNECTION
-        self.used_at[e] = -FOREVER if ending in (i.NO_CONNECTION, i.RESET) else self.now
+        self.engines.refuses_connections[e] = ending == i.NO_CONNECTION
+        self.engines.used_at[e] = -FOREVER if ending in (i.NO_CONNECTION, i.RESET) else self.now
         if ending == i.FINISHED:
-            self.failing[e] *= 0.8
-            self.heard[e] = self.now
-            self.trial[e], self.aside_for[e] = False, ASIDE_FIRST
-            self.takes[e] += 1 / self.takes[e]
+            self.engines.failure_rate[e] *= 0.8
+            self.engines.heard_at[e] = self.now
+            self.engines.half_open[e], self.engines.ejection_time[e] = False, ASIDE_FIRST
+            self.engines.concurrency_limit[e] += 1 / self.engines.concurrency_limit[e]
         elif ending == i.TURNED_AWAY:
-            self.full_at[e] = self.heard[e] = self.now
+            self.engines.rejected_at[e] = self.engines.heard_at[e] = self.now
             # Against one engine that takes less than others: what it sends back uses up further submissions.
-            self.takes[e] = max(1.0, 0.8 * self.mine[e])
+            self.engines.concurrency_limit[e] = max(1.0, 0.8 * self.engines.in_flight[e])
             self.narrow()
         elif ending == i.ERROR and qy.erred is not None and qy.erred != e:
             # Against statements that no engine can use: a second error is the query's own. The first engine
             # is cleared of it, and no third is asked at the budget's cost.
-            self.failing[qy.erred], qy.erred = max(0.0, (self.failing[qy.erred] - 0.2) / 0.8), -1
+            failed = self.engines.failure_rate[qy.erred]
+            self.engines.failure_rate[qy.erred], qy.erred = max(0.0, (failed - 0.2) / 0.8), -1
         elif ending in (i.ERROR, i.RESET, i.NO_CONNECTION) or (
-                ending == i.NO_ANSWER and self.heard[e] < qy.sent):
+                ending == i.NO_ANSWER and self.engines.heard_at[e] < qy.sent):
             qy.erred = e if ending == i.ERROR else qy.erred
-            self.failing[e] += (1 - self.failing[e]) * 0.2
-            if self.failing[e] > FAILING or self.trial[e]:
+            self.engines.failure_rate[e] += (1 - self.engines.failure_rate[e]) * 0.2
+            if self.engines.failure_rate[e] > FAILING or self.engines.half_open[e]:
                 self.set_aside(e)
 
     def set_aside(self, e):
-        if self.now < self.aside[e]:
+        if self.now < self.engines.ejected_until[e]:
             return
-        self.aside[e], self.trial[e] = self.now + self.aside_for[e], True
+        self.engines.ejected_until[e] = self.now + self.engines.ejection_time[e]
+        self.engines.half_open[e] = True
         self.fit.clear()
-        self.aside_for[e] = min(ASIDE_MOST, self.aside_for[e] * 2)
+        self.engines.ejection_time[e] = min(ASIDE_MOST, self.engines.ejection_time[e] * 2)
 
     # Where a query may go
 
@@ -388,74 +366,78 @@
             # Against statements that name ever new groups: an order forgotten is only worked out again.
             if len(self.orders) >= ORDERS_HELD:
                 self.orders.clear()
-            by = [hash_place(rank, coord) for rank in self.rank]
+            by = [hash_place(rank, coord) for rank in self.engines.rank]
             order = self.orders[coord] = sorted(range(len(by)), key=by.__getitem__)
         return order
 
     def permitted(self, rg, e):
-        g = self.groups[rg]
-        return (g.zones is None or self.where[e] in g.zones) and (g.kinds is None or self.kind[e] in g.kinds)
+        g, table = self.groups[rg], self.engines
+        return (g.zones is None or table.zone[e] in g.zones) and (g.kinds is None or table.kind[e] in g.kinds)
 
     def knows(self, qy, e):
         """Where a tokened query has run, only those that know the token discard the repeat."""
         g = self.groups[qy.rg]
-        same = self.where if g.drops_repeats == i.SAME_ZONE else self.cell
+        same = self.engines.zone if g.drops_repeats == i.SAME_ZONE else self.engines.cell
         return (qy.ran_at is None or g.effect != i.TOKENED or g.drops_repeats == i.ANY_ENGINE
                 or same[e] == same[qy.ran_on])
 
     def usable(self, rg):
         if rg not in self.fit:
-            ready = [e for e, state in enumerate(self.state) if state == i.READY and self.permitted(rg, e)]
-            fit = [e for e in ready if self.aside[e] <= self.now]
+            table = self.engines
+            ready = [e for e, state in enumerate(table.state) if state == i.READY and self.permitted(rg, e)]
+            fit = [e for e in ready if table.ejected_until[e] <= self.now]
             # More than half aside at once is no fault of the engines: a common cause, and nowhere better to
             # go. An engine that takes no connection is down all the same, and would only use up submissions.
             if 2 * len(fit) < len(ready):
-                fit = [e for e in ready if not self.down[e] or self.aside[e] <= self.now] or ready
+                fit = [e for e in ready if e in fit or not table.refuses_connections[e]] or ready
             self.fit[rg] = frozenset(fit)
         return self.fit[rg]
 
     def cold_room(self, qy, e):
-        sent, now = self.sent_work[e], self.now
-        while sent and sent[0][0] <= now - self.fall_time:
+        sent, now = self.engines.slow_start_work[e], self.now
+        while sent and sent[0][0] <= now - self.site.fall_time:
             sent.popleft()
-        weight, whole = max(self.mean[qy.rg], 1.0), self.fall_work * self.cores[e] * self.warmth(e)
+        weight, whole = max(self.mean[qy.rg], 1.0), self.fall_work * self.engines.cores[e] * self.warmth(e)
         share = whole * self.share[i.COLD]
         if weight <= share:
             return sum(w for _, w in sent) + weight <= share
         # Less than a query for each gateway: one a window goes by lot, drawn at times of each gateway's own,
         # so that neither all send nor none. Chance lets through twice as many of a few, so fewer of those go.
-        if now >= self.lot_until[e]:
-            first = self.lot_until[e] < self.started[e]
-            self.lot_until[e] = now + int(self.fall_time * (self.chance.random() if first else 1))
-            self.lot[e] = 1.0 if first else self.chance.random()
+        if now >= self.engines.lot_until[e]:
+            first = self.engines.lot_until[e] < self.engines.started_at[e]
+            window = self.site.fall_time * (self.chance.random() if first else 1)
+            self.engines.lot_until[e] = now + int(window)
+            self.engines.lot[e] = 1.0 if first else self.chance.random()
         most = whole * self.gateways / FALL_SAFETY / weight
         few = self.share[i.COLD] * min(LOTS * most, (sqrt(9 + most) - 3) ** 2)
-        return not sent and self.lot[e] * self.gateways < few
+        return not sent and self.engines.lot[e] * self.gateways < few
 
     def room(self, qy, e):
         warmth = self.warmth(e)
         if warmth < 1.0 and not self.cold_room(qy, e):
             self.denied = True
             return False
-        bound = self.bound(e)
-        binds = warmth < 1.0 or self.short or self.seen(e) > PRESSED or self.now - self.full_at[e] < SECOND
+        table, bound = self.engines, self.bound(e)
+        mine = table.in_flight[e]
+        lately_full = self.now - table.rejected_at[e] < SECOND
+        binds = warmth < 1.0 or self.short or self.seen(e) > PRESSED or lately_full
         if bound >= self.groups[qy.rg].threads:
-            few = not binds or self.mine[e] < bound * min(1.0, self.widen)
-            return self.mine[e] <= 0 or few and not self.trial[e] and self.mine[e] < self.takes[e]
+            few = not binds or mine < bound * min(1.0, self.widen)
+            return mine <= 0 or few and not table.half_open[e] and mine < table.concurrency_limit[e]
         # With many gateways the bound is less than a query, and one from each would be far over what it
         # stands for: its bounds on all engines are one pool then, which an engine with none needs too.
-        if self.mine[e] > 0 and (self.trial[e] or binds):
+        if mine > 0 and (table.half_open[e] or binds):
             return False
         # Past the whole bound by what others hold, and more than is usual now: later engines are tried.
         over = self.seen(e) > max(BOUND_THREADS, SPILL * self.crowd_mid)
         return not over and self.pool_left()
 
     def bound(self, e):
-        return BOUND_THREADS * self.cores[e] * self.warmth(e) * self.share[i.BOUNDS] / self.gateways
+        return BOUND_THREADS * self.engines.cores[e] * self.warmth(e) * self.share[i.BOUNDS] / self.gateways
 
     def pool_left(self):
         if self.pool is None:
-            bounds = [self.bound(e) for e, state in enumerate(self.state) if state == i.READY]
+            bounds = [self.bound(e) for e, state in enumerate(self.engines.state) if state == i.READY]
             self.base, self.widest = sum(bounds), max(bounds, default=0.0)
             self.pool = self.base * self.widen
         return self.used <= 0 or self.used < self.pool
@@ -480,7 +462,7 @@
             # With many gateways most engines hold none of mine, and ties that all break alike jam the first,
             # unless it was heard of lately. Its warm tables are worth staying for then.
             blind = (self.bound(found[0]) < self.groups[qy.rg].threads
-                     and self.now - self.crowd_at[found[0]] > CROWD_LASTS // 3)
+                     and self.now - self.engines.load_factor_at[found[0]] > CROWD_LASTS // 3)
             return min(found, key=lambda e: (
                 self.loads_there(qy, e), self.load(e), self.chance.random() if blind else 0))
         if not met:
@@ -491,20 +473,22 @@
 
     def loads_there(self, qy, e):
         # Loads of one table group run one after another on an engine, with all of their keys behind them.
-        return self.groups[qy.rg].loads and self.loading[e].count(qy.coord)
+        return self.groups[qy.rg].loads and self.engines.loads[e].count(qy.coord)
 
     def load(self, e):
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
+        table, cores = self.engines, self.engines.cores[e] * self.warmth(e)
         others = max(0.0, self.seen(e) - 1.0) * (1 - 1 / self.gateways)
         # What others hold is told late, and gateways that all go by one late figure crowd the engine that it
         # praises: it counts while queries last longer than it is old, beside what answers tell.
-        if self.now - self.others_at[e] < self.lasting:
-            others = (others + self.others[e] / (self.cores[e] * self.warmth(e))) / 2
-        far = CROSSING if self.home is not None and self.where[e] != self.home else 0.0
+        if self.now - table.others_told_at[e] < self.lasting:
+            others = (others + table.others_in_flight[e] / cores) / 2
+        far = CROSSING if self.home is not None and table.zone[e] != self.home else 0.0
         # Gateways that each come to every engine cost a connection for every second query. What each keeps to
         # a few of the first is spread all the same, since others have met others of them.
-        new = CONNECTING if self.now - self.used_at[e] > self.kept_open and self.bound(e) < 1 else 0.0
-        return self.mine[e] / (self.cores[e] * self.warmth(e)) + others + far + new
+        unconnected = self.now - table.used_at[e] > self.site.kept_open
+        new = CONNECTING if unconnected and self.bound(e) < 1 else 0.0
+        return table.in_flight[e] / cores + others + far + new
 
     # What leaves
 
@@ -580,29 +564,29 @@
 
     def budget_left(self):
         # The ends of the window are cut against this gateway: extras count longer than queries taken.
-        while self.extra_at and self.extra_at[0] < self.now - self.extra_window - 2:
+        while self.extra_at and self.extra_at[0] < self.now - self.site.extra_window - 2:
             self.extra_at.popleft()
-        while self.taken_at and self.taken_at[0] <= self.now - self.extra_window + 4:
+        while self.taken_at and self.taken_at[0] <= self.now - self.site.extra_window + 4:
             self.taken_at.popleft()
-        most = self.extra_free + self.extra_share * len(self.taken_at)
-        return len(self.extra_at) + 1 <= most or not self.extra_window
+        most = self.site.extra_free + self.site.extra_share * len(self.taken_at)
+        return len(self.extra_at) + 1 <= most or not self.site.extra_window
 
     def submit(self, qy, e):
         g = self.groups[qy.rg]
         qy.engine, qy.sent, qy.out, qy.share, qy.counted = e, self.now, True, 0.0, False
         qy.tries += 1
-        self.used_at[e] = self.now
-        self.mine[e], self.used = self.mine[e] + g.threads, self.used + g.threads
-        self.loading[e] += [qy.coord] * g.loads
+        self.engines.used_at[e] = self.now
+        self.engines.in_flight[e], self.used = self.engines.in_flight[e] + g.threads, self.used + g.threads
+        self.engines.loads[e] += [qy.coord] * g.loads
         if self.warmth(e) < 1.0:
-            self.sent_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
+            self.engines.slow_start_work[e].append((self.now, max(self.mean[qy.rg], 1.0)))
         self.running[qy.q] = qy
         self.set_terms(qy)
         self.out.submit(qy.q, e, 0, self.repeat_by(qy))
 
     def set_terms(self, qy):
         g = self.groups[qy.rg]
-        if not (self.priorities or self.grants):
+        if not (self.site.priorities or self.site.grants):
             return
         dense = [x.value / (self.mean[n] or SECOND) for n, x in enumerate(self.groups)]
         # In an ordered group a slow query keeps all of its key waiting.
@@ -611,7 +595,7 @@
             priority = 0
         # A group's estimates lie to one side: too small a grant spills, too large a one is lost to others.
         grant = 0
-        if self.grants and self.told_need and qy.need:
+        if self.site.grants and self.told_need and qy.need:
             grant = qy.need * (self.told_over[qy.rg] + GRANT_MARGIN * self.told_off[qy.rg])
         if priority != qy.priority or grant:
             qy.priority = priority
@@ -626,7 +610,7 @@
 
     def may_resubmit(self, qy):
         harmless = qy.ran_at is None or self.groups[qy.rg].effect != i.MUTATING
-        return (harmless and qy.erred != -1 and qy.tries < self.most_tries
+        return (harmless and qy.erred != -1 and qy.tries < self.site.most_submissions
                 and self.now < min(self.repeat_by(qy), self.last_start(qy)))
 
     def give_up(self, qy):
@@ -644,22 +628,22 @@
     def stay_away(self, qy):
         """Who is deferred comes back behind what waits and behind those told before, at the pace at which
         work is lately done here, so that those told do not return together."""
-        if not self.advice:
+        if not self.site.longest_advice:
             return 0
         pace = self.done_lately() / PACE_OVER
         if pace > 0:
             line = self.mean_all * sum(map(len, self.lines)) / pace
             self.back_at = max(self.back_at, self.now + line) + qy.cost / pace
-            if self.back_at <= self.now + self.advice:
-                return min(self.advice, int(self.back_at - self.now) + 1)
-        self.back_at = self.now + self.advice
-        return int(self.advice * self.chance.uniform(0.5, 1))
+            if self.back_at <= self.now + self.site.longest_advice:
+                return min(self.site.longest_advice, int(self.back_at - self.now) + 1)
+        self.back_at = self.now + self.site.longest_advice
+        return int(self.site.longest_advice * self.chance.uniform(0.5, 1))
 
     def close(self, qy):
         """The query has its final answer, or needs none."""
         qy.over = True
         if qy.out:
-            if self.may_cancel:
+            if self.site.may_cancel:
                 self.out.cancel(qy.q, qy.tries - 1)
             return
         if qy in self.lines[qy.tenant]:
@@ -687,8 +671,8 @@
             e, g, since = qy.engine, self.groups[qy.rg], now - qy.sent
             # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
             slower = min(8.0, since / self.usual(qy))
-            if not qy.share and slower > self.crowd[e]:
-                self.crowd[e], self.crowd_at[e] = slower, now
+            if not qy.share and slower > self.engines.load_factor[e]:
+                self.engines.load_factor[e], self.engines.load_factor_at[e] = slower, now
             # Quick answers of engines at ease hide the jam of a few, whose answers come late or never: what
             # is overdue counts in the median at once, and not again when it ends.
             if not qy.counted and slower * self.warmth(e) > OVERDUE * max(self.median, self.easy):
@@ -699,11 +683,11 @@
                     self.narrow()
             if qy.over:
                 continue
-            useless = self.may_cancel and g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target
-            if useless or now >= qy.limit:
+            useless = g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target
+            if useless and self.site.may_cancel or now >= qy.limit:
                 self.give_up(qy)
             else:
-                if since > 3 * self.runs_for(qy) + SECOND // 2 and self.heard[e] < qy.sent:
+                if since > 3 * self.runs_for(qy) + SECOND // 2 and self.engines.heard_at[e] < qy.sent:
                     late[e] += 1
                 # Lost, hung or badly planned, whichever: notes that show it at work speak for it.
                 alone = min(max(1.0, self.crowd_mid), 2.0) * qy.cost / g.threads
@@ -713,15 +697,15 @@
         if len(lost) <= LOST_MOST * len(self.running) + 1:
             self.renew(lost)
         for e, count in late.items():
-            if count >= 2 and now >= self.aside[e]:
+            if count >= 2 and now >= self.engines.ejected_until[e]:
                 self.set_aside(e)
                 self.renew([qy for qy in self.running.values() if qy.engine == e])
 
     def renew(self, queries):
         for qy in queries:
-            if (not qy.over and not qy.known_slow and self.may_cancel and qy.tries < self.most_tries
-                    and self.groups[qy.rg].effect == i.READ_ONLY and self.budget_left()
-                    and self.now + self.runs_for(qy) < qy.limit):
+            movable = self.site.may_cancel and self.groups[qy.rg].effect == i.READ_ONLY
+            if (movable and not qy.over and not qy.known_slow and qy.tries < self.site.most_submissions
+                    and self.budget_left() and self.now + self.runs_for(qy) < qy.limit):
                 self.out.cancel(qy.q, qy.tries - 1)
                 qy.known_slow = True
 
--- a/wickvane/query.py
+++ b/wickvane/query.py
@@ -29,3 +29,9 @@
         "erred",  # the first engine that answered it with an error; -1 after a second one did
         "counted",  # whether its lateness is in the median already
     )
+
+    def __init__(self, q, rg, tenant, need, coord, key):
+        self.q, self.rg, self.tenant, self.need, self.coord, self.key = q, rg, tenant, need, coord, key
+        self.out, self.over, self.engine, self.sent, self.tries = False, False, -1, 0, 0
+        self.ran_at, self.ran_on, self.erred = None, -1, None
+        self.known_slow, self.counted, self.priority, self.share = False, False, -1, 0.0
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -57,11 +57,12 @@
         sums, self.sums = self.sums, {}
         met, self.met = self.met, []
         return Offer(
-            {engines[e].name: n for e, n in enumerate(gateway.mine) if n > 0 and e in engines},
+            {engines[e].name: n for e, n in enumerate(gateway.engines.in_flight) if n > 0 and e in engines},
             list(sums.items()), {tenant: int(work) // 10 for tenant, work in self.works.items()},
             self.asked // 10,
             gateway.needs(), met,
-            [engines[e].name for e, state in enumerate(gateway.state) if state == i.READY], self.number_told)
+            [engines[e].name for e, state in enumerate(gateway.engines.state) if state == i.READY],
+            self.number_told)
 
     def heeds(self, what):
         return what in self.world.heeds and not self.host.killed
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -37,8 +37,9 @@
 def set_aside(gateway, before):
     """Engines that the module set aside by what it met itself since the last call, which some do without an
     ending: silence. before: kept for the next call. What others said sets no longer time to stay away."""
-    found = [e for e, length in enumerate(gateway.aside_for) if e < len(before) and length > before[e]]
-    before[:] = gateway.aside_for
+    times = gateway.engines.ejection_time
+    found = [e for e, length in enumerate(times) if e < len(before) and length > before[e]]
+    before[:] = times
     return found
 
 
@@ -64,13 +65,13 @@
         def round(self, items):
             super().round(items)
             names, gateway, box = self.book.engines.names, self.gateway, self.box
-            box.levels = {names[e]: n for e, n in enumerate(gateway.mine) if n > 0 and names[e]}
+            box.levels = {names[e]: n for e, n in enumerate(gateway.engines.in_flight) if n > 0 and names[e]}
             box.taken = self.told_parts  # the module has them: whatever it decides from here on goes by them
             if self.now - self.looked >= LOOK:
                 self.looked = self.now
                 for e in set_aside(gateway, self.asides):
                     self.met(names[e], 1, None)
-                box.ready = [names[e] for e, state in enumerate(gateway.state)
+                box.ready = [names[e] for e, state in enumerate(gateway.engines.state)
                              if state == i.READY and names[e]]
                 box.needs, box.needs_at = gateway.needs(), self.now
 
