Queries whose key's turn would come too late are refused at once, not at their limit

Those behind waited for their turn up to the limit that they told (23.9 s), and their clients, which had stood in a queue of their own before they wrote, left 18.4 to 22.1 s after they were read.

Change: a query waits for its key's turn up to 0.75 of its time, by the expected run time of those ahead; past that it is refused on arrival, with nothing run. The same where an engine falls silent under the first of its key: whose turn would come too late after that one's limit and the key's rest is refused then.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -185,10 +185,11 @@
     made.list(now, fleet)
     for _ in range(60):
         real = Gateway(1, made.site)
+        real.engines.grow(1)
         for table in TABLES:
             for place in made.cache[f"g0/{table}"]:
                 started = fleet.engines[place.name].started
-                real.now, real.started = now - late, [started]
+                real.now, real.engines.started_at[0] = now - late, started
                 assert place.weight <= 800 * real.warmth(0) + 1
                 assert place.weight >= before.get((table, place.name), 0)  # weights only rise
                 before[table, place.name] = place.weight
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -38,6 +38,7 @@
 CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded, but so many times as long as
 HEARD_GAPS = 3.0  # it takes to hear of all engines once, where that is longer
 QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
+TURN_PART = 0.75  # the same for its key: estimates err, and clients may count time from before they write
 SWEEP, IDLE_SWEEP = SECOND // 50, SECOND // 10
 STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, i.FOREVER, 4096
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
@@ -142,9 +143,11 @@
         self.queries[q] = qy
         self.per_query = [x * 0.99 + y for x, y in zip(self.per_query, (qy.cost, qy.cost / g.threads))]
         self.taken_at.append(now)
+        turn_at = now
         if qy.key is not None:
-            self.keys.setdefault(qy.key, deque()).append(qy)
-        if now >= qy.hold:
+            turn_at += sum(self.runs_for(ahead) for ahead in self.keys.setdefault(qy.key, deque()))
+            self.keys[qy.key].append(qy)
+        if now >= qy.hold or turn_at > now + TURN_PART * left:
             self.give_up(qy)
             return
         if not self.lines[tenant]:
@@ -689,6 +692,7 @@
             else:
                 if since > 3 * self.runs_for(qy) + SECOND // 2 and self.engines.heard_at[e] < qy.sent:
                     late[e] += 1
+                    self.give_up_behind(qy)
                 # Lost, hung or badly planned, whichever: notes that show it at work speak for it.
                 alone = min(max(1.0, self.crowd_mid), 2.0) * qy.cost / g.threads
                 if since > LOST * alone + SECOND // 10 and not qy.share:
@@ -701,6 +705,16 @@
                 self.set_aside(e)
                 self.renew([qy for qy in self.running.values() if qy.engine == e])
 
+    def give_up_behind(self, head):
+        """A silent engine may hold its query, and the key with it, up to the query's limit: whose turn would
+        come too late is told so now, with time left to ask elsewhere."""
+        turn_at = head.limit + self.site.key_rest
+        for qy in list(self.keys[head.key])[1:] if head.key is not None else ():
+            if turn_at > self.now + TURN_PART * (qy.limit - self.now):
+                self.give_up(qy)
+            else:
+                turn_at += self.runs_for(qy)
+
     def renew(self, queries):
         for qy in queries:
             movable = self.site.may_cancel and self.groups[qy.rg].effect == i.READ_ONLY
