What only fleets decide stands in shares/fleet.py, joined to the decision module at one hook

Need: the decision module held leases, charges, others' judgements and the counts of needs, which a dispatcher that knows no others never uses.

Change: FleetDecisions has them, with a Lease in place of a bare tuple; Gateway.fleet is the hook: it hears events that the module does not know, sets the quotas ahead of what is decided, and weighs others' load in routing. Off, nothing of it is imported. How long others' word lasts is worked out after a round's events, which was before them.

--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -13,6 +13,7 @@
 from wickvane import interface as i
 from wickvane.choice import Gateway
 from wickvane.net.service import Service
+from wickvane.shares.fleet import join
 
 
 def group(**changes):
@@ -36,12 +37,14 @@
 
 
 class Gateways:
-    """One gateway and all that it wrote."""
+    """One gateway and all that it wrote. in_fleet: it hears of other dispatchers."""
 
-    def __init__(self, deployment, seed=1):
+    def __init__(self, deployment, seed=1, in_fleet=False):
         self.gateway, self.now, self.site = Gateway(seed, deployment), 1_000_000, deployment
         self.sent, self.out, self.final, self.cancelled, self.log = {}, {}, {}, [], []
         self.count, self.next_q, self.alarms, self.answered = {}, 0, [], {}
+        if in_fleet:
+            join(self.gateway)
 
     def round(self, *events, after=0):
         self.now += after
--- a/tests/test_opinions.py
+++ b/tests/test_opinions.py
@@ -203,7 +203,7 @@
 
 
 def test_what_several_doubt_gets_nothing_until_word_is_old_or_it_was_met_here():
-    g = Gateways(site([group()]))
+    g = Gateways(site([group()]), in_fleet=True)
     g.engines(3)
     first = g.gateway.order_of(1)[0]
     g.now += SECOND
@@ -218,7 +218,7 @@
 
 def test_what_is_lent_is_used_until_its_end_and_what_a_round_after_it_decides_goes_by_its_own():
     """Also one that stood still past the end, and hears of nothing else first."""
-    g = Gateways(site([group()], gateways=4, cold_time=9_000_000, fall_time=20_000))
+    g = Gateways(site([group()], gateways=4, cold_time=9_000_000, fall_time=20_000), in_fleet=True)
     g.engine(0, started=g.now - 10)
     g.round((i.PART, i.COLD, 3.0, g.now + 5_000, 1.0))
     cost = int(g.gateway.fall_work * 8 * 0.3 / 2)  # two of its own part, six of what it has
@@ -239,7 +239,7 @@
 
 def test_a_tenant_that_others_serve_more_waits_behind_one_that_they_do_not():
     """Bounded, and only while both wait."""
-    g = Gateways(site([group()], tenants=2))  # no engine: all wait
+    g = Gateways(site([group()], tenants=2), in_fleet=True)  # no engine: all wait
     for _ in range(12):
         g.take(tenant=0, cost=1000), g.take(tenant=1, cost=1000)
     before = list(g.gateway.deficit)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -115,9 +115,9 @@
 # The decision module
 
 
-def day(seed, told):
+def day(seed, told, in_fleet=True):
     """All decisions of one gateway over a generated day; told: events that come each 50 ms besides."""
-    chance, g = Random(seed), Gateways(site([group(), group(threads=2)]), seed)
+    chance, g = Random(seed), Gateways(site([group(), group(threads=2)]), seed, in_fleet)
     g.engines(6)
     said = []
     for step in range(400):
@@ -137,11 +137,11 @@
 def test_with_nothing_heard_or_only_what_is_old_every_decision_is_as_without(seed):
     old = [(i.OTHERS, e, 40 * (e % 2), 60 * SECOND) for e in range(6)]
     fresh = [(i.OTHERS, e, 40 * (e % 2), 10) for e in range(6)]
-    assert day(seed, [(i.DUE, 1)]) == day(seed, old) != day(seed, fresh)
+    assert day(seed, [(i.DUE, 1)], in_fleet=False) == day(seed, old) != day(seed, fresh)
 
 
 def test_an_engine_that_others_crowd_gets_the_next_query_last():
-    g = Gateways(site([group()], gateways=30))
+    g = Gateways(site([group()], gateways=30), in_fleet=True)
     g.engines(3)
     first = g.gateway.order_of(0)[0]
     g.end(g.take(cost=1000), work=1000)
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -45,8 +45,6 @@
 ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
-TOLD_LASTS = 2.0  # times that queries run alone, until what others told that they hold stands for nothing
-HEARSAY, DEBT_MOST = SECOND, 4.0  # how long what others say counts; quanta that they may charge a tenant
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
 GRANT_MARGIN = 1.5  # mean deviations of need over estimate that a grant allows for
 FALL_SAFETY, LOTS = 0.5, 0.35  # of the collapse budget: true speeds are not told; where lots are drawn
@@ -85,10 +83,9 @@
         self.engines, self.per_query = EngineTable(), (0.0, 0.0)
         self.crowd_mid = self.median = self.easy = 1.0
         self.gap, self.answer_at, self.lasts = 0.0, 0, CROWD_LASTS
-        self.lasting = 0.0  # how long counts what others told that they hold
-        # Of bounds and of what cold engines get, which may be lent: (in parts of what is configured, until
-        # when, what then); what holds now; whether more was wanted of the latter.
-        self.parts, self.share, self.denied = [(1.0, FOREVER, 1.0)] * 2, [1.0, 1.0], False
+        # The hook for fleets: wickvane.shares.fleet lays its decisions over this module's here. share: the
+        # quotas of BOUNDS and COLD in parts of what is configured; denied: whether more of COLD was wanted.
+        self.fleet, self.share, self.denied = None, [1.0, 1.0], False
         self.orders, self.told_need, self.fit = {}, False, {}  # fit: found out once a sweep, or list change
         self.widen, self.narrowed, self.base = 1.0, 0, 0.0
         self.no_room, self.pool, self.widest, self.used = set(), None, 0.0, 0  # found out once a round
@@ -98,11 +95,13 @@
     def round(self, now, events, out):
         self.now, self.out = now, out
         self.no_room, self.pool = set(), None
-        self.lasting = TOLD_LASTS * self.mean_all * self.per_query[1] / max(1.0, self.per_query[0])
         for event in events:
-            HANDLERS[event[0]](self, *event[1:])
-        # Looked at ahead of what is decided: one that stood still past a loan's end has lost it.
-        self.share = [part if now < until else then for part, until, then in self.parts]
+            if event[0] < len(HANDLERS):
+                HANDLERS[event[0]](self, *event[1:])
+            else:
+                self.fleet.hear(*event)
+        if self.fleet is not None:
+            self.fleet.before_decisions(now)
         if self.ask_at is not None and now >= self.ask_at:
             self.ask_at = None
             out.watch_list(True)
@@ -229,39 +228,6 @@
         table.cell[e], table.started_at[e] = cell, started
         self.fit.clear()
 
-    def told(self, e, threads, age):
-        self.engines.others_in_flight[e], self.engines.others_told_at[e] = threads, self.now - age
-
-    def parted(self, what, part, until, then):
-        self.parts[what] = part, until, then
-
-    def charged(self, works):
-        """Work that the others gave each tenant: else each of many grants a full quantum of its own."""
-        served = {t: works[t] / self.weight[t] for t in self.ring if t < len(works)}
-        for t, work in served.items():
-            over, most = (work - min(served.values())) * self.weight[t], -DEBT_MOST * self.quantum(t)
-            self.deficit[t] = max(self.deficit[t] - over, min(self.deficit[t], most))
-
-    def judged(self, e, bad, slow, age):
-        """What several found of an engine, where nothing later was found here; slow: against the usual."""
-        if bad and self.engines.heard_at[e] < self.now - age:
-            self.engines.ejected_until[e] = max(self.engines.ejected_until[e], self.now + HEARSAY)
-            self.fit.clear()
-        if slow and self.engines.load_factor_at[e] < self.now - age:
-            self.engines.load_factor[e] += (slow * self.crowd_mid - self.engines.load_factor[e]) / 2
-            self.engines.load_factor_at[e] = self.now - age
-
-    def needs(self):
-        """By budget, what is in use, in parts of what is configured, and whether more would be used."""
-        self.pool = None
-        self.pool_left()
-        cold = [sum(w for at, w in self.engines.slow_start_work[e] if at > self.now - self.site.fall_time)
-                / (self.fall_work * self.engines.cores[e] * self.warmth(e))
-                for e, state in enumerate(self.engines.state) if state == i.READY and self.warmth(e) < 1.0]
-        denied, self.denied = self.denied, False
-        return ((self.used * self.share[i.BOUNDS] / (self.base or 1.0), self.short),
-                (max(cold, default=0.0), denied))
-
     def list_lost(self):
         self.ask_at = self.now + SECOND
 
@@ -485,10 +451,8 @@
         # Crossing is worth its price only for so much less load: the shared order itself stays as it is.
         table, cores = self.engines, self.engines.cores[e] * self.warmth(e)
         others = max(0.0, self.seen(e) - 1.0) * (1 - 1 / self.gateways)
-        # What others hold is told late, and gateways that all go by one late figure crowd the engine that it
-        # praises: it counts while queries last longer than it is old, beside what answers tell.
-        if self.now - table.others_told_at[e] < self.lasting:
-            others = (others + table.others_in_flight[e] / cores) / 2
+        if self.fleet is not None:
+            others = self.fleet.load_elsewhere(e, others, cores)
         far = CROSSING if self.home is not None and table.zone[e] != self.home else 0.0
         # Gateways that each come to every engine cost a connection for every second query. What each keeps to
         # a few of the first is spread all the same, since others have met others of them.
@@ -728,5 +692,4 @@
 
 
 HANDLERS = (Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
-            Gateway.list_lost, Gateway.stopping, Gateway.told, Gateway.parted, Gateway.charged,
-            Gateway.judged)
+            Gateway.list_lost, Gateway.stopping)
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -10,6 +10,7 @@
 from wickvane.rehearsal.peers import fill
 from wickvane.rehearsal.world import World
 from wickvane.shares.deciding import FAILED, SETTLING, set_aside
+from wickvane.shares.fleet import join
 from wickvane.shares.part import budgets
 from wickvane.shares.spread import EVERY, Offer, Spread
 
@@ -26,6 +27,7 @@
         self.sums, self.datagrams, self.octets, self.works, self.met, self.number_told = {}, 0, 0, {}, [], 0
         self.asked = 0
         self.tell, host.tell, self.asides = host.tell, self.passes, []
+        self.fleet = join(host.gateway)
         self.tenants = [name for name, _ in world.script.tenants]
         self.node = Node(world.now, host.name, EPOCH + world.now, f"10.0.{number >> 8}.{number & 255}:1", (),
                          len(world.hosts), f"{world.seed}/{number}/{world.now}", lambda event, fields: None)
@@ -60,7 +62,7 @@
             {engines[e].name: n for e, n in enumerate(gateway.engines.in_flight) if n > 0 and e in engines},
             list(sums.items()), {tenant: int(work) // 10 for tenant, work in self.works.items()},
             self.asked // 10,
-            gateway.needs(), met,
+            self.fleet.needs(), met,
             [engines[e].name for e, state in enumerate(gateway.engines.state) if state == i.READY],
             self.number_told)
 
@@ -76,7 +78,7 @@
         # At once: the world's next round of this host has it before anything that is decided later.
         self.number_told = number
         for what, (part, until, then) in enumerate(figures):
-            self.host.gateway.parted(what, part, FOREVER if until is None else until, then)
+            self.fleet.leased(what, part, FOREVER if until is None else until, then)
 
     def charged(self, works):
         if self.heeds("charges"):
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -3,6 +3,7 @@
 from threading import Lock
 
 from wickvane import interface as i
+from wickvane.shares import fleet
 from wickvane.shares.spread import NOTHING, Offer
 
 BUSY = 10_000  # without a query for so long, what others hold is nothing to this dispatcher
@@ -50,6 +51,7 @@
             super().__init__(*words)
             self.box, self.looked, self.told_parts, self.asides = Box(), 0, 0, []
             self.tenant_names = list(self.book.tenants.index)
+            self.fleet = fleet.join(self.gateway)
 
         def tenant(self, ticket):
             return self.tenant_names[ticket.tenant] if ticket.tenant < len(self.tenant_names) else ""
@@ -73,7 +75,7 @@
                     self.met(names[e], 1, None)
                 box.ready = [names[e] for e, state in enumerate(gateway.engines.state)
                              if state == i.READY and names[e]]
-                box.needs, box.needs_at = gateway.needs(), self.now
+                box.needs, box.needs_at = self.fleet.needs(), self.now
 
         def taken(self, ticket, again=False):
             super().taken(ticket, again)
