--- a/wickvane/members/checks.py
+++ b/wickvane/members/checks.py
@@ -152,14 +152,13 @@
         return [*found, empty(limits)]
     most = max(1, int(limits.share * before.ready))
     if len(going) > most:
-        found.append(Finding(
-            "share-removed", limits.share_past,
-            f"it takes {len(going)} of {before.ready} ready engines away ({names(going)}), {most} at most"))
+        taken_away = f"it takes {len(going)} of {before.ready} ready engines away ({names(going)})"
+        found.append(Finding("share-removed", limits.share_past, f"{taken_away}, {most} at most"))
     left = after.able(now)
     if load is not None and going and load > limits.capacity * left:
-        found.append(Finding(
-            "capacity-left", limits.capacity_past,
-            f"{load:.1f} threads are at work, and {left:.1f} cores would be left of {before.able(now):.1f}"))
+        cores_left = f"{left:.1f} cores would be left of {before.able(now):.1f}"
+        found.append(Finding("capacity-left", limits.capacity_past,
+                             f"{load:.1f} threads are at work, and {cores_left}"))
     for group, zones, kinds in before.facts.groups:
         if before.permits(zones, kinds) and not after.permits(zones, kinds):
             found.append(Finding("group-without-engine", limits.last_past,
