--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -215,8 +215,9 @@
 
 def test_the_module_keeps_what_baselines_break(tmp_path):
     """On a day with a deploy and a storm: rules 1 to 3 hold for all, key order for the module alone."""
-    script = scripts.read_text(SMALL.format(
-        more='trouble "deploy" at="3s" for="3s" part=0.75 size=3\n trouble "storm" at="6s" for="3s" size=6'))
+    deploy = 'trouble "deploy" at="3s" for="3s" part=0.75 size=3'
+    storm = 'trouble "storm" at="6s" for="3s" size=6'
+    script = scripts.read_text(SMALL.format(more=f"{deploy}\n {storm}"))
     broken = {}
     for variant in experiment.VARIANTS:
         row = experiment.figures(world.play(script, 2, False, cells.gateway_of(variant)))
