--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -39,8 +39,9 @@
     async def main():
         made, tasks = [Proxy(f"p{first + n}", variant) for n in range(count)], []
         for proxy in made:
-            channel = grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=[
-                ("grpc.use_local_subchannel_pool", 1)])
+            channel = grpc.aio.insecure_channel(
+                f"127.0.0.1:{port}", options=[("grpc.use_local_subchannel_pool", 1)]
+            )
             tasks.append(asyncio.ensure_future(proxy.run(channel)))
         loop = asyncio.get_running_loop()
         while not all(proxy.ends for proxy in made) or len({len(p.ends) for p in made}) > 1:
@@ -88,14 +89,31 @@
     entries = [listed(f"e{n}", f"127.0.0.1:{10_000 + n}") for n in range(engines)]
     with tempfile.TemporaryDirectory() as folder:
         with open(os.path.join(folder, "config.json"), "w") as file:
-            json.dump({"name": "c", "listen": "127.0.0.1:1", "seed": "1", "settings": SETTINGS,
-                       "coordinator": coordinator.address,
-                       "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]}}, file)
+            json.dump(
+                {
+                    "name": "c",
+                    "listen": "127.0.0.1:1",
+                    "seed": "1",
+                    "settings": SETTINGS,
+                    "coordinator": coordinator.address,
+                    "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]},
+                },
+                file,
+            )
         with open(os.path.join(folder, "parts.kdl"), "w") as file:
             file.write(f'control {{ listen "127.0.0.1:{port}"; tables {tables}; proxies {count} }}')
         service = subprocess.Popen(
-            [sys.executable, "-m", "wickvane", "control", f"--config={folder}/config.json",
-             f"--parts={folder}/parts.kdl"], cwd=ROOT, stdout=subprocess.PIPE)
+            [
+                sys.executable,
+                "-m",
+                "wickvane",
+                "control",
+                f"--config={folder}/config.json",
+                f"--parts={folder}/parts.kdl",
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+        )
         # A coordinator that says nothing is left.
         keeping = Thread(target=keep, args=(coordinator, service), daemon=True)
         keeping.start()
@@ -106,8 +124,9 @@
         each, pipes = max(1, count // PROCESSES), []
         for first in range(0, count, each):
             ours, theirs = context.Pipe()
-            context.Process(target=proxies, args=(port, variant, min(each, count - first), first, theirs),
-                            daemon=True).start()
+            context.Process(
+                target=proxies, args=(port, variant, min(each, count - first), first, theirs), daemon=True
+            ).start()
             pipes.append(ours)
         for pipe in pipes:
             pipe.recv()
@@ -119,8 +138,9 @@
                 pipe.recv()
             index, began = index + 1, cpu(service.pid)
             told = time.monotonic()
-            coordinator.send.put(sse(index, event(index, listed(
-                f"e{n}", f"127.0.0.1:{10_000 + n}", "Terminating"))))
+            coordinator.send.put(
+                sse(index, event(index, listed(f"e{n}", f"127.0.0.1:{10_000 + n}", "Terminating")))
+            )
             for pipe in pipes:
                 left, came = pipe.recv()
                 times += [(at - told) * 1000 if at is not None else 10_000.0 for at in left]
@@ -131,11 +151,14 @@
         service.send_signal(signal.SIGTERM)
         service.wait(15)
     coordinator.send.put(None)
-    return {"ms_median": round(statistics.median(times), 1),
-            "ms_p99": round(sorted(times)[int(len(times) * 0.99)], 1), "ms_worst": round(max(times), 1),
-            "octets_a_drain": round(statistics.fmean(octets)),
-            "cpu_ms_a_drain": round(spent / drains * 1000, 1),
-            "kb_a_stream": round((after - before) / count, 1)}
+    return {
+        "ms_median": round(statistics.median(times), 1),
+        "ms_p99": round(sorted(times)[int(len(times) * 0.99)], 1),
+        "ms_worst": round(max(times), 1),
+        "octets_a_drain": round(statistics.fmean(octets)),
+        "cpu_ms_a_drain": round(spent / drains * 1000, 1),
+        "kb_a_stream": round((after - before) / count, 1),
+    }
 
 
 def whole(engines, tables):
@@ -159,9 +182,13 @@
         changed, _ = placement.list(0, fleet)
         again += sum(len(make.assignment(name, placement.cache[name])) for name in changed)
         clusters += len(changed)
-    return {"octets_all": sum(map(len, bodies)), "octets_changed": round(again / drains),
-            "clusters_changed": clusters / drains, "first_ms": round(first * 1000, 1),
-            "change_ms": round((time.process_time() - began) / drains * 1000, 2)}
+    return {
+        "octets_all": sum(map(len, bodies)),
+        "octets_changed": round(again / drains),
+        "clusters_changed": clusters / drains,
+        "first_ms": round(first * 1000, 1),
+        "change_ms": round((time.process_time() - began) / drains * 1000, 2),
+    }
 
 
 DAY = """rehearsal {{
@@ -173,8 +200,11 @@
     budget free=3 share=0.1 window="5s"
     {more}
 }}"""
-DAYS = {"calm": "", "deploy": 'trouble "deploy" at="8s" for="20s" part=0.7 size=3',
-        "slow": 'trouble "slow" at="8s" for="10s" part=0.3 size=5'}
+DAYS = {
+    "calm": "",
+    "deploy": 'trouble "deploy" at="8s" for="20s" part=0.7 size=3',
+    "slow": 'trouble "slow" at="8s" for="10s" part=0.3 size=5',
+}
 
 
 def day(gateways, engines, more):
@@ -209,10 +239,16 @@
     worst = max(figures[f"{variant}_300"]["ms_p99"] for variant in ("delta", "sotw"))
     memory_of = max(figures[f"{variant}_300"]["kb_a_stream"] for variant in ("delta", "sotw"))
     part = figures["work_2000x500"]["octets_changed"] / figures["work_2000x500"]["octets_all"]
-    figures |= {"told_ms_p99_300": worst, "kb_a_stream": memory_of,
-                "delta_octets_of_one_over_all": round(part, 4)}
-    return figures, (worst <= WANTED["told_ms_p99_300"] and memory_of <= WANTED["kb_a_stream"]
-                     and part <= WANTED["delta_octets_of_one_over_all"])
+    figures |= {
+        "told_ms_p99_300": worst,
+        "kb_a_stream": memory_of,
+        "delta_octets_of_one_over_all": round(part, 4),
+    }
+    return figures, (
+        worst <= WANTED["told_ms_p99_300"]
+        and memory_of <= WANTED["kb_a_stream"]
+        and part <= WANTED["delta_octets_of_one_over_all"]
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/flow_export.py
+++ b/benchmarks/flow_export.py
@@ -30,8 +30,14 @@
 from wickvane.flows.elements import text  # noqa: E402
 from wickvane.net.service import COLLECT  # noqa: E402
 
-WANTED = {"tcp_difference": 0, "udp_unexplained_share": 0.001, "queries_per_cpu_ratio": 0.95, "memory_mb": 6,
-          "records_per_s": 50_000, "linear": 1.3}
+WANTED = {
+    "tcp_difference": 0,
+    "udp_unexplained_share": 0.001,
+    "queries_per_cpu_ratio": 0.95,
+    "memory_mb": 6,
+    "records_per_s": 50_000,
+    "linear": 1.3,
+}
 WAYS = [(side, way) for side in ("client", "engine") for way in ("in", "out")]
 LOCAL = bytes([127, 0, 0, 1])
 
@@ -60,7 +66,7 @@
     def lines(self, name):
         text = os.pread(self.log.fileno(), 1 << 28, 0)
         marked = b'"event":"%b"' % name.encode()
-        return [json.loads(line) for line in text[:text.rfind(b"\n") + 1].splitlines() if marked in line]
+        return [json.loads(line) for line in text[: text.rfind(b"\n") + 1].splitlines() if marked in line]
 
     def cpu(self):
         """Seconds of CPU so far, by the process's own clock: the kernel's ticks are too coarse."""
@@ -115,8 +121,9 @@
         for way, name in zip(ways, ("octetDeltaCount", "reverseOctetDeltaCount")):
             off += abs(collected.total(side, name) - sum(c.get(f"{side}-octets-{way}", 0) for c in counters))
     for answer in ("finished", "deferred", "killed", "left"):
-        off += abs(collected.total("client", "queries" + answer.title())
-                   - sum(c.get(answer, 0) for c in counters))
+        off += abs(
+            collected.total("client", "queries" + answer.title()) - sum(c.get(answer, 0) for c in counters)
+        )
     flows = sum(c["flows"]["begun"] for c in counters)
     told = collected.total("client", "deltaFlowCount") + collected.total("engine", "deltaFlowCount")
     return off + abs(flows - told), flows
@@ -160,29 +167,43 @@
         counters.append(second.stop())
         collected = settled(collector)
         off, flows = differences(collected, counters)
-        return {"tcp_difference": off, "tcp_flows": flows, "tcp_records": collected.records,
-                "tcp_repeats_told_apart": collected.repeated, "tcp_lost": collected.lost,
-                "tcp_octets": sum(c[f"{side}-octets-{way}"] for c in counters for side, way in WAYS)}
+        return {
+            "tcp_difference": off,
+            "tcp_flows": flows,
+            "tcp_records": collected.records,
+            "tcp_repeats_told_apart": collected.repeated,
+            "tcp_lost": collected.lost,
+            "tcp_octets": sum(c[f"{side}-octets-{way}"] for c in counters for side, way in WAYS),
+        }
 
 
 def over_udp(scale):
     engines, collector = [Engine()], Collector(udp=True)
     with tempfile.TemporaryDirectory() as folder:
-        dispatcher = Dispatcher(folder, found(engines, Events()),
-                                document(collector, 'active-timeout "500ms"', 'transport "udp"'))
+        dispatcher = Dispatcher(
+            folder, found(engines, Events()), document(collector, 'active-timeout "500ms"', 'transport "udp"')
+        )
         load(dispatcher, 2000 * scale)
         counters = dispatcher.stop()
         collected = settled(collector)
         octets = sum(counters[f"{side}-octets-{way}"] for side, way in WAYS)
-        told = sum(collected.total(side, name) for side in ("client", "engine")
-                   for name in ("octetDeltaCount", "reverseOctetDeltaCount"))
+        told = sum(
+            collected.total(side, name)
+            for side in ("client", "engine")
+            for name in ("octetDeltaCount", "reverseOctetDeltaCount")
+        )
         stats = collected.statistics[1, "a"]
         missing = stats["accountedFlowTotalCount"] - sum(
-            collected.total(side, "deltaFlowCount") for side in ("client", "engine"))
+            collected.total(side, "deltaFlowCount") for side in ("client", "engine")
+        )
         explained = collected.lost + stats["notSentFlowTotalCount"]
         share = abs(octets - told) / octets
-        return {"udp_share_off": share, "udp_lost_by_sequence": collected.lost, "udp_flows_missing": missing,
-                "udp_unexplained_share": 0.0 if share and explained >= missing else share}
+        return {
+            "udp_share_off": share,
+            "udp_lost_by_sequence": collected.lost,
+            "udp_flows_missing": missing,
+            "udp_unexplained_share": 0.0 if share and explained >= missing else share,
+        }
 
 
 def cost(scale):
@@ -196,8 +217,9 @@
         for kind in (("off", "on"), ("on", "off"))[turn % 2]:
             engine, collector = Engine(), Collector()
             with tempfile.TemporaryDirectory() as folder:
-                dispatcher = Dispatcher(folder, found([engine], Events()),
-                                        document(collector) if kind == "on" else None)
+                dispatcher = Dispatcher(
+                    folder, found([engine], Events()), document(collector) if kind == "on" else None
+                )
                 load(dispatcher, 200)  # past the start-up
                 before = dispatcher.cpu()
                 load(dispatcher, queries, begin=1 << 40, a_second=a_second)
@@ -206,15 +228,20 @@
                 dispatcher.stop()
     os.sched_setaffinity(0, cores)
     on, off = statistics.median(rate["on"]), statistics.median(rate["off"])
-    return {"queries_per_cpu_s_on": round(on), "queries_per_cpu_s_off": round(off),
-            "queries_per_cpu_ratio": round(on / off, 3), "queries_a_second": a_second,
-            "ratio_by_turn": [round(x / y, 3) for x, y in zip(rate["on"], rate["off"])],
-            "memory_mb": round(statistics.median(memory["on"]) - statistics.median(memory["off"]), 2),
-            "memory_mb_off": round(statistics.median(memory["off"]), 1)}
+    return {
+        "queries_per_cpu_s_on": round(on),
+        "queries_per_cpu_s_off": round(off),
+        "queries_per_cpu_ratio": round(on / off, 3),
+        "queries_a_second": a_second,
+        "ratio_by_turn": [round(x / y, 3) for x, y in zip(rate["on"], rate["off"])],
+        "memory_mb": round(statistics.median(memory["on"]) - statistics.median(memory["off"]), 2),
+        "memory_mb_off": round(statistics.median(memory["off"]), 1),
+    }
 
 
 def encoder():
     """From connections that open and close to whole messages, and the encoding of their records alone."""
+
     def flows(n):
         accounts = a.Accounts(1, n, 600_000, 150_000)
         began = time.process_time()
@@ -232,8 +259,11 @@
         layout = netflow9.Layout(32)
         name = layout.name if nine else text
         names = [name(g) for g in ("lookup", "report", "load", "")], [name("acme"), name("")], {}, name
-        writer = (netflow9.Writer(layout, 1452) if nine
-                  else ipfix.Writer(1, ipfix.Generation(32_473), 16_384, checksums=True))
+        writer = (
+            netflow9.Writer(layout, 1452)
+            if nine
+            else ipfix.Writer(1, ipfix.Generation(32_473), 16_384, checksums=True)
+        )
         shape = layout.flow if nine else ipfix.flow_record
         began = time.process_time()
         for record in records:
@@ -246,9 +276,12 @@
     large, account = flows(100_000)
     alone = min(encode(records) for records, _ in small)
     whole = min(encode(large) for _ in range(3))
-    return {"records_per_s": round(1 / whole), "records_per_s_v9": round(1 / encode(large, True)),
-            "linear": round(max(whole / alone, account / min(cost for _, cost in small)), 2),
-            "account_us_a_flow": round(account * 1e6, 2)}
+    return {
+        "records_per_s": round(1 / whole),
+        "records_per_s_v9": round(1 / encode(large, True)),
+        "linear": round(max(whole / alone, account / min(cost for _, cost in small)), 2),
+        "account_us_a_flow": round(account * 1e6, 2),
+    }
 
 
 def started(document_):
@@ -273,12 +306,14 @@
     figures["start_cpu_s_on"], figures["start_memory_mb_on"] = started(document(Collector()))
     for part in (exact, over_udp, cost):
         figures |= part(scale)
-    holds = (figures["tcp_difference"] <= WANTED["tcp_difference"]
-             and figures["udp_unexplained_share"] <= WANTED["udp_unexplained_share"]
-             and figures["queries_per_cpu_ratio"] >= WANTED["queries_per_cpu_ratio"]
-             and figures["memory_mb"] <= WANTED["memory_mb"]
-             and figures["records_per_s"] >= WANTED["records_per_s"]
-             and figures["linear"] <= WANTED["linear"])
+    holds = (
+        figures["tcp_difference"] <= WANTED["tcp_difference"]
+        and figures["udp_unexplained_share"] <= WANTED["udp_unexplained_share"]
+        and figures["queries_per_cpu_ratio"] >= WANTED["queries_per_cpu_ratio"]
+        and figures["memory_mb"] <= WANTED["memory_mb"]
+        and figures["records_per_s"] >= WANTED["records_per_s"]
+        and figures["linear"] <= WANTED["linear"]
+    )
     return figures, holds
 
 
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -18,23 +18,45 @@
 
 from benchmarks import conclude
 
-WANTED = {"known_ms_worst_at_1000": 1000.0, "queries_lost": 0, "rules_broken": 0, "invalid_unnamed": 0,
-          "told_a_change": 1}
-BAD = {"members {": "no-document", "": "no-document", "\xff": "not-utf8", "members { engine }": "no-document",
-       'members { engine "a" address="1.2.3.4:1" weight=-1 }': "weight-wrong", "members {}": "empty",
-       'members { include "x" }': "unknown-node", 'members { engine "a" address="x" }': "value-wrong"}
+WANTED = {
+    "known_ms_worst_at_1000": 1000.0,
+    "queries_lost": 0,
+    "rules_broken": 0,
+    "invalid_unnamed": 0,
+    "told_a_change": 1,
+}
+BAD = {
+    "members {": "no-document",
+    "": "no-document",
+    "\xff": "not-utf8",
+    "members { engine }": "no-document",
+    'members { engine "a" address="1.2.3.4:1" weight=-1 }': "weight-wrong",
+    "members {}": "empty",
+    'members { include "x" }': "unknown-node",
+    'members { engine "a" address="x" }': "value-wrong",
+}
 
 
 def text_of(rows):
-    return json.dumps({"engines": [
-        {"name": name, "address": address, "zone": "dc", "type": "old", "weight": weight}
-        for name, address, weight in rows]})
+    return json.dumps(
+        {
+            "engines": [
+                {"name": name, "address": address, "zone": "dc", "type": "old", "weight": weight}
+                for name, address, weight in rows
+            ]
+        }
+    )
 
 
 def kdl_of(rows):
-    return "members {\n" + "".join(
-        f'  engine "{name}" address="{address}" zone="dc" type="old" weight={weight}\n'
-        for name, address, weight in rows) + "}\n"
+    return (
+        "members {\n"
+        + "".join(
+            f'  engine "{name}" address="{address}" zone="dc" type="old" weight={weight}\n'
+            for name, address, weight in rows
+        )
+        + "}\n"
+    )
 
 
 def put(path, text):
@@ -99,9 +121,14 @@
             cpu.append((time.process_time() - spent) * 1000)
             told.append(made.counters.shown()["members-entries-told"] - before)
         took.sort()
-        return {"median_ms": round(took[len(took) // 2], 1), "p99_ms": round(took[int(len(took) * 0.99)], 1),
-                "worst_ms": round(took[-1], 1), "cpu_ms": round(sorted(cpu)[len(cpu) // 2], 1),
-                "told": max(told), "memory_kb": memory() - began}
+        return {
+            "median_ms": round(took[len(took) // 2], 1),
+            "p99_ms": round(took[int(len(took) * 0.99)], 1),
+            "worst_ms": round(took[-1], 1),
+            "cpu_ms": round(sorted(cpu)[len(cpu) // 2], 1),
+            "told": max(told),
+            "memory_kb": memory() - began,
+        }
 
 
 def decided(count, changes=300):
@@ -153,6 +180,7 @@
         made.members.told, gone = told, set()
         ended, answers = threading.Event(), []
         for name, engine in engines.items():
+
             def answered(txn, words, name=name, plain=engine.answers):
                 if words[0] == b"ASK":
                     with lock:
@@ -171,8 +199,9 @@
                     seen.taken(time.monotonic() - began, number, 0, 5.0)
                 said = sqlstate(client.ask(statement(f"SELECT 1 FROM sales_{n % 9}.t", n=number)))
                 with lock:
-                    seen.answered(time.monotonic() - began, number,
-                                  "finished" if said is None else "deferred")
+                    seen.answered(
+                        time.monotonic() - began, number, "finished" if said is None else "deferred"
+                    )
                 answers.append(said)
                 time.sleep(0.004)
 
@@ -191,8 +220,10 @@
                     unnamed += 1
             else:
                 some = chance.sample(sorted(engines), chance.randrange(2, 7))
-                rows = [(name, engines[name].address, chance.choice([0, 0.5, 1.0]) if n_ > 1 else 1.0)
-                        for n_, name in enumerate(some)]
+                rows = [
+                    (name, engines[name].address, chance.choice([0, 0.5, 1.0]) if n_ > 1 else 1.0)
+                    for n_, name in enumerate(some)
+                ]
                 put(path, kdl_of(rows))
                 time.sleep(chance.choice([0.0, 0.02, 0.05]))
         ended.set()
@@ -200,8 +231,13 @@
             thread.join(30)
         found, checked = seen.breaches()
         lost = [answer for answer in answers if answer is not None]
-        return {"asked": len(answers), "lost": len(lost), "broken": len(found), "unnamed": unnamed,
-                "checked": sum(checked.values())}
+        return {
+            "asked": len(answers),
+            "lost": len(lost),
+            "broken": len(found),
+            "unnamed": unnamed,
+            "checked": sum(checked.values()),
+        }
 
 
 DAY = """rehearsal {{
@@ -227,7 +263,9 @@
             text = DAY.format(gateways=gateways, engines=engines, rate=0.6 * engines * 40, lists=lists)
             days = [play(scripts.read_text(text), seed, False) for seed in range(1, seeds + 1)]
             found[f"{gateways}x{engines}_{lists}"] = [
-                [round(day.service(), 3) for day in days], sum(len(day.breaches) for day in days)]
+                [round(day.service(), 3) for day in days],
+                sum(len(day.breaches) for day in days),
+            ]
     return found
 
 
@@ -235,8 +273,9 @@
     """A measurement in a process of its own, so that memory and threads are its own."""
     import subprocess
 
-    made = subprocess.run([sys.executable, "-m", "benchmarks.members", *words], capture_output=True,
-                          timeout=900)
+    made = subprocess.run(
+        [sys.executable, "-m", "benchmarks.members", *words], capture_output=True, timeout=900
+    )
     if made.returncode:
         raise RuntimeError(made.stderr.decode()[-500:])
     return json.loads(made.stdout.splitlines()[-1])
@@ -251,10 +290,14 @@
     figures["deploys"] = days = alone(["deploys", "5" if full else "2"])
     figures["swaps"] = found = alone(["swaps", "1000" if full else "150"])
     figures["cost_10000_over_100"] = round(figures["decided_ms_10000"] / figures["decided_ms_100"], 2)
-    holds = (figures["engines_1000"]["worst_ms"] <= WANTED["known_ms_worst_at_1000"] and not found["lost"]
-             and not found["broken"] and not found["unnamed"]
-             and not any(broken for _, broken in days.values())
-             and all(figures[f"engines_{n}"]["told"] == 1 for n in (10, 100, 1000, 10_000)))
+    holds = (
+        figures["engines_1000"]["worst_ms"] <= WANTED["known_ms_worst_at_1000"]
+        and not found["lost"]
+        and not found["broken"]
+        and not found["unnamed"]
+        and not any(broken for _, broken in days.values())
+        and all(figures[f"engines_{n}"]["told"] == 1 for n in (10, 100, 1000, 10_000))
+    )
     figures["memory_most_kb"] = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss
     return figures, holds
 
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -23,8 +23,14 @@
 from wickvane.rehearsal.peers import Fleet
 from wickvane.rehearsal.relay import udp_ports
 
-WANTED = {"detection_p99_s_1000": 8.0, "false_failures_loss_0.1": 0, "false_failures_still_0.89": 0,
-          "octets_s_a_member_most": 2000, "octets_flat": 1.5, "cpu_part": 1.05}
+WANTED = {
+    "detection_p99_s_1000": 8.0,
+    "false_failures_loss_0.1": 0,
+    "false_failures_still_0.89": 0,
+    "octets_s_a_member_most": 2000,
+    "octets_flat": 1.5,
+    "cpu_part": 1.05,
+}
 STILL_S, EVERY_S, STILL_PART = 2, 3, 0.89
 ENGINES, OTHERS = 10, 8
 
@@ -47,8 +53,11 @@
         f.killed(n)
         at, name, since = f.now, f.members[n].name, len(f.events)
         f.run(f.now + 9 * SECOND)
-        times = [(when - at) / SECOND for when, _, event, fields in f.events[since:]
-                 if event == "peers-failed" and fields["name"] == name]
+        times = [
+            (when - at) / SECOND
+            for when, _, event, fields in f.events[since:]
+            if event == "peers-failed" and fields["name"] == name
+        ]
         if len(times) < sum(m.up for m in f.members):
             raise RuntimeError(f"{len(times)} of {size} know of a kill after 9 s")
         first.append(min(times))
@@ -114,8 +123,10 @@
     figures = {}
     for size in (10, 100, 1000):
         kills = [found for job, found in done.items() if job[:2] == ("killed", size)]
-        row = {"octets_s": round(statistics.median(o for k in kills for o in k["octets"])),
-               "octets_s_most": round(max(o for k in kills for o in k["octets"]))}
+        row = {
+            "octets_s": round(statistics.median(o for k in kills for o in k["octets"])),
+            "octets_s_most": round(max(o for k in kills for o in k["octets"])),
+        }
         for name in ("first", "last", "all"):
             times = [t for k in kills for t in k[name]]
             row |= {f"{name}_mid_s": p(times, 0.5), f"{name}_p99_s": p(times, 0.99)}
@@ -152,9 +163,20 @@
     from wickvane.peers.shell import now
     from wickvane.shares.spread import Offer, Spread
 
-    peer.node.rider = Spread(now(), peer.node, lambda: Offer(
-        {"e1": 2, "e2": 1, "e3": 1}, [("taken/lookup/acme", 3)], {"acme": now() // 10}, now() // 10,
-        met=[("e1", 0, 1.0)], ready=["e1", "e2", "e3"]), Quiet(), budgets=((10_000, True, False),) * 2)
+    peer.node.rider = Spread(
+        now(),
+        peer.node,
+        lambda: Offer(
+            {"e1": 2, "e2": 1, "e3": 1},
+            [("taken/lookup/acme", 3)],
+            {"acme": now() // 10},
+            now() // 10,
+            met=[("e1", 0, 1.0)],
+            ready=["e1", "e2", "e3"],
+        ),
+        Quiet(),
+        budgets=((10_000, True, False),) * 2,
+    )
 
 
 def others(folder, listens, pipe, shares):
@@ -187,16 +209,21 @@
             file.write("a key of this measurement\n")
         for n, listen in enumerate(listens):
             with open(os.path.join(folder, f"n{n}.kdl"), "w") as file:
-                file.write(f'peers {{ listen "{listen}"; key-file "{folder}/key"; seed "{listens[1]}"; '
-                           f'seed "{listens[2]}"; state "{folder}/n{n}" }}' + "\nshares\n" * shares)
+                file.write(
+                    f'peers {{ listen "{listen}"; key-file "{folder}/key"; seed "{listens[1]}"; '
+                    f'seed "{listens[2]}"; state "{folder}/n{n}" }}' + "\nshares\n" * shares
+                )
         mine, theirs = get_context("spawn").Pipe()
-        peers = get_context("spawn").Process(target=others, args=(folder, listens, theirs, shares),
-                                             daemon=True)
+        peers = get_context("spawn").Process(
+            target=others, args=(folder, listens, theirs, shares), daemon=True
+        )
         peers.start()
         mine.recv()
         root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-        running = {"off": Running(root, ENGINES, length, folder),
-                   "on": Running(root, ENGINES, length, folder, (f"--parts={folder}/n0.kdl",))}
+        running = {
+            "off": Running(root, ENGINES, length, folder),
+            "on": Running(root, ENGINES, length, folder, (f"--parts={folder}/n0.kdl",)),
+        }
         try:
             time.sleep(2.0)
             found = together(running, length)
@@ -217,15 +244,18 @@
     figures = {"mode": "full" if full else "quick"} | virtual(full)
     runs = [processor(LENGTHS["full" if full else "quick"]) for _ in range(3 if full else 2)]
     figures["processor"] = runs
-    figures["cpu_part"] = round(statistics.fmean(
-        run["on"]["cpu_ms_query"] / run["off"]["cpu_ms_query"] for run in runs), 3)
+    figures["cpu_part"] = round(
+        statistics.fmean(run["on"]["cpu_ms_query"] / run["off"]["cpu_ms_query"] for run in runs), 3
+    )
     sizes = [figures[str(size)] for size in (10, 100, 1000)]
     octets = [row["octets_s"] for row in sizes]
-    holds = (figures["1000"]["all_p99_s"] < WANTED["detection_p99_s_1000"]
-             and not any(row["wrong_loss_0"] + row["wrong_loss_0.1"] + row["wrong_still"] for row in sizes)
-             and max(row["octets_s_most"] for row in sizes) < WANTED["octets_s_a_member_most"]
-             and max(octets) <= WANTED["octets_flat"] * min(octets)
-             and figures["cpu_part"] <= WANTED["cpu_part"])
+    holds = (
+        figures["1000"]["all_p99_s"] < WANTED["detection_p99_s_1000"]
+        and not any(row["wrong_loss_0"] + row["wrong_loss_0.1"] + row["wrong_still"] for row in sizes)
+        and max(row["octets_s_most"] for row in sizes) < WANTED["octets_s_a_member_most"]
+        and max(octets) <= WANTED["octets_flat"] * min(octets)
+        and figures["cpu_part"] <= WANTED["cpu_part"]
+    )
     return figures, holds
 
 
--- a/benchmarks/rehearsal.py
+++ b/benchmarks/rehearsal.py
@@ -27,8 +27,13 @@
 from wickvane.rehearsal.world import play
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-WANTED = {"virtual_over_real_100x33": 1.0, "equal_logs": True, "serve_cpu_share": 1.0, "late_ms_p99": 10.0,
-          "log_over_query": 0.03}
+WANTED = {
+    "virtual_over_real_100x33": 1.0,
+    "equal_logs": True,
+    "serve_cpu_share": 1.0,
+    "late_ms_p99": 10.0,
+    "log_over_query": 0.03,
+}
 SIZES = {"1x8": (1, 8, 65), "30x9": (30, 9, 73), "100x33": (100, 33, 270)}  # gateways, engines, queries/s
 SCRIPT = """rehearsal {{
     length "{length}s"
@@ -60,11 +65,13 @@
         Timed.spent, began = 0.0, time.process_time()
         outcome = play(script, 1, False, Timed)
         took = time.process_time() - began
-        found |= {f"virtual_over_real_{size}": round(10 * scale / took, 2),
-                  f"virtual_queries_a_second_{size}": round(outcome.world.next_id / took),
-                  f"virtual_events_a_second_{size}": round(outcome.world.made / took),
-                  f"module_share_{size}": round(Timed.spent / took, 3),
-                  f"virtual_rules_broken_{size}": len(outcome.breaches)}
+        found |= {
+            f"virtual_over_real_{size}": round(10 * scale / took, 2),
+            f"virtual_queries_a_second_{size}": round(outcome.world.next_id / took),
+            f"virtual_events_a_second_{size}": round(outcome.world.made / took),
+            f"module_share_{size}": round(Timed.spent / took, 3),
+            f"virtual_rules_broken_{size}": len(outcome.breaches),
+        }
     script = scripts.read_text(SCRIPT.format(length=8, gateways=4, engines=9, work=200, rate=100))
     found["equal_logs"] = len({play(script, 7).log() for _ in range(2)}) == 1
     return found
@@ -113,8 +120,20 @@
     """Microseconds of CPU a line of a query's end, by the dispatcher's log and by structlog, and what the
     difference is of a query, at one line each and so many queries a CPU second (results.md, TDS beside
     PostgreSQL). A line of the dispatcher's counts its writer's thread too."""
-    fields = dict(txn="9b1f03aa5c7e2d41", rg="lookup", answer="finished", submissions=1, engine="e17",
-                  coord=17, cost=12.5, took=13.7, limit=1500.0, taken=0.3, asked=0.9, hit=13.1)
+    fields = dict(
+        txn="9b1f03aa5c7e2d41",
+        rg="lookup",
+        answer="finished",
+        submissions=1,
+        engine="e17",
+        coord=17,
+        cost=12.5,
+        took=13.7,
+        limit=1500.0,
+        taken=0.3,
+        asked=0.9,
+        hit=13.1,
+    )
     with tempfile.TemporaryDirectory() as folder:
         descriptor = os.open(os.path.join(folder, "own"), os.O_CREAT | os.O_WRONLY)
         own = Log(descriptor, Clock())
@@ -136,8 +155,11 @@
         for _ in range(count):
             other.info("query", **fields)
         second = time.process_time() - began
-    return {"log_us_own": round(first / count * 1e6, 2), "log_us_structlog": round(second / count * 1e6, 2),
-            "log_over_query": round((second - first) / count * queries_a_cpu_second, 4)}
+    return {
+        "log_us_own": round(first / count * 1e6, 2),
+        "log_us_structlog": round(second / count * 1e6, 2),
+        "log_over_query": round((second - first) / count * queries_a_cpu_second, 4),
+    }
 
 
 def sockets(scale):
@@ -147,10 +169,14 @@
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "script.kdl")
         with open(path, "w") as file:
-            file.write(SCRIPT.format(length=3600, gateways=1, engines=100, work=40, rate=1)
-                       .replace('trouble', '// trouble').replace('spread 0.3', 'spread 0.3; reading 0'))
-        process = subprocess.Popen([sys.executable, "-m", "wickvane", "rehearse", "serve", path], cwd=ROOT,
-                                   stdout=subprocess.PIPE)
+            file.write(
+                SCRIPT.format(length=3600, gateways=1, engines=100, work=40, rate=1)
+                .replace("trouble", "// trouble")
+                .replace("spread 0.3", "spread 0.3; reading 0")
+            )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "wickvane", "rehearse", "serve", path], cwd=ROOT, stdout=subprocess.PIPE
+        )
         entries = json.loads(process.stdout.readline())["known"]["updates"][0]["endpoints"]["endpoints"]
         late, threads, since = [], [], time.monotonic()
 
@@ -176,19 +202,26 @@
             share = int(file.read().split()[0]) / 1e9 / (time.monotonic() - since)
         process.kill()
         process.wait()
-    return {"serve_engines": len(entries), "serve_queries": len(late), "serve_cpu_share": round(share, 3),
-            "late_ms_median": round(statistics.median(late), 2),
-            "late_ms_p99": round(sorted(late)[int(len(late) * 0.99)], 2)}
+    return {
+        "serve_engines": len(entries),
+        "serve_queries": len(late),
+        "serve_cpu_share": round(share, 3),
+        "late_ms_median": round(statistics.median(late), 2),
+        "late_ms_p99": round(sorted(late)[int(len(late) * 0.99)], 2),
+    }
 
 
 def main():
     scale = 6 if "--full" in sys.argv else 1
     figures = {"mode": "full" if scale > 1 else "quick"} | virtual(scale) | heap_over_library()
     figures |= log_lines() | sockets(scale)
-    holds = (figures["virtual_over_real_100x33"] >= WANTED["virtual_over_real_100x33"]
-             and figures["equal_logs"] and figures["log_over_query"] <= WANTED["log_over_query"]
-             and figures["serve_cpu_share"] <= WANTED["serve_cpu_share"]
-             and figures["late_ms_p99"] <= WANTED["late_ms_p99"])
+    holds = (
+        figures["virtual_over_real_100x33"] >= WANTED["virtual_over_real_100x33"]
+        and figures["equal_logs"]
+        and figures["log_over_query"] <= WANTED["log_over_query"]
+        and figures["serve_cpu_share"] <= WANTED["serve_cpu_share"]
+        and figures["late_ms_p99"] <= WANTED["late_ms_p99"]
+    )
     return figures, holds
 
 
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -29,8 +29,13 @@
 from wickvane.rehearsal.shared import ALL, Shared
 
 # Worse by: two errors over the gain's own, and with one seed as much as single days swing.
-WANTED = {"gap_closed_100x33": 0.5, "worse_by_at_most": 0.02, "cold_most": 1.0, "rules_broken": 0,
-          "octets_s_most": 50_000}
+WANTED = {
+    "gap_closed_100x33": 0.5,
+    "worse_by_at_most": 0.02,
+    "cold_most": 1.0,
+    "rules_broken": 0,
+    "octets_s_most": 50_000,
+}
 SEEDS = {"30x9": 10, "100x33": 5, "200x80": 2}  # at most: a day at 200 x 80 takes five minutes of a core
 SIZES = {"30x9": (30, 9, 100), "100x33": (100, 33, 400), "200x80": (200, 80, 400)}
 DAY = """rehearsal {{
@@ -44,8 +49,10 @@
     {more}
     budget free=3 share=0.1 window="5s"
 }}"""
-CLIENTS = ('clients "{tenant}" {{ group "lookup"; tenant "{tenant}"; rate {rate}; retries {retries}; '
-           'back-off "200ms" }}')
+CLIENTS = (
+    'clients "{tenant}" {{ group "lookup"; tenant "{tenant}"; rate {rate}; retries {retries}; '
+    'back-off "200ms" }}'
+)
 # more in the script; load; what Shared is told besides
 CASES = {
     "even": ("", 0.95, {}),
@@ -64,10 +71,19 @@
     gateways, engines, work = SIZES[size]
     more, load, _ = CASES[case]
     rate, retries = load * engines * 4 / (work / 1000), 0 if case == "fair" else 4
-    clients = "\n    ".join(CLIENTS.format(tenant=tenant, rate=rate / 2, retries=retries)
-                            for tenant in ("wide", "narrow"))
-    return DAY.format(length=length, gateways=1 if one else gateways, engines=engines, work=work,
-                      promise=6 * work, timeout=work // 50, clients=clients, more=more)
+    clients = "\n    ".join(
+        CLIENTS.format(tenant=tenant, rate=rate / 2, retries=retries) for tenant in ("wide", "narrow")
+    )
+    return DAY.format(
+        length=length,
+        gateways=1 if one else gateways,
+        engines=engines,
+        work=work,
+        promise=6 * work,
+        timeout=work // 50,
+        clients=clients,
+        more=more,
+    )
 
 
 def play(size, case, seed, heeds, length, one=False):
@@ -81,16 +97,20 @@
             done[tenant] += work
     held = [member.spread.counts.held(made.now, 20_000) for member in made.members]
     finished = max(1, made.counts["finished"])
-    return {"service": outcome.service(0, length), "late": made.counts["late"] / finished,
-            "deferred": made.counts["deferred"] / (finished + made.counts["deferred"]),
-            "breaches": len(outcome.breaches), "cpu_s": time.process_time() - began,
-            "cold": max((part for part in outcome.margins()["cold"] if part is not None), default=0.0),
-            "narrow": done["narrow"] / max(1.0, sum(done.values())),
-            "age_ms": statistics.median(h[1] for h in held) / 10, "covers": min(h[3] for h in held),
-            # They go on until the last query's time is over, past the day's end.
-            "octets_s": statistics.fmean(m.octets for m in made.members) * 10_000 / made.now,
-            "lent": sum(b.lent for m in made.members for b in m.spread.broker.budgets)
-            if "lends" in heeds else 0}
+    return {
+        "service": outcome.service(0, length),
+        "late": made.counts["late"] / finished,
+        "deferred": made.counts["deferred"] / (finished + made.counts["deferred"]),
+        "breaches": len(outcome.breaches),
+        "cpu_s": time.process_time() - began,
+        "cold": max((part for part in outcome.margins()["cold"] if part is not None), default=0.0),
+        "narrow": done["narrow"] / max(1.0, sum(done.values())),
+        "age_ms": statistics.median(h[1] for h in held) / 10,
+        "covers": min(h[3] for h in held),
+        # They go on until the last query's time is over, past the day's end.
+        "octets_s": statistics.fmean(m.octets for m in made.members) * 10_000 / made.now,
+        "lent": sum(b.lent for m in made.members for b in m.spread.broker.budgets) if "lends" in heeds else 0,
+    }
 
 
 def interval(figures):
@@ -107,8 +127,12 @@
 
     drawn, axes = pyplot.subplots(figsize=(9, 4), layout="constrained")
     names = [name for name, row in rows.items() if "gain" in row]
-    axes.bar(range(len(names)), [rows[name]["gain"] for name in names],
-             yerr=[rows[name]["two_errors"] for name in names], capsize=3)
+    axes.bar(
+        range(len(names)),
+        [rows[name]["gain"] for name in names],
+        yerr=[rows[name]["two_errors"] for name in names],
+        capsize=3,
+    )
     axes.axhline(0.0, color="black", linewidth=0.8)
     axes.set_xticks(range(len(names)), [name.replace("-", "\n") for name in names], fontsize="small")
     axes.set_ylabel("value served, shared less alone")
@@ -124,26 +148,35 @@
     cases += [("200x80", "even")] if full else []
     with ProcessPoolExecutor(max(2, (os.cpu_count() or 2) - 1), get_context("spawn")) as pool:
         # The long ones first.
-        runs = {(size, case, heeds): [pool.submit(play, size, case, seed, heeds,
-                                                  length if size == "30x9" else big_length)
-                                      for seed in seeds[:SEEDS[size]]]
-                for size, case in reversed(cases) for heeds in (ALL, frozenset())}
+        runs = {
+            (size, case, heeds): [
+                pool.submit(play, size, case, seed, heeds, length if size == "30x9" else big_length)
+                for seed in seeds[: SEEDS[size]]
+            ]
+            for size, case in reversed(cases)
+            for heeds in (ALL, frozenset())
+        }
         single = [pool.submit(play, "30x9", "fair", seed, frozenset(), length, True) for seed in seeds]
         rows, broken, worst, cold, octets = {}, 0, 0.0, 0.0, 0.0
         for size, case in cases:
-            alone, shared = ([run.result() for run in runs[size, case, heeds]]
-                             for heeds in (frozenset(), ALL))
+            alone, shared = (
+                [run.result() for run in runs[size, case, heeds]] for heeds in (frozenset(), ALL)
+            )
             gain, error = interval([s["service"] - a["service"] for s, a in zip(shared, alone, strict=True)])
             row = rows[f"{size}-{case}"] = {
                 "alone": interval([a["service"] for a in alone])[0],
-                "shared": interval([s["service"] for s in shared])[0], "gain": gain, "two_errors": error,
+                "shared": interval([s["service"] for s in shared])[0],
+                "gain": gain,
+                "two_errors": error,
                 "late": [round(statistics.fmean(x["late"] for x in found), 4) for found in (alone, shared)],
-                "deferred": [round(statistics.fmean(x["deferred"] for x in found), 4)
-                             for found in (alone, shared)],
+                "deferred": [
+                    round(statistics.fmean(x["deferred"] for x in found), 4) for found in (alone, shared)
+                ],
                 "age_ms": round(statistics.median(s["age_ms"] for s in shared)),
                 "octets_s": round(statistics.fmean(s["octets_s"] for s in shared)),
                 "cpu_ratio": round(sum(s["cpu_s"] for s in shared) / sum(a["cpu_s"] for a in alone), 2),
-                "units_lent": round(statistics.fmean(s["lent"] for s in shared))}
+                "units_lent": round(statistics.fmean(s["lent"] for s in shared)),
+            }
             if case == "cold":
                 row["cold_most"] = [max(x["cold"] for x in found) for found in (alone, shared)]
                 cold = max(cold, row["cold_most"][1])
@@ -159,16 +192,28 @@
     for word in sys.argv:
         if word.startswith("--plot="):
             plot(word.partition("=")[2], rows)
-    figures = {"mode": "full" if full else "quick", "seeds": len(seeds), **rows,
-               # One that sees all serves the whole of this load, by figures of 0.05 to 0.15 s: see results.
-               "gap_closed_100x33": round(big["gain"] / max(1e-9, 1 - big["alone"]), 2),
-               "worse_by": round(worst, 4), "cold_most": cold, "octets_s_most": octets,
-               "rules_broken": broken, "cpu_part": round(statistics.fmean(
-                   run["on"]["cpu_ms_query"] / run["off"]["cpu_ms_query"] for run in cpu), 3),
-               "memory_mb": [round(max(run[way]["memory_mb"] for run in cpu), 1) for way in ("off", "on")]}
-    holds = (figures["gap_closed_100x33"] >= WANTED["gap_closed_100x33"] and not broken
-             and worst <= WANTED["worse_by_at_most"] and cold <= WANTED["cold_most"]
-             and octets <= WANTED["octets_s_most"])
+    figures = {
+        "mode": "full" if full else "quick",
+        "seeds": len(seeds),
+        **rows,
+        # One that sees all serves the whole of this load, by figures of 0.05 to 0.15 s: see results.
+        "gap_closed_100x33": round(big["gain"] / max(1e-9, 1 - big["alone"]), 2),
+        "worse_by": round(worst, 4),
+        "cold_most": cold,
+        "octets_s_most": octets,
+        "rules_broken": broken,
+        "cpu_part": round(
+            statistics.fmean(run["on"]["cpu_ms_query"] / run["off"]["cpu_ms_query"] for run in cpu), 3
+        ),
+        "memory_mb": [round(max(run[way]["memory_mb"] for run in cpu), 1) for way in ("off", "on")],
+    }
+    holds = (
+        figures["gap_closed_100x33"] >= WANTED["gap_closed_100x33"]
+        and not broken
+        and worst <= WANTED["worse_by_at_most"]
+        and cold <= WANTED["cold_most"]
+        and octets <= WANTED["octets_s_most"]
+    )
     return figures, holds
 
 
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -31,17 +31,32 @@
     watch-storms #true
 }}"""
 # Of clients: tries more, the first wait between them, whether they heed what they are told, and that.
-CLIENTS = {"at-once": (8, "1ms", "false", "0s"), "back-off": (8, "200ms", "false", "0s"),
-           "ignores-advice": (8, "200ms", "false", "5s"), "heeds-advice": (8, "200ms", "true", "5s")}
+CLIENTS = {
+    "at-once": (8, "1ms", "false", "0s"),
+    "back-off": (8, "200ms", "false", "0s"),
+    "ignores-advice": (8, "200ms", "false", "5s"),
+    "heeds-advice": (8, "200ms", "true", "5s"),
+}
 
 
 def day(clients, size, more="", load=0.65, length=LENGTH):
     gateways, engines, work = SIZES[size]
     retries, wait, heeds, advice = CLIENTS[clients]
     rate = load * engines * 4 / (work / 1000)  # of what its cores do
-    return DAY.format(length=length, gateways=gateways, engines=engines, rate=rate, retries=retries,
-                      wait=wait, heeds=heeds, advice=advice, more=more, work=work, promise=6 * work,
-                      timeout=work // 50)
+    return DAY.format(
+        length=length,
+        gateways=gateways,
+        engines=engines,
+        rate=rate,
+        retries=retries,
+        wait=wait,
+        heeds=heeds,
+        advice=advice,
+        more=more,
+        work=work,
+        promise=6 * work,
+        timeout=work // 50,
+    )
 
 
 def recovered(clients, size, seed):
@@ -66,8 +81,9 @@
 
 def storms(outcome):
     """How many a gateway told of."""
-    return sum(event == "begins" and fields["kind"] == "storm"
-               for _, _, event, fields in outcome.world.storms)
+    return sum(
+        event == "begins" and fields["kind"] == "storm" for _, _, event, fields in outcome.world.storms
+    )
 
 
 def plot(path, figures, sizes, times):
@@ -79,10 +95,19 @@
     drawn, axes = pyplot.subplots(figsize=(7, 4))
     for clients, dash in (("at-once", "--"), ("heeds-advice", "-")):
         for size, colour in zip(sizes, ("tab:blue", "tab:orange", "tab:green")):
-            axes.plot(times, [figures[f"goodput_{clients}_{size}_{t}x"] for t in times], dash, color=colour,
-                      marker="o", label=f"{size}, {clients}")
-    axes.set(xlabel="work asked for, over what the cores do", ylabel="work finished, over what the cores do",
-             ylim=(0, None))
+            axes.plot(
+                times,
+                [figures[f"goodput_{clients}_{size}_{t}x"] for t in times],
+                dash,
+                color=colour,
+                marker="o",
+                label=f"{size}, {clients}",
+            )
+    axes.set(
+        xlabel="work asked for, over what the cores do",
+        ylabel="work finished, over what the cores do",
+        ylim=(0, None),
+    )
     axes.legend()
     drawn.tight_layout()
     drawn.savefig(path, dpi=110)
@@ -94,12 +119,19 @@
     sizes = list(SIZES) if full else list(SIZES)[:2]
     curves = {z: seeds[:5] if z != "1x8" else seeds for z in (sizes if full else sizes[:1])}
     figures = {"mode": "full" if full else "quick", "seeds": len(seeds)}
-    calm = ("", 'clients "new" { group "lookup"; rate 60; since "15s" }',
-            'trouble "deploy" at="10s" for="12s" part=0.5 size=1')
+    calm = (
+        "",
+        'clients "new" { group "lookup"; rate 60; since "15s" }',
+        'trouble "deploy" at="10s" for="12s" part=0.5 size=1',
+    )
     with ProcessPoolExecutor(os.cpu_count()) as pool:
         back = {(c, z): [pool.submit(recovered, c, z, s) for s in seeds] for c in CLIENTS for z in sizes}
-        curve = {(c, z, t): [pool.submit(offered, c, z, s, t) for s in mine]
-                 for c in ("at-once", "heeds-advice") for z, mine in curves.items() for t in times}
+        curve = {
+            (c, z, t): [pool.submit(offered, c, z, s, t) for s in mine]
+            for c in ("at-once", "heeds-advice")
+            for z, mine in curves.items()
+            for t in times
+        }
         false = [pool.submit(alarms, z, s, more) for z in sizes[:2] for s in seeds for more in calm]
         broken, worst = 0, 0
         for (clients, size), runs in back.items():
@@ -107,23 +139,35 @@
             took = [one[0] for one in found]
             worst, broken = max(worst, *took), broken + sum(one[1] for one in found)
             name = f"{clients}_{size}"
-            figures |= {f"recovery_s_{name}": [statistics.median(took), max(took)],
-                        f"seen_{name}": sum(one[2] for one in found),
-                        f"service_under_{name}": round(statistics.fmean(one[3] for one in found), 3)}
+            figures |= {
+                f"recovery_s_{name}": [statistics.median(took), max(took)],
+                f"seen_{name}": sum(one[2] for one in found),
+                f"service_under_{name}": round(statistics.fmean(one[3] for one in found), 3),
+            }
         for (clients, size, t), runs in curve.items():
             found = [run.result() for run in runs]
             broken += sum(one[1] for one in found)
             figures[f"goodput_{clients}_{size}_{t}x"] = round(statistics.fmean(one[0] for one in found), 3)
         figures["false_alarms"] = sum(run.result() for run in false)
-    parts = [figures[f"goodput_{c}_{z}_10x"] / max(figures[f"goodput_{c}_{z}_{t}x"] for t in times)
-             for c in ("at-once", "heeds-advice") for z in curves]
+    parts = [
+        figures[f"goodput_{c}_{z}_10x"] / max(figures[f"goodput_{c}_{z}_{t}x"] for t in times)
+        for c in ("at-once", "heeds-advice")
+        for z in curves
+    ]
     for word in sys.argv:
         if word.startswith("--plot="):
             plot(word.partition("=")[2], figures, curves, times)
-    figures |= {"recovery_s_worst": worst, "goodput_part_at_10x": round(min(parts), 3),
-                "rules_broken": broken}
-    holds = (worst <= WANTED["recovery_s_worst"] and not figures["false_alarms"] and not broken
-             and min(parts) >= WANTED["goodput_part_at_10x"])
+    figures |= {
+        "recovery_s_worst": worst,
+        "goodput_part_at_10x": round(min(parts), 3),
+        "rules_broken": broken,
+    }
+    holds = (
+        worst <= WANTED["recovery_s_worst"]
+        and not figures["false_alarms"]
+        and not broken
+        and min(parts) >= WANTED["goodput_part_at_10x"]
+    )
     return figures, holds
 
 
--- a/benchmarks/storm_sockets.py
+++ b/benchmarks/storm_sockets.py
@@ -30,8 +30,12 @@
 WANTED = {"recovery_s_worst": 20.0, "goodput_part_least": 0.9, "rules_broken": 0}
 CORES, ENGINES, SIZE, WORK = 4, 6, 4, 100  # the slowness takes this factor; work of a query in ms
 # Of clients: tries more, the first wait; the library has its own.
-CLIENTS = {"at-once": (8, "1ms"), "back-off": (8, "200ms"), "ignores-advice": (8, "200ms"),
-           "library": (0, "0ms")}
+CLIENTS = {
+    "at-once": (8, "1ms"),
+    "back-off": (8, "200ms"),
+    "ignores-advice": (8, "200ms"),
+    "library": (0, "0ms"),
+}
 DAY = """rehearsal {{
     length "{length}s"
     gateways 1
@@ -138,8 +142,11 @@
 
     def answered(self, order, at, group, work, answer, away=0):
         super().answered(order, at, group, work, answer, away)
-        outcome = {"finished": self.said.FINISHED, "deferred": self.said.DEFERRED,
-                   "killed": self.said.KILLED}.get(answer, self.said.LOST)
+        outcome = {
+            "finished": self.said.FINISHED,
+            "deferred": self.said.DEFERRED,
+            "killed": self.said.KILLED,
+        }.get(answer, self.said.LOST)
         with self.more:
             order.call.ended(self.now() / SECOND, outcome, away / SECOND)
             if outcome != self.said.FINISHED:
@@ -159,8 +166,19 @@
     rate = 0.65 * CORES * ENGINES / (WORK / 1000)
     # None told anything: the program before knew of no advice, and `back-off` has the settings of then.
     advice = "0s" if how in ("at-once", "back-off") else "5s"
-    return DAY.format(length=length, engines=ENGINES, cores=CORES, work=WORK, rate=rate, retries=retries,
-                      wait=wait, advice=advice, slow_at=slow_at, slow_for=slow_for, size=SIZE)
+    return DAY.format(
+        length=length,
+        engines=ENGINES,
+        cores=CORES,
+        work=WORK,
+        rate=rate,
+        retries=retries,
+        wait=wait,
+        advice=advice,
+        slow_at=slow_at,
+        slow_for=slow_for,
+        size=SIZE,
+    )
 
 
 def one(how, tree, parts, seed, length, slow_at, slow_for):
@@ -180,7 +198,10 @@
         log = open(os.path.join(folder, "log"), "wb")
         dispatcher = subprocess.Popen(
             [sys.executable, "-m", "wickvane", "serve", f"--config={folder}/config.json", *words],
-            cwd=tree, stdout=log, env=os.environ | {"PYTHONPATH": tree})
+            cwd=tree,
+            stdout=log,
+            env=os.environ | {"PYTHONPATH": tree},
+        )
         time.sleep(1.5)
         host, _, number = listen.rpartition(":")
         mine, other = context.Pipe()
@@ -207,8 +228,9 @@
 
     seen = Seen(World(scripts.read_text(text), 1, False).figures)
     seen.figures.slack = 0.35
-    events = sorted([(at, 0, n, "taken", rest) for n, (kind, at, *rest) in enumerate(clients)
-                     if kind == "taken"])
+    events = sorted(
+        [(at, 0, n, "taken", rest) for n, (kind, at, *rest) in enumerate(clients) if kind == "taken"]
+    )
     known = {rest[0] for *_, rest in events}
     for at, _, _, _, (id, limit) in events:
         seen.taken(at, id, 0, limit)
@@ -235,6 +257,7 @@
 
 def recovered(course, slow_at, over):
     """Seconds from the slowness's end until three seconds on end have 95% of the service before it."""
+
     def service(a, b):
         asked = sum(row[1] for row in course[a:b])
         return sum(row[0] for row in course[a:b]) / asked if asked else 1.0
@@ -249,13 +272,17 @@
     length, slow_at, slow_for = (70, 10, 30) if full else (32, 6, 12)
     figures = {"mode": "full" if full else "quick", "seeds": 1}
     with tempfile.TemporaryDirectory() as old:
-        archive = subprocess.run(["git", "archive", BEFORE, "wickvane"], cwd=ROOT, capture_output=True,
-                                 check=True).stdout
+        archive = subprocess.run(
+            ["git", "archive", BEFORE, "wickvane"], cwd=ROOT, capture_output=True, check=True
+        ).stdout
         subprocess.run(["tar", "-x", "-C", old], input=archive, check=True)
         # Each day is three processes; two days at once leave the cores some room.
         with ThreadPoolExecutor(2) as pool:
-            runs = {(how, name): pool.submit(one, how, tree, name == "now", 1, length, slow_at, slow_for)
-                    for how in CLIENTS for name, tree in (("before", old), ("now", ROOT))}
+            runs = {
+                (how, name): pool.submit(one, how, tree, name == "now", 1, length, slow_at, slow_for)
+                for how in CLIENTS
+                for name, tree in (("before", old), ("now", ROOT))
+            }
             found = {key: run.result() for key, run in runs.items()}
     capacity = CORES * ENGINES / SIZE * 1000  # ms of work a second while it is slow
     worst, least, broken = 0, 9.9, 0
@@ -263,17 +290,21 @@
         over = slow_at + slow_for
         took = recovered(course, slow_at, over)
         # The first seconds of it are still the pool's own queues.
-        goodput = sum(row[2] for row in course[slow_at + 2:over]) / (slow_for - 2) / capacity
+        goodput = sum(row[2] for row in course[slow_at + 2 : over]) / (slow_for - 2) / capacity
         service = sum(row[0] for row in course[slow_at:over]) / sum(row[1] for row in course[slow_at:over])
-        figures[f"{how}_{name}"] = {"recovery_s": took, "goodput_part": round(goodput, 3),
-                                    "service_under": round(service, 3), "rules_broken": len(breaches),
-                                    "rules": sorted({rule for rule, _ in breaches}),
-                                    "cpu_s": round(counters.get("cpu_s", 0), 1),
-                                    "storms": [line["event"] for line in storms if line["kind"] == "storm"]}
+        figures[f"{how}_{name}"] = {
+            "recovery_s": took,
+            "goodput_part": round(goodput, 3),
+            "service_under": round(service, 3),
+            "rules_broken": len(breaches),
+            "rules": sorted({rule for rule, _ in breaches}),
+            "cpu_s": round(counters.get("cpu_s", 0), 1),
+            "storms": [line["event"] for line in storms if line["kind"] == "storm"],
+        }
         if name == "now":
             worst, least, broken = max(worst, took), min(least, goodput), broken + len(breaches)
     figures |= {"recovery_s_worst": worst, "goodput_part_least": round(least, 3), "rules_broken": broken}
-    holds = (worst <= WANTED["recovery_s_worst"] and least >= WANTED["goodput_part_least"] and not broken)
+    holds = worst <= WANTED["recovery_s_worst"] and least >= WANTED["goodput_part_least"] and not broken
     return figures, holds
 
 
--- a/benchmarks/tds.py
+++ b/benchmarks/tds.py
@@ -36,14 +36,20 @@
     configuration = found([], Events())
     configuration["settings"] = settled()
     configuration["settings"]["obligations"]["budget_window_ms"] = 5000.0
-    entries = [entry(f"e{n}", engine.address) | {"type": "mssql" if isinstance(engine, TdsEngine) else "old"}
-               for n, engine in enumerate(engines)]
+    entries = [
+        entry(f"e{n}", engine.address) | {"type": "mssql" if isinstance(engine, TdsEngine) else "old"}
+        for n, engine in enumerate(engines)
+    ]
     configuration["known"] = {"index": 1, "updates": [event(1, *entries, snapshot=True)]}
-    dispatcher = Dispatcher(folder, configuration, f"""tds {{ listen "127.0.0.1:{port}"
+    dispatcher = Dispatcher(
+        folder,
+        configuration,
+        f"""tds {{ listen "127.0.0.1:{port}"
         connections 200
         rule application="*" {{ group "lookup"; tenant "acme"; limit "60s" }}
         engines "mssql" {{ user "w" }}
-        {more} }}""")
+        {more} }}""",
+    )
     dispatcher.tds_port = port
     return dispatcher
 
@@ -101,15 +107,21 @@
                     before = dispatcher.cpu()
                     histogram = load(dispatcher, front, clients, queries, a_second, begin)
                     rate[front].append(queries / (dispatcher.cpu() - before))
-                    late[front].append((histogram.get_value_at_percentile(50) / 1000,
-                                        histogram.get_value_at_percentile(99) / 1000))
+                    late[front].append(
+                        (
+                            histogram.get_value_at_percentile(50) / 1000,
+                            histogram.get_value_at_percentile(99) / 1000,
+                        )
+                    )
             for front in rate:
                 figures[f"{front}_queries_per_cpu_s_{clients}"] = round(statistics.median(rate[front]))
                 for name, n in (("median", 0), ("p99", 1)):
                     figures[f"{front}_{name}_ms_{clients}"] = round(
-                        statistics.median(value[n] for value in late[front]), 2)
+                        statistics.median(value[n] for value in late[front]), 2
+                    )
             figures[f"tds_over_postgres_{clients}"] = round(
-                statistics.median(rate["tds"]) / statistics.median(rate["postgres"]), 3)
+                statistics.median(rate["tds"]) / statistics.median(rate["postgres"]), 3
+            )
         dispatcher.stop()
     return figures
 
@@ -127,9 +139,12 @@
                 load(dispatcher, "postgres", 16, 1600, 400, 1 << 40)
                 rate[place].append(1600 / (dispatcher.cpu() - before))
                 dispatcher.stop()
-    return {"postgres_here_over_there": round(
-        statistics.median(rate["here"]) / statistics.median(rate["there"]), 3),
-        "by_turn": [round(x / y, 3) for x, y in zip(rate["here"], rate["there"])]}
+    return {
+        "postgres_here_over_there": round(
+            statistics.median(rate["here"]) / statistics.median(rate["there"]), 3
+        ),
+        "by_turn": [round(x / y, 3) for x, y in zip(rate["here"], rate["there"])],
+    }
 
 
 def idle():
@@ -148,6 +163,7 @@
 
 def streamed(megabytes):
     """A result of so many megabytes, and how much memory more the program had at its highest."""
+
     def answer(query):
         Thread(target=send, args=(query,), daemon=True).start()
 
@@ -175,8 +191,11 @@
         took = time.monotonic() - began
         more = dispatcher.memory() - before
         dispatcher.stop()
-    return {"streamed_mb": size >> 20, "streaming_mb": round(more, 2),
-            "streamed_mb_a_second": round(size / took / 1e6)}
+    return {
+        "streamed_mb": size >> 20,
+        "streaming_mb": round(more, 2),
+        "streamed_mb_a_second": round(size / took / 1e6),
+    }
 
 
 def main():
@@ -186,9 +205,11 @@
     other = next((word.partition("=")[2] for word in sys.argv if word.startswith("--against=")), None)
     if other:
         figures |= against(other, 4 * scale)
-    holds = (all(figures[f"tds_over_postgres_{n}"] >= WANTED["tds_over_postgres"] for n in (1, 16, 128))
-             and figures["idle_kb"] <= WANTED["idle_kb"]
-             and figures["streaming_mb"] <= WANTED["streaming_mb"])
+    holds = (
+        all(figures[f"tds_over_postgres_{n}"] >= WANTED["tds_over_postgres"] for n in (1, 16, 128))
+        and figures["idle_kb"] <= WANTED["idle_kb"]
+        and figures["streaming_mb"] <= WANTED["streaming_mb"]
+    )
     return figures, holds
 
 
--- a/benchmarks/threads.py
+++ b/benchmarks/threads.py
@@ -25,8 +25,13 @@
 BEFORE = "b9d0b1f"  # the last landing with a keeper an engine and a reader a connection
 ENGINES, RATE, CLIENTS, LENGTHS = (10, 40, 80), 30, 16, {"quick": 12, "full": 45}
 TICK = 1 / os.sysconf("SC_CLK_TCK")
-WANTED = {"threads_middle_80": 40, "threads_most_80": 64, "descriptors_most_80": 200, "memory_part": 1.0,
-          "cpu_part": 1.1}
+WANTED = {
+    "threads_middle_80": 40,
+    "threads_most_80": 64,
+    "descriptors_most_80": 200,
+    "memory_part": 1.0,
+    "cpu_part": 1.1,
+}
 DAY = """rehearsal {{
     length "{length}s"
     gateways 1
@@ -55,8 +60,12 @@
         told = dict(line.split(":\t", 1) for line in status if ":\t" in line)
     with open(f"/proc/{process}/stat") as stat:
         words = stat.read().rpartition(")")[2].split()
-    return (int(told["Threads"]), len(os.listdir(f"/proc/{process}/fd")),
-            int(told["VmHWM"].split()[0]) / 1024, (int(words[11]) + int(words[12])) * TICK)
+    return (
+        int(told["Threads"]),
+        len(os.listdir(f"/proc/{process}/fd")),
+        int(told["VmHWM"].split()[0]) / 1024,
+        (int(words[11]) + int(words[12])) * TICK,
+    )
 
 
 class Running:
@@ -74,8 +83,11 @@
         with open(path, "w") as file:
             json.dump(self.pipe.recv() | {"name": "n0"}, file)
         self.program = subprocess.Popen(
-            [sys.executable, "-m", "wickvane", "serve", f"--config={path}", *words], cwd=tree,
-            stdout=subprocess.DEVNULL, env=os.environ | {"PYTHONPATH": tree})
+            [sys.executable, "-m", "wickvane", "serve", f"--config={path}", *words],
+            cwd=tree,
+            stdout=subprocess.DEVNULL,
+            env=os.environ | {"PYTHONPATH": tree},
+        )
 
     def ask(self):
         context = get_context("spawn")
@@ -93,11 +105,16 @@
         threads = [look[0] for look in self.looks]
         if asked < RATE or told["answers"].get("finished", 0) < 0.95 * asked:
             raise RuntimeError(f"too few queries were finished: {told['answers']}")
-        return {"threads_middle": statistics.median(threads), "threads_most": max(threads),
-                "descriptors_most": max(look[1] for look in self.looks),
-                "memory_mb": round(max(look[2] for look in self.looks), 1),
-                "cpu_ms_query": round(1000 * (self.looks[-1][3] - self.began) / asked, 3),
-                "p50_ms": told["p50_ms"], "p99_ms": told["p99_ms"], "queries": asked}
+        return {
+            "threads_middle": statistics.median(threads),
+            "threads_most": max(threads),
+            "descriptors_most": max(look[1] for look in self.looks),
+            "memory_mb": round(max(look[2] for look in self.looks), 1),
+            "cpu_ms_query": round(1000 * (self.looks[-1][3] - self.began) / asked, 3),
+            "p50_ms": told["p50_ms"],
+            "p99_ms": told["p99_ms"],
+            "queries": asked,
+        }
 
     def end(self):
         self.program.send_signal(signal.SIGTERM)
@@ -133,20 +150,29 @@
     mode = "full" if "--full" in sys.argv else "quick"
     figures = {"mode": mode, "rate": RATE}
     with tempfile.TemporaryDirectory() as old:
-        archive = subprocess.run(["git", "archive", BEFORE, "wickvane"], cwd=ROOT, capture_output=True,
-                                 check=True).stdout
+        archive = subprocess.run(
+            ["git", "archive", BEFORE, "wickvane"], cwd=ROOT, capture_output=True, check=True
+        ).stdout
         subprocess.run(["tar", "-x", "-C", old], input=archive, check=True)
         for count in ENGINES:
             figures[str(count)] = side_by_side(old, count, LENGTHS[mode])
             print(count, json.dumps(figures[str(count)]), flush=True)
     most = figures[str(ENGINES[-1])]
-    part = {name: round(max(figures[str(count)]["now"][name] / figures[str(count)]["before"][name]
-                            for count in ENGINES), 3) for name in ("cpu_ms_query", "memory_mb")}
+    part = {
+        name: round(
+            max(figures[str(count)]["now"][name] / figures[str(count)]["before"][name] for count in ENGINES),
+            3,
+        )
+        for name in ("cpu_ms_query", "memory_mb")
+    }
     figures |= {"cpu_part_worst": part["cpu_ms_query"], "memory_part_worst": part["memory_mb"]}
-    holds = (most["now"]["threads_middle"] <= WANTED["threads_middle_80"]
-             and most["now"]["threads_most"] <= WANTED["threads_most_80"]
-             and most["now"]["descriptors_most"] <= WANTED["descriptors_most_80"]
-             and part["memory_mb"] <= WANTED["memory_part"] and part["cpu_ms_query"] <= WANTED["cpu_part"])
+    holds = (
+        most["now"]["threads_middle"] <= WANTED["threads_middle_80"]
+        and most["now"]["threads_most"] <= WANTED["threads_most_80"]
+        and most["now"]["descriptors_most"] <= WANTED["descriptors_most_80"]
+        and part["memory_mb"] <= WANTED["memory_part"]
+        and part["cpu_ms_query"] <= WANTED["cpu_part"]
+    )
     return figures, holds
 
 
--- a/client/examples/loads.py
+++ b/client/examples/loads.py
@@ -1,6 +1,6 @@
 """Many loads at once by asyncio, each with a token of its own: a repeat inside its window is known again.
 
-    python examples/loads.py 127.0.0.1:6565
+python examples/loads.py 127.0.0.1:6565
 """
 
 import asyncio
@@ -12,10 +12,15 @@
 async def main(addresses):
     groups = {"load": Group(TOKENED, window=12.0, timeout=20.0, ordered=True)}
     async with AsyncClient(addresses, groups) as client:
+
         async def load(n):
             try:
-                await client.query("load", f"INSERT INTO sales_{n % 5}.facts SELECT * FROM staging_1.batch",
-                                   key=f"logger-{n % 5}", token=f"batch-{n}")
+                await client.query(
+                    "load",
+                    f"INSERT INTO sales_{n % 5}.facts SELECT * FROM staging_1.batch",
+                    key=f"logger-{n % 5}",
+                    token=f"batch-{n}",
+                )
                 return "done"
             except Error as error:
                 return type(error).__name__
--- a/client/examples/report.py
+++ b/client/examples/report.py
@@ -1,6 +1,6 @@
 """A report that is asked for until it is there or its time is over, at whichever dispatcher is up.
 
-    python examples/report.py 127.0.0.1:6565 127.0.0.1:6566
+python examples/report.py 127.0.0.1:6565 127.0.0.1:6566
 """
 
 import sys
--- a/client/wickvane_client/__init__.py
+++ b/client/wickvane_client/__init__.py
@@ -14,8 +14,20 @@
     Unusable,
 )
 
-__all__ = ["MUTATING", "READ_ONLY", "TOKENED", "AsyncClient", "Client", "Deferred", "Error", "Group",
-           "Killed", "Policy", "UnknownOutcome", "Unusable"]
+__all__ = [
+    "MUTATING",
+    "READ_ONLY",
+    "TOKENED",
+    "AsyncClient",
+    "Client",
+    "Deferred",
+    "Error",
+    "Group",
+    "Killed",
+    "Policy",
+    "UnknownOutcome",
+    "Unusable",
+]
 
 
 def __getattr__(name):
--- a/client/wickvane_client/aio.py
+++ b/client/wickvane_client/aio.py
@@ -11,15 +11,35 @@
 class AsyncClient:
     """addresses: of dispatchers, "host:port" each. For one event loop; at most `connections` a dispatcher."""
 
-    def __init__(self, addresses, groups=None, user="client", database="bi", tenant=None, connections=16,
-                 policy_=None, **options):
+    def __init__(
+        self,
+        addresses,
+        groups=None,
+        user="client",
+        database="bi",
+        tenant=None,
+        connections=16,
+        policy_=None,
+        **options,
+    ):
         self.addresses, self.user, self.database, self.tenant = list(addresses), user, database, tenant
         self.policy = policy_ or policy.Policy(groups, len(self.addresses), **options)
         self.free = [[] for _ in self.addresses]
         self.most = [asyncio.Semaphore(connections) for _ in self.addresses]
 
-    async def query(self, group, statement, parameters=None, *, timeout=None, token=None, key=None,
-                    tenant=None, cost=None, memory=None):
+    async def query(
+        self,
+        group,
+        statement,
+        parameters=None,
+        *,
+        timeout=None,
+        token=None,
+        key=None,
+        tenant=None,
+        cost=None,
+        memory=None,
+    ):
         """As Client.query."""
         call = self.policy.call(time.monotonic(), group, timeout, token)
         while True:
@@ -27,8 +47,9 @@
             if isinstance(todo, policy.Wait):
                 await asyncio.sleep(max(0.0, todo.until - time.monotonic()))
                 continue
-            text = fields.comment(group, self.policy.id(), todo.left, call.token, key, tenant or self.tenant,
-                                  cost, memory)
+            text = fields.comment(
+                group, self.policy.id(), todo.left, call.token, key, tenant or self.tenant, cost, memory
+            )
             rows, told = await self.tried(todo, text + statement, parameters)
             call.ended(time.monotonic(), *told)
             if told[0] == policy.FINISHED:
--- a/client/wickvane_client/driver.py
+++ b/client/wickvane_client/driver.py
@@ -10,8 +10,16 @@
 def options(address, user, database, left):
     """Of psycopg.connect: simple queries without a server-side transaction, as the dispatcher takes them."""
     host, _, port = address.rpartition(":")
-    return dict(host=host.strip("[]"), port=int(port), user=user, dbname=database, sslmode="disable",
-                autocommit=True, connect_timeout=max(2, round(min(CONNECT_S, left))), prepare_threshold=None)
+    return dict(
+        host=host.strip("[]"),
+        port=int(port),
+        user=user,
+        dbname=database,
+        sslmode="disable",
+        autocommit=True,
+        connect_timeout=max(2, round(min(CONNECT_S, left))),
+        prepare_threshold=None,
+    )
 
 
 def became(error, sent):
--- a/client/wickvane_client/policy.py
+++ b/client/wickvane_client/policy.py
@@ -107,9 +107,23 @@
     hook(event, now, **fields), where given, hears of: try, wait, advice, breaker-open, outcome. It must not
     raise and must not wait."""
 
-    def __init__(self, groups, dispatchers=1, seed=0, share=0.1, free=3, window=5.0, first_wait=0.1,
-                 longest_wait=10.0, longest_advice=60.0, most_tries=8, failures=3, rest=0.5, rest_most=15.0,
-                 hook=None):
+    def __init__(
+        self,
+        groups,
+        dispatchers=1,
+        seed=0,
+        share=0.1,
+        free=3,
+        window=5.0,
+        first_wait=0.1,
+        longest_wait=10.0,
+        longest_advice=60.0,
+        most_tries=8,
+        failures=3,
+        rest=0.5,
+        rest_most=15.0,
+        hook=None,
+    ):
         if dispatchers < 1 or not groups or share < 0 or free < 0 or window <= 0 or first_wait <= 0:
             raise ValueError("a policy needs groups, a dispatcher, and no negative budget or waits")
         self.groups, self.chance, self.hook = dict(groups), Random(seed), hook or quiet
@@ -234,8 +248,9 @@
 
     def error(self, now):
         """What the query has come to, where it is not finished."""
-        self.policy.hook("outcome", now, outcome=self.outcome or "never sent", tries=self.tries,
-                         took=now - self.began)
+        self.policy.hook(
+            "outcome", now, outcome=self.outcome or "never sent", tries=self.tries, took=now - self.began
+        )
         told = self.tries, self.advice
         if self.outcome == KILLED:
             return Killed(self.text or "it could not be finished, and may have run", *told)
--- a/client/wickvane_client/sync.py
+++ b/client/wickvane_client/sync.py
@@ -12,14 +12,26 @@
     """addresses: of dispatchers, "host:port" each. Safe from any number of threads; each has connections of
     its own. Use as a context manager, or close()."""
 
-    def __init__(self, addresses, groups=None, user="client", database="bi", tenant=None, policy_=None,
-                 **options):
+    def __init__(
+        self, addresses, groups=None, user="client", database="bi", tenant=None, policy_=None, **options
+    ):
         self.addresses, self.user, self.database, self.tenant = list(addresses), user, database, tenant
         self.policy = policy_ or policy.Policy(groups, len(self.addresses), **options)
         self.lock, self.own, self.all = threading.Lock(), threading.local(), []
 
-    def query(self, group, statement, parameters=None, *, timeout=None, token=None, key=None, tenant=None,
-              cost=None, memory=None):
+    def query(
+        self,
+        group,
+        statement,
+        parameters=None,
+        *,
+        timeout=None,
+        token=None,
+        key=None,
+        tenant=None,
+        cost=None,
+        memory=None,
+    ):
         """The rows of a query. timeout: seconds for all of its tries. Raises Deferred, Killed,
         UnknownOutcome or Unusable, and ValueError for a field that cannot be written."""
         with self.lock:
--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -18,20 +18,51 @@
 
 def group(**changes):
     usual = dict(
-        effect=i.READ_ONLY, drops_repeats=i.ANY_ENGINE, repeat_window=120_000, promise=15_000, stretch=2.0,
-        timeout=75_000, value=1.0, late_value=0.0, ordered=False, zones=None, kinds=None, threads=1,
-        loads=False, stands_behind_loads=False,
+        effect=i.READ_ONLY,
+        drops_repeats=i.ANY_ENGINE,
+        repeat_window=120_000,
+        promise=15_000,
+        stretch=2.0,
+        timeout=75_000,
+        value=1.0,
+        late_value=0.0,
+        ordered=False,
+        zones=None,
+        kinds=None,
+        threads=1,
+        loads=False,
+        stands_behind_loads=False,
     )
     return i.ResourceGroup(**usual | changes)
 
 
 def site(groups, tenants=1, **changes):
     usual = dict(
-        groups=groups, tenants=[(1 / tenants, 10.0)] * tenants, cores=[8, 4], memory=[16384.0, 8192.0],
-        gateways=1, zone=0, crossing=0.0, most_submissions=5, may_cancel=True, grants=False,
-        priorities=True, most_grant=0.4, note_period=0, asks_for_list=False, ask_within=0, key_rest=3000,
-        extra_free=3.0, extra_share=0.1, extra_window=0, cold_from=0.3, cold_time=150_000, fall_multiple=2.5,
-        fall_time=30_000, longest_advice=0, reports=[],
+        groups=groups,
+        tenants=[(1 / tenants, 10.0)] * tenants,
+        cores=[8, 4],
+        memory=[16384.0, 8192.0],
+        gateways=1,
+        zone=0,
+        crossing=0.0,
+        most_submissions=5,
+        may_cancel=True,
+        grants=False,
+        priorities=True,
+        most_grant=0.4,
+        note_period=0,
+        asks_for_list=False,
+        ask_within=0,
+        key_rest=3000,
+        extra_free=3.0,
+        extra_share=0.1,
+        extra_window=0,
+        cold_from=0.3,
+        cold_time=150_000,
+        fall_multiple=2.5,
+        fall_time=30_000,
+        longest_advice=0,
+        reports=[],
     )
     return i.Deployment(**usual | changes)
 
@@ -108,18 +139,48 @@
 
 SETTINGS = {
     "classes": [
-        {"name": "lookup", "effect": "safe", "promise_ms": 1500.0, "deadline_ms": 7500.0, "aim_stretch": 2.0,
-         "worth": 1.0, "late_worth": 0.2},
-        {"name": "load", "effect": "keyed", "group": "all", "promise_ms": 3000.0, "deadline_ms": 20000.0,
-         "repeat_window_ms": 12000.0, "sequential": True, "worth": 5.0, "late_worth": 0.5},
-        {"name": "change", "effect": "unsafe", "promise_ms": 3000.0, "deadline_ms": 20000.0, "worth": 5.0,
-         "late_worth": 0.5},
+        {
+            "name": "lookup",
+            "effect": "safe",
+            "promise_ms": 1500.0,
+            "deadline_ms": 7500.0,
+            "aim_stretch": 2.0,
+            "worth": 1.0,
+            "late_worth": 0.2,
+        },
+        {
+            "name": "load",
+            "effect": "keyed",
+            "group": "all",
+            "promise_ms": 3000.0,
+            "deadline_ms": 20000.0,
+            "repeat_window_ms": 12000.0,
+            "sequential": True,
+            "worth": 5.0,
+            "late_worth": 0.5,
+        },
+        {
+            "name": "change",
+            "effect": "unsafe",
+            "promise_ms": 3000.0,
+            "deadline_ms": 20000.0,
+            "worth": 5.0,
+            "late_worth": 0.5,
+        },
     ],
     "accounts": [{"name": "acme", "share": 1.0, "quota_per_s": 50.0}],
-    "az": "dc", "zones": ["dc"], "host_types": ["old"], "fleet_size": 1,
+    "az": "dc",
+    "zones": ["dc"],
+    "host_types": ["old"],
+    "fleet_size": 1,
     "family_info": {"size_cores": [8], "size_mb": [16384.0], "priorities": True},
-    "limits": {"cancel": True, "conn_idle_ms": 30000.0, "dial_timeout_ms": 250.0, "max_attempts": 5,
-               "streams_per_conn": 100},
+    "limits": {
+        "cancel": True,
+        "conn_idle_ms": 30000.0,
+        "dial_timeout_ms": 250.0,
+        "max_attempts": 5,
+        "streams_per_conn": 100,
+    },
     "obligations": {"stop_sending_within_ms": 2000.0, "key_rest_ms": 300.0},
 }
 PATIENCE = 30  # seconds after which a test has failed; none waits so long to pass
@@ -257,8 +318,16 @@
 
 
 def entry(name, address, state="Ready", since=0):
-    return {"name": name, "address": address, "zone": "dc", "type": "old", "group": 0, "status": state,
-            "weight": 1, "since_ms": since}
+    return {
+        "name": name,
+        "address": address,
+        "zone": "dc",
+        "type": "old",
+        "group": 0,
+        "status": state,
+        "weight": 1,
+        "since_ms": since,
+    }
 
 
 def sse(number, data):
@@ -269,8 +338,12 @@
     """A configuration, as the operators would hand it over."""
     entries = [entry(f"e{n}", engine.address) for n, engine in enumerate(engines)]
     return {
-        "name": "n0", "listen": f"127.0.0.1:{free_port()}", "seed": "8c1f", "settings": SETTINGS,
-        "limits": {"sockets": 1024} | limits, "coordinator": coordinator.address,
+        "name": "n0",
+        "listen": f"127.0.0.1:{free_port()}",
+        "seed": "8c1f",
+        "settings": SETTINGS,
+        "limits": {"sockets": 1024} | limits,
+        "coordinator": coordinator.address,
         "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]},
     }
 
@@ -290,7 +363,7 @@
         """The log's lines of these events, once there is one of them."""
         for _ in range(PATIENCE * 100):
             text = os.pread(self.log.fileno(), 1 << 20, 0)
-            lines = [json.loads(line) for line in text[:text.rfind(b"\n") + 1].splitlines()]
+            lines = [json.loads(line) for line in text[: text.rfind(b"\n") + 1].splitlines()]
             found = [line for line in lines if line["event"] in events]
             if found:
                 return found
@@ -306,8 +379,9 @@
 STARTUP = struct.pack("!II", 30, 196_608) + b"user\0app\0database\0bi\0\0"
 
 
-def statement(text="SELECT 1 FROM sales_17.orders", verb="lookup", n=1, limit=5000, team="acme", cpu=100,
-              **fields):
+def statement(
+    text="SELECT 1 FROM sales_17.orders", verb="lookup", n=1, limit=5000, team="acme", cpu=100, **fields
+):
     more = "".join(f",{name}={value}" for name, value in fields.items())
     return f"/* verb={verb},txn={n:016x},limit={limit},team={team},cpu={cpu}{more} */ {text}"
 
@@ -360,7 +434,7 @@
             at, row = 2, []
             for _ in range(struct.unpack_from("!H", body)[0]):
                 size = struct.unpack_from("!I", body, at)[0]
-                row.append(body[at + 4:at + 4 + size])
+                row.append(body[at + 4 : at + 4 + size])
                 at += 4 + size
             found.append(tuple(row))
     return found
@@ -368,5 +442,13 @@
 
 def sqlstate(messages):
     """The first error's code, or None."""
-    return next((part[1:].decode() for kind, body in messages if kind == b"E"
-                 for part in body.split(b"\0") if part[:1] == b"C"), None)
+    return next(
+        (
+            part[1:].decode()
+            for kind, body in messages
+            if kind == b"E"
+            for part in body.split(b"\0")
+            if part[:1] == b"C"
+        ),
+        None,
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,9 +30,13 @@
         def bounded():
             resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
-        process = subprocess.Popen([sys.executable, "-m", "wickvane", "serve"], stdout=subprocess.PIPE,
-                                   stderr=subprocess.PIPE, env=os.environ | {"LB_CONFIG": str(path)},
-                                   preexec_fn=bounded if descriptors else None)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "wickvane", "serve"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env=os.environ | {"LB_CONFIG": str(path)},
+            preexec_fn=bounded if descriptors else None,
+        )
         process.found, process.path = told, path
         ended.append(process)
         return process
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -99,17 +99,39 @@
     obligations: of the settings; cost: of each query, in ms; cold: whether engines start with the fleet;
     clocks: {dispatcher: what WICKVANE_CLOCK says to it}; apart: (dispatcher, engine) that cannot meet."""
 
-    def __init__(self, folder, size, seed, engines=3, seeds=2, more="", parts="", obligations=None, cost=10,
-                 cold=False, clocks=None, apart=()):
+    def __init__(
+        self,
+        folder,
+        size,
+        seed,
+        engines=3,
+        seeds=2,
+        more="",
+        parts="",
+        obligations=None,
+        cost=10,
+        cold=False,
+        clocks=None,
+        apart=(),
+    ):
         self.folder, self.size, self.seed, self.more, self.parts = str(folder), size, seed, more, parts
         self.chance = Random(f"{seed}/fleet")
         self.seen = Seen(Figures(EFFECTS, slack=0.5))
         self.cost, self.clocks, self.began = cost, clocks or {}, time.time()
         self.apart, self.nowhere = apart, f"127.0.0.1:{own_port(socket.SOCK_STREAM)}"
-        self.settings = SETTINGS | {"fleet_size": size,
-                                    "obligations": SETTINGS["obligations"] | (obligations or {})}
-        self.engines = [Watched(f"e{n}", self.seen, toil=12.5 if cost == 10 else cost,
-                                since=int(self.began * 1000) if cold else 0) for n in range(engines)]
+        self.settings = SETTINGS | {
+            "fleet_size": size,
+            "obligations": SETTINGS["obligations"] | (obligations or {}),
+        }
+        self.engines = [
+            Watched(
+                f"e{n}",
+                self.seen,
+                toil=12.5 if cost == 10 else cost,
+                since=int(self.began * 1000) if cold else 0,
+            )
+            for n in range(engines)
+        ]
         self.coordinator = Coordinator()
         self.ports = [own_port(socket.SOCK_STREAM) for _ in range(size)]
         self.relay = Relay([own_port(socket.SOCK_DGRAM) for _ in range(size)], seed)
@@ -128,21 +150,29 @@
         os.replace(f"{self.key_file}.new", self.key_file)
 
     def write(self, n):
-        entries = [entry(e.name, self.nowhere if (n, e.name) in self.apart else e.address, since=e.since)
-                   for e in self.engines]
+        entries = [
+            entry(e.name, self.nowhere if (n, e.name) in self.apart else e.address, since=e.since)
+            for e in self.engines
+        ]
         config = {
-            "name": f"n{n}", "listen": f"127.0.0.1:{self.ports[n]}", "seed": f"{self.seed}{n}",
-            "settings": self.settings, "limits": {"sockets": 256},
+            "name": f"n{n}",
+            "listen": f"127.0.0.1:{self.ports[n]}",
+            "seed": f"{self.seed}{n}",
+            "settings": self.settings,
+            "limits": {"sockets": 256},
             "coordinator": self.coordinator.address,
-            "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]}}
+            "known": {"index": 1, "updates": [event(1, *entries, snapshot=True)]},
+        }
         with open(self.path(n, "json"), "w") as file:
             json.dump(config, file)
         seeds = "; ".join(f'seed "{self.relay.addresses[s]}"' for s in self.seeds)
         host, port = self.relay.listens[n]
         with open(self.path(n, "kdl"), "w") as file:
-            file.write(f'peers {{\n listen "{host}:{port}"\n advertise "{self.relay.addresses[n]}"\n'
-                       f' key-file "{self.key_file}"\n state "{self.state(n)}"\n {seeds}\n {self.more}\n}}\n'
-                       f'{self.parts}')
+            file.write(
+                f'peers {{\n listen "{host}:{port}"\n advertise "{self.relay.addresses[n]}"\n'
+                f' key-file "{self.key_file}"\n state "{self.state(n)}"\n {seeds}\n {self.more}\n}}\n'
+                f"{self.parts}"
+            )
 
     def path(self, n, kind):
         return os.path.join(self.folder, f"n{n}.{kind}")
@@ -156,10 +186,20 @@
         for n in which:
             with open(self.logs[n], "ab") as log:
                 self.processes[n] = subprocess.Popen(
-                    [sys.executable, "-m", "wickvane", "serve", f"--config={self.path(n, 'json')}",
-                     f"--parts={self.path(n, 'kdl')}"], cwd=ROOT, stdout=log, stderr=subprocess.STDOUT,
+                    [
+                        sys.executable,
+                        "-m",
+                        "wickvane",
+                        "serve",
+                        f"--config={self.path(n, 'json')}",
+                        f"--parts={self.path(n, 'kdl')}",
+                    ],
+                    cwd=ROOT,
+                    stdout=log,
+                    stderr=subprocess.STDOUT,
                     stdin=subprocess.DEVNULL,
-                    env=os.environ | ({"WICKVANE_CLOCK": self.clocks[n]} if n in self.clocks else {}))
+                    env=os.environ | ({"WICKVANE_CLOCK": self.clocks[n]} if n in self.clocks else {}),
+                )
 
     def begin(self):
         """All up, and of one view."""
@@ -240,14 +280,21 @@
             time.sleep(0.1)
 
     def told(self):
-        return {n: {k: found[k] for k in ("standing", "part", "reasons", "digest", "agreed")} | {
-            "members": [(row["name"], row["state"]) for row in found["members"]]}
-            for n in range(self.size) if (found := self.status(n))}
+        return {
+            n: {k: found[k] for k in ("standing", "part", "reasons", "digest", "agreed")}
+            | {"members": [(row["name"], row["state"]) for row in found["members"]]}
+            for n in range(self.size)
+            if (found := self.status(n))
+        }
 
     def verdicts(self, since=0.0):
         """(at, by whom, about whom) of every life that was called failed, from all logs."""
-        return [(line["at"], f"n{n}", line["name"]) for n in range(self.size)
-                for line in self.logged(n, "peers-failed") if line["at"] >= since]
+        return [
+            (line["at"], f"n{n}", line["name"])
+            for n in range(self.size)
+            for line in self.logged(n, "peers-failed")
+            if line["at"] >= since
+        ]
 
     # Clients
 
@@ -270,8 +317,11 @@
             more = f",unique={id},item=k{number}x{count}" if group == "load" else ""
             at = time.time()
             self.seen.taken(at, id, group, 5.0, None)
-            word = client.ask(f"/* verb={group},txn={id},limit=5000,team=acme,cpu={self.cost}{more} */ "
-                              f"SELECT 1 FROM sales_{chance.randrange(20)}.t", 8)
+            word = client.ask(
+                f"/* verb={group},txn={id},limit=5000,team=acme,cpu={self.cost}{more} */ "
+                f"SELECT 1 FROM sales_{chance.randrange(20)}.t",
+                8,
+            )
             known = word in ("finished", "deferred", "killed")
             self.seen.answered(time.time(), id, word if known else "left")
             self.words.setdefault(n, []).append((at, word))
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -20,15 +20,20 @@
 
 
 def cold_fleet(folder, seed, **more):
-    return fleet(folder, SIZE, seed, engines=1, parts="shares\n", obligations=COLD, cost=COST, cold=True,
-                 **more)
+    return fleet(
+        folder, SIZE, seed, engines=1, parts="shares\n", obligations=COLD, cost=COST, cold=True, **more
+    )
 
 
 def at_engine(f, since=0.0, until=1e18, of=None):
     """Times at which an engine got a query, in order; of: of one dispatcher's clients."""
     with f.seen.lock:
-        return sorted(sent["at"] for sent in f.seen.sent if since <= sent["at"] <= until
-                      and (of is None or f.at_dispatcher[int(sent["id"], 16) >> 32] == of))
+        return sorted(
+            sent["at"]
+            for sent in f.seen.sent
+            if since <= sent["at"] <= until
+            and (of is None or f.at_dispatcher[int(sent["id"], 16) >> 32] == of)
+        )
 
 
 def worst(times, window=WINDOW - NOISE):
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -41,8 +41,13 @@
         f.until(lambda: f.equal(rest), "the killed one is still in views", 20)
         assert all(f.states(n, victim) == ["failed"] for n in rest)
         assert {who for _, _, who in f.verdicts()} == {f"n{victim}"}
-        f.until(lambda: all(f.status(n)["part"] == "larger" and f.status(n)["standing"] == "degraded"
-                            for n in rest), "the rest does not know that it is the larger part", 10)
+        f.until(
+            lambda: all(
+                f.status(n)["part"] == "larger" and f.status(n)["standing"] == "degraded" for n in rest
+            ),
+            "the rest does not know that it is the larger part",
+            10,
+        )
         # Nobody may do more since one failed: what is shared is shared by five.
         assert all(f.status(n)["divisor"] == 5 for n in rest)
         f.start(victim)
@@ -95,8 +100,14 @@
         small, large = sorted(order[:4]), sorted(order[4:])
         f.relay.set(between(small, large), cut=True)
         f.until(lambda: f.equal(small) and f.equal(large), "no side agrees on who is left", 25)
-        f.until(lambda: {f.status(n)["part"] for n in small} == {"smaller"}
-                and {f.status(n)["part"] for n in large} == {"larger"}, "a side is mistaken", 10)
+        f.until(
+            lambda: (
+                {f.status(n)["part"] for n in small} == {"smaller"}
+                and {f.status(n)["part"] for n in large} == {"larger"}
+            ),
+            "a side is mistaken",
+            10,
+        )
         assert {f.status(n)["divisor"] for n in range(9)} == {9}
         # A second cut across the first.
         f.relay.set(between(large[:2], large[2:]), cut=True)
@@ -156,8 +167,12 @@
             f.relay.forward(to, data)
         f.until(lambda: any(f.status(n)["refused"].get("replayed") for n in rest), "no replay was refused")
         f.until(lambda: f.equal(range(5)), "a replay changed a view")
-        assert {row["epoch"] for n in rest for row in f.status(n)["members"]
-                if row["name"] == f"n{victim}" and row["in_view"]} == {f.status(victim)["epoch"]}
+        assert {
+            row["epoch"]
+            for n in rest
+            for row in f.status(n)["members"]
+            if row["name"] == f"n{victim}" and row["in_view"]
+        } == {f.status(victim)["epoch"]}
         held(f, rest, since)
 
 
@@ -219,9 +234,14 @@
         f.relay.kept = kept = []
         time.sleep(1.0)
         f.relay.kept = None
-        kinds = [lambda: chance.randbytes(chance.randrange(1400)), lambda: b"\1" + chance.randbytes(200),
-                 lambda: b"", lambda: b"\2" * 30, lambda: chance.choice(kept)[1],
-                 lambda: bytes(chance.choice(kept)[1][:-1] + b"\0")]
+        kinds = [
+            lambda: chance.randbytes(chance.randrange(1400)),
+            lambda: b"\1" + chance.randbytes(200),
+            lambda: b"",
+            lambda: b"\2" * 30,
+            lambda: chance.choice(kept)[1],
+            lambda: bytes(chance.choice(kept)[1][:-1] + b"\0"),
+        ]
         since = time.time()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             while time.time() < since + 5:
@@ -273,8 +293,13 @@
         assert f.served(new, time.time() - 0.8)  # it serves all the same
         f.kill(old)
         alive = [n for n in range(5) if n != old]
-        f.until(lambda: all(f"n{old}" in {r["name"] for r in f.status(n)["members"] if r["in_view"]}
-                            for n in alive), "the name did not pass on", 20)
+        f.until(
+            lambda: all(
+                f"n{old}" in {r["name"] for r in f.status(n)["members"] if r["in_view"]} for n in alive
+            ),
+            "the name did not pass on",
+            20,
+        )
         held(f, [n for n in rest if n != old], since)
 
 
@@ -294,8 +319,13 @@
 
 
 def tool(f, n, *words):
-    return subprocess.run([sys.executable, "-m", "wickvane", "peers", *words, f"--parts={f.path(n, 'kdl')}"],
-                          cwd=ROOT, capture_output=True, text=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "wickvane", "peers", *words, f"--parts={f.path(n, 'kdl')}"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
 
 
 def test_operators_see_members_and_events_forget_one_and_let_one_leave(tmp_path):
@@ -319,8 +349,10 @@
         time.sleep(1)
         assert f.served(3, time.time() - 0.8)  # and it serves alone
         # Another seed is taken in at SIGHUP; what cannot change is refused, and the old one stays.
-        for find, put, event in (("seed", "seeds-file \"/nowhere\"; seed", "configuration-taken"),
-                                 ("listen ", "period \"2s\"; listen ", "configuration-unusable")):
+        for find, put, event in (
+            ("seed", 'seeds-file "/nowhere"; seed', "configuration-taken"),
+            ("listen ", 'period "2s"; listen ', "configuration-unusable"),
+        ):
             with open(f.path(0, "kdl")) as file:
                 text = file.read().replace(find, put, 1)
             with open(f.path(0, "kdl"), "w") as file:
@@ -337,18 +369,27 @@
     assert "s old" in tool(f, 4, "status").stdout
     gone = tool(f, 4, "leave")
     assert gone.returncode == 1 and "no answer" in gone.stderr
-    assert subprocess.run([sys.executable, "-m", "wickvane", "peers", "status", "--state=/nowhere"], cwd=ROOT,
-                          capture_output=True).returncode == 1
-
-
-@pytest.mark.parametrize("text, words", [
-    ("peers", "peers: expected a node listen"),
-    ('peers { listen "127.0.0.1:1" }', "a node key-file"),
-    ('peers { listen "0.0.0.0:1"; key-file "/x" }', "an address that the others can send to"),
-    ('peers { listen "127.0.0.1:1"; key-file "/x"; seed "host:1" }', "an IP address and port"),
-    ('peers { listen "127.0.0.1:1"; key-file "/x"; members 1 }', "from 2 to 16384"),
-    ('peers { listen "127.0.0.1:1"; key-file "/x"; gossip 1 }', "peers > gossip"),
-])
+    assert (
+        subprocess.run(
+            [sys.executable, "-m", "wickvane", "peers", "status", "--state=/nowhere"],
+            cwd=ROOT,
+            capture_output=True,
+        ).returncode
+        == 1
+    )
+
+
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("peers", "peers: expected a node listen"),
+        ('peers { listen "127.0.0.1:1" }', "a node key-file"),
+        ('peers { listen "0.0.0.0:1"; key-file "/x" }', "an address that the others can send to"),
+        ('peers { listen "127.0.0.1:1"; key-file "/x"; seed "host:1" }', "an IP address and port"),
+        ('peers { listen "127.0.0.1:1"; key-file "/x"; members 1 }', "from 2 to 16384"),
+        ('peers { listen "127.0.0.1:1"; key-file "/x"; gossip 1 }', "peers > gossip"),
+    ],
+)
 def test_what_a_document_cannot_say(text, words):
     with pytest.raises(parts.Unusable) as wrong:
         parts.read_text(text)
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -37,8 +37,9 @@
     seen = {engine.name: 0 for engine in f.engines}
     for sent in f.seen.sent:
         seen[sent["engine"]] += 1
-    return all(totals.get(f"done/{name}", 0) <= n <= totals.get(f"sent/{name}", 0) + lost
-               for name, n in seen.items())
+    return all(
+        totals.get(f"done/{name}", 0) <= n <= totals.get(f"sent/{name}", 0) + lost for name, n in seen.items()
+    )
 
 
 def equal(f, which):
@@ -83,8 +84,11 @@
         time.sleep(1)
         f.quiet()
         # Its client may have been turned away as it ended, so it is held against engines alone.
-        f.until(lambda: all(shares(f, x)["totals"] == shares(f, rest[0])["totals"] for x in rest),
-                "counts differ", 20)
+        f.until(
+            lambda: all(shares(f, x)["totals"] == shares(f, rest[0])["totals"] for x in rest),
+            "counts differ",
+            20,
+        )
         assert fits(f, shares(f, rest[0])["totals"])
 
 
@@ -109,8 +113,10 @@
 
 def doubted(f, n):
     """{engine: whether it is doubted at the end} of all that n ever doubted, by its log."""
-    return {line["engine"]: line["event"] == "shares-engine-doubted"
-            for line in f.logged(n, "shares-engine-doubted", "shares-engine-cleared")}
+    return {
+        line["engine"]: line["event"] == "shares-engine-doubted"
+        for line in f.logged(n, "shares-engine-doubted", "shares-engine-cleared")
+    }
 
 
 @seeds
@@ -157,8 +163,12 @@
 
 def test_what_is_shared_is_shown(tmp_path):
     def told(n, *more):
-        return subprocess.run([sys.executable, "-m", "wickvane", "shares", "status", f"--state={f.state(n)}",
-                               *more], cwd=ROOT, capture_output=True, text=True)
+        return subprocess.run(
+            [sys.executable, "-m", "wickvane", "shares", "status", f"--state={f.state(n)}", *more],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
 
     with fleet(tmp_path, 2, 1, parts="shares\n") as f:
         f.serve(0, 1)
--- a/tests/fuzz_codecs.py
+++ b/tests/fuzz_codecs.py
@@ -42,7 +42,11 @@
 
 
 READERS = (
-    messages, tokens, login.read_login, login.read_prelogin, statements.batch_text,
+    messages,
+    tokens,
+    login.read_login,
+    login.read_prelogin,
+    statements.batch_text,
     statements.read_transaction,
     lambda data: statements.statement_of(statements.read_call(data), statements.Prepared()),
     lambda data: list(ipfix.Reader(32_473).feed(data)),
@@ -64,12 +68,17 @@
     columns = t.columns_of([("n", b"\x26\x04"), ("s", b"\xe7\x10\x00\x09\x04\xd0\x00\x34")])
     stream = columns + b"\xd1\x04\1\0\0\0\x02\x00a\x00" + t.done(t.COUNTED, 1)
     generation = ipfix.Generation(32_473)
-    made = {0: packets.frame(packets.BATCH, b"abc", 512), 1: stream, 2: login.login("u", "p"),
-            3: login.prelogin({0: bytes(6), 1: b"\2"}), 4: statements.batch("SELECT 1"),
-            5: b"\x04\0\0\0\x05\0\0\0",
-            6: b"\x04\0\0\0\xff\xff\x0a\0\0\0\0\0\xe7\x10\0\x09\x04\xd0\0\x34\2\0a\0",
-            7: ipfix.message(1, 0, 0, generation.sets),
-            8: netflow9.packet(4, 0, 0, 0, 1, netflow9.Layout(16).sets)}
+    made = {
+        0: packets.frame(packets.BATCH, b"abc", 512),
+        1: stream,
+        2: login.login("u", "p"),
+        3: login.prelogin({0: bytes(6), 1: b"\2"}),
+        4: statements.batch("SELECT 1"),
+        5: b"\x04\0\0\0\x05\0\0\0",
+        6: b"\x04\0\0\0\xff\xff\x0a\0\0\0\0\0\xe7\x10\0\x09\x04\xd0\0\x34\2\0a\0",
+        7: ipfix.message(1, 0, 0, generation.sets),
+        8: netflow9.packet(4, 0, 0, 0, 1, netflow9.Layout(16).sets),
+    }
     for number, data in made.items():
         with open(os.path.join(folder, f"seed-{number}"), "wb") as file:
             file.write(bytes((number,)) + data)
--- a/tests/standins/tds_engine.py
+++ b/tests/standins/tds_engine.py
@@ -68,8 +68,12 @@
         engine = self.engine
         if kind == packets.PRELOGIN:
             lg.read_prelogin(body)
-            self.send(packets.frame(packets.RESULT, lg.prelogin({
-                lg.VERSION: bytes(6), lg.ENCRYPTION: bytes((engine.encryption,))})))
+            self.send(
+                packets.frame(
+                    packets.RESULT,
+                    lg.prelogin({lg.VERSION: bytes(6), lg.ENCRYPTION: bytes((engine.encryption,))}),
+                )
+            )
         elif kind == packets.LOGIN:
             login = lg.read_login(body)
             self.user = login.user
@@ -78,8 +82,11 @@
                 refusal = t.told(t.ERROR, *engine.refuses) + t.done(t.DONE_ERROR)
                 self.send(packets.frame(packets.RESULT, refusal))
                 return
-            self.send(packets.frame(packets.RESULT, t.loginack() + t.envchange(
-                t.PACKET_SIZE, "4096", "4096") + t.done()))
+            self.send(
+                packets.frame(
+                    packets.RESULT, t.loginack() + t.envchange(t.PACKET_SIZE, "4096", "4096") + t.done()
+                )
+            )
         elif kind == packets.BATCH:
             query = Query(self, statements.batch_text(body))
             query.reset = bool(status & packets.RESET)
--- a/tests/standins/xds_proxy.py
+++ b/tests/standins/xds_proxy.py
@@ -9,8 +9,12 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 BASE = "type.googleapis.com/envoy.config."
-CDS, EDS, LDS, RDS = (BASE + "cluster.v3.Cluster", BASE + "endpoint.v3.ClusterLoadAssignment",
-                      BASE + "listener.v3.Listener", BASE + "route.v3.RouteConfiguration")
+CDS, EDS, LDS, RDS = (
+    BASE + "cluster.v3.Cluster",
+    BASE + "endpoint.v3.ClusterLoadAssignment",
+    BASE + "listener.v3.Listener",
+    BASE + "route.v3.RouteConfiguration",
+)
 SERVICE = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 HEALTHY, UNKNOWN = 1, 0
 
@@ -41,8 +45,9 @@
 
     def request(self, url, names=(), nonce="", error=None, begin=False):
         if self.variant == "sotw":
-            made = discovery_pb2.DiscoveryRequest(type_url=url, version_info=self.whole[url],
-                                                  resource_names=names, response_nonce=nonce)
+            made = discovery_pb2.DiscoveryRequest(
+                type_url=url, version_info=self.whole[url], resource_names=names, response_nonce=nonce
+            )
         else:
             made = discovery_pb2.DeltaDiscoveryRequest(type_url=url, response_nonce=nonce)
             if begin:
@@ -57,12 +62,17 @@
 
     async def run(self, channel):
         """One stream, until it ends; what is held stays."""
-        cls = (discovery_pb2.DiscoveryResponse if self.variant == "sotw"
-               else discovery_pb2.DeltaDiscoveryResponse)
+        cls = (
+            discovery_pb2.DiscoveryResponse
+            if self.variant == "sotw"
+            else discovery_pb2.DeltaDiscoveryResponse
+        )
         name = "StreamAggregatedResources" if self.variant == "sotw" else "DeltaAggregatedResources"
         self.call = channel.stream_stream(
-            SERVICE + name, request_serializer=lambda request: request.SerializeToString(),
-            response_deserializer=lambda data: (len(data), cls.FromString(data)))()
+            SERVICE + name,
+            request_serializer=lambda request: request.SerializeToString(),
+            response_deserializer=lambda data: (len(data), cls.FromString(data)),
+        )()
         self.asked = {CDS: [], LDS: []}
         try:
             # A call that the server ended already refuses the next write.
@@ -100,8 +110,11 @@
             before = self.asked.get(target)
             if before is None or self.variant == "sotw" and before != wanted:
                 self.asked[target] = wanted
-                await self.call.write(self.request(target, wanted, begin=True) if before is None
-                                      else self.request(target, wanted))
+                await self.call.write(
+                    self.request(target, wanted, begin=True)
+                    if before is None
+                    else self.request(target, wanted)
+                )
 
     def apply(self, response):
         url, names = response.type_url, []
@@ -153,8 +166,11 @@
 
     if url == EDS:
         return endpoint_pb2.ClusterLoadAssignment.FromString(body).cluster_name
-    return {CDS: cluster_pb2.Cluster, LDS: listener_pb2.Listener,
-            RDS: route_pb2.RouteConfiguration}[url].FromString(body).name
+    return (
+        {CDS: cluster_pb2.Cluster, LDS: listener_pb2.Listener, RDS: route_pb2.RouteConfiguration}[url]
+        .FromString(body)
+        .name
+    )
 
 
 def ends_of(body):
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -42,7 +42,11 @@
     (one,), (two,), (three,) = first, second, last
     assert one.id == two.id == three.id and (one.part, two.part, three.part) == (0, 1, 2)
     assert (one.state, one.state_last, two.state_last, three.state_last) == (
-        a.READY, a.READY, a.DRAINING, a.GONE)
+        a.READY,
+        a.READY,
+        a.DRAINING,
+        a.GONE,
+    )
     assert two.state == three.state == a.READY
     assert [r.counts[:2] for r in (one, two, three)] == [[50, 0], [0, 70], [0, 0]]
     assert [r.reason for r in (one, two, three)] == [a.ACTIVE, a.ACTIVE, a.ENDED]
@@ -156,8 +160,13 @@
             assert accounts.held <= max(most, 0) and accounts.held == len(accounts.live) + len(accounts.ended)
         else:
             connection = chance.choice(open_ones)
-            moved = (chance.choice((a.NOBODY, (0, 0), (0, 1), (1, 0))), chance.randrange(2),
-                     chance.randrange(1000), 1, chance.choice((0, a.FINISHED, a.LEFT, a.FIRST)))
+            moved = (
+                chance.choice((a.NOBODY, (0, 0), (0, 1), (1, 0))),
+                chance.randrange(2),
+                chance.randrange(1000),
+                1,
+                chance.choice((0, a.FINISHED, a.LEFT, a.FIRST)),
+            )
             plain.count(connection, *moved)
             accounts.count(connection, moved[0], now, *moved[1:])
     records += drained(accounts, now, everything=True)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -88,8 +88,9 @@
 
 def told(dispatcher, **fields):
     host, _, port = dispatcher.found["listen"].rpartition(":")
-    with psycopg.connect(host=host, port=int(port), sslmode="disable", user="a", dbname="b",
-                         autocommit=True) as connection:
+    with psycopg.connect(
+        host=host, port=int(port), sslmode="disable", user="a", dbname="b", autocommit=True
+    ) as connection:
         with pytest.raises(psycopg.Error) as wrong:
             connection.execute(statement(**fields))
     return wrong.value
@@ -126,11 +127,11 @@
 
 @pytest.mark.parametrize("heeds", ["true", "false"])
 def test_rules_hold_in_a_storm_whether_advice_is_heeded_or_not(heeds):
-    text = STORM.replace("#{heeds}", "#" + heeds).format(more="""
+    text = STORM.replace("#{heeds}", "#" + heeds).format(
+        more="""
         longest-advice "5s"
         trouble "slow" at="4s" for="6s" size=10
-        trouble "storm" at="4s" for="6s" size=2""")
+        trouble "storm" at="4s" for="6s" size=2"""
+    )
     outcome = world.play(scripts.read_text(text), 1, False)
     assert outcome.breaches == [] and outcome.counts["deferred"] > 100
-
-
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -38,10 +38,24 @@
         return made
 
     def key(self):
-        return (tuple((v.term, v.voted, tuple(v.log), v.committed, v.role, v.leader, frozenset(v.votes),
-                       tuple(sorted(v.next.items())), tuple(sorted(v.match.items())))
-                      for v in self.voters.values()),
-                tuple(sorted(self.wire, key=repr)), tuple(self.budget.items()))
+        return (
+            tuple(
+                (
+                    v.term,
+                    v.voted,
+                    tuple(v.log),
+                    v.committed,
+                    v.role,
+                    v.leader,
+                    frozenset(v.votes),
+                    tuple(sorted(v.next.items())),
+                    tuple(sorted(v.match.items())),
+                )
+                for v in self.voters.values()
+            ),
+            tuple(sorted(self.wire, key=repr)),
+            tuple(self.budget.items()),
+        )
 
     def does(self, mark, what, *words):
         """One call of a voter, and what it says to do."""
@@ -72,7 +86,7 @@
     def arrives(self, n, keep):
         sender, to, message = self.wire[n]
         if not keep:
-            self.wire = self.wire[:n] + self.wire[n + 1:]
+            self.wire = self.wire[:n] + self.wire[n + 1 :]
         self.does(to, self.module.HANDLERS[message[0]], sender, *message[1:])
 
     def crashes(self, mark, disk):
@@ -107,7 +121,7 @@
                 s.arrives(n, True)
                 yield s
             s = self.twin()
-            s.wire = s.wire[:n] + s.wire[n + 1:]
+            s.wire = s.wire[:n] + s.wire[n + 1 :]
             yield s
 
 
@@ -172,15 +186,23 @@
 MUTATIONS = {
     "votes twice in a term": ("self.voted in (None, sender) and", "True and"),
     "votes for an older log": ("grants = term == self.term and newer and", "grants = term == self.term and"),
-    "says before it saves": ("            self.voted, self.elect_at = sender, self.now + self.patience()\n"
-                             "            self.save()\n",
-                             "            self.voted, self.elect_at = sender, self.now + self.patience()\n"),
-    "keeps what differs": ("            del self.log[n - 1:]\n            self.log.append(entry)\n",
-                           "            self.log.append(entry)\n"),
-    "takes what does not follow": ("if place > len(self.log) or self.term_at(place) != place_term:",
-                                   "if place > len(self.log):"),
-    "a minority commits": ("return 2 * sum(mark in marks for mark in voters) > len(voters)",
-                           "return 2 * sum(mark in marks for mark in voters) >= len(voters) - 1"),
+    "says before it saves": (
+        "            self.voted, self.elect_at = sender, self.now + self.patience()\n"
+        "            self.save()\n",
+        "            self.voted, self.elect_at = sender, self.now + self.patience()\n",
+    ),
+    "keeps what differs": (
+        "            del self.log[n - 1:]\n            self.log.append(entry)\n",
+        "            self.log.append(entry)\n",
+    ),
+    "takes what does not follow": (
+        "if place > len(self.log) or self.term_at(place) != place_term:",
+        "if place > len(self.log):",
+    ),
+    "a minority commits": (
+        "return 2 * sum(mark in marks for mark in voters) > len(voters)",
+        "return 2 * sum(mark in marks for mark in voters) >= len(voters) - 1",
+    ),
 }
 
 
@@ -286,12 +308,28 @@
         return self
 
     def key(self):
-        return (self.time, tuple((one.opened, one.closing, tuple(sorted(
-            (h, u - self.clock[m]) for h, u in one.lent.items())), max(0, one.unknown_until - self.clock[m]))
-            for m, one in self.lenders.items()), tuple((one.number, tuple(sorted(
-                (v, u - self.clock[n]) for v, u in one.untils.items()))) for n, one in self.holders.items()),
-            tuple(sorted((*w[:4], w[4] - self.clock[w[1]]) for w in self.wire)), frozenset(self.said),
-            self.started, frozenset(self.acted), self.slips, self.crashes)
+        return (
+            self.time,
+            tuple(
+                (
+                    one.opened,
+                    one.closing,
+                    tuple(sorted((h, u - self.clock[m]) for h, u in one.lent.items())),
+                    max(0, one.unknown_until - self.clock[m]),
+                )
+                for m, one in self.lenders.items()
+            ),
+            tuple(
+                (one.number, tuple(sorted((v, u - self.clock[n]) for v, u in one.untils.items())))
+                for n, one in self.holders.items()
+            ),
+            tuple(sorted((*w[:4], w[4] - self.clock[w[1]]) for w in self.wire)),
+            frozenset(self.said),
+            self.started,
+            frozenset(self.acted),
+            self.slips,
+            self.crashes,
+        )
 
     def steps(self):
         if self.time < 7:
@@ -313,7 +351,7 @@
                 yield s.look()
         for n, (kind, name, mark, number, asked) in enumerate(self.wire):
             s = self.twin()
-            s.wire = s.wire[:n] + s.wire[n + 1:]
+            s.wire = s.wire[:n] + s.wire[n + 1 :]
             if kind == "ask":
                 if s.lenders[mark].lend(s.clock[mark], name, number):
                     s.wire += (("yes", name, mark, number, asked),)
@@ -402,20 +440,30 @@
 TICKS = ", ".join(["tick"] * 4)
 LEASES = {  # the guard changed; steps by which that breaks, and the guard itself does not
     "a voter forgets what it lent": (
-        "self.unknown_until = now + term + self.grace", "self.unknown_until = now",
-        "lease x a b, close a b, crash a b, start a b, open a b, lease y a b"),
+        "self.unknown_until = now + term + self.grace",
+        "self.unknown_until = now",
+        "lease x a b, close a b, crash a b, start a b, open a b, lease y a b",
+    ),
     "closed though lent": (
-        "and all(now >= until for until in self.lent.values()))", ")",
-        "lease x a b, close a b, start a b, open a b, lease y a b"),
+        "and all(now >= until for until in self.lent.values()))",
+        ")",
+        "lease x a b, close a b, start a b, open a b, lease y a b",
+    ),
     "lends while it closes": (
-        "if number != self.opened or self.closing is not None:", "if number != self.opened:",
-        "close a b, start a b, lease x a b, open a b, lease y a b"),
+        "if number != self.opened or self.closing is not None:",
+        "if number != self.opened:",
+        "close a b, start a b, lease x a b, open a b, lease y a b",
+    ),
     "counts longer than was asked for": (
-        "max(asked_at + self.term,", "max(asked_at + 2 * self.term,",
-        f"lease x a b, {TICKS}, close a b, start a b, open a b, lease y a b"),
+        "max(asked_at + self.term,",
+        "max(asked_at + 2 * self.term,",
+        f"lease x a b, {TICKS}, close a b, start a b, open a b, lease y a b",
+    ),
     "no majority is needed": (
-        "untils[len(voters) // 2]", "untils[0]",
-        "lease x a, close b c, start b c, open b c, lease y b c"),
+        "untils[len(voters) // 2]",
+        "untils[0]",
+        "lease x a, close b c, start b c, open b c, lease y b c",
+    ),
 }
 
 
@@ -427,8 +475,14 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(["lend", "back", "close", "open", "wait"]), st.integers(0, 4),
-                          st.integers(0, 3)), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["lend", "back", "close", "open", "wait"]), st.integers(0, 4), st.integers(0, 3)
+        ),
+        max_size=40,
+    )
+)
 def test_a_lender_never_opens_a_lower_number_nor_lends_two(words):
     one, now, highest = Lender(0, 0, term=10), 100, 0
     for what, figure, who in words:
@@ -476,18 +530,20 @@
         return now
 
     now = run(80_000, 0)
-    leader, = [mark for mark, voter in voters.items() if voter.role == LEADER]
+    (leader,) = [mark for mark, voter in voters.items() if voter.role == LEADER]
     assert voters[leader].add(POLICY, (7, "digest", "text"))
     now = run(now + 20_000, now)
     assert all(found == committed[leader] and len(found) == 2 for found in committed.values())
     down.add(leader)
     now = run(now + 100_000, now)
-    second, = [mark for mark, voter in voters.items() if voter.role == LEADER and mark not in down]
+    (second,) = [mark for mark, voter in voters.items() if voter.role == LEADER and mark not in down]
     assert voters[second].add(POLICY, (8, "digest", "text"))
     now = run(now + 20_000, now)
     down.clear()
     run(now + 40_000, now)
     assert voters[leader].role != LEADER and committed[leader] == committed[second]
     assert [entry.what for entry in committed[second].values() if entry.kind == POLICY] == [
-        (7, "digest", "text"), (8, "digest", "text")]
+        (7, "digest", "text"),
+        (8, "digest", "text"),
+    ]
     assert wire and all(message[0] in range(4) for *_, message in wire) and APPEND == 2
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -46,7 +46,7 @@
             # One line: what was told later is not taken in before.
             last = max(self.inbox.index(entry) for entry in due)
             _, number, (self.part,) = self.inbox[last]
-            del self.inbox[:last + 1]
+            del self.inbox[: last + 1]
             self.broker.took(number)
         for life, word in self.broker.sent():
             self.fleet.send(self, life, word)
@@ -132,13 +132,23 @@
 
 
 DEFECTS = {
-    "a grant waits for nobody": ("took", lambda self, number: (
-        self.out.extend(entry[1:] for entry in self.waiting), self.waiting.clear())),
-    "what is given back is still in use": ("give_back", lambda self, now, kind, usable: [
-        (self.budgets[kind].escrow.back, self.out.append((owner, (BACK, kind, number, 0, 0))))
-        for number, (owner, *_) in list(self.budgets[kind].escrow.held.items())]),
-    "the end of a loan is not told": ("parts", lambda self, now, divisor: [
-        (budget.escrow.usable(now) / UNITS, None, 1.0) for budget in self.budgets]),
+    "a grant waits for nobody": (
+        "took",
+        lambda self, number: (self.out.extend(entry[1:] for entry in self.waiting), self.waiting.clear()),
+    ),
+    "what is given back is still in use": (
+        "give_back",
+        lambda self, now, kind, usable: [
+            (self.budgets[kind].escrow.back, self.out.append((owner, (BACK, kind, number, 0, 0))))
+            for number, (owner, *_) in list(self.budgets[kind].escrow.held.items())
+        ],
+    ),
+    "the end of a loan is not told": (
+        "parts",
+        lambda self, now, divisor: [
+            (budget.escrow.usable(now) / UNITS, None, 1.0) for budget in self.budgets
+        ],
+    ),
 }
 
 
@@ -190,9 +200,19 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from([ASK, GRANT, BACK]), st.integers(0, 7), st.integers(0, 70),
-                          st.integers(0, 4096), st.integers(0, 1 << 40)), max_size=60),
-       st.lists(st.integers(0, 3 * WINDOW), min_size=60, max_size=60))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([ASK, GRANT, BACK]),
+            st.integers(0, 7),
+            st.integers(0, 70),
+            st.integers(0, 4096),
+            st.integers(0, 1 << 40),
+        ),
+        max_size=60,
+    ),
+    st.lists(st.integers(0, 3 * WINDOW), min_size=60, max_size=60),
+)
 def test_whatever_others_say_a_part_is_never_less_than_what_is_kept_nor_more_than_was_asked_for(words, times):
     one, now = Broker(0, ((WINDOW, True, False), (WINDOW, True, True)), 4), 3 * WINDOW + TERM
     for word, more in zip(words, times, strict=False):
--- a/tests/test_client_policy.py
+++ b/tests/test_client_policy.py
@@ -27,8 +27,11 @@
     Wait,
 )
 
-GROUPS = {"lookup": Group(timeout=5.0), "load": Group(policy.TOKENED, 12.0, 30.0, True),
-          "change": Group(policy.MUTATING, timeout=5.0)}
+GROUPS = {
+    "lookup": Group(timeout=5.0),
+    "load": Group(policy.TOKENED, 12.0, 30.0, True),
+    "change": Group(policy.MUTATING, timeout=5.0),
+}
 
 
 def made(**more):
@@ -52,9 +55,20 @@
 
 
 @settings(max_examples=150, deadline=None)
-@given(st.sampled_from(sorted(GROUPS)), st.lists(st.tuples(
-    st.sampled_from([FINISHED, DEFERRED, DEFERRED, LOST, REFUSED, KILLED, UNUSABLE]), st.floats(0, 8),
-    st.floats(0, 3)), min_size=1, max_size=30), st.integers(0, 5), st.integers(1, 3))
+@given(
+    st.sampled_from(sorted(GROUPS)),
+    st.lists(
+        st.tuples(
+            st.sampled_from([FINISHED, DEFERRED, DEFERRED, LOST, REFUSED, KILLED, UNUSABLE]),
+            st.floats(0, 8),
+            st.floats(0, 3),
+        ),
+        min_size=1,
+        max_size=30,
+    ),
+    st.integers(0, 5),
+    st.integers(1, 3),
+)
 def test_no_call_does_what_its_group_its_time_or_the_budget_forbid(name, steps, seed, dispatchers):
     """A plain reckoning beside it: each try is looked at with all that came before it."""
     policy_ = made(seed=seed, dispatchers=dispatchers, share=0.1, free=2, window=5.0)
@@ -165,9 +179,20 @@
     assert heard[-1][1]["tries"] == 2 and heard[-1][1]["outcome"] == FINISHED
 
 
-@pytest.mark.parametrize("state, outcome", [
-    ("53000", DEFERRED), ("53300", DEFERRED), ("57P03", DEFERRED), ("58000", KILLED), ("57P01", LOST),
-    ("08006", LOST), (None, LOST), ("42601", UNUSABLE), ("55000", UNUSABLE)])
+@pytest.mark.parametrize(
+    "state, outcome",
+    [
+        ("53000", DEFERRED),
+        ("53300", DEFERRED),
+        ("57P03", DEFERRED),
+        ("58000", KILLED),
+        ("57P01", LOST),
+        ("08006", LOST),
+        (None, LOST),
+        ("42601", UNUSABLE),
+        ("55000", UNUSABLE),
+    ],
+)
 def test_what_a_sqlstate_stands_for(state, outcome):
     assert fields.outcome_of(state) == outcome
 
@@ -184,6 +209,7 @@
 
 # Before a dispatcher
 
+
 def addresses(*dispatchers):
     return [dispatcher.found["listen"] for dispatcher in dispatchers]
 
@@ -195,11 +221,17 @@
         came.append((time.monotonic(), words[2]))
         return hit(txn) if len(came) > 1 else b"%b SHED - 0\r\n\r\n" % txn
 
-    dispatcher = Dispatcher(Engine(answers), limits={"max_attempts": 1, "retry_after": True,
-                                                     "max_retry_after_ms": 600.0})
+    dispatcher = Dispatcher(
+        Engine(answers), limits={"max_attempts": 1, "retry_after": True, "max_retry_after_ms": 600.0}
+    )
     heard = []
-    with Client(addresses(dispatcher), GROUPS, tenant="acme", seed=2,
-                hook=lambda event, now, **told: heard.append((event, told))) as client:
+    with Client(
+        addresses(dispatcher),
+        GROUPS,
+        tenant="acme",
+        seed=2,
+        hook=lambda event, now, **told: heard.append((event, told)),
+    ) as client:
         assert client.query("lookup", "SELECT 1 FROM sales_1.t WHERE a=%s", ("it's",)) == [("a", "b", "c")]
         assert came[1][0] - came[0][0] >= 0.3
         advice = next(told["seconds"] for event, told in heard if event == "advice")
@@ -243,7 +275,8 @@
     async def work():
         async with AsyncClient(addresses(dispatcher), GROUPS, tenant="acme", connections=4) as client:
             rows = await asyncio.gather(
-                *(client.query("lookup", f"SELECT 1 FROM sales_{n}.t") for n in range(30)))
+                *(client.query("lookup", f"SELECT 1 FROM sales_{n}.t") for n in range(30))
+            )
             with pytest.raises(policy.Unusable):
                 await client.query("lookup", "")
             return rows
@@ -255,8 +288,9 @@
     dispatcher, rows = Dispatcher(Engine()), []
     with Client(addresses(dispatcher), GROUPS, tenant="acme") as client:
         texts = [f"SELECT 1 FROM sales_{n}.t" for n in range(12)]
-        threads = [Thread(target=lambda text=text: rows.append(client.query("lookup", text)))
-                   for text in texts]
+        threads = [
+            Thread(target=lambda text=text: rows.append(client.query("lookup", text))) for text in texts
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -265,6 +299,8 @@
 
 
 def test_the_policy_needs_no_driver():
-    code = ("import sys; sys.modules['psycopg'] = None\n"
-            "import wickvane_client as w\nw.Policy({'g': w.Group()}).call(0.0, 'g').next(0.0)\n")
+    code = (
+        "import sys; sys.modules['psycopg'] = None\n"
+        "import wickvane_client as w\nw.Policy({'g': w.Group()}).call(0.0, 'g').next(0.0)\n"
+    )
     subprocess.run([sys.executable, "-c", code], check=True, env={"PYTHONPATH": f"{ROOT}/client"})
--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -28,8 +28,14 @@
         self.size = self.chance.choice([2, 5, 12, 20, 30])
         # Light ones, and ones of which one dispatcher's part of a cold engine holds less than one.
         self.work = self.chance.choice([1500, 8000, 30_000])
-        self.site = site([group(timeout=200_000, promise=150_000)], gateways=self.size, fall_time=FALL_TIME,
-                         fall_multiple=FALL_MULTIPLE, cold_from=COLD_FROM, cold_time=COLD_TIME)
+        self.site = site(
+            [group(timeout=200_000, promise=150_000)],
+            gateways=self.size,
+            fall_time=FALL_TIME,
+            fall_multiple=FALL_MULTIPLE,
+            cold_from=COLD_FROM,
+            cold_time=COLD_TIME,
+        )
         self.made, self.sent = 0, {}
         self.dispatchers = [self.dispatcher() for _ in range(self.size)]
         self.traffic = [self.chance.choice([0.02, 0.1, 0.1, 0.8]) for _ in self.dispatchers]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -31,8 +31,11 @@
     """Resources as JSON, in place of xDS."""
 
     def settled(self, placement):
-        return {CDS: {name: b"c" for name in placement.clusters()},
-                LDS: {g: b"l" for g in placement.class_of}, RDS: {g: b"r" for g in placement.class_of}}
+        return {
+            CDS: {name: b"c" for name in placement.clusters()},
+            LDS: {g: b"l" for g in placement.class_of},
+            RDS: {g: b"r" for g in placement.class_of},
+        }
 
     def assignment(self, name, places):
         return orjson.dumps([[p.name, p.priority, p.weight] for p in places])
@@ -53,6 +56,7 @@
 
 # The list
 
+
 def test_what_drained_never_comes_back_but_as_a_later_process():
     found, _ = fl.changed(fl.Fleet(), 0, 1, True, [entry("e1"), entry("e2")], fl.Floor())
     found, _ = fl.changed(found, 5, 2, False, [entry("e1", i.DRAINING)], fl.Floor())
@@ -107,15 +111,17 @@
         with pytest.raises(store.Unreadable):
             store.read(data[:at])
         with pytest.raises(store.Unreadable):
-            store.read(data[:at] + bytes((data[at] ^ 1,)) + data[at + 1:])
+            store.read(data[:at] + bytes((data[at] ^ 1,)) + data[at + 1 :])
     assert store.load(tmp_path / "none") is None
 
 
 # What clusters hold
 
+
 def plain_places(fleet, table, cold=0.3):
     """The rule in few words: down the order, as many as make up three warm ones, three more behind."""
     from hashlib import blake2b
+
     found, warm, later = [], 0.0, 0
     order = {e: blake2b(f"{e.name}/{table}".encode(), digest_size=8).digest() for e in fleet.ready()}
     for e in sorted(order, key=order.get):
@@ -131,14 +137,20 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 60), st.sampled_from([i.READY] * 3 + [i.DRAINING, i.GONE]),
-                          st.booleans()), min_size=1, max_size=120), st.integers(1, 50))
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 60), st.sampled_from([i.READY] * 3 + [i.DRAINING, i.GONE]), st.booleans()),
+        min_size=1,
+        max_size=120,
+    ),
+    st.integers(1, 50),
+)
 def test_clusters_follow_the_list_as_the_rule_says_however_it_changes(events, batch):
     """Incremental upkeep beside working it out anew, also past MANY changes at once."""
     made, fleet, index = placed(), fl.Fleet(), 0
     for at in range(0, len(events), batch):
         index += 1
-        rows = [entry(f"e{n}", state, 990 if cold else 0) for n, state, cold in events[at:at + batch]]
+        rows = [entry(f"e{n}", state, 990 if cold else 0) for n, state, cold in events[at : at + batch]]
         fleet, _ = fl.changed(fleet, 9_900, index, False, rows, fl.Floor())
         changed, drained = made.list(9_900, fleet)
         assert drained <= changed
@@ -157,7 +169,7 @@
         gateway.round((i.ENGINE, n, name.encode(), i.READY, 0, 0, 0, 0, 1.0))
     for table in TABLES:
         order = [names[e] for e in gateway.gateway.order_of(table)]
-        assert [p.name for p in made.cache[f"g0/{table}"]] == order[:FIRST_ENGINES + LATER]
+        assert [p.name for p in made.cache[f"g0/{table}"]] == order[: FIRST_ENGINES + LATER]
     assert Gateway.order_of  # the same text decides
 
 
@@ -219,6 +231,7 @@
 
 # Streams
 
+
 class Proxy:
     """A plain proxy: what it holds, by type. apply() is what an xDS client does."""
 
@@ -234,8 +247,11 @@
         hub.named(self.number, self.name)
         session = hub.sessions[self.number]
         for kind in (CDS, EDS, LDS, RDS):
-            names = [] if kind in (CDS, LDS) else sorted(self.held[(CDS, None, None, LDS)[kind] if kind != EDS
-                                                                   else CDS])
+            names = (
+                []
+                if kind in (CDS, LDS)
+                else sorted(self.held[(CDS, None, None, LDS)[kind] if kind != EDS else CDS])
+            )
             if kind == EDS:
                 names = [f"g0/{table}" for table in (0, *TABLES)]
             if kind == RDS:
@@ -277,7 +293,7 @@
             self.whole[kind] = response.version
             if kind == EDS:
                 self.newest = max(self.newest, index)
-        names = ([f"g0/{table}" for table in (0, *TABLES)] if kind == EDS else ["g0"] if kind == RDS else [])
+        names = [f"g0/{table}" for table in (0, *TABLES)] if kind == EDS else ["g0"] if kind == RDS else []
         if self.variant == SOTW:
             session.asked_sotw(now, kind, self.whole[kind], response.nonce, names, error)
         else:
@@ -306,7 +322,7 @@
                 self.drained.setdefault(row[0], len(self.events))
 
     def hear(self, which, count):
-        for event in self.events[self.heard[which]:self.heard[which] + count]:
+        for event in self.events[self.heard[which] : self.heard[which] + count]:
             self.hubs[which].listed(self.now, *event)
             self.heard[which] += 1
 
@@ -506,8 +522,9 @@
     proxy.connect(older, now)
     now = settled(proxy, now)
     assert "e3" not in proxy.sends_to() and older.sessions[proxy.number].status(now)["EDS"]["ahead"]
-    assert ("proxy-ahead", "EDS", 2, 1) in [(event, f.get("type"), f.get("holds"), f.get("index"))
-                                            for event, f in older.told()]
+    assert ("proxy-ahead", "EDS", 2, 1) in [
+        (event, f.get("type"), f.get("holds"), f.get("index")) for event, f in older.told()
+    ]
     older.listed(now, *events[1])
     settled(proxy, now)
     assert "e3" not in proxy.sends_to() and not older.sessions[proxy.number].status(now)["EDS"]["ahead"]
@@ -600,9 +617,19 @@
 
 
 @settings(max_examples=150, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from([CDS, EDS, LDS, RDS]), st.text(max_size=8), st.text(max_size=8),
-                          st.lists(st.sampled_from(["*", "g0", "g0/1", "g0/2", "zz"]), max_size=4),
-                          st.sampled_from([None, "no"]), st.booleans()), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([CDS, EDS, LDS, RDS]),
+            st.text(max_size=8),
+            st.text(max_size=8),
+            st.lists(st.sampled_from(["*", "g0", "g0/1", "g0/2", "zz"]), max_size=4),
+            st.sampled_from([None, "no"]),
+            st.booleans(),
+        ),
+        max_size=40,
+    )
+)
 def test_whatever_is_asked_is_answered_or_ended(asks):
     made = hub()
     made.listed(0, 1, True, [entry(f"e{n}") for n in range(5)])
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -22,8 +22,10 @@
 from wickvane.control import store, tool
 from wickvane.control.server import Server
 
-COLD = SETTINGS | {"obligations": SETTINGS["obligations"] | {
-    "cold_from": 0.3, "cold_ms": 15_000.0, "fall_multiple": 2.5, "fall_ms": 3000.0}}
+COLD = SETTINGS | {
+    "obligations": SETTINGS["obligations"]
+    | {"cold_from": 0.3, "cold_ms": 15_000.0, "fall_multiple": 2.5, "fall_ms": 3000.0}
+}
 MORE = "tables 8\n proxies 4\n"
 
 
@@ -38,8 +40,11 @@
     def start(self, proxy, port, credentials=None, name="127.0.0.1"):
         async def go():
             place, alone = f"{name}:{port}", [("grpc.use_local_subchannel_pool", 1)]
-            made = (grpc.aio.secure_channel(place, credentials, options=alone) if credentials
-                    else grpc.aio.insecure_channel(place, options=alone))
+            made = (
+                grpc.aio.secure_channel(place, credentials, options=alone)
+                if credentials
+                else grpc.aio.insecure_channel(place, options=alone)
+            )
             self.channels.append(made)
             proxy.channel = made
             proxy.task = asyncio.ensure_future(proxy.run(made))
@@ -68,10 +73,17 @@
         self.entries = known if known is not None else [one(n) for n in range(engines)]
         text = f'control {{ listen "127.0.0.1:{self.port}"\n{more} }}'
         self.found = {
-            "name": "control", "listen": "127.0.0.1:1", "seed": "1", "settings": COLD,
-            "coordinator": self.coordinator.address, "limits": {},
-            "known": {"index": 1, "updates": [
-                event(1, *self.entries, snapshot=True)] if self.entries else []}}
+            "name": "control",
+            "listen": "127.0.0.1:1",
+            "seed": "1",
+            "settings": COLD,
+            "coordinator": self.coordinator.address,
+            "limits": {},
+            "known": {
+                "index": 1,
+                "updates": [event(1, *self.entries, snapshot=True)] if self.entries else [],
+            },
+        }
         self.log = tempfile.TemporaryFile()
         STANDING.append(self.log)
         self.server = Server(self.found, parts.read_text(text)["control"], self.log.fileno())
@@ -104,8 +116,11 @@
 
     def logged(self, name):
         text = os.pread(self.log.fileno(), 1 << 22, 0)
-        return [line for line in map(json.loads, text[:text.rfind(b"\n") + 1].splitlines())
-                if line["event"] == name]
+        return [
+            line
+            for line in map(json.loads, text[: text.rfind(b"\n") + 1].splitlines())
+            if line["event"] == name
+        ]
 
 
 def one(n, state="Ready", since=0, port=None):
@@ -116,8 +131,12 @@
 def test_a_drain_reaches_proxies_at_once_and_what_was_not_told_is_named_in_the_log(loop, variant):
     control = Control()
     good = loop.start(Proxy("good", variant), control.port)
-    mad = [loop.start(Proxy(f"mad{n}", variant, **how), control.port) for n, how in enumerate((
-        {"answers": "refuse"}, {"answers": "nothing"}, {"late": 5.0}, {"reads": False}))]
+    mad = [
+        loop.start(Proxy(f"mad{n}", variant, **how), control.port)
+        for n, how in enumerate(
+            ({"answers": "refuse"}, {"answers": "nothing"}, {"late": 5.0}, {"reads": False})
+        )
+    ]
     # One that hears of an engine after its drain owes no word of it, and a loaded machine opens streams late.
     until(lambda: len(good.held[EDS]) == 9 and all(p.sends_to() >= {"e1"} for p in (good, mad[1])))
     told = control.tell(one(1, "Terminating"))
@@ -140,7 +159,8 @@
 
 @pytest.mark.parametrize("variant", ["sotw", "delta"])
 def test_a_proxy_that_holds_an_old_version_while_an_engine_drains_and_control_restarts(
-        loop, variant, tmp_path):
+    loop, variant, tmp_path
+):
     """Restart from the snapshot with the coordinator gone for good: drains stay, the list is old."""
     more = MORE + f'snapshot "{tmp_path}"'
     control = Control(more=more)
@@ -194,8 +214,10 @@
 def test_a_burst_of_cold_engines_comes_in_steps_that_no_late_proxy_is_ahead_of(loop):
     """A third of the fleet, with one proxy late, one that refuses, one that says nothing."""
     control = Control(engines=12)
-    proxies = [loop.start(Proxy(f"p{n}", **how), control.port) for n, how in enumerate((
-        {}, {"late": 0.5}, {"answers": "refuse"}, {"answers": "nothing"}))]
+    proxies = [
+        loop.start(Proxy(f"p{n}", **how), control.port)
+        for n, how in enumerate(({}, {"late": 0.5}, {"answers": "refuse"}, {"answers": "nothing"}))
+    ]
     until(lambda: len(proxies[0].sends_to()) == 12)
     since = int(time.time() * 1000)
     control.tell(*[one(20 + n, since=since) for n in range(4)])
@@ -232,8 +254,9 @@
 
     def secrets(name, authority=ours):
         made = authority.issue_cert(name, common_name=name)
-        return grpc.ssl_channel_credentials(ours.cert_pem.bytes(), made.private_key_pem.bytes(),
-                                            made.cert_chain_pems[0].bytes())
+        return grpc.ssl_channel_credentials(
+            ours.cert_pem.bytes(), made.private_key_pem.bytes(), made.cert_chain_pems[0].bytes()
+        )
 
     def connect(node, name, authority=ours):
         return loop.start(Proxy(node), control.port, secrets(name, authority), "localhost")
@@ -243,8 +266,10 @@
     liar, stranger = connect("edge-2", "edge-1"), connect("edge-3", "edge-3", theirs)
     until(lambda: liar.ended is not None)
     # What the client makes of it depends on whether it was writing then; the log does not.
-    assert "the certificate is not node edge-2's" in until(
-        lambda: control.logged("proxy-refused"))[0]["why"] and not liar.held[CDS]
+    assert (
+        "the certificate is not node edge-2's" in until(lambda: control.logged("proxy-refused"))[0]["why"]
+        and not liar.held[CDS]
+    )
     renew()
     later = connect("edge-4", "edge-4")
     until(lambda: later.sends_to() and not stranger.held[CDS])
@@ -261,8 +286,9 @@
     good = loop.start(Proxy("good"), control.port)
     until(lambda: good.sends_to())
     with grpc.insecure_channel(f"127.0.0.1:{control.port}") as channel:
-        call = channel.stream_stream("/envoy.service.discovery.v3.AggregatedDiscoveryService/"
-                                     "StreamAggregatedResources")
+        call = channel.stream_stream(
+            "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
+        )
         for data in (b"\xff" * 100, b"", b"\x0a\xff\xff\xff\xff\x0f", os.urandom(1000)):
             try:
                 assert list(call(iter([data]), timeout=5)) == []
@@ -336,8 +362,9 @@
         self.name, self.port = name, free_port()
         self.server = grpc.server(futures.ThreadPoolExecutor(4))
         handler = grpc.unary_unary_rpc_method_handler(lambda request, context: name.encode())
-        self.server.add_generic_rpc_handlers((
-            grpc.method_handlers_generic_handler("engine", {"ask": handler}),))
+        self.server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler("engine", {"ask": handler}),)
+        )
         self.server.add_insecure_port(f"127.0.0.1:{self.port}")
         self.server.start()
 
@@ -347,12 +374,23 @@
     known = [one(n, port=engine.port) for n, engine in enumerate(engines)]
     more = MORE + f'snapshot "{tmp_path}"'
     control = Control(known=known, more=more)
-    bootstrap = {"xds_servers": [{"server_uri": f"127.0.0.1:{control.port}", "server_features": ["xds_v3"],
-                                  "channel_creds": [{"type": "insecure"}]}],
-                 "node": {"id": "grpc-client"}}
+    bootstrap = {
+        "xds_servers": [
+            {
+                "server_uri": f"127.0.0.1:{control.port}",
+                "server_features": ["xds_v3"],
+                "channel_creds": [{"type": "insecure"}],
+            }
+        ],
+        "node": {"id": "grpc-client"},
+    }
     client = subprocess.Popen(
-        [sys.executable, "-c", CLIENT, "9"], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-        env=os.environ | {"GRPC_XDS_BOOTSTRAP_CONFIG": json.dumps(bootstrap)})
+        [sys.executable, "-c", CLIENT, "9"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env=os.environ | {"GRPC_XDS_BOOTSTRAP_CONFIG": json.dumps(bootstrap)},
+    )
     until(lambda: any(s.node == "grpc-client" for s in list(control.server.hub.sessions.values())), 20)
     time.sleep(1.5)
     drained = time.time()
@@ -372,17 +410,29 @@
 
 def test_the_program_starts_by_its_document_and_its_status_is_shown(tmp_path):
     events, port = Events(), free_port()
-    (tmp_path / "config.json").write_text(json.dumps({
-        "name": "c", "listen": "127.0.0.1:1", "seed": "1", "settings": SETTINGS,
-        "coordinator": events.address, "known": {"index": 1, "updates": [
-            event(1, one(1), one(2), snapshot=True)]}}))
+    (tmp_path / "config.json").write_text(
+        json.dumps(
+            {
+                "name": "c",
+                "listen": "127.0.0.1:1",
+                "seed": "1",
+                "settings": SETTINGS,
+                "coordinator": events.address,
+                "known": {"index": 1, "updates": [event(1, one(1), one(2), snapshot=True)]},
+            }
+        )
+    )
     (tmp_path / "parts.kdl").write_text(f'control {{ listen "127.0.0.1:{port}"; tables 3 }}')
     words = ["--config", str(tmp_path / "config.json"), "--parts", str(tmp_path / "parts.kdl")]
-    program = subprocess.Popen([sys.executable, "-m", "wickvane", "control", *words], cwd=ROOT,
-                               stdout=subprocess.PIPE)
+    program = subprocess.Popen(
+        [sys.executable, "-m", "wickvane", "control", *words], cwd=ROOT, stdout=subprocess.PIPE
+    )
     assert json.loads(program.stdout.readline())["event"] in ("ready", "coordinator-connection-ended")
-    shown = subprocess.run([sys.executable, "-m", "wickvane", "control", "status", f"--to=127.0.0.1:{port}",
-                            "--json"], cwd=ROOT, capture_output=True)
+    shown = subprocess.run(
+        [sys.executable, "-m", "wickvane", "control", "status", f"--to=127.0.0.1:{port}", "--json"],
+        cwd=ROOT,
+        capture_output=True,
+    )
     assert shown.returncode == 0 and json.loads(shown.stdout) == []
     program.terminate()
     assert program.wait(10) == 0
@@ -390,10 +440,15 @@
     assert lines[-1]["event"] == "counters" and lines[-1]["ready"] == 2
 
 
-@pytest.mark.parametrize("text,words", [
-    ('control { listen "10.0.0.1:80" }', "tls"), ("control { }", "listen"),
-    ('control { listen "127.0.0.1:1"; floor past="maybe" }', "past"),
-    ('control { listen "127.0.0.1:1"; tables -1 }', "0 to 5000")])
+@pytest.mark.parametrize(
+    "text,words",
+    [
+        ('control { listen "10.0.0.1:80" }', "tls"),
+        ("control { }", "listen"),
+        ('control { listen "127.0.0.1:1"; floor past="maybe" }', "past"),
+        ('control { listen "127.0.0.1:1"; tables -1 }', "0 to 5000"),
+    ],
+)
 def test_a_document_that_cannot_be_used_says_why(text, words):
     assert parts.read(os.path.join(ROOT, "deploy", "control.kdl"))["control"].tables == 100
     with pytest.raises(parts.Unusable, match=words):
--- a/tests/test_damping.py
+++ b/tests/test_damping.py
@@ -26,6 +26,7 @@
 
 # First tries
 
+
 def test_a_repeat_leaves_behind_first_tries_of_up_to_a_quarter_more_cost():
     made, came = Gateways(site([group()])), []
     for again, cost in ((True, 950), (False, 3000), (True, 700), (False, 1000)):
@@ -40,9 +41,16 @@
 
 # The pace
 
+
 @settings(max_examples=150, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 60), st.floats(0, 0.3), st.integers(0, 4000), st.integers(0, 3)),
-                min_size=1, max_size=120), st.integers(0, 3))
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 60), st.floats(0, 0.3), st.integers(0, 4000), st.integers(0, 3)),
+        min_size=1,
+        max_size=120,
+    ),
+    st.integers(0, 3),
+)
 def test_a_pace_holds_nobody_at_ease_and_never_lets_in_more_than_its_rate(steps, seed):
     """Beside a plain reckoning: what was let in between two looks is within the rate's time and one burst."""
     pace, now, cpu, let = Pace(0, 5_000, 1.0, 20_000, seed), 0, 0.0, 0
@@ -67,8 +75,12 @@
         turns = pace.felt(now, lag, cpu)
         assert pace.rate is None or pace.rate >= LEAST
         assert [event for event, _ in turns] == (
-            ["begins"] if rate is None and pace.rate is not None else
-            ["ends"] if rate is not None and pace.rate is None else [])
+            ["begins"]
+            if rate is None and pace.rate is not None
+            else ["ends"]
+            if rate is not None and pace.rate is None
+            else []
+        )
         strained = lag > pace.late or used > 0.9 * STEP / SECOND
         if rate is not None and pace.rate is not None:
             assert pace.rate == pytest.approx(max(LEAST, 0.85 * rate) if strained else rate + 1)
@@ -132,14 +144,28 @@
     text = SMALL.format(more='longest-advice "4s"')
     served = Served(text, watch=storms.Part(None), limits={"sockets": 1024, "cores": 0.05})
     client, slow = Plain(served), Plain(served)
-    floods = [subprocess.Popen([sys.executable, "-c", FLOOD, str(served.address[1]), "3"],
-                               stdout=subprocess.PIPE) for _ in range(4)]
+    floods = [
+        subprocess.Popen([sys.executable, "-c", FLOOD, str(served.address[1]), "3"], stdout=subprocess.PIPE)
+        for _ in range(4)
+    ]
     until(lambda: served.service.gate.pace.rate is not None)
-    slow.send(statement("SELECT 1 FROM sales_1.t", verb="load", n=7_000, team="all", limit=4000, cpu=3000,
-                        unique="a1", item="k1"))
+    slow.send(
+        statement(
+            "SELECT 1 FROM sales_1.t",
+            verb="load",
+            n=7_000,
+            team="all",
+            limit=4000,
+            cpu=3000,
+            unique="a1",
+            item="k1",
+        )
+    )
     until(lambda: slow_query(served) is not None)
-    answers = [sqlstate(client.ask(statement(f"SELECT 1 FROM sales_{n}.t", n=n + 1, team="all", cpu=60)))
-               for n in range(12)]
+    answers = [
+        sqlstate(client.ask(statement(f"SELECT 1 FROM sales_{n}.t", n=n + 1, team="all", cpu=60)))
+        for n in range(12)
+    ]
     assert answers.count(None) >= 11  # who is in is served beside the flood
     asked = slow_query(served)
     if asked is not None:  # else it was answered meanwhile
@@ -162,17 +188,25 @@
 
 
 def slow_query(served):
-    return next((ticket for ticket in list(served.service.decider.book.queries.of)
-                 if ticket.verb == b"load" or ticket.verb == "load"), None)
+    return next(
+        (
+            ticket
+            for ticket in list(served.service.decider.book.queries.of)
+            if ticket.verb == b"load" or ticket.verb == "load"
+        ),
+        None,
+    )
 
 
 # The notice
 
+
 def test_drivers_read_a_notice_once_a_storm_and_none_when_it_is_over():
     served = Served(SMALL.format(more=""), watch=storms.Part(None, False))
     notices = []
-    with psycopg.connect(host="127.0.0.1", port=served.address[1], sslmode="disable", user="a", dbname="b",
-                         autocommit=True) as connection:
+    with psycopg.connect(
+        host="127.0.0.1", port=served.address[1], sslmode="disable", user="a", dbname="b", autocommit=True
+    ) as connection:
         connection.add_notice_handler(lambda said: notices.append((said.sqlstate, said.message_detail)))
 
         def asks(n):
@@ -203,8 +237,10 @@
     for n in (1, 2):
         asked = statement("SELECT 1 FROM sales_1.t", n=n, team="all", cpu=60)
         assert client.ask(asked, 5) == "finished"
-    infos = [[said for token, _, said in t.Stream().feed(body) if token == t.INFO and said[0] == errors.STORM]
-             for body in found[-2:]]
+    infos = [
+        [said for token, _, said in t.Stream().feed(body) if token == t.INFO and said[0] == errors.STORM]
+        for body in found[-2:]
+    ]
     assert len(infos[0]) == 1 and not infos[1]
     served.end()
 
@@ -238,14 +274,17 @@
     assert outcome.breaches == [] and outcome.checked[5] > 50 and again > 0 and repeats > 10
 
 
-CROWD = DAY.replace("{more}", """
+CROWD = DAY.replace(
+    "{more}",
+    """
     group "calm" {{ work "100ms"; promise "600ms"; timeout "2s" }}
     tenant "loud"
     tenant "quiet"
     clients "crowd" {{ group "lookup"; closed {crowd}; think "1ms"; retries 20; back-off "1ms"; since "5s" }}
     clients "good" {{ group "calm"; tenant "quiet"; rate 10; retries 3; back-off "200ms"; heeds #true }}
     longest-advice "5s"
-    {more}""")
+    {more}""",
+)
 
 
 @pytest.mark.parametrize("crowd", [1, 100])
@@ -253,8 +292,9 @@
 def test_clients_that_ignore_advice_at_full_speed_cost_one_that_heeds_it_nothing(crowd, gateways):
     text = CROWD.format(crowd=crowd, more="", retries=0, gateways=gateways)
     outcome = world.play(scripts.read_text(text), 1, False)
-    asked = sum(query.rg == 2 and not query.tries for host in outcome.world.hosts
-                for query in host.queries.values())
+    asked = sum(
+        query.rg == 2 and not query.tries for host in outcome.world.hosts for query in host.queries.values()
+    )
     in_time = sum(latency <= 8_000 for latency in outcome.world.latencies[2])
     assert outcome.breaches == [] and asked > 300 and in_time > 0.93 * asked
 
@@ -262,20 +302,30 @@
 @pytest.mark.parametrize("part,troubled", [(0.13, 1), (1.0, 8)])
 def test_a_dispatcher_that_comes_back_into_a_storm_learns_of_it(part, troubled):
     """Advice given just before the restart is kept by its clients: nothing of it is in the dispatcher."""
-    lines = told(f'longest-advice "5s"\n trouble "slow" at="10s" for="14s" size=10\n'
-                 f'trouble "kill" at="14s" for="500ms" part={part}', retries=10, gateways=8)
-    kinds = {name for at, name, event, fields in lines if event == "begins" and fields["kind"] == "storm"
-             and at > 14.5}
+    lines = told(
+        f'longest-advice "5s"\n trouble "slow" at="10s" for="14s" size=10\n'
+        f'trouble "kill" at="14s" for="500ms" part={part}',
+        retries=10,
+        gateways=8,
+    )
+    kinds = {
+        name
+        for at, name, event, fields in lines
+        if event == "begins" and fields["kind"] == "storm" and at > 14.5
+    }
     assert len(kinds) >= min(troubled, 4)
 
 
 def test_a_storm_of_one_dispatcher_s_clients_is_that_one_s():
     """Ordered groups come to a gateway by key: one key asked for without end is one gateway's storm."""
-    more = ('group "own" { work "300ms"; promise "600ms"; timeout "1s"; ordered #true; effect "tokened" }\n'
-            'clients "own" { group "own"; rate 20; keys 1; retries 10; back-off "50ms"; since "10s" }')
+    more = (
+        'group "own" { work "300ms"; promise "600ms"; timeout "1s"; ordered #true; effect "tokened" }\n'
+        'clients "own" { group "own"; rate 20; keys 1; retries 10; back-off "50ms"; since "10s" }'
+    )
     lines = told(more, retries=0, gateways=4)
     assert {name for _, name, event, fields in lines if event == "begins" and fields["kind"] == "storm"} <= {
-        "g0"} and begun(lines)
+        "g0"
+    } and begun(lines)
 
 
 STEP_AT_S = 4  # of the dispatcher's life, in the middle of the load
@@ -288,8 +338,12 @@
 
     def start(name, *words, **environment):
         with open(tmp_path / name, "wb") as output:
-            process = subprocess.Popen([sys.executable, "-m", "wickvane", *words], cwd=ROOT, stdout=output,
-                                       env=os.environ | environment)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "wickvane", *words],
+                cwd=ROOT,
+                stdout=output,
+                env=os.environ | environment,
+            )
         running.append(process)
         return process, tmp_path / name
 
@@ -301,7 +355,7 @@
 
 def lines_of(path):
     text = path.read_bytes()
-    return [json.loads(line) for line in text[:text.rfind(b"\n") + 1].splitlines()]
+    return [json.loads(line) for line in text[: text.rfind(b"\n") + 1].splitlines()]
 
 
 def test_a_clock_that_steps_moves_neither_advice_nor_storm(programs, tmp_path):
@@ -317,8 +371,13 @@
     found = until(lambda: lines_of(told))[0]
     found["listen"] = f"127.0.0.1:{free_port()}"
     config.write_text(json.dumps(found))
-    dispatcher, log = programs("dispatcher", "serve", f"--config={config}", f"--parts={document}",
-                               WICKVANE_CLOCK=f"step=-3600@{STEP_AT_S}")
+    dispatcher, log = programs(
+        "dispatcher",
+        "serve",
+        f"--config={config}",
+        f"--parts={document}",
+        WICKVANE_CLOCK=f"step=-3600@{STEP_AT_S}",
+    )
     until(lambda: any(line["event"] == "ready" for line in lines_of(log)))
     load, figures = programs("load", "rehearse", "load", f"--to={found['listen']}", str(script))
     assert load.wait(60) == 0
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -73,8 +73,10 @@
 
 def counted(dispatcher, name, least):
     """Waits until a counter has got so far."""
-    until(lambda: dispatcher.service.counters.shown().get(name, 0) >= least,
-          words=f"{name} never got to {least}")
+    until(
+        lambda: dispatcher.service.counters.shown().get(name, 0) >= least,
+        words=f"{name} never got to {least}",
+    )
 
 
 def first_asked(engines):
@@ -357,8 +359,9 @@
 def test_a_connection_closed_by_its_engine_while_idle_carries_no_non_idempotent_query(monkeypatch):
     deaf = []
     ready = engine_connection.Connection.ready
-    monkeypatch.setattr(engine_connection.Connection, "ready",
-                        lambda self: None if self in deaf else ready(self))
+    monkeypatch.setattr(
+        engine_connection.Connection, "ready", lambda self: None if self in deaf else ready(self)
+    )
     engine = Engine()
     dispatcher = Dispatcher(engine)
     client = Client(dispatcher)
@@ -398,8 +401,12 @@
 
 def test_a_repeat_whose_window_ended_while_its_connection_was_opened_is_not_sent(monkeypatch):
     held = []
-    gate = Gate(monkeypatch, engine_connection.Connection, "come_up",
-                lambda connection, sock: held and connection.link.lane.name != held[0])
+    gate = Gate(
+        monkeypatch,
+        engine_connection.Connection,
+        "come_up",
+        lambda connection, sock: held and connection.link.lane.name != held[0],
+    )
     brief = settings(dial_timeout_ms=20_000.0)
     brief["classes"][1]["repeat_window_ms"] = 400.0
     engines = [Engine(silent), Engine(silent)]
@@ -420,9 +427,14 @@
 
 
 @pytest.mark.parametrize("verb, answered", [("change", "58000"), ("load", None)])
-@pytest.mark.parametrize("half", [
-    b"%b HI", b"%b HIT sheets=1 600\r\na\tb", b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n",
-])
+@pytest.mark.parametrize(
+    "half",
+    [
+        b"%b HI",
+        b"%b HIT sheets=1 600\r\na\tb",
+        b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n",
+    ],
+)
 def test_half_an_answer_ahead_of_a_close_proves_nothing(half, verb, answered):
     """A query that may not be repeated is killed; one with a key goes again, in its window."""
     asked = []
@@ -486,8 +498,9 @@
         client = Client(dispatcher)
         client.send(statement(n=1, limit=PATIENCE * 1000, verb="change"))
         counted(dispatcher, "engine-connections", 1)
-        coordinator.send.put(sse(2, event(2, entry("e0", never.address, "Terminating"),
-                                          entry("other", other.address))))
+        coordinator.send.put(
+            sse(2, event(2, entry("e0", never.address, "Terminating"), entry("other", other.address)))
+        )
         assert rows(client.until_ready())
         assert dispatcher.service.counters.shown()["ending-not-sent"] == 1
 
@@ -602,8 +615,10 @@
     await_ready(process)
     host, _, listen = process.found["listen"].rpartition(":")
     with ExitStack() as stack:
-        idle = [stack.enter_context(socket.create_connection((host, int(listen)), timeout=PATIENCE))
-                for _ in range(150)]
+        idle = [
+            stack.enter_context(socket.create_connection((host, int(listen)), timeout=PATIENCE))
+            for _ in range(150)
+        ]
         assert idle
         coordinator = Events(port)
         assert coordinator.next()[0] == "connected"
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -33,18 +33,42 @@
 
     def key(self):
         """What tells two states apart, by times that are relative to each clock."""
-        def loans(e, now):
-            return (tuple(sorted((k, u, max(o - now, -1)) for k, (u, o) in e.lent.items())),
-                    tuple(sorted((u, a - now) for u, a in e.coming if a > now)),
-                    tuple(sorted(e.ended.items())), max(e.whole_at - now, 0), e.number,
-                    tuple(sorted((n, o, f - now, a - now) for n, (o, f, a) in e.asked.items())),
-                    tuple(sorted((n, o, u, b - now, t - now) for n, (o, u, b, t) in e.held.items())))
 
-        return (self.time, loans(self.owner, self.clock[0]),
-                *(loans(h, self.clock[n + 1]) for n, h in enumerate(self.holders)),
-                tuple(sorted((w[0], w[1], *(x - self.clock[w[1] + 1] if i == 3 and w[0] != "back" else x
-                                            for i, x in enumerate(w[2:], 2))) for w in self.wire)),
-                self.lately, former(self), self.slips, self.doubles, self.starts, tuple(self.lives))
+        def loans(e, now):
+            return (
+                tuple(sorted((k, u, max(o - now, -1)) for k, (u, o) in e.lent.items())),
+                tuple(sorted((u, a - now) for u, a in e.coming if a > now)),
+                tuple(sorted(e.ended.items())),
+                max(e.whole_at - now, 0),
+                e.number,
+                tuple(sorted((n, o, f - now, a - now) for n, (o, f, a) in e.asked.items())),
+                tuple(sorted((n, o, u, b - now, t - now) for n, (o, u, b, t) in e.held.items())),
+            )
+
+        return (
+            self.time,
+            loans(self.owner, self.clock[0]),
+            *(loans(h, self.clock[n + 1]) for n, h in enumerate(self.holders)),
+            tuple(
+                sorted(
+                    (
+                        w[0],
+                        w[1],
+                        *(
+                            x - self.clock[w[1] + 1] if i == 3 and w[0] != "back" else x
+                            for i, x in enumerate(w[2:], 2)
+                        ),
+                    )
+                    for w in self.wire
+                )
+            ),
+            self.lately,
+            former(self),
+            self.slips,
+            self.doubles,
+            self.starts,
+            tuple(self.lives),
+        )
 
 
 def fresh(now):
@@ -71,8 +95,10 @@
 
 def spendable(state):
     """Units that each may spend now, the owner first."""
-    return (state.owner.mine(state.clock[0]),
-            *(h.usable(state.clock[n + 1]) for n, h in enumerate(state.holders)))
+    return (
+        state.owner.mine(state.clock[0]),
+        *(h.usable(state.clock[n + 1]) for n, h in enumerate(state.holders)),
+    )
 
 
 def former(state):
@@ -88,6 +114,7 @@
 
 def steps(state):
     """All states that one step leads to."""
+
     def changed():
         return twin(state)
 
@@ -121,7 +148,7 @@
         for kept in (False, True) if state.doubles else (False,):
             s = changed()
             if not kept:
-                s.wire = s.wire[:k] + s.wire[k + 1:]
+                s.wire = s.wire[:k] + s.wire[k + 1 :]
             s.doubles -= kept
             if kind == "ask":
                 units = s.owner.lend(s.clock[0], (n, life), number, 2 - n, 0)
@@ -133,7 +160,7 @@
                 s.holders[n].granted(s.clock[n + 1], "owner", number, int(kind[5:]), more)
             yield s
         s = changed()
-        s.wire = s.wire[:k] + s.wire[k + 1:]  # lost
+        s.wire = s.wire[:k] + s.wire[k + 1 :]  # lost
         yield s
     if state.starts:
         s = changed()
@@ -175,18 +202,26 @@
 
 SOURCE = open(escrow.__file__).read()
 MUTATIONS = {
-    "the owner waits no window": ("until = now + self.term + self.grace + self.window",
-                                  "until = now + self.term + self.grace"),
+    "the owner waits no window": (
+        "until = now + self.term + self.grace + self.window",
+        "until = now + self.term + self.grace",
+    ),
     "the owner waits no grace": ("self.grace = term * drift // 1000 + 1", "self.grace = 0"),
     "the holder counts from the grant": ("until = asked_at + self.term", "until = now + self.term"),
     "the holder uses it at once": ("units, now + self.window, until", "units, now, until"),
-    "the owner uses it at once": ("self.coming.append((known[0], now + self.window))",
-                                  "self.coming.append((known[0], now))"),
+    "the owner uses it at once": (
+        "self.coming.append((known[0], now + self.window))",
+        "self.coming.append((known[0], now))",
+    ),
     "a new life uses all": ("self.whole_at = now + self.term + self.grace + window", "self.whole_at = now"),
-    "a new life spends at once": ("self.rests_until = now if at_once else now + window",
-                                  "self.rests_until = now"),
-    "a stopped loan is taken up": ("if known is None or known[0] != owner or "
-                                   "not known[1] <= asked_at <= known[2] or units <= 0:", "if units <= 0:"),
+    "a new life spends at once": (
+        "self.rests_until = now if at_once else now + window",
+        "self.rests_until = now",
+    ),
+    "a stopped loan is taken up": (
+        "if known is None or known[0] != owner or not known[1] <= asked_at <= known[2] or units <= 0:",
+        "if units <= 0:",
+    ),
 }
 
 
@@ -228,8 +263,12 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(["lend", "back", "wait"]), st.integers(1, 5), st.integers(0, 40)),
-                max_size=60))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["lend", "back", "wait"]), st.integers(1, 5), st.integers(0, 40)),
+        max_size=60,
+    )
+)
 def test_an_owner_never_counts_more_than_it_owns_nor_less_than_it_keeps(said):
     owner, now = Escrow(0, 10, 3, 100, 10), 200
     for what, number, figure in said:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -50,15 +50,18 @@
     assert not two.troubles and rough.troubles[0].kind == "stall" and rough.groups == two.groups
 
 
-@pytest.mark.parametrize("old, new, words", [
-    ("gateways 2 }", "gateways 0 }", 'case two: .*gateways 0: expected'),
-    ('"random"', '"best"', "variant \"best\": expected one of here, random"),
-    ('"small.kdl"', '"none.kdl"', "none.kdl cannot be read"),
-    ("seeds 2", "seeds 0", "seeds 0: expected"),
-    ('clients "a" {', 'clients "c" {', "case rough: .*group"),
-    ('"random"', '"here"', "each variant once"),
-    ('"random"', '"commit:no-such"', "no such commit"),
-])
+@pytest.mark.parametrize(
+    "old, new, words",
+    [
+        ("gateways 2 }", "gateways 0 }", "case two: .*gateways 0: expected"),
+        ('"random"', '"best"', 'variant "best": expected one of here, random'),
+        ('"small.kdl"', '"none.kdl"', "none.kdl cannot be read"),
+        ("seeds 2", "seeds 0", "seeds 0: expected"),
+        ('clients "a" {', 'clients "c" {', "case rough: .*group"),
+        ('"random"', '"here"', "each variant once"),
+        ('"random"', '"commit:no-such"', "no such commit"),
+    ],
+)
 def test_what_is_wrong_with_an_experiment_is_named(tmp_path, old, new, words):
     text = PLAN.format(seeds=2)
     assert old in text
@@ -104,7 +107,7 @@
     os.killpg(process.pid, 9)
     process.wait()
     before = there.read_bytes()
-    before = before[:before.rfind(b"\n") + 1]
+    before = before[: before.rfind(b"\n") + 1]
     assert before.count(b"\n") < 24
     again = subprocess.run([*words, "--plots"], cwd=ROOT, capture_output=True, text=True, timeout=120)
     assert again.returncode == 0 and f"{before.count(bytes([10]))} there already" in again.stdout
@@ -122,17 +125,22 @@
 def test_intervals_and_paired_differences_are_student_s(tmp_path):
     plan = cells.read(planned(tmp_path, seeds=5))
     chance = random.Random(4)
-    rows = {cell.key: {name: chance.random() for name in experiment.MEASURES} | {"broken": [cell.seed]}
-            for cell in plan.cells}
+    rows = {
+        cell.key: {name: chance.random() for name in experiment.MEASURES} | {"broken": [cell.seed]}
+        for cell in plan.cells
+    }
     lines = experiment.summed(plan, rows)
     assert [(line["case"], line["variant"], line["seeds"]) for line in lines] == [
-        (case, variant, 5) for case in ("two", "rough") for variant in ("here", "random")]
+        (case, variant, 5) for case in ("two", "rough") for variant in ("here", "random")
+    ]
     for case, variant in itertools.product(("two", "rough"), ("here", "random")):
         line = next(line for line in lines if (line["case"], line["variant"]) == (case, variant))
         mine = {c.seed: rows[c.key]["service"] for c in plan.cells if (c.case, c.variant) == (case, variant)}
         first = {c.seed: rows[c.key]["service"] for c in plan.cells if (c.case, c.variant) == (case, "here")}
-        for values, told in ((list(mine.values()), line["service"]),
-                             ([mine[s] - first[s] for s in mine], line.get("difference"))):
+        for values, told in (
+            (list(mine.values()), line["service"]),
+            ([mine[s] - first[s] for s in mine], line.get("difference")),
+        ):
             if told is not None:
                 low, high = ttest_1samp(values, 0).confidence_interval(0.95)
                 assert (told[0] - told[1], told[0] + told[1]) == (pytest.approx(low), pytest.approx(high))
@@ -142,11 +150,18 @@
 
 def test_an_earlier_module_is_played_from_its_text(tmp_path, monkeypatch):
     """Of a commit that turned everything away, as git would show it."""
-    text = ("class Gateway:\n    def __init__(self, seed, deployment):\n        pass\n"
-            "    def round(self, now, events, out):\n"
-            "        [out.defer(event[1], 0) for event in events if event[0] == 0]\n")
-    monkeypatch.setattr(subprocess, "run", lambda words, **how: subprocess.CompletedProcess(
-        words, 0 if words[3] == "abc:wickvane/choice.py" else 128, text.encode()))
+    text = (
+        "class Gateway:\n    def __init__(self, seed, deployment):\n        pass\n"
+        "    def round(self, now, events, out):\n"
+        "        [out.defer(event[1], 0) for event in events if event[0] == 0]\n"
+    )
+    monkeypatch.setattr(
+        subprocess,
+        "run",
+        lambda words, **how: subprocess.CompletedProcess(
+            words, 0 if words[3] == "abc:wickvane/choice.py" else 128, text.encode()
+        ),
+    )
     cells.module_text.cache_clear()
     script = scripts.read_text(QUICK.format(more=""))
     outcome = world.play(script, 1, False, cells.gateway_of("commit:abc"))
@@ -157,6 +172,7 @@
 
 # Baselines
 
+
 class Writer:
     def __init__(self):
         self.sent, self.deferred, self.killed, self.cancelled = {}, [], [], []
@@ -235,6 +251,7 @@
 
 # The model
 
+
 @given(st.integers(0, 10_000))
 @settings(max_examples=60, deadline=None)
 def test_work_is_conserved_and_no_engine_does_more_than_its_cores(seed):
@@ -262,8 +279,19 @@
             made.advance(now)
             left += made.running[gone].left
             made.cancel(now, gone)
-        if offer(made, now, mark, chance.uniform(5, 300), chance.randrange(1, 5), chance.random() * 0.9,
-                 need=chance.uniform(5, 100), table=chance.randrange(6)) == "in":
+        if (
+            offer(
+                made,
+                now,
+                mark,
+                chance.uniform(5, 300),
+                chance.randrange(1, 5),
+                chance.random() * 0.9,
+                need=chance.uniform(5, 100),
+                table=chance.randrange(6),
+            )
+            == "in"
+        ):
             held = made.running.get(mark) or next(q for _, _, q in made.waiting if q.mark == mark)
             begun[mark] = held.left
     made.advance(now)
@@ -319,9 +347,12 @@
     for order in itertools.chain(*(itertools.permutations(range(4), size) for size in (1, 2, 3, 4))):
         played = world.World(scripts.read_text(text), 1, False, Sender)
         host, process = played.hosts[0], played.processes[0]
-        doing = [lambda p=played, h=host: h.cancel(1, 0), lambda p=played, e=process: p.ends(e),
-                 lambda p=played, e=process: e.look(e.model.version),
-                 lambda p=played, h=host, e=process: h.expires(h.queries[1], 0, e)]
+        doing = [
+            lambda p=played, h=host: h.cancel(1, 0),
+            lambda p=played, e=process: p.ends(e),
+            lambda p=played, e=process: e.look(e.model.version),
+            lambda p=played, h=host, e=process: h.expires(h.queries[1], 0, e),
+        ]
         for n in order:
             played.at(1011, doing[n])  # a round, and its work
         outcome = played.play()
@@ -331,19 +362,30 @@
         told = [n for n in order if n in (1, 2)]
         # Cancelled first, it has left the engine: neither an end nor a death is heard of it any more.
         left = 0 in order and order.index(0) < min(map(order.index, told), default=9)
-        assert ending == (i.NO_ANSWER if 3 in order else i.CANCELLED if left or not told
-                          else i.RESET if told[0] == 1 else i.FINISHED), order
+        assert ending == (
+            i.NO_ANSWER
+            if 3 in order
+            else i.CANCELLED
+            if left or not told
+            else i.RESET
+            if told[0] == 1
+            else i.FINISHED
+        ), order
         seen.add(ending)
     assert seen == {i.FINISHED, i.RESET, i.CANCELLED, i.NO_ANSWER}
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_third_is_deployed_while_all_are_slow_and_engines_stall_during_their_drain(seed):
-    script = scripts.read_text(SMALL.format(more="""
+    script = scripts.read_text(
+        SMALL.format(
+            more="""
         trouble "deploy" at="2s" for="4s" part=0.34 size=1
         trouble "slow" at="2s" for="5s" size=2
         trouble "drain" at="3s" for="2s" part=0.3
-        trouble "stall" at="3s" for="1500ms" part=0.6"""))
+        trouble "stall" at="3s" for="1500ms" part=0.6"""
+        )
+    )
     outcome = world.play(script, seed, False)
     assert outcome.breaches == [] and outcome.checked[3] > 300 and outcome.counts["finished"] > 500
 
--- a/tests/test_flow_codecs.py
+++ b/tests/test_flow_codecs.py
@@ -146,19 +146,24 @@
     old, first = written([record(1)], enterprise=1)
     new, second = written([record(2)], enterprise=2, sequence=1)
     assert old.ids["flow4"] != new.ids["flow4"] and ipfix.Generation(1).sets == old.sets
-    found = collected(ipfix.Reader(1).feed, [template_message(old), template_message(new, 1), first[0][0],
-                                             second[0][0]])
+    found = collected(
+        ipfix.Reader(1).feed, [template_message(old), template_message(new, 1), first[0][0], second[0][0]]
+    )
     assert found.records == 2 and found.unknown == 0
 
 
 def test_a_change_of_templates_withdraws_what_is_not_wanted_and_tells_only_what_is_new():
     old, new = ipfix.Generation(1), ipfix.Generation(2)
     told, reader = {}, ipfix.Reader(2)
-    parts = [ipfix.change_of(told, ipfix.templates_in(generation.sets), drop)
-             for generation, drop in ((old, False), (new, False), (new, True))]
+    parts = [
+        ipfix.change_of(told, ipfix.templates_in(generation.sets), drop)
+        for generation, drop in ((old, False), (new, False), (new, True))
+    ]
     assert ipfix.change_of(told, ipfix.templates_in(new.sets), True) == b""
-    events = [[e for e in reader.message(ipfix.message(9, 0, 0, part)) if e[0] in ("template", "withdrawn")]
-              for part in parts]
+    events = [
+        [e for e in reader.message(ipfix.message(9, 0, 0, part)) if e[0] in ("template", "withdrawn")]
+        for part in parts
+    ]
     assert [len(FULL_KINDS), 4, 4] == list(map(len, events))  # the checksum's template is the same in both
     assert all(e[0] == "withdrawn" for e in events[2])
     assert {number for _, number in reader.shapes} == set(new.ids.values())
@@ -180,13 +185,18 @@
     assert {domain for domain, _ in reader.shapes} == {10} and len(reader.shapes) == len(FULL_KINDS)
 
 
-@pytest.mark.parametrize("sets, why", [
-    (struct.pack("!HH", 2, 3), "length is wrong"), (struct.pack("!HHHH", 2, 8, 255, 1), "out of range"),
-    (struct.pack("!HHHHHH", 2, 12, 256, 1, 1, 0), "no length"), (struct.pack("!HH", 7, 4), "reserved"),
-    (struct.pack("!HHHHH", 3, 10, 256, 1, 0), "no scope"),
-    (struct.pack("!HHHHHH", 2, 12, 256, 2, 1, 8), "ends"),
-    (b"\0", "shorter"),
-])
+@pytest.mark.parametrize(
+    "sets, why",
+    [
+        (struct.pack("!HH", 2, 3), "length is wrong"),
+        (struct.pack("!HHHH", 2, 8, 255, 1), "out of range"),
+        (struct.pack("!HHHHHH", 2, 12, 256, 1, 1, 0), "no length"),
+        (struct.pack("!HH", 7, 4), "reserved"),
+        (struct.pack("!HHHHH", 3, 10, 256, 1, 0), "no scope"),
+        (struct.pack("!HHHHHH", 2, 12, 256, 2, 1, 8), "ends"),
+        (b"\0", "shorter"),
+    ],
+)
 def test_spoilt_sets_are_refused_with_a_reason(sets, why):
     with pytest.raises(ipfix.Malformed, match=why):
         list(ipfix.Reader(PEN).message(ipfix.message(1, 0, 0, sets)))
@@ -237,7 +247,7 @@
     sequence, plain, told = Sequence(), set(), {"new": 0, "late": 0, "repeated": 0}
     for begin, count in order:
         numbers = set(range(begin, begin + count))
-        expected = ("repeated" if numbers <= plain else "late" if plain and begin < max(plain) else "new")
+        expected = "repeated" if numbers <= plain else "late" if plain and begin < max(plain) else "new"
         got = sequence.came((start + begin) % (1 << 32), count)
         told[got] += 1
         assert got == expected
--- a/tests/test_flow_export.py
+++ b/tests/test_flow_export.py
@@ -83,12 +83,15 @@
         self.flows, self.octets = self.flows + flows, self.octets + flows * octets
 
     def whole(self, collected):
-        return (collected.total("engine", "octetDeltaCount"),
-                collected.total("engine", "deltaFlowCount")) == (self.octets, self.flows)
+        return (
+            collected.total("engine", "octetDeltaCount"),
+            collected.total("engine", "deltaFlowCount"),
+        ) == (self.octets, self.flows)
 
     def way(self, name="a"):
-        return next(way for line in self.exporter.lines.values() for way in line.ways
-                    if way.collector.name == name)
+        return next(
+            way for line in self.exporter.lines.values() for way in line.ways if way.collector.name == name
+        )
 
 
 def told(collector, exporting, seconds=30):
@@ -113,8 +116,9 @@
 
 def test_a_collector_that_stops_reading_costs_the_accounts_nothing_and_misses_nothing():
     collector = Collector(buffer=4096)
-    exporting = Exporting(document(("a", f'address "{collector.address}"; stall "200ms"'),
-                                   more='queue "4MiB"\nagain "4MiB"'))
+    exporting = Exporting(
+        document(("a", f'address "{collector.address}"; stall "200ms"'), more='queue "4MiB"\nagain "4MiB"')
+    )
     exporting.move(1)
     told(collector, exporting)
     collector.reading.clear()
@@ -157,9 +161,12 @@
 @pytest.mark.parametrize("policy", ["oldest", "newest"])
 def test_what_a_full_backlog_lets_go_is_counted_by_group_in_the_next_statistics(tmp_path, policy):
     port = free_port()
-    exporting = Exporting(document(("a", f'address "127.0.0.1:{port}"'),
-                                   more=f'spool "{tmp_path}/s" size="256KiB" segment="16KiB"\n'
-                                        f'when-full "{policy}"'))
+    exporting = Exporting(
+        document(
+            ("a", f'address "127.0.0.1:{port}"'),
+            more=f'spool "{tmp_path}/s" size="256KiB" segment="16KiB"\nwhen-full "{policy}"',
+        )
+    )
     for n in range(30):
         exporting.move(100, key=(n % 2, 0))
         time.sleep(0.015)
@@ -172,8 +179,11 @@
     def adds_up(collected):
         last = collected.statistics.get((1, "a"))
         gone = sum(r["notSentFlowTotalCount"] for r in collected.not_sent.values())
-        return (last and last["notSentFlowTotalCount"] == gone > 0
-                and collected.total("engine", "deltaFlowCount") + gone == exporting.flows)
+        return (
+            last
+            and last["notSentFlowTotalCount"] == gone > 0
+            and collected.total("engine", "deltaFlowCount") + gone == exporting.flows
+        )
 
     collected = collector.until(adds_up)
     assert {place[2] for place in collected.not_sent} == {"lookup", "load"}
@@ -207,8 +217,9 @@
 def test_a_standby_takes_over_and_the_first_comes_back():
     first, second = Collector(), Collector()
     port = first.port
-    exporting = Exporting(document(
-        ("a", f'address "{first.address}"; standby "{second.address}"; home-after "300ms"')))
+    exporting = Exporting(
+        document(("a", f'address "{first.address}"; standby "{second.address}"; home-after "300ms"'))
+    )
     exporting.move(10)
     told(first, exporting)
     first.end()
@@ -277,8 +288,9 @@
 
 def test_udp_templates_come_again_and_a_refused_datagram_is_sent_again():
     port = free_port()
-    exporting = Exporting(document(("a", f'address "127.0.0.1:{port}"; transport "udp"'),
-                                   more='template-refresh "1s"'))
+    exporting = Exporting(
+        document(("a", f'address "127.0.0.1:{port}"; transport "udp"'), more='template-refresh "1s"')
+    )
     exporting.move(20)
     until(lambda: exporting.counters.shown().get("flow-connections-ended-reset"))
     collector = Collector(udp=True, port=port)
@@ -294,8 +306,9 @@
 
 def test_netflow_9_tells_the_same_sums_and_a_gap_by_its_own_sequence():
     collector = Collector(udp=True, nine=True)
-    exporting = Exporting(document(
-        ("a", f'address "{collector.address}"; transport "udp"; format "netflow9"')))
+    exporting = Exporting(
+        document(("a", f'address "{collector.address}"; transport "udp"; format "netflow9"'))
+    )
     exporting.move(100)
     collected = told(collector, exporting)
     assert collected.lost == 0 and {r["resourceGroup"] for r in collected.kept} == {"lookup"}
@@ -311,6 +324,7 @@
 
 # TLS
 
+
 def authority(tmp_path, ca, name="127.0.0.1"):
     """Files of a client's certificate, and of the authority; the server's context, which asks for one."""
     client, server = ca.issue_cert("exporter.example"), ca.issue_cert(name)
@@ -366,6 +380,7 @@
 
 # A new document
 
+
 def test_another_enterprise_number_withdraws_the_old_templates_behind_the_last_record_that_needs_them():
     collector = Collector()
     first = document(("a", f'address "{collector.address}"'))
@@ -401,6 +416,7 @@
 
 # Recovery
 
+
 def test_a_stop_with_no_collector_keeps_all_in_the_spool_and_the_next_start_tells_it(tmp_path):
     port = free_port()
     part = document(("a", f'address "127.0.0.1:{port}"'), more=f'spool "{tmp_path}/s" segment="16KiB"')
@@ -457,8 +473,10 @@
 def test_sigkill_with_the_spool_half_written_loses_nothing_that_was_taken_into_it(tmp_path):
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     port, directory = free_port(), str(tmp_path / "s")
-    child = subprocess.Popen([sys.executable, "-c", KILLED, root, os.path.join(root, "tests"), str(port),
-                              directory], stdout=subprocess.PIPE)
+    child = subprocess.Popen(
+        [sys.executable, "-c", KILLED, root, os.path.join(root, "tests"), str(port), directory],
+        stdout=subprocess.PIPE,
+    )
     for _ in range(30):
         line = child.stdout.readline()
     child.kill()
@@ -467,8 +485,9 @@
     assert in_spool["records"] == in_spool["by-side"][0]["deltaFlowCount"] >= 50 and moved >= taken
     # What was collected but not yet in the file when the kill came is one turn's at the most.
     assert in_spool["records"] >= taken - 200
-    with open(max(os.path.join(directory, n) for n in os.listdir(directory) if n.endswith(".ipfix")),
-              "ab") as file:
+    with open(
+        max(os.path.join(directory, n) for n in os.listdir(directory) if n.endswith(".ipfix")), "ab"
+    ) as file:
         file.write(b"\0\x0a\x01\x00half a message")
     collector = Collector(port=port)
     after = Exporting(document(("a", f'address "127.0.0.1:{port}"'), more=f'spool "{directory}"'))
@@ -481,14 +500,23 @@
 
 def sum_of(*paths, words=("--json",)):
     out = io.StringIO()
-    asked = {"--by": None, "--step": None, "--enterprise": None, "--listen": None, "--udp": False,
-             "--for": "24h", "--json": "--json" in words, "FILE": list(paths)}
+    asked = {
+        "--by": None,
+        "--step": None,
+        "--enterprise": None,
+        "--listen": None,
+        "--udp": False,
+        "--for": "24h",
+        "--json": "--json" in words,
+        "FILE": list(paths),
+    }
     assert tool.main(asked, out) in (0, 1)
     return json.loads(out.getvalue()) if "--json" in words else out.getvalue()
 
 
 # With the whole dispatcher
 
+
 class Dispatcher:
     """The whole program's threads with export on; `found` as the clients of bench_free want it."""
 
@@ -513,7 +541,8 @@
     for answer in ("finished", "deferred", "killed", "left"):
         assert collected.total("client", "queries" + answer.title()) == counters.get(answer, 0)
     assert collected.total("engine", "submissionsFirst") + collected.total(
-        "engine", "submissionsFurther") <= counters.get("submissions", 0)
+        "engine", "submissionsFurther"
+    ) <= counters.get("submissions", 0)
 
 
 def test_the_collector_agrees_with_the_dispatcher_to_the_octet_over_drain_and_takeover_of_an_address():
@@ -521,8 +550,11 @@
     answer = {"on": True}
     engine = Engine(lambda txn, words: hit(txn) if words[0] == b"ASK" and answer["on"] else b"")
     second = Engine()
-    dispatcher = Dispatcher(document(("a", f'address "{collector.address}"'), more='active-timeout "200ms"'),
-                            engine, coordinator=coordinator)
+    dispatcher = Dispatcher(
+        document(("a", f'address "{collector.address}"'), more='active-timeout "200ms"'),
+        engine,
+        coordinator=coordinator,
+    )
     coordinator.next("connected")
     clients = [Client(dispatcher) for _ in range(3)]
     assert rows(clients[0].ask(statement(n=1)))
@@ -530,16 +562,26 @@
     clients[1].send(statement(n=2))
     _, _, _, conn = engine.next("ASK")
     _, words, _, conn = engine.next("ASK")
-    coordinator.send.put(sse(2, event(2, entry("e0", engine.address, "Terminating"),
-                                      entry("e1", second.address))))
+    coordinator.send.put(
+        sse(2, event(2, entry("e0", engine.address, "Terminating"), entry("e1", second.address)))
+    )
     until(lambda: dispatcher.service.accounts.engines.get("e1"))
     assert rows(clients[2].ask(statement(n=3)))
     time.sleep(0.3)
     conn.sendall(hit(words[0]))  # the last answer of the drained engine
     assert rows(clients[1].until_ready())
     # Its address is taken over while its connection is still open.
-    coordinator.send.put(sse(3, event(3, entry("e0", engine.address, "Gone"), entry("e2", engine.address),
-                                      entry("e1", second.address, "Terminating"))))
+    coordinator.send.put(
+        sse(
+            3,
+            event(
+                3,
+                entry("e0", engine.address, "Gone"),
+                entry("e2", engine.address),
+                entry("e1", second.address, "Terminating"),
+            ),
+        )
+    )
     until(lambda: "e2" in dispatcher.service.accounts.engines)
     answer["on"] = True
     assert rows(clients[0].ask(statement(n=4)))
@@ -549,8 +591,10 @@
     counters = dispatcher.stop()
     collected = collector.until(lambda c: c.total("engine", "deltaFlowCount") >= 3)
     agrees(collected, counters)
-    parts_of = sorted((r for r in collected.kept if r["engine"] == "e0" and r["submissionsFirst"]
-                       + r["flowPart"]), key=lambda r: (r["flowId"], r["flowPart"]))
+    parts_of = sorted(
+        (r for r in collected.kept if r["engine"] == "e0" and r["submissionsFirst"] + r["flowPart"]),
+        key=lambda r: (r["flowId"], r["flowPart"]),
+    )
     spanning = {r["flowId"] for r in parts_of if r["engineStateEnd"] in (a.DRAINING, a.GONE)}
     assert spanning
     for flow in spanning:
@@ -565,8 +609,10 @@
 
 def test_a_client_that_reconnects_three_hundred_times_in_a_second_over_a_small_table():
     collector = Collector()
-    dispatcher = Dispatcher(document(("a", f'address "{collector.address}"'),
-                                     more="table 32", quick='collect-every "100ms"\n'), Engine())
+    dispatcher = Dispatcher(
+        document(("a", f'address "{collector.address}"'), more="table 32", quick='collect-every "100ms"\n'),
+        Engine(),
+    )
     host, _, port = dispatcher.found["listen"].rpartition(":")
     began, again, tries = time.monotonic(), 0, 0
     while again < 300:
@@ -605,14 +651,18 @@
     exporting.exporter.stop()
     shown = sum_of(str(tmp_path / "s"))
     assert {r["group"]: (r["deltaFlowCount"], r["octetDeltaCount"]) for r in shown["by-group"]} == {
-        "load": (10, 70), "lookup": (20, 2000)}
+        "load": (10, 70),
+        "lookup": (20, 2000),
+    }
     assert [r["engine"] for r in shown["by-engine"]] == ["e0", "e1"]
     drawn = sum_of(str(tmp_path / "s"), words=())
     assert "lookup" in drawn and "2,000" in drawn and "collector a" in drawn
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     live = subprocess.Popen(
         [sys.executable, "-m", "wickvane", "flows", f"--listen=127.0.0.1:{port}", "--by=group", "--json"],
-        cwd=root, stdout=subprocess.PIPE)
+        cwd=root,
+        stdout=subprocess.PIPE,
+    )
     again = Exporting(document(("a", f'address "127.0.0.1:{port}"'), more=f'spool "{tmp_path}/s"'))
     until(lambda: again.way().outlet.up and not again.way().outlet.behind, 20)
     again.move(5)
--- a/tests/test_flow_spool.py
+++ b/tests/test_flow_spool.py
@@ -149,8 +149,9 @@
 def filled(directory, messages=6, segment_every=100, sequence=0):
     """A spool of so many messages of two records; the messages as they were written."""
     made = spool.Spool(directory)
-    generation, found = written([record(n, octets=(n, 1)) for n in range(2 * messages)], most=420,
-                                checksums=True, sequence=sequence)
+    generation, found = written(
+        [record(n, octets=(n, 1)) for n in range(2 * messages)], most=420, checksums=True, sequence=sequence
+    )
     templates, segment = spool.Generation(generation.sets, 9), None
     for n, (data, _, _) in enumerate(found):
         if n % segment_every == 0:
@@ -166,8 +167,12 @@
     made = spool.Spool(directory)
     try:
         segments, following, sequence, faults = made.recover()
-        found = [made.read(segment, n) for segment in segments for n in range(segment.first, segment.next)
-                 if segment.counts[n - segment.first] != SPOILT]
+        found = [
+            made.read(segment, n)
+            for segment in segments
+            for n in range(segment.first, segment.next)
+            if segment.counts[n - segment.first] != SPOILT
+        ]
         return found, following, sequence, faults
     finally:
         made.close()
@@ -264,7 +269,7 @@
         (tmp_path / "a.cursor").write_bytes(whole[:cut])
         assert made.cursor("a") is None
     for n in range(len(whole)):
-        (tmp_path / "a.cursor").write_bytes(whole[:n] + bytes([whole[n] ^ 1]) + whole[n + 1:])
+        (tmp_path / "a.cursor").write_bytes(whole[:n] + bytes([whole[n] ^ 1]) + whole[n + 1 :])
         assert made.cursor("a") is None
     made.close()
     with pytest.raises(spool.Unusable, match="cannot be used"):
