--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -15,8 +15,13 @@
 from wickvane.members.gather import Gathered
 
 SECOND = 10_000
-FACTS = checks.Facts({"old": 8, "new": 4}, frozenset(("a", "b")),
-                     (("lookup", None, None), ("load", None, frozenset(("new",)))), 0.3, 15 * SECOND)
+FACTS = checks.Facts(
+    {"old": 8, "new": 4},
+    frozenset(("a", "b")),
+    (("lookup", None, None), ("load", None, frozenset(("new",)))),
+    0.3,
+    15 * SECOND,
+)
 GOOD = """members generation=7 {
     engine "e1" address="10.0.0.1:5001" zone="a" type="old" weight=1.0 group=2 since-ms=5
     engine "e2" address="10.0.0.2:5001" weight=0  // drained by hand
@@ -26,13 +31,24 @@
 
 
 def member(n, weight=1.0, kind="old", state=i.READY, zone="a", started=0, address=None):
-    return ro.Member(f"e{n}", ("10.0.0.1", address or 1000 + n), zone, kind, 0, started, weight,
-                     i.DRAINING if weight == 0 else state)
+    return ro.Member(
+        f"e{n}",
+        ("10.0.0.1", address or 1000 + n),
+        zone,
+        kind,
+        0,
+        started,
+        weight,
+        i.DRAINING if weight == 0 else state,
+    )
 
 
 def kdl(engines, generation=None):
-    rows = "\n".join(f'  engine "{e.name}" address="{e.address[0]}:{e.address[1]}" zone="{e.zone}" '
-                     f'type="{e.kind}" weight={e.weight}' for e in engines)
+    rows = "\n".join(
+        f'  engine "{e.name}" address="{e.address[0]}:{e.address[1]}" zone="{e.zone}" '
+        f'type="{e.kind}" weight={e.weight}'
+        for e in engines
+    )
     return f"members{f' generation={generation}' if generation else ''} {{\n{rows}\n}}\n"
 
 
@@ -93,8 +109,14 @@
         self.carry()
 
     def restart(self):
-        return Members(self.facts, self.journal, self.now + 50, self.load, **self.terms.limits._asdict(),
-                       **{k: v for k, v in self.terms._asdict().items() if k != "limits"})
+        return Members(
+            self.facts,
+            self.journal,
+            self.now + 50,
+            self.load,
+            **self.terms.limits._asdict(),
+            **{k: v for k, v in self.terms._asdict().items() if k != "limits"},
+        )
 
     def ready(self):
         return {name for name, (state, *_) in self.told.items() if state == i.READY}
@@ -105,46 +127,64 @@
 
 # Documents
 
+
 def test_a_document_is_read_as_it_says():
     part = document.read(document.seal(GOOD.encode()), "m.kdl", sealed=True)
     one, two, three = part.members
     assert (part.generation, one) == (7, ro.Member("e1", ("10.0.0.1", 5001), "a", "old", 2, 5, 1.0))
     assert two.state == i.DRAINING and three.state == i.DRAINING and three.weight == 0.5
     assert part.lines == {"e1": 2, "e2": 3, "e3": 4}
-    same = {"generation": 7, "engines": [
-        {"name": "e1", "address": "10.0.0.1:5001", "zone": "a", "type": "old", "group": 2, "since_ms": 5},
-        {"name": "e2", "address": "10.0.0.2:5001", "weight": 0},
-        {"name": "e3", "address": "[::1]:5001", "status": "Terminating", "weight": 0.5}]}
+    same = {
+        "generation": 7,
+        "engines": [
+            {"name": "e1", "address": "10.0.0.1:5001", "zone": "a", "type": "old", "group": 2, "since_ms": 5},
+            {"name": "e2", "address": "10.0.0.2:5001", "weight": 0},
+            {"name": "e3", "address": "[::1]:5001", "status": "Terminating", "weight": 0.5},
+        ],
+    }
     other = document.read(json.dumps(same).encode(), "m.json")
     assert (other.generation, other.members) == (part.generation, part.members)
 
 
-@pytest.mark.parametrize("text, code", [
-    ("", "no-document"), ("members {", "no-document"), ("members {} members {}", "no-document"),
-    ("members { engine }", "no-document"), ("members { engine \"a\" \"b\" }", "no-document"),
-    ('include "other.kdl"', "unknown-node"), ('members { include "o.kdl" }', "unknown-node"),
-    ('members { engine "a" adress="1.2.3.4:1" }', "unknown-node"), ("members colour=1 {}", "unknown-node"),
-    ('members { engine "a" }', "address-missing"), ('members { engine "a" address="x" }', "value-wrong"),
-    ('members { engine 5 address="1.2.3.4:1" }', "value-wrong"),
-    ('members { engine "" address="1.2.3.4:1" }', "value-wrong"),
-    ('members { engine "a" address=5 }', "value-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" weight=-1 }', "weight-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" weight=#nan }', "weight-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" weight=#inf }', "weight-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" weight="1" }', "weight-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" weight=#true }', "weight-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" weight=101 }', "weight-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" status="Gone" }', "value-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" zone=5 }', "value-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" group=-1 }', "value-wrong"),
-    ('members { engine "a" address="1.2.3.4:1" since-ms=#nan }', "value-wrong"),
-    ("members generation=0 {}", "generation-wrong"), ("members generation=1.5 {}", "generation-wrong"),
-    ("members generation=99999999 {}", "generation-wrong"), ('members generation="7" {}', "generation-wrong"),
-    ("members { engine \"a\" address=\"1.2.3.4:1\"\n engine \"a\" address=\"1.2.3.4:2\" }", "name-twice"),
-    ("members { a {" * 5_000, "too-deep"), ("{" * 100_000, "too-deep"),
-    ("members {}\n//! length=3 blake2b=" + "0" * 32, "length-wrong"),
-    ("members {}\n//! length=11 blake2b=" + "0" * 32, "checksum-wrong"),
-    ("members {}\n//! length=11", "length-wrong")])
+@pytest.mark.parametrize(
+    "text, code",
+    [
+        ("", "no-document"),
+        ("members {", "no-document"),
+        ("members {} members {}", "no-document"),
+        ("members { engine }", "no-document"),
+        ('members { engine "a" "b" }', "no-document"),
+        ('include "other.kdl"', "unknown-node"),
+        ('members { include "o.kdl" }', "unknown-node"),
+        ('members { engine "a" adress="1.2.3.4:1" }', "unknown-node"),
+        ("members colour=1 {}", "unknown-node"),
+        ('members { engine "a" }', "address-missing"),
+        ('members { engine "a" address="x" }', "value-wrong"),
+        ('members { engine 5 address="1.2.3.4:1" }', "value-wrong"),
+        ('members { engine "" address="1.2.3.4:1" }', "value-wrong"),
+        ('members { engine "a" address=5 }', "value-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" weight=-1 }', "weight-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" weight=#nan }', "weight-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" weight=#inf }', "weight-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" weight="1" }', "weight-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" weight=#true }', "weight-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" weight=101 }', "weight-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" status="Gone" }', "value-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" zone=5 }', "value-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" group=-1 }', "value-wrong"),
+        ('members { engine "a" address="1.2.3.4:1" since-ms=#nan }', "value-wrong"),
+        ("members generation=0 {}", "generation-wrong"),
+        ("members generation=1.5 {}", "generation-wrong"),
+        ("members generation=99999999 {}", "generation-wrong"),
+        ('members generation="7" {}', "generation-wrong"),
+        ('members { engine "a" address="1.2.3.4:1"\n engine "a" address="1.2.3.4:2" }', "name-twice"),
+        ("members { a {" * 5_000, "too-deep"),
+        ("{" * 100_000, "too-deep"),
+        ("members {}\n//! length=3 blake2b=" + "0" * 32, "length-wrong"),
+        ("members {}\n//! length=11 blake2b=" + "0" * 32, "checksum-wrong"),
+        ("members {}\n//! length=11", "length-wrong"),
+    ],
+)
 def test_each_thing_wrong_with_a_document_has_its_code(text, code):
     with pytest.raises(Unfit) as wrong:
         document.read(text.encode(), "m.kdl")
@@ -152,12 +192,21 @@
     assert finding.code == code and "m.kdl" in finding.sentence() and CODES[code] in finding.sentence()
 
 
-@pytest.mark.parametrize("text, code", [
-    (b"[" * 100_000, "too-deep"), (b"5", "no-document"), (b'{"engines": 5}', "no-document"),
-    (b'{"engines": [5]}', "no-document"), (b'{"engines": [], "more": 1}', "unknown-node"),
-    (b'{"engines": [{"name": "a", "include": 1}]}', "unknown-node"), (b'{"engines"\n', "no-document"),
-    (b'{"engines": [{"name": "a", "address": "h:1", "weight": 1e999}]}', "no-document"),
-    (b'{"engines": [{"name": "a", "address": null}]}', "address-missing"), (b"\xff", "not-utf8")])
+@pytest.mark.parametrize(
+    "text, code",
+    [
+        (b"[" * 100_000, "too-deep"),
+        (b"5", "no-document"),
+        (b'{"engines": 5}', "no-document"),
+        (b'{"engines": [5]}', "no-document"),
+        (b'{"engines": [], "more": 1}', "unknown-node"),
+        (b'{"engines": [{"name": "a", "include": 1}]}', "unknown-node"),
+        (b'{"engines"\n', "no-document"),
+        (b'{"engines": [{"name": "a", "address": "h:1", "weight": 1e999}]}', "no-document"),
+        (b'{"engines": [{"name": "a", "address": null}]}', "address-missing"),
+        (b"\xff", "not-utf8"),
+    ],
+)
 def test_the_same_for_json(text, code):
     with pytest.raises(Unfit) as wrong:
         document.read(text, "m.json")
@@ -188,6 +237,7 @@
 
 # Files of one document, beside reading them all again
 
+
 @settings(max_examples=60, deadline=None)
 @given(st.integers(0, 1 << 30))
 def test_gathered_files_are_as_if_all_were_read_again(seed):
@@ -199,8 +249,9 @@
             files.pop(file, None)
         else:
             names = chance.sample(range(6), chance.randrange(5))
-            found = tuple(member(n, weight=chance.choice([0.5, 1.0]), address=2000 + chance.randrange(8))
-                          for n in names)
+            found = tuple(
+                member(n, weight=chance.choice([0.5, 1.0]), address=2000 + chance.randrange(8)) for n in names
+            )
             stated = chance.choice([None, chance.randrange(1, 9)])
             gathered.put(document.Part(file, stated, found, {}))
             files[file] = stated, found
@@ -219,25 +270,39 @@
         assert gathered.generation() == max((g for g, _ in files.values() if g), default=None)
         codes = {f.code for f in gathered.findings()}
         assert codes == ({"name-twice"} if gathered.twice else set()) | (
-            {"address-twice"} if gathered.crowded else set())
+            {"address-twice"} if gathered.crowded else set()
+        )
 
 
 # Changes
 
+
 def fleet(count, **changes):
     return [member(n, **changes) for n in range(count)]
 
 
-@pytest.mark.parametrize("after, code", [
-    ([], "empty"), (fleet(10, weight=0.0), "empty"), (fleet(5), "share-removed"),
-    (fleet(6) + [member(n, weight=0.0) for n in range(6, 10)], "share-removed"),
-    (fleet(9), "group-without-engine"), ([member(n) for n in range(9)] + [member(9, weight=0.0, kind="new")],
-                                         "group-without-engine"),
-    (fleet(9) + [member(9, kind="odd")], "kind-unknown"), (fleet(9) + [member(9, zone="x")], "zone-unknown"),
-    ([member(n, weight=9.0 if n == 1 else 1.0) for n in range(9)] + [member(9, kind="new")], "weight-jump"),
-    ([member(n) for n in range(1, 9)] + [member(9, kind="new")], "capacity-left"),
-    ([member(n) for n in range(1, 9)] + [member(9, kind="new"), member(20, address=1000)],
-     "address-taken-over")])
+@pytest.mark.parametrize(
+    "after, code",
+    [
+        ([], "empty"),
+        (fleet(10, weight=0.0), "empty"),
+        (fleet(5), "share-removed"),
+        (fleet(6) + [member(n, weight=0.0) for n in range(6, 10)], "share-removed"),
+        (fleet(9), "group-without-engine"),
+        ([member(n) for n in range(9)] + [member(9, weight=0.0, kind="new")], "group-without-engine"),
+        (fleet(9) + [member(9, kind="odd")], "kind-unknown"),
+        (fleet(9) + [member(9, zone="x")], "zone-unknown"),
+        (
+            [member(n, weight=9.0 if n == 1 else 1.0) for n in range(9)] + [member(9, kind="new")],
+            "weight-jump",
+        ),
+        ([member(n) for n in range(1, 9)] + [member(9, kind="new")], "capacity-left"),
+        (
+            [member(n) for n in range(1, 9)] + [member(9, kind="new"), member(20, address=1000)],
+            "address-taken-over",
+        ),
+    ],
+)
 def test_each_change_past_a_limit_has_its_code(after, code):
     before = fleet(9) + [member(9, kind="new")]
     members = Members(load=64.0, capacity_past=HOLD, factor_past=HOLD).offer(before)
@@ -317,7 +382,7 @@
     while members.it.stepping:
         members.after(SECOND)
         seen.append(len(members.ready()))
-    assert seen[:5] == [15, 12, 9, 8, 8][:len(seen[:5])] and seen[-1] == 8
+    assert seen[:5] == [15, 12, 9, 8, 8][: len(seen[:5])] and seen[-1] == 8
     members.offer(fleet(20)).offer(fleet(8))
     members.after(SECOND)
     midway = len(members.ready())
@@ -343,7 +408,8 @@
 
 def test_weights_rise_in_steps_and_at_once_where_nothing_says_so():
     members = Members(factor=2.0, factor_past=STEPS, step=SECOND).offer(
-        [member(n, weight=0.1 if n == 1 else 1.0) for n in range(4)])
+        [member(n, weight=0.1 if n == 1 else 1.0) for n in range(4)]
+    )
     members.offer(fleet(4))
     seen = []
     while members.it.stepping:
@@ -378,17 +444,26 @@
     members = Members(overrides=True)
 
     def stream(number, *rows, whole=False):
-        members.it.streamed(members.now, number, whole, [
-            (f"e{n}", ("10.0.0.1", n), state, "a", "old", 0, 0, 1.0) for n, state in rows])
+        members.it.streamed(
+            members.now,
+            number,
+            whole,
+            [(f"e{n}", ("10.0.0.1", n), state, "a", "old", 0, 0, 1.0) for n, state in rows],
+        )
         members.carry()
 
     def override(n, **stated):
-        return ro.Member(f"e{n}", None, **stated, given=frozenset(
-            {"weight": "weight"}.get(name, name) for name in stated if name != "state"))
+        return ro.Member(
+            f"e{n}",
+            None,
+            **stated,
+            given=frozenset({"weight": "weight"}.get(name, name) for name in stated if name != "state"),
+        )
 
     stream(1, *((n, i.READY) for n in range(6)), whole=True)
-    members.offer([override(1, weight=0.25), override(2, weight=0.0, state=i.DRAINING),
-                   override(9, weight=0.5)])
+    members.offer(
+        [override(1, weight=0.25), override(2, weight=0.0, state=i.DRAINING), override(9, weight=0.5)]
+    )
     assert members.told["e1"][:2] == (i.READY, 0.25) and members.told["e2"][0] == i.DRAINING
     assert ("not-listed",) in members.codes("members-taken")
     kept = len(members.journal)
@@ -408,6 +483,7 @@
 
 # Beside a plain model
 
+
 class Plain:
     """The rules word by word, on whole lists, without steps; every list worked out anew."""
 
@@ -426,8 +502,11 @@
             return "refused"
         number = generation
         if number is None:
-            number = self.held_as[1] if self.held_as and self.held_as[0] == doc else max(
-                self.highest, self.generation) + 1
+            number = (
+                self.held_as[1]
+                if self.held_as and self.held_as[0] == doc
+                else max(self.highest, self.generation) + 1
+            )
         if self.held == (doc, number):
             return "waits"
         before, after = self.ready(self.work), self.ready(doc)
@@ -462,8 +541,12 @@
         step = chance.random()
         if step < 0.5:
             count = chance.choice([0, 3, 5, 6, 6, 7, 7, 8])
-            doc = {f"e{n}": member(n, weight=chance.choice([0.0, 1.0, 1.0, 1.0, 1.0]),
-                                   kind="new" if n > 4 else "old") for n in chance.sample(range(9), count)}
+            doc = {
+                f"e{n}": member(
+                    n, weight=chance.choice([0.0, 1.0, 1.0, 1.0, 1.0]), kind="new" if n > 4 else "old"
+                )
+                for n in chance.sample(range(9), count)
+            }
             generation = chance.choice([None, None, chance.randrange(1, 12)])
             if plain.file is not None and chance.random() < 0.2:
                 doc = plain.file
@@ -520,7 +603,8 @@
             assert one.it.generation == members.it.generation and one.it.of == members.it.of
             assert one.it.shown == members.it.shown and one.it.number == members.it.number
             assert {g: t.roster.members for g, t in one.it.history.items()} == {
-                g: t.roster.members for g, t in members.it.history.items()}
+                g: t.roster.members for g, t in members.it.history.items()
+            }
             assert one.it.file_mark == members.it.file_mark and one.it.logged == members.it.logged
 
 
@@ -549,7 +633,9 @@
 
     served = {}
     for lists in ("stream", "file"):
-        day = play(scripts.read_text("""rehearsal {
+        day = play(
+            scripts.read_text(
+                """rehearsal {
             length "30s"; gateways 3; lists "LISTS"
             engines "e" count=9 cores=4 disks=4
             group "lookup" { work "100ms"; promise "600ms"; timeout "2s" }
@@ -557,7 +643,11 @@
             budget free=3 share=0.1 window="5s"
             trouble "deploy" at="5s" for="10s" part=0.7 size=3
             trouble "kill" at="12s" for="2s" part=0.3
-        }""".replace("LISTS", lists)), 1, False)
+        }""".replace("LISTS", lists)
+            ),
+            1,
+            False,
+        )
         assert not day.breaches and day.checked[3] > 1000
         served[lists] = day.service()
     assert abs(served["file"] - served["stream"]) < 0.05
--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -103,8 +103,13 @@
     until(lambda: following.ready() == names(5))
     assert time.monotonic() - began < 10
     whole = open(path, "rb").read()
-    for data, code in ((whole[:-30], "length-wrong"), (b"members {", "no-document"), (b"\xff", "not-utf8"),
-                       (whole.replace(b"e1", b"e7"), "checksum-wrong"), (b"x" * (17 << 20), "too-long")):
+    for data, code in (
+        (whole[:-30], "length-wrong"),
+        (b"members {", "no-document"),
+        (b"\xff", "not-utf8"),
+        (whole.replace(b"e1", b"e7"), "checksum-wrong"),
+        (b"x" * (17 << 20), "too-long"),
+    ):
         with open(f"{path}.new", "wb") as file:
             file.write(data)
         os.replace(f"{path}.new", path)
@@ -121,7 +126,7 @@
     data = kdl(fleet(6)).encode()
     with open(path, "wb", buffering=0) as file:
         for at in range(0, len(data), 60):
-            file.write(data[at:at + 60])
+            file.write(data[at : at + 60])
             time.sleep(0.05)
             assert following.ready() in (names(4), names(6))
     until(lambda: following.ready() == names(6))
@@ -166,8 +171,11 @@
     folder = tmp_path / "members.d"
     folder.mkdir()
     (folder / "a.kdl").write_text(kdl(fleet(3)))
-    rest = {"engines": [{"name": e.name, "address": f"10.0.0.1:{e.address[1]}", "type": "old"}
-                        for e in fleet(6)[3:]]}
+    rest = {
+        "engines": [
+            {"name": e.name, "address": f"10.0.0.1:{e.address[1]}", "type": "old"} for e in fleet(6)[3:]
+        ]
+    }
     (folder / "b.json").write_text(json.dumps(rest))
     (folder / "notes.txt").write_text("x")
     (folder / ".c.kdl.swp").write_text("x")
@@ -229,6 +237,7 @@
 
 # The journal
 
+
 def journaled(count=12):
     """The octets of a journal of some generations, and the state after each record."""
     members = Members(share_past="steps", share=0.3, step=10_000)
@@ -253,11 +262,11 @@
         count = max((n for n, end in enumerate(sizes) if end <= size), default=0)
         assert len(found) == count and whole <= size
     for at in Random(1).sample(range(len(journal.MAGIC), len(data)), 300):
-        spoilt = data[:at] + bytes((data[at] ^ 1,)) + data[at + 1:]
+        spoilt = data[:at] + bytes((data[at] ^ 1,)) + data[at + 1 :]
         found, _, _ = journal.records(spoilt)
         assert len(found) == max(n for n, end in enumerate(sizes) if end <= at)
     # A record in another's place is none there.
-    first, second = data[sizes[0]:sizes[1]], data[sizes[1]:sizes[2]]
+    first, second = data[sizes[0] : sizes[1]], data[sizes[1] : sizes[2]]
     assert journal.records(journal.MAGIC + second + first)[0] == []
     with pytest.raises(journal.Unreadable):
         journal.records(b"something else")
@@ -281,12 +290,13 @@
     def write(self, descriptor, data, at):
         self.left -= 1
         if self.left < 0:
-            super().write(descriptor, data[:len(data) // 2], at)
+            super().write(descriptor, data[: len(data) // 2], at)
             raise Ends
         super().write(descriptor, data, at)
 
 
 for name in ("append", "cut", "force", "replace", "force_folder"):
+
     def stepped(self, *words, name=name):
         self.step()
         return getattr(journal.Disk, name)(self, *words)
@@ -401,9 +411,11 @@
 
 # Orders and tools
 
+
 def wickvane(*words):
-    made = subprocess.run([sys.executable, "-m", "wickvane", "members", *words], cwd=ROOT,
-                          capture_output=True, timeout=60)
+    made = subprocess.run(
+        [sys.executable, "-m", "wickvane", "members", *words], cwd=ROOT, capture_output=True, timeout=60
+    )
     return made.returncode, made.stdout.decode(), made.stderr.decode()
 
 
@@ -447,6 +459,7 @@
 
 # The dispatcher
 
+
 class Serving:
     """The real program's threads, its list from a file."""
 
@@ -465,9 +478,15 @@
 
 def write(path, engines, weights=(), more=""):
     weights = dict(weights)
-    text = "members {\n" + "".join(
-        f'  engine "e{n}" address="{engine.address}" zone="dc" type="old" weight={weights.get(n, 1.0)}\n'
-        for n, engine in engines.items()) + more + "}\n"
+    text = (
+        "members {\n"
+        + "".join(
+            f'  engine "e{n}" address="{engine.address}" zone="dc" type="old" weight={weights.get(n, 1.0)}\n'
+            for n, engine in engines.items()
+        )
+        + more
+        + "}\n"
+    )
     with open(f"{path}.new", "w") as file:
         file.write(text)
     os.replace(f"{path}.new", path)
@@ -500,9 +519,13 @@
     gone, kept = came[0], next(n for n in engines if n != came[0])
     drained = next(n for n in engines if n not in (gone, kept))
     write(path, {n: e for n, e in engines.items() if n != gone}, {drained: 0})
-    until(lambda: state_in(serving, f"e{gone}") is not None
-          and state_in(serving, f"e{gone}").state == i.DRAINING
-          and state_in(serving, f"e{drained}").state == i.DRAINING)
+    until(
+        lambda: (
+            state_in(serving, f"e{gone}") is not None
+            and state_in(serving, f"e{gone}").state == i.DRAINING
+            and state_in(serving, f"e{drained}").state == i.DRAINING
+        )
+    )
     before = {n: engines[n].came.qsize() for n in engines}
     time.sleep(0.2)
     more = [Client(serving) for _ in range(4)]
@@ -526,12 +549,29 @@
     engines, coordinator = {n: Engine() for n in range(3)}, Events()
     with open(path, "w") as file:
         file.write('members { engine "e0" weight=0 }')
-    entries = [{"name": f"e{n}", "address": e.address, "zone": "dc", "type": "old", "group": 0,
-                "status": "Ready", "weight": 1, "since_ms": 0} for n, e in engines.items()]
-    serving = Serving(path, "overrides #true", coordinator,
-                      {"index": 1, "updates": [event(1, *entries, snapshot=True)]}, engines.values())
+    entries = [
+        {
+            "name": f"e{n}",
+            "address": e.address,
+            "zone": "dc",
+            "type": "old",
+            "group": 0,
+            "status": "Ready",
+            "weight": 1,
+            "since_ms": 0,
+        }
+        for n, e in engines.items()
+    ]
+    serving = Serving(
+        path,
+        "overrides #true",
+        coordinator,
+        {"index": 1, "updates": [event(1, *entries, snapshot=True)]},
+        engines.values(),
+    )
     assert state_in(serving, "e0").state == i.DRAINING and state_in(serving, "e1").state == i.READY
     from bench_free import sse
+
     coordinator.next("connected")
     coordinator.send.put(sse(2, event(2, entries[1] | {"status": "Terminating"})))
     until(lambda: state_in(serving, "e1").state == i.DRAINING)
@@ -550,11 +590,17 @@
     (tmp_path / "config.json").write_text(json.dumps(config))
     (tmp_path / "parts.kdl").write_text(f'members {{ file "{path}" }}')
     words = ["check", f"--config={tmp_path}/config.json", f"--parts={tmp_path}/parts.kdl"]
-    made = subprocess.run([sys.executable, "-m", "wickvane", *words], cwd=ROOT, capture_output=True,
-                          timeout=60)
+    made = subprocess.run(
+        [sys.executable, "-m", "wickvane", *words], cwd=ROOT, capture_output=True, timeout=60
+    )
     assert made.returncode == 0, made.stderr
-    made = subprocess.run([sys.executable, "-m", "wickvane", *words[:2]], cwd=ROOT, capture_output=True,
-                          timeout=60, env={k: v for k, v in os.environ.items() if k != "WICKVANE_PARTS"})
+    made = subprocess.run(
+        [sys.executable, "-m", "wickvane", *words[:2]],
+        cwd=ROOT,
+        capture_output=True,
+        timeout=60,
+        env={k: v for k, v in os.environ.items() if k != "WICKVANE_PARTS"},
+    )
     assert made.returncode == 2 and b"coordinator" in made.stderr
 
 
@@ -591,6 +637,7 @@
 
 # The control service
 
+
 def test_back_lets_a_name_that_was_drained_by_hand_return_and_nothing_else_does():
     row = ("e1", ("127.0.0.1", 1), i.READY, "dc", "old", 0, 0, 1.0)
     fleet_, _ = fl.changed(fl.Fleet(), 0, 1, True, [row], fl.FLOOR)
@@ -619,17 +666,26 @@
 
     from wickvane.control.server import Server
 
-    text = "members {\n" + "".join(f'engine "e{n}" address="127.0.0.1:{20_000 + n}" zone="dc" type="old"\n'
-                                   for n in range(4)) + "}"
+    text = (
+        "members {\n"
+        + "".join(f'engine "e{n}" address="127.0.0.1:{20_000 + n}" zone="dc" type="old"\n' for n in range(4))
+        + "}"
+    )
     with open(path, "w") as file:
         file.write(text)
     port = free_port()
-    document_ = parts.read_text(f'control {{ listen "127.0.0.1:{port}"; tables 3; proxies 2 }}\n'
-                                f'members {{ file "{path}"; still "20ms"; poll "100ms" }}')
+    document_ = parts.read_text(
+        f'control {{ listen "127.0.0.1:{port}"; tables 3; proxies 2 }}\n'
+        f'members {{ file "{path}"; still "20ms"; poll "100ms" }}'
+    )
     log = tempfile.TemporaryFile()
     STANDING.append(log)
-    server = Server({"name": "c", "listen": "127.0.0.1:1", "seed": "1", "settings": SETTINGS},
-                    document_["control"], log.fileno(), document_["members"])
+    server = Server(
+        {"name": "c", "listen": "127.0.0.1:1", "seed": "1", "settings": SETTINGS},
+        document_["control"],
+        log.fileno(),
+        document_["members"],
+    )
     threading.Thread(target=server.log.run, daemon=True).start()
     thread = threading.Thread(target=lambda: asyncio.run(server.serve()), daemon=True)
     thread.start()
@@ -655,8 +711,9 @@
 
     def __init__(self, folder):
         words = ["serve", f"--config={folder}/config.json", f"--parts={folder}/parts.kdl"]
-        self.it = subprocess.Popen([sys.executable, "-m", "wickvane", *words], cwd=ROOT,
-                                   stdout=subprocess.PIPE)
+        self.it = subprocess.Popen(
+            [sys.executable, "-m", "wickvane", *words], cwd=ROOT, stdout=subprocess.PIPE
+        )
         self.lines = []
         threading.Thread(target=self.read, daemon=True).start()
         until(lambda: self.of("ready"))
@@ -678,13 +735,17 @@
     del config["coordinator"]
     (tmp_path / "config.json").write_text(json.dumps(config))
     (tmp_path / "parts.kdl").write_text(
-        f'members {{ file "{path}"; still "10ms"; poll "50ms"; state "{tmp_path}/state" }}')
+        f'members {{ file "{path}"; still "10ms"; poll "50ms"; state "{tmp_path}/state" }}'
+    )
     swap(path, fleet(5, zone="dc"), number)
     acted = 0
     for _ in range(3):
         program = Program(tmp_path)
-        until(lambda program=program, number=number: any(
-            line["generation"] == number for line in program.of("members-taken")))
+        until(
+            lambda program=program, number=number: any(
+                line["generation"] == number for line in program.of("members-taken")
+            )
+        )
         by = time.monotonic() + chance.uniform(0.2, 0.6)
         while time.monotonic() < by:
             number += 1
--- a/tests/test_opinions.py
+++ b/tests/test_opinions.py
@@ -143,7 +143,8 @@
 
 figures = st.tuples(st.integers(0, 30), st.integers(0, 30), st.integers(0, 60))
 words = st.dictionaries(st.sampled_from(ENGINES[:5]), figures, max_size=5).map(
-    lambda found: [(e, tried, min(tried, failed), slow) for e, (tried, failed, slow) in found.items()])
+    lambda found: [(e, tried, min(tried, failed), slow) for e, (tried, failed, slow) in found.items()]
+)
 
 
 @settings(max_examples=300, deadline=None)
@@ -182,7 +183,7 @@
     one, works = Charges(), {f"t{n:02}": 100 * n for n in range(20)}
     one.tells(("me", 1), 1, works, 5)
     one.tells(("me", 1), 2, works | {"t00": 50, "t03": 301}, 9)
-    (_, _, rows), = one.page(300)[0]
+    ((_, _, rows),) = one.page(300)[0]
     assert len(rows) == 1 + TOLD_MOST and rows[:3] == [(ASKED, 9), ("t00", 50), ("t03", 301)]
 
 
@@ -263,8 +264,12 @@
 def doubts(world, at):
     """What each member doubts at a time, to be read after the run."""
     found = {}
-    world.at(at, lambda: found.update({m.number: {e for e, (bad, _, _) in m.spread.judged[0].items() if bad}
-                                       for m in world.members}))
+    world.at(
+        at,
+        lambda: found.update(
+            {m.number: {e for e, (bad, _, _) in m.spread.judged[0].items() if bad} for m in world.members}
+        ),
+    )
     return found
 
 
@@ -280,13 +285,16 @@
 def test_an_engine_that_nobody_reaches_is_tried_less_by_all_and_taken_back_when_it_answers(seed):
     tried = {}
     for heeds in (ALL, ALL - {"opinions"}):
-        world = Shared(scripts.read_text(DAY), seed, keep_log=True, heeds=heeds,
-                       blocked=[(n, "e2") for n in range(12)])
+        world = Shared(
+            scripts.read_text(DAY), seed, keep_log=True, heeds=heeds, blocked=[(n, "e2") for n in range(12)]
+        )
         bad, good = [doubts(world, at * SECOND // 2) for at in range(4, 14)], doubts(world, 15 * SECOND)
         world.at(7 * SECOND, lambda world=world: setattr(world, "blocked", frozenset()))
         assert not world.play().breaches
-        tried[heeds] = sum(events == "submitted" and fields["engine"] == "e2" and at < 7 * SECOND
-                           for at, events, fields in world.lines)
+        tried[heeds] = sum(
+            events == "submitted" and fields["engine"] == "e2" and at < 7 * SECOND
+            for at, events, fields in world.lines
+        )
         # All come to the same opinion, and to none but that.
         assert max(sum(held == {"e2"} for held in look.values()) for look in bad) == 12
         assert all(held <= {"e2"} for look in bad for held in look.values()) and not any(good.values())
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -38,35 +38,56 @@
     assert part.collectors[0].message_most == 1232
 
 
-@pytest.mark.parametrize("text, words", [
-    ("flows {", ["no KDL 2"]),
-    ("nets", ["line 1: nets: expected flows"]),
-    (GOOD + "\n" + GOOD, ["flows", "once only"]),
-    ("flows", ["flows: expected a node collector"]),
-    ('flows 5 { collector "a" { address "127.0.0.1:1" } }', ["flows: expected no value of its own"]),
-    ('flows x=1 { collector "a" { address "127.0.0.1:1" } }', ["instead of the property x"]),
-    ('flows {\n tables 5\n collector "a" { address "127.0.0.1:1" } }', ["line 2: flows > tables", "table,"]),
-    ('flows {\n\n table "many"\n collector "a" { address "127.0.0.1:1" } }',
-     ['line 3: flows > table "many"', "a whole number from 16"]),
-    ('flows { table 5; collector "a" { address "127.0.0.1:1" } }', ["flows > table 5", "from 16 to 1000000"]),
-    ('flows { table #true; collector "a" { address "127.0.0.1:1" } }', ["flows > table #true"]),
-    ('flows { table; collector "a" { address "127.0.0.1:1" } }', ["flows > table: expected one value"]),
-    ('flows { idle-timeout "5"; collector "a" { address "127.0.0.1:1" } }', ['"5"', 'a time from "100ms"']),
-    ('flows { idle-timeout "9d"; collector "a" { address "127.0.0.1:1" } }', ['"9d"', 'a time from "100ms"']),
-    ('flows { collector "a" { address "localhost:1" } }', ['"localhost:1"', "an IP address and port"]),
-    ('flows { collector "a" { address "::1:5" } }', ["an IP address and port"]),
-    ('flows { collector "a" { address "127.0.0.1:99999" } }', ["an IP address and port"]),
-    ('flows { collector "a" { } }', ["flows > collector", "a node address"]),
-    ('flows { collector { address "127.0.0.1:1" } }', ["flows > collector", "a name of letters"]),
-    ('flows { collector "a" { address "127.0.0.1:1"; format "netflow9" } }', ['transport "udp"']),
-    ('flows { collector "a" { address "127.0.0.1:1"; transport "tls" } }', ["a node tls"]),
-    ('flows { collector "a" { address "127.0.0.1:1"; tls { authority "x" } } }', ['transport "tls"']),
-    ('flows { collector "a" { address "127.0.0.1:1" }\n collector "a" { address "127.0.0.1:2" } }',
-     ["differ"]),
-    ('flows { spool "x" size="1MiB" segment="1MiB"; collector "a" { address "127.0.0.1:1" } }',
-     ["a quarter"]),
-    ('flows { when-full "none"; collector "a" { address "127.0.0.1:1" } }', ['"oldest" or "newest"']),
-])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("flows {", ["no KDL 2"]),
+        ("nets", ["line 1: nets: expected flows"]),
+        (GOOD + "\n" + GOOD, ["flows", "once only"]),
+        ("flows", ["flows: expected a node collector"]),
+        ('flows 5 { collector "a" { address "127.0.0.1:1" } }', ["flows: expected no value of its own"]),
+        ('flows x=1 { collector "a" { address "127.0.0.1:1" } }', ["instead of the property x"]),
+        (
+            'flows {\n tables 5\n collector "a" { address "127.0.0.1:1" } }',
+            ["line 2: flows > tables", "table,"],
+        ),
+        (
+            'flows {\n\n table "many"\n collector "a" { address "127.0.0.1:1" } }',
+            ['line 3: flows > table "many"', "a whole number from 16"],
+        ),
+        (
+            'flows { table 5; collector "a" { address "127.0.0.1:1" } }',
+            ["flows > table 5", "from 16 to 1000000"],
+        ),
+        ('flows { table #true; collector "a" { address "127.0.0.1:1" } }', ["flows > table #true"]),
+        ('flows { table; collector "a" { address "127.0.0.1:1" } }', ["flows > table: expected one value"]),
+        (
+            'flows { idle-timeout "5"; collector "a" { address "127.0.0.1:1" } }',
+            ['"5"', 'a time from "100ms"'],
+        ),
+        (
+            'flows { idle-timeout "9d"; collector "a" { address "127.0.0.1:1" } }',
+            ['"9d"', 'a time from "100ms"'],
+        ),
+        ('flows { collector "a" { address "localhost:1" } }', ['"localhost:1"', "an IP address and port"]),
+        ('flows { collector "a" { address "::1:5" } }', ["an IP address and port"]),
+        ('flows { collector "a" { address "127.0.0.1:99999" } }', ["an IP address and port"]),
+        ('flows { collector "a" { } }', ["flows > collector", "a node address"]),
+        ('flows { collector { address "127.0.0.1:1" } }', ["flows > collector", "a name of letters"]),
+        ('flows { collector "a" { address "127.0.0.1:1"; format "netflow9" } }', ['transport "udp"']),
+        ('flows { collector "a" { address "127.0.0.1:1"; transport "tls" } }', ["a node tls"]),
+        ('flows { collector "a" { address "127.0.0.1:1"; tls { authority "x" } } }', ['transport "tls"']),
+        (
+            'flows { collector "a" { address "127.0.0.1:1" }\n collector "a" { address "127.0.0.1:2" } }',
+            ["differ"],
+        ),
+        (
+            'flows { spool "x" size="1MiB" segment="1MiB"; collector "a" { address "127.0.0.1:1" } }',
+            ["a quarter"],
+        ),
+        ('flows { when-full "none"; collector "a" { address "127.0.0.1:1" } }', ['"oldest" or "newest"']),
+    ],
+)
 def test_what_cannot_be_used_is_named_with_what_was_expected(text, words):
     with pytest.raises(parts.Unusable) as wrong:
         parts.read_text(text)
@@ -74,8 +95,14 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.one_of(st.text(max_size=200), st.builds(
-    lambda at, what: GOOD[:at] + what + GOOD[at:], st.integers(0, len(GOOD)), st.text(max_size=12))))
+@given(
+    st.one_of(
+        st.text(max_size=200),
+        st.builds(
+            lambda at, what: GOOD[:at] + what + GOOD[at:], st.integers(0, len(GOOD)), st.text(max_size=12)
+        ),
+    )
+)
 def test_no_text_raises_anything_but_the_stated_error(text):
     try:
         parts.read_text(text)
@@ -84,8 +111,13 @@
 
 
 def run(*words, **environment):
-    return subprocess.run([sys.executable, "-m", "wickvane", *words], cwd=ROOT, capture_output=True,
-                          text=True, env={**os.environ, **environment})
+    return subprocess.run(
+        [sys.executable, "-m", "wickvane", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={**os.environ, **environment},
+    )
 
 
 def test_check_tells_without_starting_and_serve_ends_with_2(tmp_path):
@@ -129,13 +161,16 @@
 
     export(one)
     with open(tmp_path / "log", "wb") as log:
-        process = subprocess.Popen([sys.executable, "-m", "wickvane", "serve", f"--config={configuration}",
-                                    f"--parts={document}"], cwd=ROOT, stdout=log)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "wickvane", "serve", f"--config={configuration}", f"--parts={document}"],
+            cwd=ROOT,
+            stdout=log,
+        )
 
     def logged(name, words=""):
         for _ in range(1000):
             text = (tmp_path / "log").read_bytes()
-            lines = [json.loads(line) for line in text[:text.rfind(b"\n") + 1].splitlines()]
+            lines = [json.loads(line) for line in text[: text.rfind(b"\n") + 1].splitlines()]
             named = [line for line in lines if line["event"] == name and words in line.get("why", "")]
             if named:
                 return named
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -139,7 +139,7 @@
     g, head, waiting = ordered_queue_behind_a_hung_attempt(200)
     refused = [q for q in waiting if q in g.final]
     assert refused and all(g.answered[q] == g.sent[head][0][0] for q in refused)
-    assert refused == waiting[-len(refused):]  # who came first waits
+    assert refused == waiting[-len(refused) :]  # who came first waits
     assert 130 <= len(waiting) - len(refused) <= 151  # of 0.1 s each, in 20 s
     other_key = g.take(key="b", left=200_000)
     assert other_key in g.out
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -35,8 +35,12 @@
 
 
 words = st.tuples(
-    st.sampled_from(NAMES[1:]), st.integers(1, 4), st.integers(0, 3),
-    st.sampled_from([JOINING, ALIVE, SUSPECT, FAILED, LEFT]), st.sampled_from(["a", "b", "x"]))
+    st.sampled_from(NAMES[1:]),
+    st.integers(1, 4),
+    st.integers(0, 3),
+    st.sampled_from([JOINING, ALIVE, SUSPECT, FAILED, LEFT]),
+    st.sampled_from(["a", "b", "x"]),
+)
 
 
 def rank(incarnation, state):
@@ -99,7 +103,8 @@
     for row in made.rows.values():
         if made.state[row] < FAILED:
             found[made.bucket[row]] ^= (
-                mark(made.name[row], made.epoch[row], made.incarnation[row]) & 0xFFFFFFFF)
+                mark(made.name[row], made.epoch[row], made.incarnation[row]) & 0xFFFFFFFF
+            )
     return found
 
 
@@ -114,12 +119,16 @@
             made.hears(SECOND, name, epoch, address(name, epoch), incarnation, state, by)
     assert one.digest == other.digest and one.sums == other.sums
     assert {life: (one.incarnation[row], one.state[row]) for life, row in one.rows.items()} == {
-        life: (other.incarnation[row], other.state[row]) for life, row in other.rows.items()}
+        life: (other.incarnation[row], other.state[row]) for life, row in other.rows.items()
+    }
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(st.tuples(words, st.sampled_from(ADDRESSES), st.booleans(), st.integers(0, 30 * SECOND)),
-                max_size=60))
+@given(
+    st.lists(
+        st.tuples(words, st.sampled_from(ADDRESSES), st.booleans(), st.integers(0, 30 * SECOND)), max_size=60
+    )
+)
 def test_a_life_once_ended_never_comes_back_without_a_higher_incarnation(said):
     """With lives that replace each other, are forgotten, are heard of at first hand; all stays bounded."""
     made, now, over = table(most=12, remember=60 * SECOND), 0, {}
@@ -316,17 +325,20 @@
         assert (parts, other) != (sd.LARGER, sd.LARGER)
 
 
-@pytest.mark.parametrize("figures, standing, reasons", [
-    ((5, 5, 0, 0, True, False, False, True), sd.WHOLE, []),
-    ((5, 4, 0, 1, True, False, False, True), sd.DEGRADED, ["failed", "missing"]),
-    ((5, 4, 1, 0, True, False, False, True), sd.DEGRADED, ["suspected"]),
-    ((5, 1, 0, 4, None, False, False, True), sd.ALONE, ["failed", "missing"]),
-    ((1, 1, 0, 0, None, False, False, True), sd.WHOLE, []),
-    ((5, 5, 0, 0, True, True, False, True), sd.ALONE, ["unheard"]),
-    ((5, 5, 0, 0, True, False, True, True), sd.ALONE, ["name-taken"]),
-    ((5, 5, 0, 0, False, False, False, True), sd.DEGRADED, ["views-differ"]),
-    ((5, 5, 0, 0, True, False, False, False), sd.DEGRADED, ["not-settled"]),
-])
+@pytest.mark.parametrize(
+    "figures, standing, reasons",
+    [
+        ((5, 5, 0, 0, True, False, False, True), sd.WHOLE, []),
+        ((5, 4, 0, 1, True, False, False, True), sd.DEGRADED, ["failed", "missing"]),
+        ((5, 4, 1, 0, True, False, False, True), sd.DEGRADED, ["suspected"]),
+        ((5, 1, 0, 4, None, False, False, True), sd.ALONE, ["failed", "missing"]),
+        ((1, 1, 0, 0, None, False, False, True), sd.WHOLE, []),
+        ((5, 5, 0, 0, True, True, False, True), sd.ALONE, ["unheard"]),
+        ((5, 5, 0, 0, True, False, True, True), sd.ALONE, ["name-taken"]),
+        ((5, 5, 0, 0, False, False, False, True), sd.DEGRADED, ["views-differ"]),
+        ((5, 5, 0, 0, True, False, False, False), sd.DEGRADED, ["not-settled"]),
+    ],
+)
 def test_how_one_stands(figures, standing, reasons):
     assert sd.standing(*figures) == (standing, reasons)
 
@@ -347,8 +359,10 @@
 
 
 def test_a_fleet_that_is_filled_is_as_one_that_heard_of_all():
-    heard, filled = ([Table(0, f"n{n}", 7 + n, f"{n}:1", 64, SECOND, lambda event, fields: None)
-                      for n in range(9)] for _ in range(2))
+    heard, filled = (
+        [Table(0, f"n{n}", 7 + n, f"{n}:1", 64, SECOND, lambda event, fields: None) for n in range(9)]
+        for _ in range(2)
+    )
     fill(filled)
     for one in heard:
         one.becomes(0, 0, 0, ALIVE, "")
@@ -360,7 +374,8 @@
         one.number = 10
     for one, other in zip(heard, filled):
         assert {k: v for k, v in vars(one).items() if k != "told"} == {
-            k: v for k, v in vars(other).items() if k != "told"}
+            k: v for k, v in vars(other).items() if k != "told"
+        }
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -534,8 +549,14 @@
     (standstills, "wickvane.peers.detector", "LEAST", SECOND // 2),
     (a_clock_that_went_back, Node, "tell_over", lambda self, entry: self.refuse("former-life")),
     (a_clock_that_went_back, Table, "starts_over", never),
-    (a_restart_at_once, Table, "becomes", lambda self, now, row, incarnation, state, by: None
-        if state == LEFT and row else BECOMES(self, now, row, incarnation, state, by)),
+    (
+        a_restart_at_once,
+        Table,
+        "becomes",
+        lambda self, now, row, incarnation, state, by: (
+            None if state == LEFT and row else BECOMES(self, now, row, incarnation, state, by)
+        ),
+    ),
 ]
 
 
@@ -548,8 +569,10 @@
 def test_each_guard_is_missed_when_it_is_gone(scenario, where, name, instead, monkeypatch):
     if name == "STILL":
         where, name, instead = "wickvane.peers.protocol", "STILL", 1 << 60
-    monkeypatch.setattr(f"{where}.{name}" if isinstance(where, str) else where, *(
-        (instead,) if isinstance(where, str) else (name, instead)))
+    monkeypatch.setattr(
+        f"{where}.{name}" if isinstance(where, str) else where,
+        *((instead,) if isinstance(where, str) else (name, instead)),
+    )
     assert not scenario()
 
 
@@ -561,16 +584,41 @@
             sizes.append(len(codec.seal(message)))
             sent.append(message)
 
-    node = Node(0, "n" * 64, 1 << 62, "[2001:db8::1234:5678:9abc:def0]:65535", ["1.1.1.1:1"], 5, 1,
-                lambda event, fields: None)
+    node = Node(
+        0,
+        "n" * 64,
+        1 << 62,
+        "[2001:db8::1234:5678:9abc:def0]:65535",
+        ["1.1.1.1:1"],
+        5,
+        1,
+        lambda event, fields: None,
+    )
     for n in range(400):
-        node.hears(f"{n:064}", 1 << 62, f"[2001:db8::1234:5678:9abc:{n:x}]:65535", n,
-                   ALIVE if n % 3 else SUSPECT, "b" * 64)
+        node.hears(
+            f"{n:064}",
+            1 << 62,
+            f"[2001:db8::1234:5678:9abc:{n:x}]:65535",
+            n,
+            ALIVE if n % 3 else SUSPECT,
+            "b" * 64,
+        )
     now = 0
     while now < 20 * SECOND:
         now = node.round(now, [], Out())
-    message = [*sent[0][:1], f"{3:064}", 1 << 62, 0, 1 << 62, 1, 2, 1, None, bytes(BUCKETS * SUM),
-               [(f"{3:064}", 1 << 62, "x:1", 3, ALIVE, "")]]
+    message = [
+        *sent[0][:1],
+        f"{3:064}",
+        1 << 62,
+        0,
+        1 << 62,
+        1,
+        2,
+        1,
+        None,
+        bytes(BUCKETS * SUM),
+        [(f"{3:064}", 1 << 62, "x:1", 3, ALIVE, "")],
+    ]
     for n in range(2_000):
         message[0], message[3] = n % 8, n + 1
         node.round(now, [tuple(message)], Out())
@@ -588,8 +636,19 @@
         assert node.round(f.now + 30 * SECOND, [], out) >= f.now + 31 * SECOND
     before = len(sent)
     other = f.members[1].node
-    ping = (0, "n1", other.table.epoch[0], 1 << 20, node.table.epoch[0], 1, 1, 5, None, b"",
-            [other.table.entry(0)])
+    ping = (
+        0,
+        "n1",
+        other.table.epoch[0],
+        1 << 20,
+        node.table.epoch[0],
+        1,
+        1,
+        5,
+        None,
+        b"",
+        [other.table.entry(0)],
+    )
     node.round(f.now + 30 * SECOND, [ping], out)
     assert [message[0] for message in sent[before:]] == [1] and sent[-1][7] == 5  # a ping's answer
 
@@ -605,7 +664,7 @@
     codec = wire.Codec("c", [b"k" * 20])
     if isinstance(data, tuple):
         whole = codec.seal(GOOD)
-        data = whole[:data[0]] + data[1] + whole[data[0] + len(data[1]):]
+        data = whole[: data[0]] + data[1] + whole[data[0] + len(data[1]) :]
         if data == whole:
             return
     with pytest.raises(wire.Refused) as refused:
@@ -613,13 +672,22 @@
     assert refused.value.reason in ("oversized", "short", "version", "unauthenticated")
 
 
-@pytest.mark.parametrize("change, reason", [
-    ({0: 9}, "malformed"), ({1: ""}, "malformed"), ({1: "n" * 65}, "malformed"), ({2: -1}, "malformed"),
-    ({2: 1.5}, "malformed"), ({9: b"s" * 961}, "malformed"),
-    ({10: [("a", 5, "1.1.1.1:1", 0, 5, "")]}, "malformed"),
-    ({10: [("a", 5, "1.1.1.1:1", 1 << 32, 1, "")]}, "malformed"), ({10: None}, "malformed"),
-    ({8: ("a",)}, "malformed"), ({6: "x"}, "malformed"),
-])
+@pytest.mark.parametrize(
+    "change, reason",
+    [
+        ({0: 9}, "malformed"),
+        ({1: ""}, "malformed"),
+        ({1: "n" * 65}, "malformed"),
+        ({2: -1}, "malformed"),
+        ({2: 1.5}, "malformed"),
+        ({9: b"s" * 961}, "malformed"),
+        ({10: [("a", 5, "1.1.1.1:1", 0, 5, "")]}, "malformed"),
+        ({10: [("a", 5, "1.1.1.1:1", 1 << 32, 1, "")]}, "malformed"),
+        ({10: None}, "malformed"),
+        ({8: ("a",)}, "malformed"),
+        ({6: "x"}, "malformed"),
+    ],
+)
 def test_what_the_key_signs_is_still_read_whole_and_typed_or_not_at_all(change, reason):
     codec = wire.Codec("c", [b"k" * 20])
     message = list(GOOD)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,4 @@
-"""Policies by the agreed log: the same at all, no number twice, half-made changes taken over; the vote.
-"""
+"""Policies by the agreed log: the same at all, no number twice, half-made changes taken over; the vote."""
 
 import json
 import os
@@ -35,14 +34,22 @@
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(st.one_of(
-    st.tuples(st.just(POLICY), st.integers(0, 4), st.sampled_from("ab")),
-    st.tuples(st.just(START), st.integers(0, 4), st.none()),
-    st.tuples(st.just(ABANDON), st.integers(0, 4), st.none()),
-    st.tuples(st.just(NOTHING), st.none(), st.none())), max_size=30))
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(st.just(POLICY), st.integers(0, 4), st.sampled_from("ab")),
+            st.tuples(st.just(START), st.integers(0, 4), st.none()),
+            st.tuples(st.just(ABANDON), st.integers(0, 4), st.none()),
+            st.tuples(st.just(NOTHING), st.none(), st.none()),
+        ),
+        max_size=30,
+    )
+)
 def test_a_number_has_one_content_for_good_and_never_acts_again(words):
-    entries = [stated(n, text) if kind == POLICY else
-               Entry(1, kind, (n, "why") if kind == ABANDON else n) for kind, n, text in words]
+    entries = [
+        stated(n, text) if kind == POLICY else Entry(1, kind, (n, "why") if kind == ABANDON else n)
+        for kind, n, text in words
+    ]
     made, contents, worked = Course("first"), {0: digest_of("first")}, [0]
     for place, entry in enumerate(entries, 1):
         made.apply(place, entry)
@@ -148,7 +155,7 @@
     with open(path, "rb") as file:
         whole = file.read()
     for at in range(len(whole)):
-        for data in (whole[:at], whole[:at] + bytes((whole[at] ^ 1,)) + whole[at + 1:]):
+        for data in (whole[:at], whole[:at] + bytes((whole[at] ^ 1,)) + whole[at + 1 :]):
             with open(path, "wb") as file:
                 file.write(data)
             found = Store(tmp_path, "n1")
@@ -182,38 +189,46 @@
 
 
 def test_what_a_document_names_is_changed_and_the_rest_stays():
-    found = read('''policy {
+    found = read("""policy {
         group "lookup" { target "500ms"; timeout "5s"; value 2.0 }
         tenant "acme" share=0.25
         further free=2 share=0.05
         cold multiple=2.0
-    }''')
+    }""")
     made = document.applied(found, SETTINGS, GROUPS, TENANTS)
     assert document.differences(SETTINGS, made, GROUPS, TENANTS) == [
-        ("group lookup target", 15_000, 5_000), ("group lookup timeout", 75_000, 50_000),
-        ("group lookup value", 1.0, 2.0), ("tenant acme share", 0.5, 0.25), ("further free", 3.0, 2.0),
-        ("further share", 0.1, 0.05), ("cold multiple", 2.5, 2.0)]
+        ("group lookup target", 15_000, 5_000),
+        ("group lookup timeout", 75_000, 50_000),
+        ("group lookup value", 1.0, 2.0),
+        ("tenant acme share", 0.5, 0.25),
+        ("further free", 3.0, 2.0),
+        ("further share", 0.1, 0.05),
+        ("cold multiple", 2.5, 2.0),
+    ]
     assert document.applied(read("policy"), SETTINGS, GROUPS, TENANTS) == SETTINGS
     Gateway(1, made)
 
 
-@pytest.mark.parametrize(("text", "words"), [
-    ('policy { group "lookup" { timeout "9s" } }', "settings' 7500ms (rule 1)"),
-    ('policy { group "lookup" { target "6s"; timeout "5s" } }', "a target within the timeout"),
-    ('policy { group "other" { value 1.0 } }', "a resource group of the settings: lookup, load"),
-    ('policy { group "lookup" { effect "read-only" } }', "expected late, target, timeout, value"),
-    ('policy { group "lookup"; group "lookup" }', "each by one node"),
-    ('policy { tenant "acme" }', "a property share"),
-    ('policy { tenant "acme" share=0.6; tenant "beta" share=0.6 }', "shares of at most 1 together"),
-    ("policy { further free=4 }", "settings' 3 (rule 7)"),
-    ("policy { further share=0.2 }", "settings' 0.1 (rule 7)"),
-    ("policy { cold multiple=3.0 }", "settings' 2.5 (rule 4)"),
-    ("policy { key-rest 0 }", "key-rest: expected cold, further, group, tenant"),
-    ("policy 3", "no value of its own"),
-    ("other", "one node policy"),
-    ("policy {", "no KDL 2"),
-    ("/" * 65_537, "longer than 65536"),
-])
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ('policy { group "lookup" { timeout "9s" } }', "settings' 7500ms (rule 1)"),
+        ('policy { group "lookup" { target "6s"; timeout "5s" } }', "a target within the timeout"),
+        ('policy { group "other" { value 1.0 } }', "a resource group of the settings: lookup, load"),
+        ('policy { group "lookup" { effect "read-only" } }', "expected late, target, timeout, value"),
+        ('policy { group "lookup"; group "lookup" }', "each by one node"),
+        ('policy { tenant "acme" }', "a property share"),
+        ('policy { tenant "acme" share=0.6; tenant "beta" share=0.6 }', "shares of at most 1 together"),
+        ("policy { further free=4 }", "settings' 3 (rule 7)"),
+        ("policy { further share=0.2 }", "settings' 0.1 (rule 7)"),
+        ("policy { cold multiple=3.0 }", "settings' 2.5 (rule 4)"),
+        ("policy { key-rest 0 }", "key-rest: expected cold, further, group, tenant"),
+        ("policy 3", "no value of its own"),
+        ("other", "one node policy"),
+        ("policy {", "no KDL 2"),
+        ("/" * 65_537, "longer than 65536"),
+    ],
+)
 def test_a_document_that_cannot_be_used_says_what_was_expected(text, words):
     with pytest.raises(parts.Unusable) as error:
         read(text)
@@ -221,10 +236,12 @@
 
 
 def test_who_does_not_know_which_is_at_work_goes_by_the_stricter_on_every_bound():
-    one = document.applied(read('policy { group "load" { value 9.0; timeout "5s" }; further free=1 }'),
-                           SETTINGS, GROUPS, TENANTS)
-    other = document.applied(read('policy { group "load" { timeout "6s" }; cold multiple=1.5 }'), SETTINGS,
-                             GROUPS, TENANTS)
+    one = document.applied(
+        read('policy { group "load" { value 9.0; timeout "5s" }; further free=1 }'), SETTINGS, GROUPS, TENANTS
+    )
+    other = document.applied(
+        read('policy { group "load" { timeout "6s" }; cold multiple=1.5 }'), SETTINGS, GROUPS, TENANTS
+    )
     found = document.least(one, other)
     assert found == document.least(other, one)
     assert (found.groups[1].value, found.groups[1].timeout) == (5.0, 50_000)
@@ -234,14 +251,28 @@
 def test_the_command_tells_what_would_change_and_what_cannot_be_taken(tmp_path):
     def check(text, *more):
         (tmp_path / "policy.kdl").write_text(text)
-        return subprocess.run([sys.executable, "-m", "wickvane", "policy", "check", *more,
-                               f"--config={tmp_path / 'config.json'}", str(tmp_path / "policy.kdl")],
-                              capture_output=True, text=True, cwd=ROOT)
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "wickvane",
+                "policy",
+                "check",
+                *more,
+                f"--config={tmp_path / 'config.json'}",
+                str(tmp_path / "policy.kdl"),
+            ],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+        )
 
     (tmp_path / "config.json").write_text(json.dumps({"settings": LINES}))
     good = check('policy { group "lookup" { target "1s"; value 3 } }')
     assert good.returncode == 0 and good.stdout.splitlines()[1:] == [
-        "  group lookup target: 1500ms to 1000ms", "  group lookup value: 1 to 3"]
+        "  group lookup target: 1500ms to 1000ms",
+        "  group lookup value: 1 to 3",
+    ]
     found = json.loads(check('policy { group "lookup" { value 3 } }', "--json").stdout)
     assert found["changes"] == [{"what": "group lookup value", "before": 1.0, "after": 3.0}]
     bad = check('policy { group "nowhere" { value 3 } }')
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -25,27 +25,59 @@
 READER = Reader(Book(SETTINGS))
 
 
-@pytest.mark.parametrize("text, group", [
-    ("SELECT day, max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17),
-    ("INSERT INTO sales_4.facts SELECT * FROM staging.batch_9", 4),
-    ("INSERT INTO sales_4.facts SELECT * FROM staging_9.batch", 4),
-    ("SELECT 'x FROM a_1.t', e'\\' FROM b_2.t', $q$ FROM c_3.t $q$, $$FROM d_4.t$$ FROM e_5.t", 5),
-    ("SELECT 1 /* FROM a_1.t /* nested */ FROM b_2.t */ -- FROM c_3.t\n FROM d_4.t", 4),
-    ("SELECT o_1.day, p_2.x FROM lateral (SELECT 1) o_1, main_3.t p_2 WHERE o_1.day = 1", 3),
-    ("SELECT o_1.day FROM staging.a o_1 JOIN ONLY main_3.t ON true", 3),
-    ("SELECT extract(epoch FROM o_1.day) FROM main_3.t o_1", 3),
-    ('SELECT a AS "x_9.y" FROM "main_6"."t"', 6), ('SELECT "q""FROM a_1.t" FROM db.main_6.t', 6),
-    ("UPDATE only main_8.t SET a = 'it''s FROM a_1.t'", 8), ("DELETE FROM MAIN_12.t", 12),
-    ("SELECT 1", 0), ("SELECT 1.5, 'open FROM a_1.t", 0),
-])
+@pytest.mark.parametrize(
+    "text, group",
+    [
+        ("SELECT day, max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17),
+        ("INSERT INTO sales_4.facts SELECT * FROM staging.batch_9", 4),
+        ("INSERT INTO sales_4.facts SELECT * FROM staging_9.batch", 4),
+        ("SELECT 'x FROM a_1.t', e'\\' FROM b_2.t', $q$ FROM c_3.t $q$, $$FROM d_4.t$$ FROM e_5.t", 5),
+        ("SELECT 1 /* FROM a_1.t /* nested */ FROM b_2.t */ -- FROM c_3.t\n FROM d_4.t", 4),
+        ("SELECT o_1.day, p_2.x FROM lateral (SELECT 1) o_1, main_3.t p_2 WHERE o_1.day = 1", 3),
+        ("SELECT o_1.day FROM staging.a o_1 JOIN ONLY main_3.t ON true", 3),
+        ("SELECT extract(epoch FROM o_1.day) FROM main_3.t o_1", 3),
+        ('SELECT a AS "x_9.y" FROM "main_6"."t"', 6),
+        ('SELECT "q""FROM a_1.t" FROM db.main_6.t', 6),
+        ("UPDATE only main_8.t SET a = 'it''s FROM a_1.t'", 8),
+        ("DELETE FROM MAIN_12.t", 12),
+        ("SELECT 1", 0),
+        ("SELECT 1.5, 'open FROM a_1.t", 0),
+    ],
+)
 def test_the_table_group_is_the_schemas_number(text, group):
     assert table_group(text.encode()) == group
 
 
 def test_the_quick_look_at_a_statement_finds_what_reading_each_token_finds(monkeypatch):
-    pieces = ("SELECT ", "FROM ", "JOIN ", "sales_17.orders ", "Main_4.t ", "staging_9.b ", "o_1.day", ", ",
-              "(", ")", "extract(x FROM ", "'FROM a_1.t'", "''", "' ", "a.b_5.c ", "1.5 ", "7s_8.t ", ".",
-              "-", "s_2 . t ", '"', "$$", "é_3.x ", "s_1234567890.t ", "x=1 ", ";", "\n")
+    pieces = (
+        "SELECT ",
+        "FROM ",
+        "JOIN ",
+        "sales_17.orders ",
+        "Main_4.t ",
+        "staging_9.b ",
+        "o_1.day",
+        ", ",
+        "(",
+        ")",
+        "extract(x FROM ",
+        "'FROM a_1.t'",
+        "''",
+        "' ",
+        "a.b_5.c ",
+        "1.5 ",
+        "7s_8.t ",
+        ".",
+        "-",
+        "s_2 . t ",
+        '"',
+        "$$",
+        "é_3.x ",
+        "s_1234567890.t ",
+        "x=1 ",
+        ";",
+        "\n",
+    )
     chance = random.Random(5)
     texts = ["".join(chance.choices(pieces, k=chance.randrange(1, 9))).encode() for _ in range(6000)]
     quick = {text: plain_group(text) for text in texts}
@@ -72,7 +104,7 @@
     text = bytearray(chance.choice(seeds))
     for _ in range(chance.randrange(1, 6)):
         at = chance.randrange(len(text))
-        text[at:at + chance.randrange(3)] = bytes([chance.randrange(256)] * chance.randrange(3))
+        text[at : at + chance.randrange(3)] = bytes([chance.randrange(256)] * chance.randrange(3))
     return bytes(text)
 
 
@@ -84,11 +116,13 @@
     for _ in range(20_000):
         text, news = garbage(chance, good), garbage(chance, stream)
         answer = bytearray(garbage(chance, hit(b"ab")))
-        for n, (work, wrong) in enumerate((
-            (lambda text=text: (is_empty(text), READER.read(text)), Unusable),
-            (lambda answer=answer: lines.parse(answer), lines.Malformed),
-            (lambda news=news: follow([news]), coordinator.Malformed),
-        )):
+        for n, (work, wrong) in enumerate(
+            (
+                (lambda text=text: (is_empty(text), READER.read(text)), Unusable),
+                (lambda answer=answer: lines.parse(answer), lines.Malformed),
+                (lambda news=news: follow([news]), coordinator.Malformed),
+            )
+        ):
             try:
                 work()
                 read[n] += 1
@@ -142,8 +176,10 @@
 def test_rows_are_what_a_plain_reading_of_the_pages_gives():
     chance = random.Random(5)
     for _ in range(200):
-        cells = [[bytes(chance.choices(b"ab\xc3 0", k=chance.randrange(5))) for _ in range(3)]
-                 for _ in range(chance.randrange(20))]
+        cells = [
+            [bytes(chance.choices(b"ab\xc3 0", k=chance.randrange(5))) for _ in range(3)]
+            for _ in range(chance.randrange(20))
+        ]
         lines = [b"\t".join(row) + b"\n" for row in cells]
         cut = chance.randrange(len(lines) + 1)
         (data, count), found = result([b"".join(lines[:cut]), b"".join(lines[cut:])], b"SELECT"), []
@@ -162,7 +198,6 @@
     def now(self):
         return 17_000_000_000_000
 
-
     def line(self, event, **fields):
         self.last = event, fields
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -171,8 +171,15 @@
         for _ in range(steps):
             expected.update(plain.step(STEP))
         now += steps * STEP
-        offer(made, now, mark, chance.uniform(5, 100), chance.randrange(1, 3), chance.uniform(0, 0.8),
-              priority=chance.randrange(4))
+        offer(
+            made,
+            now,
+            mark,
+            chance.uniform(5, 100),
+            chance.randrange(1, 3),
+            chance.uniform(0, 0.8),
+            priority=chance.randrange(4),
+        )
         plain.all[mark] = made.running[mark]
         plain.left[mark] = made.running[mark].left
     ends.update(run_out(made))
@@ -184,8 +191,12 @@
 
 
 @settings(max_examples=100, deadline=None)
-@given(st.lists(st.tuples(st.integers(1, 4), st.floats(0, 1), st.sampled_from(model.WEIGHT)), min_size=1,
-                max_size=8), st.floats(0.1, 20))
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 4), st.floats(0, 1), st.sampled_from(model.WEIGHT)), min_size=1, max_size=8
+    ),
+    st.floats(0.1, 20),
+)
 def test_shares_fill_what_there_is_and_no_more(queries, capacity):
     made = []
     for n, (threads, _, weight) in enumerate(queries):
@@ -201,16 +212,22 @@
 
 # Scripts
 
-@pytest.mark.parametrize("text, words", [
-    ("rehearsal", "nodes engines and group"), ("other", "expected one node rehearsal"), ("{", "no KDL 2"),
-    (SMALL.format(more='trouble "flood" at="1s"'), 'line 10: rehearsal > trouble "flood"'),
-    (SMALL.format(more='trouble "slow" at="soon"'), '"soon": expected a time'),
-    (SMALL.format(more='expect "service"'), "above with service"),
-    (SMALL.format(more='clients "c" { group "nobody"; rate 1 }'), '"nobody": expected lookup or load'),
-    (SMALL.format(more='clients "c" { group "load" }'), "either rate or closed"),
-    (SMALL.format(more='engines "e" count=1'), "each engines by a name of its own"),
-    (SMALL.format(more="gateways 0"), "expected it once only"),
-])
+
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("rehearsal", "nodes engines and group"),
+        ("other", "expected one node rehearsal"),
+        ("{", "no KDL 2"),
+        (SMALL.format(more='trouble "flood" at="1s"'), 'line 10: rehearsal > trouble "flood"'),
+        (SMALL.format(more='trouble "slow" at="soon"'), '"soon": expected a time'),
+        (SMALL.format(more='expect "service"'), "above with service"),
+        (SMALL.format(more='clients "c" { group "nobody"; rate 1 }'), '"nobody": expected lookup or load'),
+        (SMALL.format(more='clients "c" { group "load" }'), "either rate or closed"),
+        (SMALL.format(more='engines "e" count=1'), "each engines by a name of its own"),
+        (SMALL.format(more="gateways 0"), "expected it once only"),
+    ],
+)
 def test_what_is_wrong_with_a_script_is_named(text, words):
     with pytest.raises(parts.Unusable) as wrong:
         scripts.read_text(text)
@@ -219,13 +236,29 @@
 
 # Runs
 
-TROUBLED = SMALL.format(more="".join(
-    f'trouble "{kind}" at="{800 * at}ms" for="2s" part=0.5 size={size}\n'
-    for at, (kind, size) in enumerate([
-        ("stall", 1), ("neighbour", 0.5), ("slow", 2), ("silent", 1), ("reset", 1), ("crash", 1),
-        ("drain", 1),
-        ("list-late", 2), ("storm", 1.5), ("estimates", 3), ("standstill", 1), ("kill", 1),
-        ("list-again", 1), ("deploy", 1)])))
+TROUBLED = SMALL.format(
+    more="".join(
+        f'trouble "{kind}" at="{800 * at}ms" for="2s" part=0.5 size={size}\n'
+        for at, (kind, size) in enumerate(
+            [
+                ("stall", 1),
+                ("neighbour", 0.5),
+                ("slow", 2),
+                ("silent", 1),
+                ("reset", 1),
+                ("crash", 1),
+                ("drain", 1),
+                ("list-late", 2),
+                ("storm", 1.5),
+                ("estimates", 3),
+                ("standstill", 1),
+                ("kill", 1),
+                ("list-again", 1),
+                ("deploy", 1),
+            ]
+        )
+    )
+)
 
 
 def test_a_calm_day_is_served_and_every_rule_is_looked_at():
@@ -238,8 +271,11 @@
 def test_one_more_client_leaves_what_the_others_draw_as_it_was():
     def arrivals(more):
         lines = world.play(scripts.read_text(SMALL.format(more=more)), 1).world.lines
-        return [(at, fields["work"]) for at, event, fields in lines
-                if event == "asked" and fields["group"] == "load"]
+        return [
+            (at, fields["work"])
+            for at, event, fields in lines
+            if event == "asked" and fields["group"] == "load"
+        ]
 
     assert arrivals("") == arrivals('clients "c" { group "lookup"; rate 5 }')
 
@@ -253,21 +289,27 @@
     assert len(answers) == len(set(answers)) == outcome.world.next_id - left and left
 
 
-@pytest.mark.parametrize("rule, name, broken", [
-    (3, "engine", lambda kept: lambda self, e, rank, state, *more: kept(self, e, rank, i.READY, *more)),
-    (5, "key_free", lambda kept: lambda self, qy: True),
-    (7, "budget_left", lambda kept: lambda self: True),
-    (2, "may_resubmit", lambda kept: lambda self, qy: qy.tries < 5 and self.now < qy.limit),
-])
+@pytest.mark.parametrize(
+    "rule, name, broken",
+    [
+        (3, "engine", lambda kept: lambda self, e, rank, state, *more: kept(self, e, rank, i.READY, *more)),
+        (5, "key_free", lambda kept: lambda self, qy: True),
+        (7, "budget_left", lambda kept: lambda self: True),
+        (2, "may_resubmit", lambda kept: lambda self, qy: qy.tries < 5 and self.now < qy.limit),
+    ],
+)
 def test_a_gateway_that_breaks_a_rule_is_caught(monkeypatch, rule, name, broken):
     monkeypatch.setattr(Gateway, name, broken(getattr(Gateway, name)))
-    monkeypatch.setattr("wickvane.choice.HANDLERS", tuple(
-        getattr(Gateway, handler.__name__, handler) for handler in HANDLERS))
-    more = ('trouble "drain" at="2s" for="6s" part=0.5\n trouble "reset" at="4s" part=1.0\n'
-            'trouble "reset" at="5s" part=1.0\n trouble "reset" at="5500ms" part=1.0\n'
-            'trouble "stall" at="6s" for="1s" part=1.0\n list-delay "100ms"\n'
-            'group "change" { effect "mutating"; work "300ms"; timeout "5s" }\n'
-            'clients "c" { group "change"; rate 10 }')
+    monkeypatch.setattr(
+        "wickvane.choice.HANDLERS", tuple(getattr(Gateway, handler.__name__, handler) for handler in HANDLERS)
+    )
+    more = (
+        'trouble "drain" at="2s" for="6s" part=0.5\n trouble "reset" at="4s" part=1.0\n'
+        'trouble "reset" at="5s" part=1.0\n trouble "reset" at="5500ms" part=1.0\n'
+        'trouble "stall" at="6s" for="1s" part=1.0\n list-delay "100ms"\n'
+        'group "change" { effect "mutating"; work "300ms"; timeout "5s" }\n'
+        'clients "c" { group "change"; rate 10 }'
+    )
     text = SMALL.format(more=more).replace("free=3 share=0.1", "free=0 share=0.01")
     outcome = world.play(scripts.read_text(text), 1)
     assert rule in {number for number, _ in outcome.breaches}
@@ -279,17 +321,23 @@
     logs = []
     for hashes in ("0", "7"):
         out = tmp_path / f"log-{hashes}"
-        subprocess.run([sys.executable, "-m", "wickvane", "rehearse", "run", str(path), "--seed=5",
-                        f"--log={out}"], cwd=ROOT, env=os.environ | {"PYTHONHASHSEED": hashes},
-                       capture_output=True, check=False)
+        subprocess.run(
+            [sys.executable, "-m", "wickvane", "rehearse", "run", str(path), "--seed=5", f"--log={out}"],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONHASHSEED": hashes},
+            capture_output=True,
+            check=False,
+        )
         logs.append(out.read_bytes())
     assert logs[0] == logs[1] == world.play(scripts.read(str(path)), 5).log() and len(logs[0]) > 10_000
     assert world.play(scripts.read(str(path)), 6).log() != logs[0]
 
 
 def test_a_found_failure_is_shortened_to_the_troubles_that_matter():
-    more = ('trouble "estimates" at="1s" for="1s" size=1.1\n trouble "stall" at="3s" for="8s" part=1.0\n'
-            'trouble "list-late" at="2s" for="1s"\n expect "service" above=0.9')
+    more = (
+        'trouble "estimates" at="1s" for="1s" size=1.1\n trouble "stall" at="3s" for="8s" part=1.0\n'
+        'trouble "list-late" at="2s" for="1s"\n expect "service" above=0.9'
+    )
     script = scripts.read_text(SMALL.format(more=more))
     assert world.play(script, 1).failures()
     less = world.shortened(script, 1, lambda outcome: outcome.failures())
@@ -302,6 +350,7 @@
 
 # On sockets
 
+
 class Served:
     """A script's engines in a thread, and the whole dispatcher's threads before them."""
 
@@ -328,9 +377,13 @@
 
 
 def test_a_dispatcher_serves_before_emulated_engines_through_a_drain_and_a_crash():
-    served = Served(SMALL.format(more='list-delay "100ms"\n trouble "drain" at="500ms" for="1s" part=0.25\n'
-                                      'trouble "crash" at="1s" for="500ms" part=0.3\n'
-                                      'trouble "reset" at="1500ms" for="1s" part=0.5'))
+    served = Served(
+        SMALL.format(
+            more='list-delay "100ms"\n trouble "drain" at="500ms" for="1s" part=0.25\n'
+            'trouble "crash" at="1s" for="500ms" part=0.3\n'
+            'trouble "reset" at="1500ms" for="1s" part=0.5'
+        )
+    )
     client, answers = Client(served), []
     began = time.monotonic()
     while time.monotonic() < began + 2.5:
@@ -418,10 +471,18 @@
 }}"""
 
 
-@pytest.mark.parametrize("rate, more, low, high", [
-    (60, "", 0.95, 1.0),
-    (60, 'trouble "slow" at="1s" for="3s" size=6\n trouble "silent" at="3s" for="2s" part=0.25', 0.3, 0.9),
-])
+@pytest.mark.parametrize(
+    "rate, more, low, high",
+    [
+        (60, "", 0.95, 1.0),
+        (
+            60,
+            'trouble "slow" at="1s" for="3s" size=6\n trouble "silent" at="3s" for="2s" part=0.25',
+            0.3,
+            0.9,
+        ),
+    ],
+)
 def test_both_faces_of_one_script_come_to_one_service(rate, more, low, high):
     text = FACES.format(rate=rate, more=more)
     virtual = [world.play(scripts.read_text(text), seed, False).service() for seed in (1, 2, 3)]
@@ -441,8 +502,14 @@
 
 
 def test_the_demo_shows_a_pool_its_troubles_and_the_line_that_asks_it(tmp_path):
-    shown = subprocess.run([sys.executable, "-m", "wickvane", "demo", "--for=4s"], cwd=ROOT, timeout=60,
-                           capture_output=True, text=True, stdin=subprocess.DEVNULL)
+    shown = subprocess.run(
+        [sys.executable, "-m", "wickvane", "demo", "--for=4s"],
+        cwd=ROOT,
+        timeout=60,
+        capture_output=True,
+        text=True,
+        stdin=subprocess.DEVNULL,
+    )
     assert shown.returncode == 0, shown.stdout + shown.stderr
     lines = shown.stdout.splitlines()
     assert lines[0].startswith("psql ") and "verb=lookup" in lines[0]
@@ -489,16 +556,19 @@
     took = []
     for n in range(1, 4):
         began = time.monotonic()
-        text = statement("INSERT INTO sales_1.t VALUES (1)", verb="load", n=n, team="all", unique="tok",
-                         item="k")
+        text = statement(
+            "INSERT INTO sales_1.t VALUES (1)", verb="load", n=n, team="all", unique="tok", item="k"
+        )
         assert rows(client.ask(text))
         took.append(time.monotonic() - began)
     assert took[0] > 0.03 and max(took[1:]) < took[0] / 2  # repeats are dropped
     served.end()
 
 
-@pytest.mark.parametrize("sent", [b"ASK x\r\n", b"x" * 600, b"ASK a queue=lookup 99999999\r\n", b"\0\r\n",
-                                  b"ASK a queue=none 1\r\nx\r\n"])
+@pytest.mark.parametrize(
+    "sent",
+    [b"ASK x\r\n", b"x" * 600, b"ASK a queue=lookup 99999999\r\n", b"\0\r\n", b"ASK a queue=none 1\r\nx\r\n"],
+)
 def test_what_no_dispatcher_would_send_costs_its_own_connection_only(sent):
     served = Served(SMALL.format(more=""))
     port = int(served.serving.processes[0].address.rpartition(":")[2])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -117,16 +117,34 @@
 def generated_site(chance):
     def any_group(effect, **more):
         return group(
-            effect=effect, timeout=chance.choice([30_000, 80_000]), promise=chance.choice([3000, 15_000]),
-            threads=chance.choice([1, 2]), late_value=chance.choice([0, 0.4]),
-            zones=chance.choice([None, frozenset([0])]), kinds=chance.choice([None, frozenset([1])]), **more)
+            effect=effect,
+            timeout=chance.choice([30_000, 80_000]),
+            promise=chance.choice([3000, 15_000]),
+            threads=chance.choice([1, 2]),
+            late_value=chance.choice([0, 0.4]),
+            zones=chance.choice([None, frozenset([0])]),
+            kinds=chance.choice([None, frozenset([1])]),
+            **more,
+        )
 
     return site(
-        [any_group(i.READ_ONLY), any_group(i.MUTATING),
-         any_group(i.TOKENED, drops_repeats=chance.randrange(3), repeat_window=chance.choice([8000, 40_000]),
-                   ordered=True)],
-        tenants=2, extra_window=chance.choice([0, 20_000]), gateways=chance.choice([1, 3, 40]),
-        may_cancel=chance.random() < 0.5, fall_multiple=chance.choice([1.5, 3.0]), cold_time=60_000)
+        [
+            any_group(i.READ_ONLY),
+            any_group(i.MUTATING),
+            any_group(
+                i.TOKENED,
+                drops_repeats=chance.randrange(3),
+                repeat_window=chance.choice([8000, 40_000]),
+                ordered=True,
+            ),
+        ],
+        tenants=2,
+        extra_window=chance.choice([0, 20_000]),
+        gateways=chance.choice([1, 3, 40]),
+        may_cancel=chance.random() < 0.5,
+        fall_multiple=chance.choice([1.5, 3.0]),
+        cold_time=60_000,
+    )
 
 
 def play(seed, rounds=500):
--- a/tests/test_rules_checker.py
+++ b/tests/test_rules_checker.py
@@ -4,9 +4,14 @@
 from rules import Figures, Seen
 
 FIGURES = dict(
-    effects={"lookup": "read-only", "load": "tokened", "change": "mutating"}, kinds={"lookup": {"old"}},
-    ordered=("load",), budget=(1, 0.1, 5.0), cores={"old": 1}, cold=(0.3, 15.0, 2.0, 3.0),
-    work={"lookup": 0.1, "load": 1.0, "change": 1.0})
+    effects={"lookup": "read-only", "load": "tokened", "change": "mutating"},
+    kinds={"lookup": {"old"}},
+    ordered=("load",),
+    budget=(1, 0.1, 5.0),
+    cores={"old": 1},
+    cold=(0.3, 15.0, 2.0, 3.0),
+    work={"lookup": 0.1, "load": 1.0, "change": 1.0},
+)
 
 
 def seen():
@@ -15,8 +20,17 @@
     return made
 
 
-def query(made, id="q", group="lookup", at=10.0, answer="finished", took=0.5, key=None, engine="e0",
-          hows=("finished",)):
+def query(
+    made,
+    id="q",
+    group="lookup",
+    at=10.0,
+    answer="finished",
+    took=0.5,
+    key=None,
+    engine="e0",
+    hows=("finished",),
+):
     made.taken(at, id, group, 5.0, key)
     now = at
     for how in hows:
@@ -117,10 +131,26 @@
     made.answered(11.0, "q", "finished")
 
 
-@pytest.mark.parametrize("rule, broken", [
-    (1, broken_1_twice), (1, broken_1_never), (1, broken_1_late), (1, broken_1_sent_after),
-    (1, broken_1_invented), (2, broken_2_again), (2, broken_2_deferred), (2, broken_2_window), (3, broken_3),
-    (4, broken_4), (5, broken_5), (5, broken_5_rest), (6, broken_6), (7, broken_7), (8, broken_8)])
+@pytest.mark.parametrize(
+    "rule, broken",
+    [
+        (1, broken_1_twice),
+        (1, broken_1_never),
+        (1, broken_1_late),
+        (1, broken_1_sent_after),
+        (1, broken_1_invented),
+        (2, broken_2_again),
+        (2, broken_2_deferred),
+        (2, broken_2_window),
+        (3, broken_3),
+        (4, broken_4),
+        (5, broken_5),
+        (5, broken_5_rest),
+        (6, broken_6),
+        (7, broken_7),
+        (8, broken_8),
+    ],
+)
 def test_each_rule_broken_by_hand_is_caught(rule, broken):
     made = seen()
     broken(made)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,14 +14,27 @@
 from wickvane.settings import SettingsError
 
 FULL = copy.deepcopy(SETTINGS) | {
-    "tariffs": {"cross_zone": 0.02}, "report": {"fields": ["inflight"], "how": "piggyback"},
+    "tariffs": {"cross_zone": 0.02},
+    "report": {"fields": ["inflight"], "how": "piggyback"},
     "membership_mode": "automatic",
 }
-FULL["family_info"] |= {"class_threads": [1, 2, 2], "memory_heeded": True, "most_grant": 0.4,
-                        "writes_tables": [False, False, True], "yields_to_loads": [False, False, False]}
-FULL["obligations"] |= {"cold_from": 0.3, "cold_ms": 15000.0, "fall_ms": 3000.0, "fall_multiple": 2.5,
-                        "further_ratio": 0.1, "extra_free": 3.0, "budget_window_ms": 5000.0,
-                        "ask_within_ms": 10000.0}
+FULL["family_info"] |= {
+    "class_threads": [1, 2, 2],
+    "memory_heeded": True,
+    "most_grant": 0.4,
+    "writes_tables": [False, False, True],
+    "yields_to_loads": [False, False, False],
+}
+FULL["obligations"] |= {
+    "cold_from": 0.3,
+    "cold_ms": 15000.0,
+    "fall_ms": 3000.0,
+    "fall_multiple": 2.5,
+    "further_ratio": 0.1,
+    "extra_free": 3.0,
+    "budget_window_ms": 5000.0,
+    "ask_within_ms": 10000.0,
+}
 FULL["limits"] |= {"retry_after": True, "max_retry_after_ms": 1000.0}
 MISSING = object()
 ODD = [MISSING, None, 0, -1, math.nan, math.inf, 1e300, "", "x", "é", [], {}, True, [None], ["x"], [0], [-1]]
@@ -59,8 +72,9 @@
     endings = (i.FINISHED, i.TURNED_AWAY, i.RESET, i.NO_CONNECTION, i.ERROR, i.NO_ANSWER)
     for rg in range(len(deployment.groups)):
         for n, ending in enumerate(endings):
-            q = gateways.take(rg=rg, cost=1000 * (n % 2), key=n if deployment.groups[rg].ordered else None,
-                              left=50_000)
+            q = gateways.take(
+                rg=rg, cost=1000 * (n % 2), key=n if deployment.groups[rg].ordered else None, left=50_000
+            )
             if q in gateways.out:
                 gateways.end(q, ending, elapsed=900, work=900, after=900)
     for _ in range(20):
@@ -80,20 +94,36 @@
         play(deployment)
 
 
-@pytest.mark.parametrize("path, value, named", [
-    (("classes", 0, "effect"), "sometimes", "settings.classes[0].effect is 'sometimes'"),
-    (("classes", 1, "name"), "lookup", "settings.classes[1].name is 'lookup', where a name that stands once"),
-    (("classes", 1, "worth"), -3, "settings.classes[1].worth is -3, where a number from 0"),
-    (("family_info", "class_threads", 1), "two", "settings.family_info.class_threads[1] is 'two'"),
-    (("obligations", "cold_from"), 1.5, "settings.obligations.cold_from is 1.5, where a number from 0 to 1"),
-    (("limits", "max_attempts"), [5], "settings.limits.max_attempts is [5]"),
-    (("az",), MISSING, "settings.az is None"), (("classes",), MISSING, "settings.classes is None"),
-])
+@pytest.mark.parametrize(
+    "path, value, named",
+    [
+        (("classes", 0, "effect"), "sometimes", "settings.classes[0].effect is 'sometimes'"),
+        (
+            ("classes", 1, "name"),
+            "lookup",
+            "settings.classes[1].name is 'lookup', where a name that stands once",
+        ),
+        (("classes", 1, "worth"), -3, "settings.classes[1].worth is -3, where a number from 0"),
+        (("family_info", "class_threads", 1), "two", "settings.family_info.class_threads[1] is 'two'"),
+        (
+            ("obligations", "cold_from"),
+            1.5,
+            "settings.obligations.cold_from is 1.5, where a number from 0 to 1",
+        ),
+        (("limits", "max_attempts"), [5], "settings.limits.max_attempts is [5]"),
+        (("az",), MISSING, "settings.az is None"),
+        (("classes",), MISSING, "settings.classes is None"),
+    ],
+)
 def test_what_cannot_be_served_ends_the_start_with_its_name(tmp_path, path, value, named):
     told = found([], type("Nobody", (), {"address": "127.0.0.1:1"})) | {"settings": changed(path, value)}
     (tmp_path / "config.json").write_bytes(orjson.dumps(told))
-    done = subprocess.run([sys.executable, "-m", "wickvane", "check"], capture_output=True, text=True,
-                          env=os.environ | {"LB_CONFIG": str(tmp_path / "config.json")})
+    done = subprocess.run(
+        [sys.executable, "-m", "wickvane", "check"],
+        capture_output=True,
+        text=True,
+        env=os.environ | {"LB_CONFIG": str(tmp_path / "config.json")},
+    )
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and named in done.stderr
 
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -17,8 +17,12 @@
 ME = ("me", 1)
 LIVES = [("a", 1), ("a", 2), ("b", 1)]
 sums = st.tuples(st.just("sum"), st.sampled_from(LIVES), st.sampled_from(["x", "y"]), st.integers(1, 20))
-levels = st.tuples(st.just("levels"), st.sampled_from(LIVES), st.integers(0, 50),
-                   st.dictionaries(st.sampled_from(["e1", "e2"]), st.integers(0, 5)))
+levels = st.tuples(
+    st.just("levels"),
+    st.sampled_from(LIVES),
+    st.integers(0, 50),
+    st.dictionaries(st.sampled_from(["e1", "e2"]), st.integers(0, 5)),
+)
 
 
 def hear(counts, now, word):
@@ -26,8 +30,12 @@
         counts.sum(now, word[1], word[2], word[3])
     else:
         # One stamp has one content: a life says each once.
-        counts.levels(now, word[1], word[2], {e: (n + word[2]) % 6 for e, n in dict.fromkeys(
-            ("e1", "e2"), len(word[1][0])).items()})
+        counts.levels(
+            now,
+            word[1],
+            word[2],
+            {e: (n + word[2]) % 6 for e, n in dict.fromkeys(("e1", "e2"), len(word[1][0])).items()},
+        )
 
 
 @settings(max_examples=300, deadline=None)
@@ -41,7 +49,8 @@
             hear(counts, 100, word)
     assert one.totals() == other.totals()
     assert {x: (v.sums, v.levels, v.t) for x, v in one.lives.items()} == {
-        x: (v.sums, v.levels, v.t) for x, v in other.lives.items()}
+        x: (v.sums, v.levels, v.t) for x, v in other.lives.items()
+    }
     # And to what the words alone say: of each key the highest.
     highest = {}
     for word in said:
@@ -94,8 +103,12 @@
     counts = Counts(0, ME)
     for n in range(60):
         life = (f"n{n}", 1)
-        counts.levels(1 << 50, life, (1 << 50) - n, {
-            "e" * chance.randrange(1, 65): chance.randrange(1 << 20) for _ in range(chance.randrange(12))})
+        counts.levels(
+            1 << 50,
+            life,
+            (1 << 50) - n,
+            {"e" * chance.randrange(1, 65): chance.randrange(1 << 20) for _ in range(chance.randrange(12))},
+        )
         counts.sum(1, life, "k" * chance.randrange(1, 120), chance.randrange(1, 1 << 40))
     for _ in range(20):
         levels, sums = [[(0xFFFFFFFF, *rest) for _, *rest in part] for part in counts.page(ROOM)]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -87,14 +87,24 @@
     assert rows(client.until_ready()) == [(b"a", b"b", b"c")]
 
 
-@pytest.mark.parametrize("text, code", [
-    ("SELECT 1", "42601"), ("/* open", "42601"), ("/* verb=lookup,txn=1 */ SELECT 1", "22023"),
-    (statement(verb="nobody"), "22023"), (statement(limit="soon"), "22023"),
-    (statement(limit="nan"), "22023"), (statement(limit="1_0"), "22023"),
-    (statement(limit=0), "22023"), (statement(verb="load", unique="u"), "22023"),
-    (statement(verb="load", item="k"), "22023"), (statement().replace("acme", "other"), "22023"),
-    (statement(verb="load", item="k", unique="u u"), "22023"), (statement("  "), "42601"),
-])
+@pytest.mark.parametrize(
+    "text, code",
+    [
+        ("SELECT 1", "42601"),
+        ("/* open", "42601"),
+        ("/* verb=lookup,txn=1 */ SELECT 1", "22023"),
+        (statement(verb="nobody"), "22023"),
+        (statement(limit="soon"), "22023"),
+        (statement(limit="nan"), "22023"),
+        (statement(limit="1_0"), "22023"),
+        (statement(limit=0), "22023"),
+        (statement(verb="load", unique="u"), "22023"),
+        (statement(verb="load", item="k"), "22023"),
+        (statement().replace("acme", "other"), "22023"),
+        (statement(verb="load", item="k", unique="u u"), "22023"),
+        (statement("  "), "42601"),
+    ],
+)
 def test_a_statement_that_cannot_be_used_is_told_so_and_never_sent_on(text, code):
     engine = Engine()
     client = Client(Dispatcher(engine))
@@ -111,16 +121,19 @@
     assert rows(client.ask(statement()))
 
 
-@pytest.mark.parametrize("sent, code, reason", [
-    (b"\0\0\0\4\0\3\0\0", "08P01", "startup-unreadable"),
-    (b"GET / HTTP/1.1\r\n", "08P01", "startup-unreadable"),
-    (struct.pack("!II", 8, 131_072), "0A000", "protocol-version"),
-    (struct.pack("!II", 9, 196_608) + b"\0", "08P01", "startup-unreadable"),
-    (STARTUP + b"!\0\0\0\4", "08P01", "message-unknown"),
-    (STARTUP + b"Q\0\0\0\3", "08P01", "message-malformed"),
-    (STARTUP + b"Q\x7f\0\0\0", "54000", "message-too-long"),
-    (STARTUP + b"Q\0\0\0\7a\0b", "08P01", "message-malformed"),
-])
+@pytest.mark.parametrize(
+    "sent, code, reason",
+    [
+        (b"\0\0\0\4\0\3\0\0", "08P01", "startup-unreadable"),
+        (b"GET / HTTP/1.1\r\n", "08P01", "startup-unreadable"),
+        (struct.pack("!II", 8, 131_072), "0A000", "protocol-version"),
+        (struct.pack("!II", 9, 196_608) + b"\0", "08P01", "startup-unreadable"),
+        (STARTUP + b"!\0\0\0\4", "08P01", "message-unknown"),
+        (STARTUP + b"Q\0\0\0\3", "08P01", "message-malformed"),
+        (STARTUP + b"Q\x7f\0\0\0", "54000", "message-too-long"),
+        (STARTUP + b"Q\0\0\0\7a\0b", "08P01", "message-malformed"),
+    ],
+)
 def test_what_cannot_be_spoken_with_is_told_so_and_closed_with_its_code(sent, code, reason):
     dispatcher = Dispatcher()
     client = Client(dispatcher, b"")
@@ -141,7 +154,7 @@
         for _ in range(chance.randrange(1, 8)):
             text[chance.randrange(len(text))] = chance.randrange(256)
         client = Client(dispatcher, b"")
-        client.sock.sendall(text[:chance.choice([len(text), chance.randrange(len(text))])])
+        client.sock.sendall(text[: chance.choice([len(text), chance.randrange(len(text))])])
         client.sock.shutdown(socket.SHUT_WR)
         try:
             while client.message():
@@ -197,6 +210,7 @@
         for engine in engines:
             if engine.connections:
                 reset(engine.connections[-1])
+
     return answer
 
 
@@ -236,14 +250,24 @@
     assert dispatcher.service.counters.shown()["submissions"] == 1
 
 
-@pytest.mark.parametrize("malformed", [
-    b"%b HIT sheets=1 x\r\n", b"x" * 600,
-    b"%b HIT sheets=1 5\r\na\tb\tc\n\r\n",
-    b"%b HIT sheets=99 0\r\n\r\n", b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n%b PART sheet=2 0\r\n\r\n",
-    b"%b HIT sheets=1 3000000000\r\na\tb\tc\n", b"%b HIT sheets=1 600\r\na\tb\tc\n", b"%b HI",
-    b"%b HIT sheets 0\r\n\r\n", b"%b WHAT - 0\r\n\r\n", b"%b HIT sheets=1 9000\r\n",
-    b"%b HIT toil=nan 0\r\n\r\n", b"%b HIT sheets=1.0 0\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "malformed",
+    [
+        b"%b HIT sheets=1 x\r\n",
+        b"x" * 600,
+        b"%b HIT sheets=1 5\r\na\tb\tc\n\r\n",
+        b"%b HIT sheets=99 0\r\n\r\n",
+        b"%b HIT sheets=2 6\r\na\tb\tc\n\r\n%b PART sheet=2 0\r\n\r\n",
+        b"%b HIT sheets=1 3000000000\r\na\tb\tc\n",
+        b"%b HIT sheets=1 600\r\na\tb\tc\n",
+        b"%b HI",
+        b"%b HIT sheets 0\r\n\r\n",
+        b"%b WHAT - 0\r\n\r\n",
+        b"%b HIT sheets=1 9000\r\n",
+        b"%b HIT toil=nan 0\r\n\r\n",
+        b"%b HIT sheets=1.0 0\r\n\r\n",
+    ],
+)
 def test_a_malformed_answer_ends_that_connection_only_and_proves_nothing(malformed):
     engines = two(lambda txn, words: malformed.replace(b"%b", txn))
     dispatcher = Dispatcher(*engines)
@@ -254,6 +278,7 @@
 
 def test_surplus_answers_cost_nobody_anything_and_pass_for_no_other():
     """A good answer, with another under an unknown id ahead of it and a second copy behind."""
+
     def answers(txn, words):
         if words[0] == b"NEXT":
             return 2 * (b"%b PART sheet=1 6\r\n%b\r\n" % (txn, b"b\tb\tb\n"))
@@ -563,6 +588,9 @@
         process = started(**change)
         assert process.wait(PATIENCE) == 2 and process.stderr.read().count(b"\n") == 1
     for words in (["serve", "--config=/nowhere"], ["bogus"], []):
-        done = subprocess.run([sys.executable, "-m", "wickvane", *words], capture_output=True,
-                              env={k: v for k, v in os.environ.items() if k != "LB_CONFIG"})
+        done = subprocess.run(
+            [sys.executable, "-m", "wickvane", *words],
+            capture_output=True,
+            env={k: v for k, v in os.environ.items() if k != "LB_CONFIG"},
+        )
         assert done.returncode == 2 and done.stderr and not done.stdout
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -79,14 +79,16 @@
 
 
 def test_a_second_slowness_while_the_first_storm_drains_is_seen():
-    lines = told('trouble "slow" at="12s" for="6s" size=8\n trouble "slow" at="20s" for="6s" size=8',
-                 retries=8)
+    lines = told(
+        'trouble "slow" at="12s" for="6s" size=8\n trouble "slow" at="20s" for="6s" size=8', retries=8
+    )
     held = [(at, event) for at, _, event, fields in lines if fields["kind"] == STORM]
     assert held[0][1] == "begins" and held[-1][1] == "ends" and held[-1][0] > 26
 
 
 # By hand
 
+
 def fed(made, now, seconds, taken, repeats, done, deferred=0.0, engines=()):
     """So many queries a second, a part of them repeats of marks that were deferred at the start."""
     chance, found = random.Random(now), []
@@ -113,8 +115,9 @@
     assert "deepens" in [event for event, _ in fed(made, 4 * SECOND, 4, 400, 0.8, 0.3, 0.6)]
     assert made.look(8 * SECOND + STEP) == [] and made.state == STORM
     fed(made, 9 * SECOND, 2, 400, 0.8, 0.3, 0.6)
-    assert [fields["kind"] for event, fields in fed(made, 12 * SECOND, 6, 400, 0.0, 1.2) if event == "ends"
-            ][:1] == [STORM]
+    assert [fields["kind"] for event, fields in fed(made, 12 * SECOND, 6, 400, 0.0, 1.2) if event == "ends"][
+        :1
+    ] == [STORM]
     assert made.state == CALM
 
 
@@ -166,19 +169,33 @@
 
 
 def test_it_judges_the_same_in_other_processes_and_hash_seeds():
-    code = ("import sys; sys.path[:0] = ['tests', 'client', '.']\n"
-            "from test_storm import told\n"
-            "print(told('trouble \"slow\" at=\"15s\" for=\"8s\" size=8', 8))\n")
-    said = {subprocess.run([sys.executable, "-c", code], capture_output=True, cwd=ROOT, check=True,
-                           env={"PYTHONHASHSEED": seed, "PATH": ""}).stdout for seed in ("1", "2")}
+    code = (
+        "import sys; sys.path[:0] = ['tests', 'client', '.']\n"
+        "from test_storm import told\n"
+        'print(told(\'trouble "slow" at="15s" for="8s" size=8\', 8))\n'
+    )
+    said = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            cwd=ROOT,
+            check=True,
+            env={"PYTHONHASHSEED": seed, "PATH": ""},
+        ).stdout
+        for seed in ("1", "2")
+    }
     assert len(said) == 1 and b"begins" in said.pop()
 
 
 # On sockets
 
+
 def test_a_dispatcher_tells_of_a_storm_in_its_log_and_counts_who_ignores_advice():
-    text = DAY.format(gateways=1, retries=12, more='longest-advice "2s"\n list-delay "100ms"\n'
-                      'trouble "slow" at="3s" for="4s" size=14').replace('"40s"', '"10s"')
+    text = DAY.format(
+        gateways=1,
+        retries=12,
+        more='longest-advice "2s"\n list-delay "100ms"\ntrouble "slow" at="3s" for="4s" size=14',
+    ).replace('"40s"', '"10s"')
     served = Served(text, watch=storms.Part(None))
     script = scripts.read_text(text)
     Load(script, 1, served.address, 128).run()
@@ -194,11 +211,13 @@
 
 
 def test_without_the_node_nothing_of_the_watch_is_imported_and_a_change_needs_a_restart(tmp_path):
-    code = ("import sys\nfrom wickvane.net.service import Service\n"
-            "print([name for name in sys.modules if 'storm' in name or 'rbloom' in name])")
+    code = (
+        "import sys\nfrom wickvane.net.service import Service\n"
+        "print([name for name in sys.modules if 'storm' in name or 'rbloom' in name])"
+    )
     said = subprocess.run([sys.executable, "-c", code], capture_output=True, cwd=ROOT, check=True).stdout
     assert said == b"[]\n"
-    with pytest.raises(parts.Unusable, match="storms > remember \"1ms\": expected"):
+    with pytest.raises(parts.Unusable, match='storms > remember "1ms": expected'):
         parts.read_text('storms { remember "1ms" }')
     assert parts.read_text("storms") == {"storms": storms.Part(None)}
     assert parts.read(os.path.join(ROOT, "deploy", "storms.kdl"))["storms"].remember == 600_000
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -51,8 +51,10 @@
 
 def known(engines):
     """Entries of the list: lines and TDS engines by their class, names by their place."""
-    return [entry(f"e{n}", engine.address) | {"type": "mssql" if isinstance(engine, TdsEngine) else "old"}
-            for n, engine in enumerate(engines)]
+    return [
+        entry(f"e{n}", engine.address) | {"type": "mssql" if isinstance(engine, TdsEngine) else "old"}
+        for n, engine in enumerate(engines)
+    ]
 
 
 def settled(**changes):
@@ -68,11 +70,21 @@
 class Dispatcher:
     """The whole program's threads with a TDS listener; `found` as the clients of bench_free want it."""
 
-    def __init__(self, *engines, coordinator=None, body=RULE, engine_body='user "w"', more="", flows=None,
-                 known_=None, **changes):
+    def __init__(
+        self,
+        *engines,
+        coordinator=None,
+        body=RULE,
+        engine_body='user "w"',
+        more="",
+        flows=None,
+        known_=None,
+        **changes,
+    ):
         self.port = free_port()
-        text = (f'tds {{ listen "127.0.0.1:{self.port}"\n{body}\n{more}\n'
-                f'engines "mssql" {{ {engine_body} }} }}')
+        text = (
+            f'tds {{ listen "127.0.0.1:{self.port}"\n{body}\n{more}\nengines "mssql" {{ {engine_body} }} }}'
+        )
         self.parts = parts.read_text(text) | ({"flows": flows} if flows else {})
         self.found = found([], coordinator or Events())
         self.found["settings"] = settled(**changes)
@@ -84,8 +96,16 @@
         self.service.start()
 
     def connect(self, **how):
-        usual = dict(port=self.port, user="u", password="p", database="bi", appname="Report", autocommit=True,
-                     timeout=15, login_timeout=15)
+        usual = dict(
+            port=self.port,
+            user="u",
+            password="p",
+            database="bi",
+            appname="Report",
+            autocommit=True,
+            timeout=15,
+            login_timeout=15,
+        )
         return pytds.connect("127.0.0.1", **usual | how)
 
 
@@ -153,11 +173,13 @@
 
 # Which engines, and what they may break
 
+
 def test_each_front_s_queries_go_where_the_document_lets_them():
     tds, line = TdsEngine(), Engine()
     for more, engine_body, postgres, tds_there in (
-            ("", 'user "w"', {"line"}, {"tds"}),
-            ("lines-take-tds #true", 'user "w"; takes-postgres #true', {"line", "tds"}, {"line", "tds"})):
+        ("", 'user "w"', {"line"}, {"tds"}),
+        ("lines-take-tds #true", 'user "w"; takes-postgres #true', {"line", "tds"}, {"line", "tds"}),
+    ):
         dispatcher = Dispatcher(tds, line, more=more, engine_body=engine_body)
         went = {"postgres": set(), "tds": set()}
         with dispatcher.connect() as client:
@@ -191,8 +213,9 @@
     postgres = Client(dispatcher)
     clients = [dispatcher.connect() for _ in range(2)]
     for n in range(3):
-        text = statement(f"INSERT INTO sales_3.t VALUES ({n})", verb="load", n=n + 1, unique=f"t{n}",
-                         item="k", limit=20000)
+        text = statement(
+            f"INSERT INTO sales_3.t VALUES ({n})", verb="load", n=n + 1, unique=f"t{n}", item="k", limit=20000
+        )
         if n == 1:
             postgres.send(text)
         else:
@@ -211,8 +234,10 @@
         thread.join(10)
 
 
-@pytest.mark.parametrize("how, answer", [("reset", errors.KILLED), ("error", errors.KILLED),
-                                         ("busy", None), ("half", errors.KILLED)])
+@pytest.mark.parametrize(
+    "how, answer",
+    [("reset", errors.KILLED), ("error", errors.KILLED), ("busy", None), ("half", errors.KILLED)],
+)
 def test_a_mutating_batch_is_sent_again_only_where_nothing_ran(how, answer):
     def first(query):
         if len(sent) == 1:
@@ -291,11 +316,16 @@
         until(lambda: counters.shown().get("ending-no-connection"))
 
 
-@pytest.mark.parametrize("broken, reason", [
-    (lambda conn: reset(conn.sock), "reset"), (lambda conn: time.sleep(1.5), "write-stalled"),
-])
-def test_a_batch_lost_before_its_last_byte_has_left_ran_nowhere_and_goes_to_another(monkeypatch, broken,
-                                                                                     reason):
+@pytest.mark.parametrize(
+    "broken, reason",
+    [
+        (lambda conn: reset(conn.sock), "reset"),
+        (lambda conn: time.sleep(1.5), "write-stalled"),
+    ],
+)
+def test_a_batch_lost_before_its_last_byte_has_left_ran_nowhere_and_goes_to_another(
+    monkeypatch, broken, reason
+):
     def dial(self):
         sock = dialled(self)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
@@ -334,15 +364,21 @@
 
 def only_ending(inbox, sub):
     until(partial(len, inbox.items))
-    (_, ended, ending, *_), = inbox.take(0)
+    ((_, ended, ending, *_),) = inbox.take(0)
     assert ended is sub
     return ending
 
 
-@pytest.mark.parametrize("reason, proven", [
-    ("peer-closed", i.NO_CONNECTION), ("reset", i.NO_CONNECTION), ("write-stalled", i.NO_CONNECTION),
-    ("stop", i.NOT_SENT), ("engine-restarted", i.NOT_SENT),
-])
+@pytest.mark.parametrize(
+    "reason, proven",
+    [
+        ("peer-closed", i.NO_CONNECTION),
+        ("reset", i.NO_CONNECTION),
+        ("write-stalled", i.NO_CONNECTION),
+        ("stop", i.NOT_SENT),
+        ("engine-restarted", i.NOT_SENT),
+    ],
+)
 def test_a_half_written_batch_is_proven_not_to_have_run_and_a_whole_one_is_not(monkeypatch, reason, proven):
     for whole in (False, True):
         place, theirs, sub, inbox = out_on_a_pair(monkeypatch)
@@ -358,6 +394,7 @@
 
 def test_an_end_that_crosses_the_last_write_never_proves_what_the_engine_has_whole(monkeypatch):
     """Another thread ends the connection while the keeper writes on it."""
+
     def read(theirs, got):
         try:
             while data := theirs.recv(chance.randrange(1, 20_000)):
@@ -387,6 +424,7 @@
 
 # Attention
 
+
 class Raw:
     """A TDS client by hand, behind its login."""
 
@@ -426,7 +464,7 @@
     client.batch("SELECT 1 FROM sales_1.t")
     engine.next("BATCH")
     client.send(packets.ATTENTION, b"")
-    (token, said), = client.tokens()
+    ((token, said),) = client.tokens()
     assert token == t.DONE and said[0] & t.ATTENTION
     engine.next("ATTENTION")
     engine.answers = lambda query: result((3, "c"))
@@ -481,6 +519,7 @@
 
 # Long results
 
+
 def long_answer(query, count=3000, size=400, end=True):
     framer = packets.Framer(packets.RESULT)
     query.conn.send(framer.more(COLUMNS))
@@ -596,6 +635,7 @@
 
 # The door
 
+
 def test_logins_are_checked_against_salted_hashes_and_storms_are_turned_away(tmp_path):
     path = tmp_path / "logins"
     path.write_text(f"ann:{logins.made('secret')}\n# a note\nbob:{logins.made('other')}\n")
@@ -656,11 +696,16 @@
     login = packets.frame(packets.PRELOGIN, lg.prelogin({lg.VERSION: bytes(6), lg.ENCRYPTION: b"\2"}))
     inside = login + packets.frame(packets.LOGIN, lg.login("u", "p"))
     sent = [
-        login[:11], b"GET / HTTP/1.1\r\n\r\n", bytes(64),
+        login[:11],
+        b"GET / HTTP/1.1\r\n\r\n",
+        bytes(64),
         packets.HEAD.pack(18, 1, 0xFFFF, 0, 1, 0) + bytes(9000),
-        packets.frame(packets.PRELOGIN, b"\x00\xff\xff\xff\xff"), packets.frame(packets.BATCH, bytes(50)),
-        login + packets.frame(packets.LOGIN, bytes(200)), login + packets.frame(packets.LOGIN, b"\xff" * 94),
-        inside + packets.frame(packets.BATCH, b"\xff" * 30), inside + packets.frame(packets.BULK, b"abc"),
+        packets.frame(packets.PRELOGIN, b"\x00\xff\xff\xff\xff"),
+        packets.frame(packets.BATCH, bytes(50)),
+        login + packets.frame(packets.LOGIN, bytes(200)),
+        login + packets.frame(packets.LOGIN, b"\xff" * 94),
+        inside + packets.frame(packets.BATCH, b"\xff" * 30),
+        inside + packets.frame(packets.BULK, b"abc"),
         inside + packets.frame(packets.BATCH, b"\4\0\0\0abc"),
         inside + packets.frame(packets.RPC, b"\4\0\0\0abc"),
         login + packets.HEAD.pack(18, 0, 8, 0, 1, 0) * 9000,
@@ -764,16 +809,28 @@
 def play(seed, fronts, kinds):
     """One script of queries and faults; the checker's breaches and what it checked."""
     chance = random.Random(seed)
-    figures = Figures({"lookup": "read-only", "load": "tokened", "change": "mutating"}, ordered=("load",),
-                      budget=(3, 0.1, 5.0), cores={"old": 8, "mssql": 8}, cold=(0.3, 15.0, 2.5, 3.0),
-                      work=WORK)
+    figures = Figures(
+        {"lookup": "read-only", "load": "tokened", "change": "mutating"},
+        ordered=("load",),
+        budget=(3, 0.1, 5.0),
+        cores={"old": 8, "mssql": 8},
+        cold=(0.3, 15.0, 2.5, 3.0),
+        work=WORK,
+    )
     seen, script = Seen(figures), {}
     for n in range(1, 61):
-        faults = [chance.choices(("answer", "turned-away", "error", "reset", "silent"), (8, 1, 1, 1, 1))[0]
-                  for _ in range(6)]
+        faults = [
+            chance.choices(("answer", "turned-away", "error", "reset", "silent"), (8, 1, 1, 1, 1))[0]
+            for _ in range(6)
+        ]
         group = chance.choices(("lookup", "load", "change"), (6, 2, 2))[0]
-        script[n] = (n * 0.03, group, chance.randrange(2) if group == "load" else None, faults,
-                     chance.uniform(0.0, 0.05))
+        script[n] = (
+            n * 0.03,
+            group,
+            chance.randrange(2) if group == "load" else None,
+            faults,
+            chance.uniform(0.0, 0.05),
+        )
     tries = {}
 
     def fault(name, id):
@@ -799,8 +856,13 @@
                 if what == "reset":
                     reset(conn)
                 elif what != "silent":
-                    conn.sendall({"answer": hit(txn), "turned-away": b"%b SHED - 0\r\n\r\n" % txn,
-                                  "error": b"%b FAULT - 0\r\n\r\n" % txn}[what])
+                    conn.sendall(
+                        {
+                            "answer": hit(txn),
+                            "turned-away": b"%b SHED - 0\r\n\r\n" % txn,
+                            "error": b"%b FAULT - 0\r\n\r\n" % txn,
+                        }[what]
+                    )
             except OSError:
                 pass
 
@@ -810,10 +872,13 @@
             if what == "reset":
                 reset(query.conn.sock)
             elif what != "silent":
-                return {"answer": result((1, "a")),
-                        "turned-away": t.told(t.ERROR, 10929, 1, 16, "busy") + t.done(t.DONE_ERROR),
-                        "error": t.told(t.ERROR, 8134, 1, 16, "zero") + t.done(t.DONE_ERROR)}[what]
+                return {
+                    "answer": result((1, "a")),
+                    "turned-away": t.told(t.ERROR, 10929, 1, 16, "busy") + t.done(t.DONE_ERROR),
+                    "error": t.told(t.ERROR, 8134, 1, 16, "zero") + t.done(t.DONE_ERROR),
+                }[what]
             return None
+
         return one
 
     engines = []
@@ -826,11 +891,21 @@
     first = known(engines[:4])
     for one, kind in zip(first, kinds):
         one["type"] = kind
-    dispatcher = Dispatcher(coordinator=coordinator, known_=first, more="lines-take-tds #true",
-                            engine_body='user "w"; takes-postgres #true',
-                            obligations={"budget_window_ms": 5000.0, "extra_free": 3.0, "further_ratio": 0.1,
-                                         "cold_from": 0.3, "cold_ms": 15000.0, "fall_multiple": 2.5,
-                                         "fall_ms": 3000.0})
+    dispatcher = Dispatcher(
+        coordinator=coordinator,
+        known_=first,
+        more="lines-take-tds #true",
+        engine_body='user "w"; takes-postgres #true',
+        obligations={
+            "budget_window_ms": 5000.0,
+            "extra_free": 3.0,
+            "further_ratio": 0.1,
+            "cold_from": 0.3,
+            "cold_ms": 15000.0,
+            "fall_multiple": 2.5,
+            "fall_ms": 3000.0,
+        },
+    )
     coordinator.next("connected")
 
     def client(n):
@@ -881,8 +956,11 @@
     return seen.breaches()
 
 
-POOLS = {"lines": (["postgres"], ["old"] * 5), "tds": (["tds"], ["mssql"] * 5),
-         "mixed": (["postgres", "tds"], ["old", "mssql", "mssql", "old", "mssql"])}
+POOLS = {
+    "lines": (["postgres"], ["old"] * 5),
+    "tds": (["tds"], ["mssql"] * 5),
+    "mixed": (["postgres", "tds"], ["old", "mssql", "mssql", "old", "mssql"]),
+}
 
 
 @pytest.mark.parametrize("pool", POOLS)
@@ -909,8 +987,12 @@
         ask(client, "SELECT 1 FROM sales_1.t")
     counters = dispatcher.service.counters
     until(lambda: counters.shown().get("finished"))
-    for text in (f'tds {{ {listen} connections 5 }}', "", f'tds {{ {listen} rule {{ group "x" }} }}',
-                 f'tds {{ {listen} encrypt "on"; certificate "/nowhere" }}'):
+    for text in (
+        f"tds {{ {listen} connections 5 }}",
+        "",
+        f'tds {{ {listen} rule {{ group "x" }} }}',
+        f'tds {{ {listen} encrypt "on"; certificate "/nowhere" }}',
+    ):
         kdl.write_text(text)
         assert not dispatcher.service.reload(str(configuration), str(kdl))
     with dispatcher.connect(user="ann", password="secret") as client:
--- a/tests/test_tds_codec.py
+++ b/tests/test_tds_codec.py
@@ -29,8 +29,11 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from((packets.BATCH, packets.RPC)), st.binary(max_size=999)),
-                max_size=3), st.integers(512, 2000), st.integers(0, 1 << 32))
+@given(
+    st.lists(st.tuples(st.sampled_from((packets.BATCH, packets.RPC)), st.binary(max_size=999)), max_size=3),
+    st.integers(512, 2000),
+    st.integers(0, 1 << 32),
+)
 def test_messages_split_into_packets_and_cut_anywhere_come_back(sent, size, seed):
     data = b"".join(packets.frame(kind, body, size) for kind, body in sent)
     chance = Random(seed)
@@ -42,16 +45,24 @@
     body = bytes(range(256)) * 40
     for step in (1, 100, 5000, 20_000):
         framer = packets.Framer(packets.RESULT, 512)
-        data = b"".join(framer.more(body[at:at + step]) for at in range(0, len(body), step)) + framer.end()
+        data = b"".join(framer.more(body[at : at + step]) for at in range(0, len(body), step)) + framer.end()
         assert [found[2] for found in messages(data)] == [body]
 
 
-@pytest.mark.parametrize("data, why", [
-    (b"\x63\x01\x00\x08\0\0\0\0", "type"), (b"\x01\x01\x00\x07\0\0\0\0", "length"),
-    (b"\x01\x01\xff\xff\0\0\0\0", "length"),
-    (packets.HEAD.pack(1, 0, 9, 0, 1, 0) + b"x" + packets.HEAD.pack(3, 1, 9, 0, 1, 0) + b"x", "another type"),
-    (packets.HEAD.pack(1, 0, 8, 0, 1, 0) * 5000, "too long"), (packets.frame(1, bytes(70_000)), "too long"),
-])
+@pytest.mark.parametrize(
+    "data, why",
+    [
+        (b"\x63\x01\x00\x08\0\0\0\0", "type"),
+        (b"\x01\x01\x00\x07\0\0\0\0", "length"),
+        (b"\x01\x01\xff\xff\0\0\0\0", "length"),
+        (
+            packets.HEAD.pack(1, 0, 9, 0, 1, 0) + b"x" + packets.HEAD.pack(3, 1, 9, 0, 1, 0) + b"x",
+            "another type",
+        ),
+        (packets.HEAD.pack(1, 0, 8, 0, 1, 0) * 5000, "too long"),
+        (packets.frame(1, bytes(70_000)), "too long"),
+    ],
+)
 def test_packets_that_lie_are_refused(data, why):
     with pytest.raises(Malformed, match=why):
         messages(data)
@@ -76,8 +87,10 @@
 
 
 RAW = {
-    "int": (b"\x26\x04", b"\x04\xff\xff\xff\xff", -1), "tiny": (b"\x26\x01", b"\x01\xff", 255),
-    "big": (b"\x26\x08", b"\x08" + struct.pack("<q", -5), -5), "bit": (b"\x68\x01", b"\x01\x01", True),
+    "int": (b"\x26\x04", b"\x04\xff\xff\xff\xff", -1),
+    "tiny": (b"\x26\x01", b"\x01\xff", 255),
+    "big": (b"\x26\x08", b"\x08" + struct.pack("<q", -5), -5),
+    "bit": (b"\x68\x01", b"\x01\x01", True),
     "float": (b"\x6d\x08", b"\x08" + struct.pack("<d", 1.5), 1.5),
     "decimal": (b"\x6a\x05\x09\x02", b"\x05\x00\x39\x30\0\0", Decimal("-123.45")),
     "money": (b"\x6e\x08", b"\x08" + struct.pack("<iI", -1, 0xFFFFFFFF - 9999), Decimal("-1")),
@@ -86,10 +99,16 @@
     "smalldatetime": (b"\x6f\x04", b"\x04" + struct.pack("<HH", 2, 61), datetime(1900, 1, 3, 1, 1)),
     "date": (b"\x28", b"\x03\x00\x00\x00", date(1, 1, 1)),
     "time": (b"\x29\x00", b"\x03" + (3661).to_bytes(3, "little"), time(1, 1, 1)),
-    "datetime2": (b"\x2a\x03", b"\x07" + (1500).to_bytes(4, "little") + b"\x01\0\0",
-                  datetime(1, 1, 2, 0, 0, 1, 500_000)),
-    "offset": (b"\x2b\x00", b"\x08" + (3600).to_bytes(3, "little") + b"\x01\0\0" + struct.pack("<h", 90),
-               "0001-01-02 02:30:00 +01:30"),
+    "datetime2": (
+        b"\x2a\x03",
+        b"\x07" + (1500).to_bytes(4, "little") + b"\x01\0\0",
+        datetime(1, 1, 2, 0, 0, 1, 500_000),
+    ),
+    "offset": (
+        b"\x2b\x00",
+        b"\x08" + (3600).to_bytes(3, "little") + b"\x01\0\0" + struct.pack("<h", 90),
+        "0001-01-02 02:30:00 +01:30",
+    ),
     "guid": (b"\x24\x10", b"\x10" + bytes(range(16)), UUID(bytes_le=bytes(range(16)))),
     "nvarchar": (types.nvarchar_info(10), types.nvarchar("añ'"), "añ'"),
     "max": (types.NVARCHAR_MAX, types.nvarchar_max("x" * 50), "x" * 50),
@@ -97,7 +116,8 @@
     "utf8": (b"\xa7\x0a\x00\x09\x04\xd0\x04\x34", b"\x02\x00\xc3\xa9", "é"),
     "varbinary": (b"\xa5\x0a\x00", b"\x02\x00\x01\x02", b"\x01\x02"),
     "text": (b"\x23\xff\xff\xff\x7f" + types.COLLATION, b"\x10" + bytes(24) + b"\x02\0\0\0ab", "ab"),
-    "null": (b"\x26\x04", b"\x00", None), "nullmax": (types.NVARCHAR_MAX, types.nvarchar_max(None), None),
+    "null": (b"\x26\x04", b"\x00", None),
+    "nullmax": (types.NVARCHAR_MAX, types.nvarchar_max(None), None),
 }
 
 
@@ -159,20 +179,30 @@
 
 def test_a_call_with_parameters_becomes_one_statement_and_only_parameters_are_replaced():
     asked = call(
-        statements.EXECUTESQL, ("", *text(UNTOUCHED + "x=@a AND y=@B AND z=@ab AND @@rowcount=@c")),
-        ("", *text("@a nvarchar(10), @b int, @ab datetime, @c decimal(9,2)")), ("@a", *text("it's")),
-        ("@b", types.INT_INFO, types.int4(-4)), ("", b"\x6f\x08", RAW["datetime"][1]),
-        ("", RAW["decimal"][0], RAW["decimal"][1]))
+        statements.EXECUTESQL,
+        ("", *text(UNTOUCHED + "x=@a AND y=@B AND z=@ab AND @@rowcount=@c")),
+        ("", *text("@a nvarchar(10), @b int, @ab datetime, @c decimal(9,2)")),
+        ("@a", *text("it's")),
+        ("@b", types.INT_INFO, types.int4(-4)),
+        ("", b"\x6f\x08", RAW["datetime"][1]),
+        ("", RAW["decimal"][0], RAW["decimal"][1]),
+    )
     statement, told = statements.statement_of(asked, statements.Prepared())
     assert statement == (
-        UNTOUCHED + "x=N'it''s' AND y=-4 AND z='1900-01-02T00:00:01.000' AND @@rowcount=-123.45")
+        UNTOUCHED + "x=N'it''s' AND y=-4 AND z='1900-01-02T00:00:01.000' AND @@rowcount=-123.45"
+    )
     assert told == b""
 
 
 def test_prepared_statements_are_held_and_bounded():
     prepared = statements.Prepared()
-    asked = call(statements.PREPEXEC, ("", types.INT_INFO, types.int4(None)), ("", *text("@p int")),
-                 ("", *text("SELECT @p")), ("@p", types.INT_INFO, types.int4(3)))
+    asked = call(
+        statements.PREPEXEC,
+        ("", types.INT_INFO, types.int4(None)),
+        ("", *text("@p int")),
+        ("", *text("SELECT @p")),
+        ("@p", types.INT_INFO, types.int4(3)),
+    )
     statement, told = statements.statement_of(asked, prepared)
     assert statement == "SELECT 3" and told[0] == t.RETURNVALUE
     again = call(statements.EXECUTE, ("", types.INT_INFO, types.int4(1)), ("", types.INT_INFO, types.int4(9)))
@@ -184,13 +214,26 @@
         statements.statement_of(again, prepared)
 
 
-@pytest.mark.parametrize("said, answered", [
-    ("SET ANSI_NULLS ON", True), ("set textsize 100; SET NOCOUNT ON;", True), ("USE [bi]", True), ("", True),
-    ("SELECT @@VERSION", True), ("select @@spid as x, @@trancount", True), ("BEGIN TRAN", True),
-    ("IF @@TRANCOUNT > 0 COMMIT TRAN", True), ("SELECT @@unknown", False), ("SELECT 1", False),
-    ("SET @x = 1", False), ("SET IDENTITY_INSERT t ON", False), ("USE bi; DROP TABLE x", False),
-    ("SET NOCOUNT ON SELECT * FROM sales_1.t", False), ("SELECT @@version, * FROM sales_1.t", False),
-])
+@pytest.mark.parametrize(
+    "said, answered",
+    [
+        ("SET ANSI_NULLS ON", True),
+        ("set textsize 100; SET NOCOUNT ON;", True),
+        ("USE [bi]", True),
+        ("", True),
+        ("SELECT @@VERSION", True),
+        ("select @@spid as x, @@trancount", True),
+        ("BEGIN TRAN", True),
+        ("IF @@TRANCOUNT > 0 COMMIT TRAN", True),
+        ("SELECT @@unknown", False),
+        ("SELECT 1", False),
+        ("SET @x = 1", False),
+        ("SET IDENTITY_INSERT t ON", False),
+        ("USE bi; DROP TABLE x", False),
+        ("SET NOCOUNT ON SELECT * FROM sales_1.t", False),
+        ("SELECT @@version, * FROM sales_1.t", False),
+    ],
+)
 def test_only_set_up_statements_that_touch_nothing_are_answered_here(said, answered):
     assert (statements.set_up(said, "master") is not None) == answered
 
@@ -200,15 +243,23 @@
         data, count = results.of_pages([f"a\tb\t{cell}\n".encode(), b"1\t\t2\n"])
         tokens = list(t.Stream().feed(data))
         columns = tokens[0][2]
-        rows = [[types.value_of(c.info, v) for c, v in zip(columns, t.values(raw, columns))]
-                for token, raw, _ in tokens if token == t.ROW]
+        rows = [
+            [types.value_of(c.info, v) for c, v in zip(columns, t.values(raw, columns))]
+            for token, raw, _ in tokens
+            if token == t.ROW
+        ]
         assert rows == [["a", "b", cell], ["1", "", "2"]] and count == 2
     with pytest.raises(ValueError):
         results.of_pages([b"a\tb\n"])
 
 
-SEEDS = [stream()[0], lg.login("u", "p"), lg.prelogin({0: bytes(6), 1: b"\2"}),
-         statements.batch("SELECT 1"), packets.frame(1, b"abc" * 100, 512)]
+SEEDS = [
+    stream()[0],
+    lg.login("u", "p"),
+    lg.prelogin({0: bytes(6), 1: b"\2"}),
+    statements.batch("SELECT 1"),
+    packets.frame(1, b"abc" * 100, 512),
+]
 
 
 @settings(max_examples=400, deadline=None)
@@ -223,9 +274,15 @@
                 results.Rows().of([(t.COLMETADATA, b"", columns), (token, raw, None)])
         assert len(reader.buffer) <= t.TOKEN_MOST + len(data)
 
-    for read in (messages, rows, lg.read_login, lg.read_prelogin, statements.batch_text,
-                 lambda d: statements.statement_of(statements.read_call(d), statements.Prepared()),
-                 statements.read_transaction):
+    for read in (
+        messages,
+        rows,
+        lg.read_login,
+        lg.read_prelogin,
+        statements.batch_text,
+        lambda d: statements.statement_of(statements.read_call(d), statements.Prepared()),
+        statements.read_transaction,
+    ):
         try:
             read(data)
         except Malformed:
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -49,8 +49,9 @@
     written = open(tmp_path / "log", "wb+")
     log, counters = Log(written.fileno(), Clock()), Counters()
     tries = iter(range(3))
-    monkeypatch.setattr(signal, "sigpending", lambda: set() if next(tries, None) is not None
-                        else {signal.SIGTERM})
+    monkeypatch.setattr(
+        signal, "sigpending", lambda: set() if next(tries, None) is not None else {signal.SIGTERM}
+    )
     with pytest.raises(Stopped):
         Threads(log, counters).needed(log.run, "log")
     assert (tmp_path / "log").read_bytes().count(b'"reason":"no-thread"') == 3
@@ -127,8 +128,16 @@
         time.sleep(0.01)
     good = Engine()
     events.next("connected")
-    events.send.put(sse(2, event(2, *(entry(f"e{n}", engine.address, "Terminating")
-                                      for n, engine in enumerate(silent)), entry("good", good.address))))
+    events.send.put(
+        sse(
+            2,
+            event(
+                2,
+                *(entry(f"e{n}", engine.address, "Terminating") for n, engine in enumerate(silent)),
+                entry("good", good.address),
+            ),
+        )
+    )
     assert rows(Client(dispatcher).ask(statement(n=99)))
 
 
--- a/wickvane/choice.py
+++ b/wickvane/choice.py
@@ -316,7 +316,8 @@
             failed = self.engines.failure_rate[qy.erred]
             self.engines.failure_rate[qy.erred], qy.erred = max(0.0, (failed - 0.2) / 0.8), -1
         elif ending in (i.ERROR, i.RESET, i.NO_CONNECTION) or (
-                ending == i.NO_ANSWER and self.engines.heard_at[e] < qy.sent):
+            ending == i.NO_ANSWER and self.engines.heard_at[e] < qy.sent
+        ):
             qy.erred = e if ending == i.ERROR else qy.erred
             self.engines.failure_rate[e] += (1 - self.engines.failure_rate[e]) * 0.2
             if self.engines.failure_rate[e] > FAILING or self.engines.half_open[e]:
@@ -350,8 +351,12 @@
         """Where a tokened query has run, only those that know the token discard the repeat."""
         g = self.groups[qy.rg]
         same = self.engines.zone if g.drops_repeats == i.SAME_ZONE else self.engines.cell
-        return (qy.ran_at is None or g.effect != i.TOKENED or g.drops_repeats == i.ANY_ENGINE
-                or same[e] == same[qy.ran_on])
+        return (
+            qy.ran_at is None
+            or g.effect != i.TOKENED
+            or g.drops_repeats == i.ANY_ENGINE
+            or same[e] == same[qy.ran_on]
+        )
 
     def usable(self, rg):
         if rg not in self.fit:
@@ -433,10 +438,14 @@
         if found:
             # With many gateways most engines hold none of mine, and ties that all break alike jam the first,
             # unless it was heard of lately. Its warm tables are worth staying for then.
-            blind = (self.bound(found[0]) < self.groups[qy.rg].threads
-                     and self.now - self.engines.load_factor_at[found[0]] > CROWD_LASTS // 3)
-            return min(found, key=lambda e: (
-                self.loads_there(qy, e), self.load(e), self.chance.random() if blind else 0))
+            blind = (
+                self.bound(found[0]) < self.groups[qy.rg].threads
+                and self.now - self.engines.load_factor_at[found[0]] > CROWD_LASTS // 3
+            )
+            return min(
+                found,
+                key=lambda e: (self.loads_there(qy, e), self.load(e), self.chance.random() if blind else 0),
+            )
         if not met:
             return -1
         # Looking over all engines again for each that waits costs more than it finds.
@@ -580,8 +589,12 @@
 
     def may_resubmit(self, qy):
         harmless = qy.ran_at is None or self.groups[qy.rg].effect != i.MUTATING
-        return (harmless and qy.erred != -1 and qy.tries < self.site.most_submissions
-                and self.now < min(self.repeat_by(qy), self.last_start(qy)))
+        return (
+            harmless
+            and qy.erred != -1
+            and qy.tries < self.site.most_submissions
+            and self.now < min(self.repeat_by(qy), self.last_start(qy))
+        )
 
     def give_up(self, qy):
         g = self.groups[qy.rg]
@@ -685,11 +698,25 @@
     def renew(self, queries):
         for qy in queries:
             movable = self.site.may_cancel and self.groups[qy.rg].effect == i.READ_ONLY
-            if (movable and not qy.over and not qy.known_slow and qy.tries < self.site.most_submissions
-                    and self.budget_left() and self.now + self.runs_for(qy) < qy.limit):
+            if (
+                movable
+                and not qy.over
+                and not qy.known_slow
+                and qy.tries < self.site.most_submissions
+                and self.budget_left()
+                and self.now + self.runs_for(qy) < qy.limit
+            ):
                 self.out.cancel(qy.q, qy.tries - 1)
                 qy.known_slow = True
 
 
-HANDLERS = (Gateway.taken, Gateway.ended, Gateway.left, lambda *alarm: None, Gateway.progress, Gateway.engine,
-            Gateway.list_lost, Gateway.stopping)
+HANDLERS = (
+    Gateway.taken,
+    Gateway.ended,
+    Gateway.left,
+    lambda *alarm: None,
+    Gateway.progress,
+    Gateway.engine,
+    Gateway.list_lost,
+    Gateway.stopping,
+)
--- a/wickvane/control/catalog.py
+++ b/wickvane/control/catalog.py
@@ -14,10 +14,12 @@
 from immutables import Map
 
 CDS, EDS, LDS, RDS = range(4)
-TYPES = ("type.googleapis.com/envoy.config.cluster.v3.Cluster",
-         "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
-         "type.googleapis.com/envoy.config.listener.v3.Listener",
-         "type.googleapis.com/envoy.config.route.v3.RouteConfiguration")
+TYPES = (
+    "type.googleapis.com/envoy.config.cluster.v3.Cluster",
+    "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+    "type.googleapis.com/envoy.config.listener.v3.Listener",
+    "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
+)
 NUMBER = {url: n for n, url in enumerate(TYPES)}
 WORDS = ("CDS", "EDS", "LDS", "RDS")
 SOURCE_BITS = 29  # of an index: the coordinator's number, below that of watched files
--- a/wickvane/control/fleet.py
+++ b/wickvane/control/fleet.py
@@ -115,10 +115,19 @@
     notes = []
     # Nothing may ever go to a draining one again, so that it costs nothing to let it go.
     if lost and floor.what != TAKE and (len(lost) > floor.most(len(ready)) or not named):
-        kept = lost if floor.what == HOLD else lost[floor.most(len(ready)):]
-        notes.append(("list-past-floor", {
-            "index": index, "missing": len(lost), "ready": len(ready), "kept": len(kept),
-            "what": floor.what}))
+        kept = lost if floor.what == HOLD else lost[floor.most(len(ready)) :]
+        notes.append(
+            (
+                "list-past-floor",
+                {
+                    "index": index,
+                    "missing": len(lost),
+                    "ready": len(ready),
+                    "kept": len(kept),
+                    "what": floor.what,
+                },
+            )
+        )
         step = floor.time if floor.what == HOLD else 0
         for n, name in enumerate(kept):
             at = now + (step or floor.time * (1 + n // floor.most(len(ready))))
@@ -141,7 +150,8 @@
             gone, engines = gone.set(name, (fleet.index, engines[name].started)), engines.delete(name)
         missing = missing.delete(name)
     return fleet._replace(engines=engines, gone=gone, missing=missing), [
-        ("missing-let-go", {"engines": due[:20], "count": len(due)})]
+        ("missing-let-go", {"engines": due[:20], "count": len(due)})
+    ]
 
 
 def next_due(fleet):
@@ -161,10 +171,12 @@
 def plain(fleet):
     """As JSON has it."""
     return {
-        "form": FORM, "index": fleet.index,
+        "form": FORM,
+        "index": fleet.index,
         "engines": [list(e) for _, e in sorted(fleet.engines.items())],
         "gone": [[name, *of] for name, of in sorted(fleet.gone.items())],
-        "missing": [[name, until] for name, until in sorted(fleet.missing.items())]}
+        "missing": [[name, until] for name, until in sorted(fleet.missing.items())],
+    }
 
 
 def restored(found):
@@ -175,11 +187,16 @@
         engines = {}
         for row in found["engines"]:
             engine = Engine(*row)
-            address = engine.address if engine.address is None else (str(engine.address[0]),
-                                                                     int(engine.address[1]))
+            address = (
+                engine.address if engine.address is None else (str(engine.address[0]), int(engine.address[1]))
+            )
             engines[engine.name] = engine._replace(address=address)
-        return Fleet(int(found["index"]), Map(engines),
-                     Map({name: (index, started) for name, index, started in found["gone"]}),
-                     Map({name: until for name, until in found["missing"]}), True)
+        return Fleet(
+            int(found["index"]),
+            Map(engines),
+            Map({name: (index, started) for name, index, started in found["gone"]}),
+            Map({name: until for name, until in found["missing"]}),
+            True,
+        )
     except (KeyError, TypeError, IndexError) as error:
         raise ValueError(f"no snapshot of a list: {error}") from None
--- a/wickvane/control/hub.py
+++ b/wickvane/control/hub.py
@@ -48,8 +48,9 @@
         self.floor, self.ttl, self.fleet = floor, ttl, fl.Fleet()
         self.catalog, self.sessions, self.numbers = Catalog(epoch), {}, 0
         self.ready, self.turns, self.retiring = set(), [], None
-        self.counts = dict.fromkeys(("list-events", "updates", "drains", "streams", "streams-refused",
-                                     "loads"), 0)
+        self.counts = dict.fromkeys(
+            ("list-events", "updates", "drains", "streams", "streams-refused", "loads"), 0
+        )
         self.late, self.late_at, self.loads, self.served = 0, 0, {}, False
 
     # The list
@@ -62,8 +63,9 @@
     def restore(self, now, fleet):
         """A list from a snapshot, before any event."""
         if fleet.index > self.fleet.index:
-            self.follow(now, fleet, [("list-from-snapshot", {"index": fleet.index,
-                                                             "engines": len(fleet.engines)})])
+            self.follow(
+                now, fleet, [("list-from-snapshot", {"index": fleet.index, "engines": len(fleet.engines)})]
+            )
 
     def follow(self, now, fleet, notes):
         self.turns += notes
@@ -79,8 +81,9 @@
             bodies = self.make.settled(self.placement)
         else:
             bodies = {}
-        bodies[EDS] = {name: self.make.assignment(name, self.placement.cache.get(name, ()))
-                       for name in changed}
+        bodies[EDS] = {
+            name: self.make.assignment(name, self.placement.cache.get(name, ())) for name in changed
+        }
         # The index that a resource follows from is the list's, also where only its weights have moved on.
         if self.catalog.put(self.fleet.index, bodies, drained=drained):
             self.counts["updates"] += 1
@@ -107,8 +110,13 @@
     def lateness(self, now):
         """Of the slowest proxy, by its acknowledgements and by what it leaves unacknowledged; in steps of the
         placement's grid, so that a little more or less of it moves no weight."""
-        worst = max((max(s.lag, now - s.kinds[EDS].out[0].at if s.kinds[EDS].out else 0)
-                     for s in self.sessions.values()), default=0)
+        worst = max(
+            (
+                max(s.lag, now - s.kinds[EDS].out[0].at if s.kinds[EDS].out else 0)
+                for s in self.sessions.values()
+            ),
+            default=0,
+        )
         faded = self.late * max(0.0, 1 - (now - self.late_at) / LATE_FADES)
         if worst >= faded:
             self.late, self.late_at = min(LATE_MOST, worst), now
@@ -125,8 +133,9 @@
         old = {(kind, name) for kind in (CDS, EDS, LDS, RDS) for name in self.catalog.entries[kind]}
         self.placement, self.make = placement, make
         bodies = make.settled(placement)
-        bodies[EDS] = {name: make.assignment(name, placement.cache.get(name, ()))
-                       for name in placement.clusters()}
+        bodies[EDS] = {
+            name: make.assignment(name, placement.cache.get(name, ())) for name in placement.clusters()
+        }
         stays = {(kind, name) for kind, found in bodies.items() for name in found}
         self.retire(now, last=True)
         going = sorted(old - stays)
@@ -162,8 +171,9 @@
             raise Refused("too many streams")
         self.numbers += 1
         self.counts["streams"] += 1
-        self.sessions[self.numbers] = Session(self.numbers, variant, now, self.catalog, self.visible,
-                                              self.grace, self.ttl)
+        self.sessions[self.numbers] = Session(
+            self.numbers, variant, now, self.catalog, self.visible, self.grace, self.ttl
+        )
         return self.numbers
 
     def named(self, number, node):
@@ -225,10 +235,25 @@
 
     def status(self, now):
         return {
-            "index": self.fleet.index, "old": self.fleet.old, "served": self.served,
-            "generation": self.catalog.generation, "engines": len(self.fleet.engines),
-            "ready": len(self.fleet.ready()), "missing": len(self.fleet.missing),
-            "lateness_ms": self.late / 10, "counts": dict(self.counts),
-            "nodes": [{"node": s.node, "stream": s.number, "variant": s.variant, "types": s.status(now),
-                       "lag_ms": s.lag / 10, **s.counts}
-                      for s in self.sessions.values() if s.node is not None]}
+            "index": self.fleet.index,
+            "old": self.fleet.old,
+            "served": self.served,
+            "generation": self.catalog.generation,
+            "engines": len(self.fleet.engines),
+            "ready": len(self.fleet.ready()),
+            "missing": len(self.fleet.missing),
+            "lateness_ms": self.late / 10,
+            "counts": dict(self.counts),
+            "nodes": [
+                {
+                    "node": s.node,
+                    "stream": s.number,
+                    "variant": s.variant,
+                    "types": s.status(now),
+                    "lag_ms": s.lag / 10,
+                    **s.counts,
+                }
+                for s in self.sessions.values()
+                if s.node is not None
+            ],
+        }
--- a/wickvane/control/part.py
+++ b/wickvane/control/part.py
@@ -44,12 +44,14 @@
     listen = node.value("listen", parts.address, needed=True)
     secret, tls = node.child("tls"), None
     if secret:
-        tls = Secrets(*(secret.value(name, parts.path, needed=True)
-                        for name in ("authority", "certificate", "key")))
+        tls = Secrets(
+            *(secret.value(name, parts.path, needed=True) for name in ("authority", "certificate", "key"))
+        )
         secret.done()
     elif not listen[0].startswith("127.") and listen[0] != "::1":
-        raise node.wrong("a node tls, or an address of this machine's own", ":".join(map(str, listen)),
-                         "listen")
+        raise node.wrong(
+            "a node tls, or an address of this machine's own", ":".join(map(str, listen)), "listen"
+        )
     rules = []
     for child in node.children("node"):
         groups = []
@@ -64,14 +66,22 @@
             guard.property("share", parts.share(0.01, 1), floor.share),
             guard.property("least", parts.whole(1, 10_000), floor.least),
             guard.property("past", parts.word(fleet.HOLD, fleet.STEPS, fleet.TAKE), floor.what),
-            guard.property("time", parts.duration("1s", "24h"), floor.time))
+            guard.property("time", parts.duration("1s", "24h"), floor.time),
+        )
         guard.done()
     return Part(
-        listen, node.value("tables", parts.whole(0, 5000), 100),
+        listen,
+        node.value("tables", parts.whole(0, 5000), 100),
         node.value("proxies", parts.whole(1, 10_000), 1),
         node.value("epoch", parts.name, "0").replace(".", "-"),
-        node.value("time-to-live", parts.duration("0ms", "24h"), 0), node.value("snapshot", parts.path),
+        node.value("time-to-live", parts.duration("0ms", "24h"), 0),
+        node.value("snapshot", parts.path),
         floor,
-        Nodes(tuple(rules), node.value("streams", parts.whole(1, 100_000), 1000),
-              node.value("streams-a-node", parts.whole(1, 1000), 4)), tls,
-        node.value("stall", parts.duration("100ms", "10m"), 100_000))
+        Nodes(
+            tuple(rules),
+            node.value("streams", parts.whole(1, 100_000), 1000),
+            node.value("streams-a-node", parts.whole(1, 1000), 4),
+        ),
+        tls,
+        node.value("stall", parts.duration("100ms", "10m"), 100_000),
+    )
--- a/wickvane/control/placement.py
+++ b/wickvane/control/placement.py
@@ -83,8 +83,10 @@
             self.class_of[name] = self.classes.setdefault(allowed, name)
         self.paces = {name: self.pace(group) for name, group in zip(group_names, site.groups)}
         self.allowed = {klass: allowed for allowed, klass in self.classes.items()}
-        self.threads = {klass: max(g.threads for name, g in zip(group_names, site.groups)
-                                   if self.class_of[name] == klass) for klass in self.allowed}
+        self.threads = {
+            klass: max(g.threads for name, g in zip(group_names, site.groups) if self.class_of[name] == klass)
+            for klass in self.allowed
+        }
         self.engines, self.orders = {}, {table: [] for table in self.tables}
         self.grid = max(1, site.cold_time // WARM_STEPS // 2)
         self.lateness, self.at, self.cache, self.stepping = 0, 0, {}, {}
@@ -101,10 +103,18 @@
         self.at = max(self.at, now)
         lost = [name for name in before if name not in after]
         new = [name for name in after if name not in before]
-        other = [name for name, engine in after.items() if name in before and before[name] is not engine
-                 and before[name]._replace(index=0, told=0) != engine._replace(index=0, told=0)]
-        gone = {name for name in lost + other
-                if before[name].state == i.READY and (name not in after or after[name].state != i.READY)}
+        other = [
+            name
+            for name, engine in after.items()
+            if name in before
+            and before[name] is not engine
+            and before[name]._replace(index=0, told=0) != engine._replace(index=0, told=0)
+        ]
+        gone = {
+            name
+            for name in lost + other
+            if before[name].state == i.READY and (name not in after or after[name].state != i.READY)
+        }
         many, touched = len(lost) + len(new) + len(other) > MANY, set()
         if many:
             touched.update(self.tables)
@@ -161,8 +171,9 @@
 
     def permitted(self, klass, engine):
         zones, kinds = self.allowed[klass]
-        return ((zones is None or self.zone_of.get(engine.zone) in zones)
-                and (kinds is None or self.kind_of.get(engine.kind) in kinds))
+        return (zones is None or self.zone_of.get(engine.zone) in zones) and (
+            kinds is None or self.kind_of.get(engine.kind) in kinds
+        )
 
     # Time
 
@@ -170,8 +181,11 @@
         """Weights that rise with time: (changed, drained) as from list()."""
         self.at = max(self.at, now)
         cold = [name for name in self.stepping if name in self.engines]
-        tables = set(self.tables) if len(cold) > MANY else {
-            table for name in cold for table in self.orders_with(name)}
+        tables = (
+            set(self.tables)
+            if len(cold) > MANY
+            else {table for name in cold for table in self.orders_with(name)}
+        )
         for name in [n for n, until in self.stepping.items() if until <= self.at]:
             del self.stepping[name]
         return self.again(tables, set())
--- a/wickvane/control/resources.py
+++ b/wickvane/control/resources.py
@@ -50,8 +50,9 @@
 
 
 def ads():
-    return config_source_pb2.ConfigSource(ads=config_source_pb2.AggregatedConfigSource(),
-                                          resource_api_version=config_source_pb2.V3)
+    return config_source_pb2.ConfigSource(
+        ads=config_source_pb2.AggregatedConfigSource(), resource_api_version=config_source_pb2.V3
+    )
 
 
 class Make:
@@ -69,17 +70,25 @@
 
     def settled(self, placement):
         """What follows from the settings alone: {type: {name: body}}."""
-        clusters = {cluster_name(klass, table): self.cluster(cluster_name(klass, table), limits)
-                    for klass in placement.allowed for limits in (placement.limits(klass),)
-                    for table in placement.tables}
+        clusters = {
+            cluster_name(klass, table): self.cluster(cluster_name(klass, table), limits)
+            for klass in placement.allowed
+            for limits in (placement.limits(klass),)
+            for table in placement.tables
+        }
         groups = list(placement.class_of)
-        return {CDS: clusters, LDS: {group: self.listener(group, placement.paces[group]) for group in groups},
-                RDS: {group: self.routes(group, placement) for group in groups}}
+        return {
+            CDS: clusters,
+            LDS: {group: self.listener(group, placement.paces[group]) for group in groups},
+            RDS: {group: self.routes(group, placement) for group in groups},
+        }
 
     def cluster(self, name, limits):
         made = cluster_pb2.Cluster(
-            name=name, type=cluster_pb2.Cluster.EDS,
-            eds_cluster_config=cluster_pb2.Cluster.EdsClusterConfig(eds_config=ads()))
+            name=name,
+            type=cluster_pb2.Cluster.EDS,
+            eds_cluster_config=cluster_pb2.Cluster.EdsClusterConfig(eds_config=ads()),
+        )
         # A client takes the first that it knows: least requests by weight, else by weight of localities.
         least = least_request_pb2.LeastRequest()
         least.choice_count.value = CHOICES
@@ -112,17 +121,18 @@
         found = {}
         for place in places:
             host, port = place.address
-            end = endpoint_components_pb2.LbEndpoint(
-                health_status=health_check_pb2.HEALTHY)
+            end = endpoint_components_pb2.LbEndpoint(health_status=health_check_pb2.HEALTHY)
             end.endpoint.address.socket_address.CopyFrom(
-                address_pb2.SocketAddress(address=host, port_value=port))
+                address_pb2.SocketAddress(address=host, port_value=port)
+            )
             end.endpoint.hostname = place.name
             end.load_balancing_weight.value = place.weight
             # Engines of one weight are a locality: clients that know weights of localities alone heed it too.
             found.setdefault((place.priority, place.zone, place.weight), []).append(end)
         for (priority, zone, weight), ends in sorted(found.items()):
-            group = made.endpoints.add(priority=priority, locality=base_pb2.Locality(
-                zone=zone, sub_zone=f"weight-{weight}"))
+            group = made.endpoints.add(
+                priority=priority, locality=base_pb2.Locality(zone=zone, sub_zone=f"weight-{weight}")
+            )
             group.lb_endpoints.extend(ends)
             group.load_balancing_weight.value = sum(end.load_balancing_weight.value for end in ends)
         return octets(made)
@@ -131,7 +141,8 @@
         """One a resource group, by its name: `xds:///GROUP` for a client of gRPC, an API listener for what
         brings a listener of its own."""
         manager = hcm_pb2.HttpConnectionManager(
-            stat_prefix=group, rds=hcm_pb2.Rds(route_config_name=group, config_source=ads()))
+            stat_prefix=group, rds=hcm_pb2.Rds(route_config_name=group, config_source=ads())
+        )
         gradient = concurrency_pb2.GradientControllerConfig()
         gradient.sample_aggregate_percentile.value = 50
         gradient.concurrency_limit_params.max_concurrency_limit.value = pace.most
@@ -139,13 +150,21 @@
         seconds(gradient.min_rtt_calc_params.fixed_value, pace.round_trip)
         gradient.min_rtt_calc_params.buffer.value = 100 * pace.buffer
         # A client that has no such filter goes without it.
-        manager.http_filters.append(hcm_pb2.HttpFilter(
-            name="adaptive-concurrency", is_optional=True, typed_config=packed(
-                concurrency_pb2.AdaptiveConcurrency(gradient_controller_config=gradient))))
-        manager.http_filters.append(hcm_pb2.HttpFilter(
-            name="router", typed_config=packed(router_pb2.Router())))
-        return octets(listener_pb2.Listener(
-            name=group, api_listener=api_listener_pb2.ApiListener(api_listener=packed(manager))))
+        manager.http_filters.append(
+            hcm_pb2.HttpFilter(
+                name="adaptive-concurrency",
+                is_optional=True,
+                typed_config=packed(concurrency_pb2.AdaptiveConcurrency(gradient_controller_config=gradient)),
+            )
+        )
+        manager.http_filters.append(
+            hcm_pb2.HttpFilter(name="router", typed_config=packed(router_pb2.Router()))
+        )
+        return octets(
+            listener_pb2.Listener(
+                name=group, api_listener=api_listener_pb2.ApiListener(api_listener=packed(manager))
+            )
+        )
 
     def routes(self, group, placement):
         klass = placement.class_of[group]
@@ -154,13 +173,20 @@
             if table == NO_TABLE:
                 continue
             match = route_components_pb2.RouteMatch(prefix="")
-            match.headers.append(route_components_pb2.HeaderMatcher(
-                name=TABLE_HEADER, string_match=string_pb2.StringMatcher(exact=str(table))))
-            host.routes.append(route_components_pb2.Route(
-                match=match, route=route_components_pb2.RouteAction(cluster=cluster_name(klass, table))))
-        host.routes.append(route_components_pb2.Route(
-            match=route_components_pb2.RouteMatch(prefix=""),
-            route=route_components_pb2.RouteAction(cluster=cluster_name(klass, NO_TABLE))))
+            match.headers.append(
+                route_components_pb2.HeaderMatcher(
+                    name=TABLE_HEADER, string_match=string_pb2.StringMatcher(exact=str(table))
+                )
+            )
+            host.routes.append(
+                route_components_pb2.Route(
+                    match=match, route=route_components_pb2.RouteAction(cluster=cluster_name(klass, table))
+                )
+            )
+        host.routes.append(
+            route_components_pb2.Route(
+                match=route_components_pb2.RouteMatch(prefix=""),
+                route=route_components_pb2.RouteAction(cluster=cluster_name(klass, NO_TABLE)),
+            )
+        )
         return octets(route_pb2.RouteConfiguration(name=group, virtual_hosts=[host]))
-
-
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -37,10 +37,15 @@
 FIRST_S = 10.0  # within which a stream names its node
 SAVE_APART_S = 0.2  # a list that flaps is not written to disk each time
 KEPT_ENCODED = 512
-OPTIONS = (("grpc.max_receive_message_length", REQUEST_MOST), ("grpc.so_reuseport", 0),
-           ("grpc.keepalive_time_ms", 20_000), ("grpc.keepalive_timeout_ms", 10_000),
-           ("grpc.http2.min_ping_interval_without_data_ms", 5_000), ("grpc.http2.max_ping_strikes", 0),
-           ("grpc.max_metadata_size", 16_384))
+OPTIONS = (
+    ("grpc.max_receive_message_length", REQUEST_MOST),
+    ("grpc.so_reuseport", 0),
+    ("grpc.keepalive_time_ms", 20_000),
+    ("grpc.keepalive_timeout_ms", 10_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.max_metadata_size", 16_384),
+)
 
 
 class Encoder:
@@ -73,12 +78,15 @@
 
     def delta(self, response, ttl):
         made = discovery_pb2.DeltaDiscoveryResponse(
-            system_version_info=response.version, type_url=TYPES[response.kind],
-            removed_resources=response.removed)
+            system_version_info=response.version,
+            type_url=TYPES[response.kind],
+            removed_resources=response.removed,
+        )
         entries = self.hub.catalog.entries[response.kind]
         for name in response.names:
-            made.resources.append(self.resource(response, name, entries[name],
-                                                ttl if response.kind == EDS else 0))
+            made.resources.append(
+                self.resource(response, name, entries[name], ttl if response.kind == EDS else 0)
+            )
         return made.SerializeToString()
 
     def resource(self, response, name, entry, ttl):
@@ -106,18 +114,30 @@
 
         streams = grpc.stream_stream_rpc_method_handler
         return (
-            generic("envoy.service.discovery.v3.AggregatedDiscoveryService",
-                    StreamAggregatedResources=streams(
-                        self.sotw, discovery_pb2.DiscoveryRequest.FromString, same),
-                    DeltaAggregatedResources=streams(
-                        self.delta, discovery_pb2.DeltaDiscoveryRequest.FromString, same)),
-            generic("envoy.service.load_stats.v3.LoadReportingService", StreamLoadStats=streams(
-                self.loads, lrs_pb2.LoadStatsRequest.FromString,
-                lrs_pb2.LoadStatsResponse.SerializeToString)),
-            generic("envoy.service.status.v3.ClientStatusDiscoveryService",
-                    FetchClientStatus=grpc.unary_unary_rpc_method_handler(
-                        self.status, csds_pb2.ClientStatusRequest.FromString,
-                        csds_pb2.ClientStatusResponse.SerializeToString)))
+            generic(
+                "envoy.service.discovery.v3.AggregatedDiscoveryService",
+                StreamAggregatedResources=streams(self.sotw, discovery_pb2.DiscoveryRequest.FromString, same),
+                DeltaAggregatedResources=streams(
+                    self.delta, discovery_pb2.DeltaDiscoveryRequest.FromString, same
+                ),
+            ),
+            generic(
+                "envoy.service.load_stats.v3.LoadReportingService",
+                StreamLoadStats=streams(
+                    self.loads,
+                    lrs_pb2.LoadStatsRequest.FromString,
+                    lrs_pb2.LoadStatsResponse.SerializeToString,
+                ),
+            ),
+            generic(
+                "envoy.service.status.v3.ClientStatusDiscoveryService",
+                FetchClientStatus=grpc.unary_unary_rpc_method_handler(
+                    self.status,
+                    csds_pb2.ClientStatusRequest.FromString,
+                    csds_pb2.ClientStatusResponse.SerializeToString,
+                ),
+            ),
+        )
 
     async def sotw(self, requests, context):
         await self.stream(SOTW, requests, context)
@@ -164,8 +184,13 @@
             if number is not None:
                 session = hub.sessions.get(number)
                 self.server.log.line(
-                    "proxy-connection-ended", reason=reason, stream=number, node=session and session.node,
-                    variant=variant, **(session.counts if session else {}))
+                    "proxy-connection-ended",
+                    reason=reason,
+                    stream=number,
+                    node=session and session.node,
+                    variant=variant,
+                    **(session.counts if session else {}),
+                )
                 hub.closed(number)
                 self.server.counters.add(f"proxy-connections-ended-{reason}")
 
@@ -174,8 +199,11 @@
         if self.server.part.tls is None:
             return
         auth = context.auth_context()
-        names = [name.decode("utf-8", "replace") for key in (
-            "x509_subject_alternative_name", "x509_common_name") for name in auth.get(key, ())]
+        names = [
+            name.decode("utf-8", "replace")
+            for key in ("x509_subject_alternative_name", "x509_common_name")
+            for name in auth.get(key, ())
+        ]
         if not any(node == name or node.startswith(name + "/") for name in names):
             raise Refused(f"the certificate is not node {node[:64]}'s")
 
@@ -186,11 +214,19 @@
         now = self.clock.now()
         error = request.error_detail.message if request.HasField("error_detail") else None
         if variant == SOTW:
-            session.asked_sotw(now, kind, request.version_info, request.response_nonce,
-                               request.resource_names, error)
+            session.asked_sotw(
+                now, kind, request.version_info, request.response_nonce, request.resource_names, error
+            )
         else:
-            session.asked_delta(now, kind, request.response_nonce, request.resource_names_subscribe,
-                                request.resource_names_unsubscribe, request.initial_resource_versions, error)
+            session.asked_delta(
+                now,
+                kind,
+                request.response_nonce,
+                request.resource_names_subscribe,
+                request.resource_names_unsubscribe,
+                request.initial_resource_versions,
+                error,
+            )
 
     async def read(self, variant, session, requests, woken):
         try:
@@ -239,35 +275,63 @@
                     self.known(context, node)
                 except Refused as error:
                     await context.abort(grpc.StatusCode.PERMISSION_DENIED, str(error))
-                await context.write(lrs_pb2.LoadStatsResponse(
-                    send_all_clusters=True, report_endpoint_granularity=True,
-                    load_reporting_interval=duration_pb2.Duration(seconds=LOADS_EVERY_S)))
+                await context.write(
+                    lrs_pb2.LoadStatsResponse(
+                        send_all_clusters=True,
+                        report_endpoint_granularity=True,
+                        load_reporting_interval=duration_pb2.Duration(seconds=LOADS_EVERY_S),
+                    )
+                )
             now = self.clock.now()
             for cluster in request.cluster_stats:
                 for zone in cluster.upstream_locality_stats:
-                    rows = [(f"{e.address.socket_address.address}:{e.address.socket_address.port_value}", e)
-                            for e in zone.upstream_endpoint_stats] or [("", zone)]
+                    rows = [
+                        (f"{e.address.socket_address.address}:{e.address.socket_address.port_value}", e)
+                        for e in zone.upstream_endpoint_stats
+                    ] or [("", zone)]
                     for engine, row in rows:
-                        self.hub.loaded(now, node, cluster.cluster_name[:512], engine[:128],
-                                        row.total_successful_requests, row.total_error_requests,
-                                        row.total_requests_in_progress)
+                        self.hub.loaded(
+                            now,
+                            node,
+                            cluster.cluster_name[:512],
+                            engine[:128],
+                            row.total_successful_requests,
+                            row.total_error_requests,
+                            row.total_requests_in_progress,
+                        )
 
     async def status(self, request, context):
         now, made = self.clock.now(), csds_pb2.ClientStatusResponse()
         for row in self.hub.status(now)["nodes"]:
             one = made.config.add(node=base_pb2.Node(id=row["node"]))
-            one.node.metadata.update({
-                name: row[name] for name in ("stream", "variant", "lag_ms", "sent", "acknowledged", "refused",
-                                             "told-again", "late")})
+            one.node.metadata.update(
+                {
+                    name: row[name]
+                    for name in (
+                        "stream",
+                        "variant",
+                        "lag_ms",
+                        "sent",
+                        "acknowledged",
+                        "refused",
+                        "told-again",
+                        "late",
+                    )
+                }
+            )
             one.node.metadata.update({"index": self.hub.fleet.index, "old": self.hub.fleet.old})
             if self.server.members:
                 found = self.server.members.membership
                 one.node.metadata.update({"generation": found.generation, "digest": found.target.digest})
             for word, state in row["types"].items():
                 found = one.generic_xds_configs.add(
-                    type_url=TYPES[WORDS.index(word)], version_info=state["version"])
-                found.config_status = csds_pb2.SYNCED if state["synced"] else (
-                    csds_pb2.ERROR if state["refused"] else csds_pb2.STALE)
+                    type_url=TYPES[WORDS.index(word)], version_info=state["version"]
+                )
+                found.config_status = (
+                    csds_pb2.SYNCED
+                    if state["synced"]
+                    else (csds_pb2.ERROR if state["refused"] else csds_pb2.STALE)
+                )
                 if state["refused"]:
                     found.error_state.details = state["refused"]
         return made
@@ -275,14 +339,19 @@
 
 def credentials(secrets):
     """Of mutual TLS, read anew whenever a file of it was changed; one that cannot be used changes nothing."""
+
     def stamp():
         return tuple(os.stat(path).st_mtime_ns for path in secrets)
 
     def read():
-        with open(secrets.key, "rb") as key, open(secrets.certificate, "rb") as certificate, open(
-                secrets.authority, "rb") as authority:
-            return grpc.ssl_server_certificate_configuration([(key.read(), certificate.read())],
-                                                             authority.read())
+        with (
+            open(secrets.key, "rb") as key,
+            open(secrets.certificate, "rb") as certificate,
+            open(secrets.authority, "rb") as authority,
+        ):
+            return grpc.ssl_server_certificate_configuration(
+                [(key.read(), certificate.read())], authority.read()
+            )
 
     held = [stamp()]
 
@@ -320,8 +389,14 @@
 
     @staticmethod
     def placed(book, part):
-        return Placement(book.deployment, book.group_names, range(part.tables + 1), part.proxies,
-                         list(book.kinds.index), list(book.zones.index))
+        return Placement(
+            book.deployment,
+            book.group_names,
+            range(part.tables + 1),
+            part.proxies,
+            list(book.kinds.index),
+            list(book.zones.index),
+        )
 
     # The list
 
@@ -330,8 +405,17 @@
         from wickvane.members.checks import facts_of
         from wickvane.members.source import Source
 
-        return Source(part, facts_of(book), self.listed, self.clock, self.log, self.counters,
-                      lambda: self.hub.load(self.clock.now()), None, self.name)
+        return Source(
+            part,
+            facts_of(book),
+            self.listed,
+            self.clock,
+            self.log,
+            self.counters,
+            lambda: self.hub.load(self.clock.now()),
+            None,
+            self.name,
+        )
 
     def listed(self, number, whole, entries, back=()):
         """From the coordinator's thread, or that of watched files."""
@@ -348,7 +432,8 @@
         self.tick_later()
         if self.part.snapshot and self.hub.fleet is not before and self.saving is None:
             self.saving = self.loop.call_later(
-                max(0.0, SAVE_APART_S - (time.monotonic() - self.saved_at)), self.save)
+                max(0.0, SAVE_APART_S - (time.monotonic() - self.saved_at)), self.save
+            )
 
     def tick_later(self):
         """Looks again when time alone will have brought something."""
@@ -408,9 +493,14 @@
             self.counters.add("heartbeats-sent")
 
     def show(self, why):
-        self.log.line("counters", why=why, cpu_s=time.process_time(), **self.hub.status(self.clock.now()),
-                      **({"members": self.members.status()} if self.members else {}),
-                      counters=self.counters.shown())
+        self.log.line(
+            "counters",
+            why=why,
+            cpu_s=time.process_time(),
+            **self.hub.status(self.clock.now()),
+            **({"members": self.members.status()} if self.members else {}),
+            counters=self.counters.shown(),
+        )
 
     # Life
 
@@ -445,8 +535,9 @@
         self.after(None if self.hub.fleet.index else self.hub.fleet)
         await server.start()
         if self.coordinator:
-            follower = await asyncio.to_thread(Threads(self.log, self.counters).needed, self.coordinator.run,
-                                               "coordinator")
+            follower = await asyncio.to_thread(
+                Threads(self.log, self.counters).needed, self.coordinator.run, "coordinator"
+            )
         self.log.line("ready", name=self.name, listen=place, pid=os.getpid())
         self.ready.set()
         try:
@@ -481,8 +572,9 @@
                 raise parts.Unusable("members: a change of it needs a restart")
             moves = dict.fromkeys(("tables", "nodes", "floor", "proxies"))
             if part is None or part._replace(**moves) != self.part._replace(**moves):
-                raise parts.Unusable("control: listen, epoch, tls, snapshot, stall and time-to-live need a "
-                                     "restart")
+                raise parts.Unusable(
+                    "control: listen, epoch, tls, snapshot, stall and time-to-live need a restart"
+                )
             placement = self.placed(book, part)
         except Exception as error:
             self.counters.add("configurations-unusable")
--- a/wickvane/control/session.py
+++ b/wickvane/control/session.py
@@ -186,8 +186,9 @@
         if known is not None and known[0] == self.catalog.epoch and self.catalog.is_behind(known[1]):
             state = self.kinds[kind]
             state.ahead = self.catalog.joined(state.ahead or 0, known[1])
-            self.turns.append(("proxy-ahead", {"type": WORDS[kind], "holds": known[1],
-                                               "index": self.catalog.index}))
+            self.turns.append(
+                ("proxy-ahead", {"type": WORDS[kind], "holds": known[1], "index": self.catalog.index})
+            )
 
     def settle(self, now, kind, nonce, error):
         """The proxy's word on a response: all sent before it are settled too."""
@@ -195,7 +196,7 @@
         place = next((n for n, sent in enumerate(state.out) if sent.nonce == nonce), None)
         if place is None:
             return
-        sent, state.out = state.out[place], state.out[place + 1:]
+        sent, state.out = state.out[place], state.out[place + 1 :]
         self.lag = max(now - sent.at, self.lag * 7 // 8)
         if error is not None:
             self.counts["refused"] += 1
@@ -207,8 +208,9 @@
                 for name, version in zip(sent.names, sent.versions):
                     state.refused[name] = marked(version)
                     state.held.pop(name, None)
-            self.turns.append(("refused", {"type": WORDS[kind], "version": sent.version,
-                                           "why": state.reason}))
+            self.turns.append(
+                ("refused", {"type": WORDS[kind], "version": sent.version, "why": state.reason})
+            )
             return
         self.counts["acknowledged"] += 1
         state.acknowledged, state.version = sent.generation, sent.version
@@ -232,8 +234,10 @@
         state, entries = self.kinds[kind], self.catalog.entries[kind]
         if state.cache is None or state.cache[0] != self.catalog.named[kind]:
             names = entries if state.wildcard else [name for name in state.names if name in entries]
-            state.cache = self.catalog.named[kind], frozenset(
-                name for name in names if self.visible(self.node, kind, name))
+            state.cache = (
+                self.catalog.named[kind],
+                frozenset(name for name in names if self.visible(self.node, kind, name)),
+            )
         return state.cache[1]
 
     def whole(self, kind):
@@ -265,15 +269,20 @@
                 names = list((since | state.more) & wanted if since else state.more & wanted)
             if names and state.refused.get(ALL) == marked(self.whole(kind)):
                 names = []
-        drain = kind == EDS and (state.generation or state.had) and any(
-            entries[name].drained > state.generation for name in names)
+        drain = (
+            kind == EDS
+            and (state.generation or state.had)
+            and any(entries[name].drained > state.generation for name in names)
+        )
         return tuple(sorted(names)), tuple(sorted(removed)), drain
 
     def fresh(self, state, name, entry):
         held = state.held.get(name)
         # The same content under another index is the same.
         return held != entry.version and marked(entry.version) not in (
-            held and marked(held), state.refused.get(name))
+            held and marked(held),
+            state.refused.get(name),
+        )
 
     def is_behind(self):
         """Whether the proxy knows a newer list than this instance: then it keeps what it has."""
@@ -294,8 +303,11 @@
         # Ahead of every queue, and of what is out.
         names, removed, drain = ends = self.due(EDS)
         if drain:
-            drained = tuple(n for n in names if self.catalog.entries[EDS][n].drained
-                            > self.kinds[EDS].generation) if self.variant == DELTA else names
+            drained = (
+                tuple(n for n in names if self.catalog.entries[EDS][n].drained > self.kinds[EDS].generation)
+                if self.variant == DELTA
+                else names
+            )
             return self.made(now, EDS, drained, (), True, whole=drained == names and not removed)
         again = self.again(now)
         if again is not None:
@@ -308,8 +320,13 @@
                 continue  # routes follow the clusters that they name
             names, removed, drain = ends if kind == EDS else self.due(kind)
             # A proxy waits for word of a listener or cluster that is not there, too.
-            empty = (self.variant == SOTW and kind in (CDS, LDS) and state.asked and not state.answered
-                     and not state.refused)
+            empty = (
+                self.variant == SOTW
+                and kind in (CDS, LDS)
+                and state.asked
+                and not state.answered
+                and not state.refused
+            )
             if names or removed or empty:
                 return self.made(now, kind, names, removed, drain)
             if state.asked and not (kind == EDS and self.is_behind()):
@@ -357,10 +374,12 @@
             self.counts["told-again"] += 1
             if state.told_again == 2:
                 self.counts["late"] += 1
-                self.turns.append(("drain-unacknowledged", {
-                    "for": (now - since) / 10_000, "refuses": state.reason}))
-            names = tuple(sorted({name for sent in state.out for name in sent.names}
-                                 & set(self.catalog.entries[EDS])))
+                self.turns.append(
+                    ("drain-unacknowledged", {"for": (now - since) / 10_000, "refuses": state.reason})
+                )
+            names = tuple(
+                sorted({name for sent in state.out for name in sent.names} & set(self.catalog.entries[EDS]))
+            )
             if names:
                 return self.made(now, EDS, names, (), True, whole=not state.dirty)
         return None
@@ -368,8 +387,13 @@
     def heartbeat(self, now):
         """What a proxy holds with a time to live, named again ahead of its end, without the content."""
         state = self.kinds[EDS]
-        if (not self.ttl or not state.asked or state.out or now < state.beat_at + self.ttl // 3
-                or self.is_behind()):
+        if (
+            not self.ttl
+            or not state.asked
+            or state.out
+            or now < state.beat_at + self.ttl // 3
+            or self.is_behind()
+        ):
             return None
         names = tuple(sorted(state.held if self.variant == DELTA else self.wanted(EDS)))
         if not names or state.acknowledged < 0:
@@ -400,8 +424,16 @@
 
     def status(self, now):
         """What operators see, by type."""
-        return {WORDS[kind]: {
-            "version": state.version, "synced": not state.out and state.generation >= self.catalog.generation
-            and state.reason is None, "refused": state.reason, "ahead": state.ahead is not None,
-            "behind_ms": (now - state.out[0].at) / 10 if state.out else 0.0}
-            for kind, state in enumerate(self.kinds) if state.asked}
+        return {
+            WORDS[kind]: {
+                "version": state.version,
+                "synced": not state.out
+                and state.generation >= self.catalog.generation
+                and state.reason is None,
+                "refused": state.reason,
+                "ahead": state.ahead is not None,
+                "behind_ms": (now - state.out[0].at) / 10 if state.out else 0.0,
+            }
+            for kind, state in enumerate(self.kinds)
+            if state.asked
+        }
--- a/wickvane/control/tool.py
+++ b/wickvane/control/tool.py
@@ -27,7 +27,9 @@
     with channel:
         call = channel.unary_unary(
             "/envoy.service.status.v3.ClientStatusDiscoveryService/FetchClientStatus",
-            csds_pb2.ClientStatusRequest.SerializeToString, csds_pb2.ClientStatusResponse.FromString)
+            csds_pb2.ClientStatusRequest.SerializeToString,
+            csds_pb2.ClientStatusResponse.FromString,
+        )
         try:
             found = call(csds_pb2.ClientStatusRequest(), timeout=WAIT_S)
         except grpc.RpcError as error:
@@ -36,10 +38,16 @@
     for one in found.config:
         more = MessageToDict(one.node.metadata)
         for state in one.generic_xds_configs:
-            rows.append({"node": one.node.id, "type": WORDS[NUMBER[state.type_url]],
-                         "version": state.version_info,
-                         "state": csds_pb2.ConfigStatus.Name(state.config_status),
-                         **more, "why": state.error_state.details})
+            rows.append(
+                {
+                    "node": one.node.id,
+                    "type": WORDS[NUMBER[state.type_url]],
+                    "version": state.version_info,
+                    "state": csds_pb2.ConfigStatus.Name(state.config_status),
+                    **more,
+                    "why": state.error_state.details,
+                }
+            )
     return rows
 
 
--- a/wickvane/door.py
+++ b/wickvane/door.py
@@ -56,10 +56,13 @@
         self.group_names = list(self.groups.index)
         if fronts:
             self.group_names *= len(fronts)
-            self.deployment = self.deployment._replace(groups=[
-                group._replace(kinds=allowed if group.kinds is None else group.kinds & allowed)
-                for allowed in (frozenset(map(self.kinds, front)) for front in fronts)
-                for group in self.deployment.groups])
+            self.deployment = self.deployment._replace(
+                groups=[
+                    group._replace(kinds=allowed if group.kinds is None else group.kinds & allowed)
+                    for allowed in (frozenset(map(self.kinds, front)) for front in fronts)
+                    for group in self.deployment.groups
+                ]
+            )
         self.queries, self.engines = Indices(), Indices()
         self.open = {}  # q: submissions without an ending; the query itself counts as one until it ends
         self.over = set()
@@ -88,8 +91,17 @@
             self.listed.pop(name, None)
         else:
             self.listed[name] = (zone, kind, cell, started, weight)
-        return (i.ENGINE, e, name.encode(), state, self.zones(zone), self.kinds(kind), cell or 0,
-                tenths(started), weight or 1.0)
+        return (
+            i.ENGINE,
+            e,
+            name.encode(),
+            state,
+            self.zones(zone),
+            self.kinds(kind),
+            cell or 0,
+            tenths(started),
+            weight or 1.0,
+        )
 
     def unlisted(self, named):
         """The events for engines that a whole list no longer names."""
--- a/wickvane/flows/accounts.py
+++ b/wickvane/flows/accounts.py
@@ -53,8 +53,21 @@
     flows: how many flows began in this part; open: -1, or in an aggregate how many of its flows still go
     on."""
 
-    __slots__ = ("id", "part", "connection", "key", "counts", "began", "last", "told", "state", "state_last",
-                 "reason", "flows", "open")
+    __slots__ = (
+        "id",
+        "part",
+        "connection",
+        "key",
+        "counts",
+        "began",
+        "last",
+        "told",
+        "state",
+        "state_last",
+        "reason",
+        "flows",
+        "open",
+    )
 
     def __init__(self, id, connection, key, now, state, flows=1, open=-1):
         self.id, self.part, self.connection, self.key = id, 0, connection, key
@@ -67,8 +80,19 @@
     many began in it, so that their sum over all records is the number of flows, whatever was cut or
     folded."""
 
-    __slots__ = ("id", "part", "connection", "key", "counts", "began", "ended", "reason", "state",
-                 "state_last", "flows")
+    __slots__ = (
+        "id",
+        "part",
+        "connection",
+        "key",
+        "counts",
+        "began",
+        "ended",
+        "reason",
+        "state",
+        "state_last",
+        "flows",
+    )
 
     def __init__(self, flow, reason, state):
         self.id, self.part, self.connection, self.key = flow.id, flow.part, flow.connection, flow.key
@@ -257,6 +281,13 @@
     def shown(self):
         """Totals since the start: octets by side and direction, flows begun and folded, records told."""
         with self.lock:
-            return {"client-in": self.octets[0], "client-out": self.octets[1], "engine-out": self.octets[2],
-                    "engine-in": self.octets[3], "begun": self.begun, "folded": self.folded,
-                    "records": self.told, "held": self.held}
+            return {
+                "client-in": self.octets[0],
+                "client-out": self.octets[1],
+                "engine-out": self.octets[2],
+                "engine-in": self.octets[3],
+                "begun": self.begun,
+                "folded": self.folded,
+                "records": self.told,
+                "held": self.held,
+            }
--- a/wickvane/flows/collected.py
+++ b/wickvane/flows/collected.py
@@ -12,8 +12,16 @@
 SIDES = {1: "client", 2: "engine"}
 REASONS = {1: "idle", 2: "active", 3: "end", 4: "forced", 5: "resources"}
 ANSWERS = ("queriesFinished", "queriesDeferred", "queriesKilled", "queriesLeft")
-SUMMED = ("deltaFlowCount", "octetDeltaCount", "reverseOctetDeltaCount", "messageDeltaCount",
-          "reverseMessageDeltaCount", *ANSWERS, "submissionsFirst", "submissionsFurther")
+SUMMED = (
+    "deltaFlowCount",
+    "octetDeltaCount",
+    "reverseOctetDeltaCount",
+    "messageDeltaCount",
+    "reverseMessageDeltaCount",
+    *ANSWERS,
+    "submissionsFirst",
+    "submissionsFurther",
+)
 
 
 class Sequence:
@@ -110,11 +118,13 @@
 
 def ways_of(by):
     """How a record is placed in a table of sums: by one of these words."""
+
     def named(field, empty):
         return lambda record: record.get(field) or empty
 
     return {
-        "group": named("resourceGroup", "(none)"), "tenant": named("tenant", "(none)"),
+        "group": named("resourceGroup", "(none)"),
+        "tenant": named("tenant", "(none)"),
         "engine": named("engine", "(client side)"),
         "reason": lambda record: REASONS.get(record.get("flowEndReason"), "?"),
         "side": lambda record: SIDES.get(record.get("flowSide"), "?"),
@@ -127,8 +137,11 @@
 
     def __init__(self, by, step=None):
         self.by, self.step, self.rows = by, step, {}
-        self.place = ways_of(by) if step is None else (
-            lambda record: record.get("flowEndMilliseconds", 0) // step * step)
+        self.place = (
+            ways_of(by)
+            if step is None
+            else (lambda record: record.get("flowEndMilliseconds", 0) // step * step)
+        )
 
     def add(self, record):
         row = self.rows.setdefault(self.place(record), [0] * len(SUMMED))
--- a/wickvane/flows/export.py
+++ b/wickvane/flows/export.py
@@ -43,11 +43,17 @@
     def shape(self, part):
         """The writer and the bounds that a document asks for, at the start and at each new one."""
         on_disk = self.spool is not None
-        self.backlog.limits(part.spool_most if on_disk else part.queue, part.policy,
-                            part.segment if on_disk else max(8192, part.queue // 8))
+        self.backlog.limits(
+            part.spool_most if on_disk else part.queue,
+            part.policy,
+            part.segment if on_disk else max(8192, part.queue // 8),
+        )
         if self.format != NETFLOW9:
-            templates = (ipfix.Generation(0, part.width, PLAIN_KINDS) if self.format == PLAIN else
-                         ipfix.Generation(part.enterprise, part.width if part.fixed else 0))
+            templates = (
+                ipfix.Generation(0, part.width, PLAIN_KINDS)
+                if self.format == PLAIN
+                else ipfix.Generation(part.enterprise, part.width if part.fixed else 0)
+            )
             self.generation = spool.Generation(templates.sets, part.domain)
             sequence = self.writer.sequence if self.writer else self.sequence
             most = part.message_most(self.format)
@@ -60,8 +66,12 @@
             self.writer = netflow9.Writer(layout, part.message_most(self.format))
             self.encode, name = layout.flow, layout.name
         # Index -1 is nobody's: the last place of each list.
-        self.names = ([name(n) for n in self.exporter.groups] + [name("")],
-                      [name(n) for n in self.exporter.tenants] + [name("")], {}, name)
+        self.names = (
+            [name(n) for n in self.exporter.groups] + [name("")],
+            [name(n) for n in self.exporter.tenants] + [name("")],
+            {},
+            name,
+        )
 
     def open_spool(self, part):
         """What a former start left is behind for every way; the sequence and the indices go on."""
@@ -77,8 +87,12 @@
         self.backlog.restore(segments)
         self.backlog.next = max([following, self.backlog.next] + cursors)
         if segments:
-            self.exporter.log.line("flow-spool-found", segments=len(segments), octets=self.backlog.size,
-                                   messages=sum(map(len, segments)))
+            self.exporter.log.line(
+                "flow-spool-found",
+                segments=len(segments),
+                octets=self.backlog.size,
+                messages=sum(map(len, segments)),
+            )
 
     def add(self, records, seconds):
         add, encode, names = self.writer.add, self.encode, self.names
@@ -146,7 +160,7 @@
             else:
                 reader, field = netflow9.Reader9(), "resourceGroup"
                 head = netflow9.packet(0, 0, 0, 0, segment.generation.domain, segment.generation.sets)
-                data = netflow9.packet(0, 0, 0, 0, segment.generation.domain, data[netflow9.COUNT.size:])
+                data = netflow9.packet(0, 0, 0, 0, segment.generation.domain, data[netflow9.COUNT.size :])
             found = {}
             for event in [*reader.message(head), *reader.message(data)]:
                 if event[0] == "record":
@@ -196,9 +210,18 @@
         for way in self.ways:
             with self.more:
                 out = way.outlet
-                figures = (out.messages, out.records, out.octets, *out.not_sent, out.repeated, self.spoilt,
-                           totals["folded"], totals["begun"], totals["client-in"] + totals["client-out"],
-                           totals["engine-in"] + totals["engine-out"])
+                figures = (
+                    out.messages,
+                    out.records,
+                    out.octets,
+                    *out.not_sent,
+                    out.repeated,
+                    self.spoilt,
+                    totals["folded"],
+                    totals["begun"],
+                    totals["client-in"] + totals["client-out"],
+                    totals["engine-in"] + totals["engine-out"],
+                )
                 lost = {group: tuple(had) for group, had in out.groups.items()}
             head, at, seconds = (domain, way.number), now // 10, now // 10_000
             name = self.names[3](way.collector.name)
@@ -328,8 +351,15 @@
                     self.route.worked(at)
                 self.route.failed(at, now)
             self.exporter.counters.add(f"flow-connections-ended-{reason}")
-            self.exporter.log.line("flow-collector-ended", collector=collector.name, to=f"{host}:{port}",
-                                   reason=reason, detail=detail, clean=clean, lived=(now - began) / 10_000)
+            self.exporter.log.line(
+                "flow-collector-ended",
+                collector=collector.name,
+                to=f"{host}:{port}",
+                reason=reason,
+                detail=detail,
+                clean=clean,
+                lived=(now - began) / 10_000,
+            )
 
     def dial(self, collector, address):
         if collector.transport == UDP:
@@ -446,8 +476,9 @@
             mark = generation, generation == self.line.generation and not self.outlet.behind
             if mark != self.mark:
                 self.mark = mark
-                change = ipfix.change_of(told.setdefault(generation.domain, {}),
-                                         ipfix.templates_in(generation.sets), mark[1])
+                change = ipfix.change_of(
+                    told.setdefault(generation.domain, {}), ipfix.templates_in(generation.sets), mark[1]
+                )
                 if change:
                     sequence = ipfix.HEAD.unpack_from(data)[3]
                     parts.append(ipfix.message(generation.domain, sequence, seconds, change))
@@ -457,8 +488,11 @@
     def send_datagram(self, sock, data, generation):
         now = self.exporter.clock.now()
         nine = self.collector.format == NETFLOW9
-        if self.told_at is None or self.told_at[1] != generation or (
-                now - self.told_at[0] >= self.exporter.part.refresh):
+        if (
+            self.told_at is None
+            or self.told_at[1] != generation
+            or (now - self.told_at[0] >= self.exporter.part.refresh)
+        ):
             self.told_at = now, generation
             if nine:
                 self.send9(sock, generation, len(netflow9.ID_OF), generation.sets)
@@ -466,14 +500,22 @@
                 sequence = ipfix.HEAD.unpack_from(data)[3]
                 sock.send(ipfix.message(generation.domain, sequence, now // 10_000, generation.sets))
         if nine:
-            self.send9(sock, generation, *netflow9.COUNT.unpack_from(data), data[netflow9.COUNT.size:])
+            self.send9(sock, generation, *netflow9.COUNT.unpack_from(data), data[netflow9.COUNT.size :])
         else:
             sock.send(data)
 
     def send9(self, sock, generation, count, sets):
         now = self.exporter.clock.now()
-        sock.send(netflow9.packet(count, (now - self.exporter.began) // 10, now // 10_000, self.sequence,
-                                  generation.domain, sets))
+        sock.send(
+            netflow9.packet(
+                count,
+                (now - self.exporter.began) // 10,
+                now // 10_000,
+                self.sequence,
+                generation.domain,
+                sets,
+            )
+        )
         self.sequence += 1
 
     def answers(self, address):
@@ -528,8 +570,9 @@
                     context.load_cert_chain(tls.certificate, tls.key)
             except (OSError, ValueError) as error:
                 why = getattr(error, "strerror", None) or getattr(error, "reason", None) or str(error)
-                raise Unusable(f"flows > collector {collector.name} > tls: its files cannot be used: {why}"
-                               ) from None
+                raise Unusable(
+                    f"flows > collector {collector.name} > tls: its files cannot be used: {why}"
+                ) from None
             found[collector.name] = context
         return found
 
@@ -642,9 +685,17 @@
                 for way in line.ways:
                     out = way.outlet
                     left = sum(high - low for low, high in out.behind) + line.backlog.next - out.live
-                    self.log.line("flow-export", collector=way.collector.name, messages=out.messages,
-                                  records=out.records, octets=out.octets, repeated=out.repeated,
-                                  not_sent=out.not_sent[0], messages_left=left, kept=line.spool is not None)
+                    self.log.line(
+                        "flow-export",
+                        collector=way.collector.name,
+                        messages=out.messages,
+                        records=out.records,
+                        octets=out.octets,
+                        repeated=out.repeated,
+                        not_sent=out.not_sent[0],
+                        messages_left=left,
+                        kept=line.spool is not None,
+                    )
                 if line.spool is not None:
                     line.spool.close()
             self.log.line("flow-accounts", **self.accounts.shown())
--- a/wickvane/flows/ipfix.py
+++ b/wickvane/flows/ipfix.py
@@ -20,8 +20,10 @@
 ENGINES_MOST = 4096  # names held encoded
 CHECKSUM_AT = HEAD.size + SET_HEAD.size + 1  # in a message that bears one: its first record
 
-FLOW_FIELDS = {kind: packer([name for name in SHAPES[kind][0] if FORMS[ELEMENTS[name].type].letter])
-               for kind in ("flow4", "flow6", "plain4", "plain6")}
+FLOW_FIELDS = {
+    kind: packer([name for name in SHAPES[kind][0] if FORMS[ELEMENTS[name].type].letter])
+    for kind in ("flow4", "flow6", "plain4", "plain6")
+}
 STATISTICS_FIELDS = packer(SHAPES["statistics"][0][:-1])
 PLAIN_STATISTICS_FIELDS = packer(SHAPES["plain-statistics"][0])
 NOT_SENT_FIELDS = struct.Struct("!II"), struct.Struct("!QQQ")
@@ -46,8 +48,10 @@
             self.ids[kind] = number
             head = SET_HEAD.pack(number, len(names)) + (struct.pack("!H", scope) if scope else b"")
             records.setdefault(OPTIONS if scope else TEMPLATES, []).append(head + fields)
-        self.sets = b"".join(SET_HEAD.pack(n, SET_HEAD.size + sum(map(len, found))) + b"".join(found)
-                             for n, found in sorted(records.items()))
+        self.sets = b"".join(
+            SET_HEAD.pack(n, SET_HEAD.size + sum(map(len, found))) + b"".join(found)
+            for n, found in sorted(records.items())
+        )
         self.mark = crc32(self.sets)
 
     def field(self, element):
@@ -91,8 +95,10 @@
         if place not in announced:
             parts.setdefault((1, place[0]), []).append(record)
             announced[place] = record
-    return b"".join(SET_HEAD.pack(kind, SET_HEAD.size + sum(map(len, found))) + b"".join(found)
-                    for (_, kind), found in sorted(parts.items()))
+    return b"".join(
+        SET_HEAD.pack(kind, SET_HEAD.size + sum(map(len, found))) + b"".join(found)
+        for (_, kind), found in sorted(parts.items())
+    )
 
 
 def message(domain, sequence, seconds, sets):
@@ -173,7 +179,7 @@
     def put_message(self, sets, seconds):
         data = message(self.domain, self.sequence, seconds, sets)
         if self.checksums:
-            data = data[:CHECKSUM_AT] + md5(data).digest() + data[CHECKSUM_AT + 16:]
+            data = data[:CHECKSUM_AT] + md5(data).digest() + data[CHECKSUM_AT + 16 :]
         self.sequence = (self.sequence + self.count) & 0xFFFFFFFF
         return data
 
@@ -185,8 +191,8 @@
 
 def checksum_holds(data):
     """Whether a message that begins with a record of its MD5 is as it was written."""
-    zeroed = data[:CHECKSUM_AT] + bytes(16) + data[CHECKSUM_AT + 16:]
-    return len(data) >= CHECKSUM_AT + 16 and md5(zeroed).digest() == data[CHECKSUM_AT:CHECKSUM_AT + 16]
+    zeroed = data[:CHECKSUM_AT] + bytes(16) + data[CHECKSUM_AT + 16 :]
+    return len(data) >= CHECKSUM_AT + 16 and md5(zeroed).digest() == data[CHECKSUM_AT : CHECKSUM_AT + 16]
 
 
 def names_of(record, names):
@@ -206,9 +212,22 @@
     connection = record.connection
     kind = "flow4" if len(connection.source) == 4 else "flow6"
     return kind, FLOW_FIELDS[kind].pack(
-        record.id, record.part, connection.side, record.reason, record.began // 10, record.ended // 10,
-        record.flows, 6, 1, connection.source_port, connection.target_port, *record.counts,
-        record.state, record.state_last, connection.source, connection.target,
+        record.id,
+        record.part,
+        connection.side,
+        record.reason,
+        record.began // 10,
+        record.ended // 10,
+        record.flows,
+        6,
+        1,
+        connection.source_port,
+        connection.target_port,
+        *record.counts,
+        record.state,
+        record.state_last,
+        connection.source,
+        connection.target,
     ) + b"".join(names_of(record, names))
 
 
@@ -218,9 +237,20 @@
     kind = "plain4" if len(connection.source) == 4 else "plain6"
     forward, reverse = record.counts[:2]
     return kind, FLOW_FIELDS[kind].pack(
-        record.id, record.reason, record.began // 10, record.ended // 10, record.flows, 6, 1,
-        connection.source_port, connection.target_port, forward + reverse, forward, reverse,
-        connection.source, connection.target,
+        record.id,
+        record.reason,
+        record.began // 10,
+        record.ended // 10,
+        record.flows,
+        6,
+        1,
+        connection.source_port,
+        connection.target_port,
+        forward + reverse,
+        forward,
+        reverse,
+        connection.source,
+        connection.target,
     ) + b"".join(names_of(record, names))
 
 
@@ -256,10 +286,10 @@
             if length == 255:
                 if at + 2 > end:
                     raise Malformed("a record ends inside a string's length")
-                length, at = int.from_bytes(data[at:at + 2], "big"), at + 2
+                length, at = int.from_bytes(data[at : at + 2], "big"), at + 2
         if at + length > end:
             raise Malformed("a record ends inside a field")
-        found[name] = value_of(type, data[at:at + length])
+        found[name] = value_of(type, data[at : at + length])
         at += length
     return found, at
 
@@ -278,8 +308,11 @@
 
     def __init__(self, enterprise, templates=1024, fields=256):
         self.enterprise, self.templates_most, self.fields_most = enterprise, templates, fields
-        self.names = {(enterprise if e.enterprise == OWN else e.enterprise, e.number): (e.name, e.type)
-                      for e in ELEMENTS.values() if enterprise or e.enterprise != OWN}
+        self.names = {
+            (enterprise if e.enterprise == OWN else e.enterprise, e.number): (e.name, e.type)
+            for e in ELEMENTS.values()
+            if enterprise or e.enterprise != OWN
+        }
         self.buffer, self.shapes = bytearray(), {}
 
     def feed(self, data):
@@ -356,7 +389,7 @@
             if options:
                 if end - at < 2:
                     raise Malformed("a template ends inside its head")
-                scope, at = int.from_bytes(data[at:at + 2], "big"), at + 2
+                scope, at = int.from_bytes(data[at : at + 2], "big"), at + 2
                 if not 0 < scope <= count:
                     raise Malformed("an options template has no scope, or more than there are fields")
             fields = []
@@ -368,7 +401,11 @@
                 if element & 0x8000:
                     if end - at < 4:
                         raise Malformed("a template ends inside a field")
-                    element, enterprise, at = element & 0x7FFF, int.from_bytes(data[at:at + 4], "big"), at + 4
+                    element, enterprise, at = (
+                        element & 0x7FFF,
+                        int.from_bytes(data[at : at + 4], "big"),
+                        at + 4,
+                    )
                 name, type = self.names.get((enterprise, element), ((enterprise, element), "octetArray"))
                 fields.append((name, type, length))
             yield self.learn(domain, number, Shape(fields, scope))
@@ -384,8 +421,11 @@
     def withdraw(self, domain, number):
         if number in (TEMPLATES, OPTIONS):
             options = number == OPTIONS
-            self.shapes = {place: shape for place, shape in self.shapes.items()
-                           if place[0] != domain or bool(shape.scope) != options}
+            self.shapes = {
+                place: shape
+                for place, shape in self.shapes.items()
+                if place[0] != domain or bool(shape.scope) != options
+            }
             yield "withdrawn", domain, None
         else:
             self.shapes.pop((domain, number), None)
--- a/wickvane/flows/netflow9.py
+++ b/wickvane/flows/netflow9.py
@@ -68,9 +68,22 @@
         connection = record.connection
         kind = "flow4" if len(connection.source) == 4 else "flow6"
         return kind, self.fields[kind].pack(
-            record.id, record.part, connection.side, record.reason, record.began // 10, record.ended // 10,
-            record.flows, 6, 1, connection.source_port, connection.target_port, *record.counts,
-            record.state, record.state_last, connection.source, connection.target,
+            record.id,
+            record.part,
+            connection.side,
+            record.reason,
+            record.began // 10,
+            record.ended // 10,
+            record.flows,
+            6,
+            1,
+            connection.source_port,
+            connection.target_port,
+            *record.counts,
+            record.state,
+            record.state_last,
+            connection.source,
+            connection.target,
             *names_of(record, names),
         )
 
@@ -84,8 +97,10 @@
 
 
 def packet(count, uptime_ms, seconds, sequence, source, sets):
-    return HEAD.pack(VERSION, count, uptime_ms & 0xFFFFFFFF, seconds & 0xFFFFFFFF, sequence & 0xFFFFFFFF,
-                     source) + sets
+    return (
+        HEAD.pack(VERSION, count, uptime_ms & 0xFFFFFFFF, seconds & 0xFFFFFFFF, sequence & 0xFFFFFFFF, source)
+        + sets
+    )
 
 
 class Writer(Packer):
@@ -173,8 +188,14 @@
                 return
             at += 6
             count = (scope + options) // 4
-            if (number < FIRST_DATA or scope % 4 or options % 4 or not scope
-                    or not 0 < count <= self.fields_most or end - at < 4 * count):
+            if (
+                number < FIRST_DATA
+                or scope % 4
+                or options % 4
+                or not scope
+                or not 0 < count <= self.fields_most
+                or end - at < 4 * count
+            ):
                 raise Malformed("an options template is out of range, or cut short")
             yield self.learn(source, number, Shape(self.fields9(data, at, count, scope // 4), scope // 4))
             at += 4 * count
--- a/wickvane/flows/part.py
+++ b/wickvane/flows/part.py
@@ -61,8 +61,11 @@
 
 def read_tls(node):
     credentials = Credentials(
-        node.value("authority", parts.path, needed=True), node.value("certificate", parts.path),
-        node.value("key", parts.path), node.value("name", parts.name))
+        node.value("authority", parts.path, needed=True),
+        node.value("certificate", parts.path),
+        node.value("key", parts.path),
+        node.value("name", parts.name),
+    )
     node.done()
     if credentials.key and not credentials.certificate:
         raise node.wrong("a certificate beside the key")
@@ -124,12 +127,16 @@
         every=node.value("collect-every", parts.duration("10ms", "1m"), 2_500),
         statistics=node.value("statistics-every", parts.duration("100ms", "1h"), 100_000),
         refresh=node.value("template-refresh", parts.duration("1s", "24h"), 600_000),
-        queue=queue, policy=policy,
+        queue=queue,
+        policy=policy,
         window=node.value("again", parts.size("1KiB", "64MiB"), 256 << 10),
         pace=node.value("catch-up", parts.size("1KiB", "1GiB"), 1 << 20),
         fixed=node.value("names", parts.word("variable", "fixed"), "variable") == "fixed",
         width=node.value("name-width", parts.whole(16, 128), 32),
-        spool=directory, spool_most=spool_most, segment=segment, collectors=tuple(collectors),
+        spool=directory,
+        spool_most=spool_most,
+        segment=segment,
+        collectors=tuple(collectors),
     )
 
 
@@ -143,8 +150,15 @@
 
         book = service.book
         try:
-            self.exporter = Exporter(self.terms, service.clock, service.log, service.counters,
-                                     book.group_names, book.tenants.index, service.seed)
+            self.exporter = Exporter(
+                self.terms,
+                service.clock,
+                service.log,
+                service.counters,
+                book.group_names,
+                book.tenants.index,
+                service.seed,
+            )
         except Unusable as error:
             raise shape.Unstartable(f"the parts document: {error}", 2) from None
         service.accounts = self.exporter.accounts
--- a/wickvane/flows/spool.py
+++ b/wickvane/flows/spool.py
@@ -99,7 +99,7 @@
         if len(data) < HEAD.size:
             raise Malformed("its head is cut")
         version, length, _, sequence, domain = HEAD.unpack_from(data)
-        sets = data[HEAD.size:length]
+        sets = data[HEAD.size : length]
         if version != VERSION or not HEAD.size <= length <= len(data) or crc32(sets) != mark:
             raise Malformed("its templates are cut or spoilt")
         segment = Segment(first, Generation(sets, domain), length, name)
@@ -108,7 +108,7 @@
             version, size = SET_HEAD.unpack_from(data, at)
             if version != VERSION or size < HEAD.size or at + size > len(data):
                 break
-            whole = data[at:at + size]
+            whole = data[at : at + size]
             good = checksum_holds(whole)
             if good:
                 last = whole
@@ -235,4 +235,4 @@
 
 def write(file, data):
     while data:
-        data = data[os.write(file, data):]
+        data = data[os.write(file, data) :]
