--- a/wickvane/flows/tool.py
+++ b/wickvane/flows/tool.py
@@ -18,10 +18,17 @@
 BY = ("side", "group", "tenant", "engine", "reason")
 CONNECTIONS_MOST, CHUNK = 64, 65_536
 HEADS = {
-    "deltaFlowCount": "flows", "octetDeltaCount": "octets", "reverseOctetDeltaCount": "back",
-    "messageDeltaCount": "messages", "reverseMessageDeltaCount": "back", "queriesFinished": "finished",
-    "queriesDeferred": "deferred", "queriesKilled": "killed", "queriesLeft": "left",
-    "submissionsFirst": "first", "submissionsFurther": "further",
+    "deltaFlowCount": "flows",
+    "octetDeltaCount": "octets",
+    "reverseOctetDeltaCount": "back",
+    "messageDeltaCount": "messages",
+    "reverseMessageDeltaCount": "back",
+    "queriesFinished": "finished",
+    "queriesDeferred": "deferred",
+    "queriesKilled": "killed",
+    "queriesLeft": "left",
+    "submissionsFirst": "first",
+    "submissionsFurther": "further",
 }
 
 
@@ -107,8 +114,14 @@
         # A flag, not an exception: one raised in the middle of a message would lose it, and a shell that
         # starts this in the background has interrupts ignored.
         ended = []
-        before = [(number, signal.signal(number, lambda *_: ended.append(1)))
-                  for number in (signal.SIGINT, signal.SIGTERM)] if main_thread() else []
+        before = (
+            [
+                (number, signal.signal(number, lambda *_: ended.append(1)))
+                for number in (signal.SIGINT, signal.SIGTERM)
+            ]
+            if main_thread()
+            else []
+        )
         try:
             while (left := until - time.monotonic()) > 0 and not ended:
                 for key, _ in selector.select(min(left, 0.5)):
@@ -166,10 +179,14 @@
     def shown(self):
         found = self.collected
         return {
-            "records": found.records, "repeated": found.repeated, "lost": found.lost,
-            "without-template": found.unknown, "malformed": found.malformed,
+            "records": found.records,
+            "repeated": found.repeated,
+            "lost": found.lost,
+            "without-template": found.unknown,
+            "malformed": found.malformed,
             **{f"by-{table.by}": table.shown() for table in self.tables},
-            "statistics": list(found.statistics.values()), "not-sent": list(found.not_sent.values()),
+            "statistics": list(found.statistics.values()),
+            "not-sent": list(found.not_sent.values()),
             "notes": self.notes,
         }
 
@@ -194,12 +211,18 @@
                 place = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(place / 1000)) + f".{place % 1000:03}"
             drawn.add_row(str(place), *(f"{row[field]:,}" for field in SUMMED))
         console.print(drawn)
-    console.print(", ".join(f"{name} {shown[name]:,}" for name in (
-        "records", "repeated", "lost", "without-template", "malformed")))
+    console.print(
+        ", ".join(
+            f"{name} {shown[name]:,}"
+            for name in ("records", "repeated", "lost", "without-template", "malformed")
+        )
+    )
     for record in shown["statistics"]:
-        console.print("collector {collector}: told {exportedFlowRecordTotalCount:,} records in "
-                      "{exportedMessageTotalCount:,} messages, {repeatedMessageTotalCount:,} of them again; "
-                      "not sent {notSentFlowTotalCount:,}; folded {foldedFlowTotalCount:,}".format(**record))
+        console.print(
+            "collector {collector}: told {exportedFlowRecordTotalCount:,} records in "
+            "{exportedMessageTotalCount:,} messages, {repeatedMessageTotalCount:,} of them again; "
+            "not sent {notSentFlowTotalCount:,}; folded {foldedFlowTotalCount:,}".format(**record)
+        )
     for record in shown["not-sent"]:
         console.print("not sent of {resourceGroup}: {notSentFlowTotalCount:,} records".format(**record))
     for note in shown["notes"]:
--- a/wickvane/members/checks.py
+++ b/wickvane/members/checks.py
@@ -36,10 +36,16 @@
     def named(allowed, names):
         return None if allowed is None else frozenset(names[n] for n in allowed if n < len(names))
 
-    return Facts(dict(zip(kinds, site.cores)), frozenset(zones) or None,
-                 tuple((name, named(group.zones, zones), named(group.kinds, kinds))
-                       for name, group in zip(book.group_names, site.groups)),
-                 site.cold_from, site.cold_time)
+    return Facts(
+        dict(zip(kinds, site.cores)),
+        frozenset(zones) or None,
+        tuple(
+            (name, named(group.zones, zones), named(group.kinds, kinds))
+            for name, group in zip(book.group_names, site.groups)
+        ),
+        site.cold_from,
+        site.cold_time,
+    )
 
 
 class Limits(NamedTuple):
@@ -103,8 +109,9 @@
         return self.capacity - lost
 
     def permits(self, zones, kinds):
-        return any((zones is None or zone in zones) and (kinds is None or kind in kinds)
-                   for kind, zone in self.count)
+        return any(
+            (zones is None or zone in zones) and (kinds is None or kind in kinds) for kind, zone in self.count
+        )
 
 
 def form(facts, members, place):
@@ -113,12 +120,18 @@
     for member in members:
         file, line = place(member.name)
         if member.kind is not None and facts.cores and member.kind not in facts.cores:
-            found.append(Finding("kind-unknown", REFUSE, f"type {member.kind!r} is in no settings", file,
-                                 line, member.name))
+            found.append(
+                Finding(
+                    "kind-unknown", REFUSE, f"type {member.kind!r} is in no settings", file, line, member.name
+                )
+            )
         if member.zone is not None and facts.zones is not None and member.zone not in facts.zones:
-            found.append(Finding("zone-unknown", REFUSE, f"zone {member.zone!r} is in no settings", file,
-                                 line, member.name))
-    return found[:NAMED * 4]
+            found.append(
+                Finding(
+                    "zone-unknown", REFUSE, f"zone {member.zone!r} is in no settings", file, line, member.name
+                )
+            )
+    return found[: NAMED * 4]
 
 
 def names(found):
@@ -157,18 +170,34 @@
     left = after.able(now)
     if load is not None and going and load > limits.capacity * left:
         cores_left = f"{left:.1f} cores would be left of {before.able(now):.1f}"
-        found.append(Finding("capacity-left", limits.capacity_past,
-                             f"{load:.1f} threads are at work, and {cores_left}"))
+        found.append(
+            Finding(
+                "capacity-left", limits.capacity_past, f"{load:.1f} threads are at work, and {cores_left}"
+            )
+        )
     for group, zones, kinds in before.facts.groups:
         if before.permits(zones, kinds) and not after.permits(zones, kinds):
-            found.append(Finding("group-without-engine", limits.last_past,
-                                 f"the resource group {group} would have no engine left"))
+            found.append(
+                Finding(
+                    "group-without-engine",
+                    limits.last_past,
+                    f"the resource group {group} would have no engine left",
+                )
+            )
     for name in jumps[:NAMED]:
         was, want = moves[name]
         file, line = place(name)
-        found.append(Finding("weight-jump", limits.factor_past,
-                             f"its weight goes from {was.weight:g} to {want.weight:g}, by more than "
-                             f"{limits.factor:g} times", file, line, name))
+        found.append(
+            Finding(
+                "weight-jump",
+                limits.factor_past,
+                f"its weight goes from {was.weight:g} to {want.weight:g}, by more than "
+                f"{limits.factor:g} times",
+                file,
+                line,
+                name,
+            )
+        )
     return found
 
 
@@ -179,8 +208,12 @@
 def taken_over(name, want, moves, place):
     """A place that another engine leaves in the same change, or has left and still ends queries on."""
     for other, (was, follows) in moves.items():
-        if (other != name and was is not None and was.address == want.address
-                and (follows is None or follows.address != want.address)):
+        if (
+            other != name
+            and was is not None
+            and was.address == want.address
+            and (follows is None or follows.address != want.address)
+        ):
             file, line = place(name)
             return [Finding("address-taken-over", NOTE, f"its address was that of {other}", file, line, name)]
     return []
--- a/wickvane/members/document.py
+++ b/wickvane/members/document.py
@@ -48,7 +48,9 @@
     if data and not data.endswith(b"\n"):
         data += b"\n"
     return data + b"//! length=%d blake2b=%b\n" % (
-        len(data), blake2b(data, digest_size=16).hexdigest().encode())
+        len(data),
+        blake2b(data, digest_size=16).hexdigest().encode(),
+    )
 
 
 def opened(data, file, sealed):
@@ -60,10 +62,11 @@
         if sealed:
             raise Unfit("seal-missing", "it ends without a seal", file)
         return data
-    body = data[:found.start(1)]
+    body = data[: found.start(1)]
     if len(body) != int(found[2]):
-        raise Unfit("length-wrong", f"{len(body)} octets stand ahead of its seal, which says {int(found[2])}",
-                    file)
+        raise Unfit(
+            "length-wrong", f"{len(body)} octets stand ahead of its seal, which says {int(found[2])}", file
+        )
     if blake2b(body, digest_size=16).hexdigest().encode() != found[3]:
         raise Unfit("checksum-wrong", "its octets are not those that were sealed", file)
     return body
@@ -76,14 +79,18 @@
     try:
         text = body.decode()
     except UnicodeDecodeError as error:
-        raise Unfit("not-utf8", f"octet {error.start} is no UTF-8", file,
-                    body.count(b"\n", 0, error.start) + 1) from None
+        raise Unfit(
+            "not-utf8", f"octet {error.start} is no UTF-8", file, body.count(b"\n", 0, error.start) + 1
+        ) from None
     deep(text, file)
     rows, generation = (read_json if file.endswith(".json") else read_kdl)(text, file)
     if len(rows) > most:
         raise Unfit("too-many-engines", f"it lists {len(rows)} engines of {most} at most", file)
-    if generation is not None and not (isinstance(generation, int) and not isinstance(generation, bool)
-                                       and 1 <= generation <= GENERATION_MOST):
+    if generation is not None and not (
+        isinstance(generation, int)
+        and not isinstance(generation, bool)
+        and 1 <= generation <= GENERATION_MOST
+    ):
         raise Unfit("generation-wrong", f"generation {str(generation)[:40]} is none", file)
     lines = lines_of(text, file)
     members, names = [], set()
@@ -92,8 +99,9 @@
             give_way()
         member = member_of(row, file, lines, overrides)
         if member.name in names:
-            raise Unfit("name-twice", "it is named twice in this file", file, lines.get(member.name),
-                        member.name)
+            raise Unfit(
+                "name-twice", "it is named twice in this file", file, lines.get(member.name), member.name
+            )
         names.add(member.name)
         members.append(member)
     return Part(file, generation, tuple(members), lines)
@@ -139,8 +147,9 @@
             raise Unfit("no-document", "an engine is no object", file)
         for name in row:
             if name not in WORDS:
-                raise Unfit("unknown-node", f"{name[:80]} is no field of an engine", file, None,
-                            engine_named(row))
+                raise Unfit(
+                    "unknown-node", f"{name[:80]} is no field of an engine", file, None, engine_named(row)
+                )
     return found["engines"], found.get("generation")
 
 
@@ -176,8 +185,9 @@
         row = {"name": plain(node.args[0])}
         for name, value in node.properties.items():
             if name not in (WORDS | set(ALIAS)) - {"name"}:
-                raise Unfit("unknown-node", f"{name[:80]} is no property of an engine", file,
-                            None, engine_named(row))
+                raise Unfit(
+                    "unknown-node", f"{name[:80]} is no property of an engine", file, None, engine_named(row)
+                )
             row[ALIAS.get(name, name)] = plain(value)
         rows.append(row)
     return rows, plain(top.properties.get("generation"))
@@ -225,8 +235,12 @@
 
 
 def number(value, low, high):
-    return (isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value)
-            and low <= value <= high)
+    return (
+        isinstance(value, (int, float))
+        and not isinstance(value, bool)
+        and math.isfinite(value)
+        and low <= value <= high
+    )
 
 
 def shown(value):
--- a/wickvane/members/gather.py
+++ b/wickvane/members/gather.py
@@ -64,8 +64,9 @@
 
     def generation(self):
         """The highest that a file states, None where none does."""
-        return max((part.generation for part in self.parts.values() if part.generation is not None),
-                   default=None)
+        return max(
+            (part.generation for part in self.parts.values() if part.generation is not None), default=None
+        )
 
     def settle(self):
         """The Roster of what the files say now; its generation is not set."""
@@ -86,14 +87,24 @@
         for name in sorted(self.twice)[:20]:
             files = sorted(self.owners[name])
             line = self.parts[files[1]].lines.get(name) if files[1] in self.parts else None
-            found.append(Finding("name-twice", REFUSE, f"it is named in {' and '.join(files[:4])}", files[1],
-                                 line, name))
+            found.append(
+                Finding(
+                    "name-twice", REFUSE, f"it is named in {' and '.join(files[:4])}", files[1], line, name
+                )
+            )
         for place in sorted(self.crowded)[:20]:
             names = sorted(self.places[place])
             file = min(self.owners[names[1]])
-            found.append(Finding(
-                "address-twice", REFUSE, f"{place[0]}:{place[1]} is also that of {names[0]}", file,
-                self.parts[file].lines.get(names[1]) if file in self.parts else None, names[1]))
+            found.append(
+                Finding(
+                    "address-twice",
+                    REFUSE,
+                    f"{place[0]}:{place[1]} is also that of {names[0]}",
+                    file,
+                    self.parts[file].lines.get(names[1]) if file in self.parts else None,
+                    names[1],
+                )
+            )
         return found
 
     def place_of(self, name):
--- a/wickvane/members/journal.py
+++ b/wickvane/members/journal.py
@@ -45,11 +45,14 @@
         raise Unreadable("it does not begin as a journal")
     found, at, before = [], len(MAGIC), b""
     while len(data) - at >= HEAD:
-        size = int.from_bytes(data[at:at + 4], "big")
-        body = data[at + HEAD:at + HEAD + size]
-        mark = data[at + 4:at + HEAD]
-        if size > RECORD_MOST or len(body) != size or blake2b(
-                body, digest_size=MARK, key=before).digest() != mark:
+        size = int.from_bytes(data[at : at + 4], "big")
+        body = data[at + HEAD : at + HEAD + size]
+        mark = data[at + 4 : at + HEAD]
+        if (
+            size > RECORD_MOST
+            or len(body) != size
+            or blake2b(body, digest_size=MARK, key=before).digest() != mark
+        ):
             break
         try:
             found.append(orjson.loads(body))
--- a/wickvane/members/membership.py
+++ b/wickvane/members/membership.py
@@ -105,12 +105,25 @@
 
     def status(self):
         return {
-            "generation": self.generation, "of": self.of, "digest": self.target.digest, "number": self.number,
-            "engines": len(self.shown), "ready": self.tally.ready, "leaving": sorted(self.leaving)[:100],
-            "pending": len(self.pending), "stepping": self.stepping, "stopped": self.stopped, "old": self.old,
-            "held": self.held and {"generation": self.held.roster.generation,
-                                   "digest": self.held.roster.digest, "codes": list(self.held.codes)},
-            "refused": self.refused and list(self.refused[2])}
+            "generation": self.generation,
+            "of": self.of,
+            "digest": self.target.digest,
+            "number": self.number,
+            "engines": len(self.shown),
+            "ready": self.tally.ready,
+            "leaving": sorted(self.leaving)[:100],
+            "pending": len(self.pending),
+            "stepping": self.stepping,
+            "stopped": self.stopped,
+            "old": self.old,
+            "held": self.held
+            and {
+                "generation": self.held.roster.generation,
+                "digest": self.held.roster.digest,
+                "codes": list(self.held.codes),
+            },
+            "refused": self.refused and list(self.refused[2]),
+        }
 
     # A document
 
@@ -130,17 +143,30 @@
             return None
         if generation is not None and generation <= self.generation:
             code = "generation-same" if generation == self.generation else "generation-back"
-            return self.refuse(now, found, generation, [*findings, Finding(
-                code, REFUSE, f"it states generation {generation}, and {self.generation} is at work")], who)
+            return self.refuse(
+                now,
+                found,
+                generation,
+                [
+                    *findings,
+                    Finding(
+                        code, REFUSE, f"it states generation {generation}, and {self.generation} is at work"
+                    ),
+                ],
+                who,
+            )
         number = self.number_for(found, generation)
         if self.held is not None and (self.held.roster.mark, self.held.roster.generation) == (
-                found.mark, number):
+            found.mark,
+            number,
+        ):
             return None
         roster = found._replace(generation=number)
         moves = self.moves(roster)
         before = {name: self.target.members.get(name) for name in ro.difference(self.target, roster)}
-        findings += checks.form(self.facts, [roster.members[n] for n in sorted(before)
-                                             if n in roster.members], place)
+        findings += checks.form(
+            self.facts, [roster.members[n] for n in sorted(before) if n in roster.members], place
+        )
         findings += self.unlisted(before, roster, place)
         findings += checks.change(self.terms.limits, self.tally, moves, now, load, place)
         what = gravest(findings)
@@ -172,9 +198,10 @@
         found = []
         for name in sorted(names):
             if name in roster.members and name not in self.stream:
-                found.append(Finding("not-listed", NOTE, "the coordinator does not list it", *place(name),
-                                     name))
-        return found[:checks.NAMED]
+                found.append(
+                    Finding("not-listed", NOTE, "the coordinator does not list it", *place(name), name)
+                )
+        return found[: checks.NAMED]
 
     def refuse(self, now, found, generation, findings, who):
         codes = tuple(dict.fromkeys(f.code for f in findings))
@@ -182,11 +209,24 @@
         if self.refused is not None and self.refused == (mark, generation, codes):
             return
         self.refused = mark, generation, codes
-        self.keep({"what": "refused", "at": now, "generation": generation, "who": who,
-                   "digest": found.digest if found is not None else None, "codes": list(codes),
-                   "why": [f.sentence() for f in findings[:8]]})
-        self.say("members-refused", generation=generation, codes=codes,
-                 why=[f.sentence() for f in findings[:8]], at_work=self.generation)
+        self.keep(
+            {
+                "what": "refused",
+                "at": now,
+                "generation": generation,
+                "who": who,
+                "digest": found.digest if found is not None else None,
+                "codes": list(codes),
+                "why": [f.sentence() for f in findings[:8]],
+            }
+        )
+        self.say(
+            "members-refused",
+            generation=generation,
+            codes=codes,
+            why=[f.sentence() for f in findings[:8]],
+            at_work=self.generation,
+        )
 
     def hold(self, now, roster, findings, who):
         self.let_go("replaced", now)
@@ -194,11 +234,25 @@
         codes = tuple(dict.fromkeys(f.code for f in findings if f.severity != NOTE))
         steps = any(f.severity == STEPS for f in findings)
         self.held = Held(roster, codes, steps, now + self.terms.hold, who)
-        self.keep({"what": "held", "at": now, "generation": roster.generation, "digest": roster.digest,
-                   "mark": str(roster.mark), "who": who, "codes": list(codes),
-                   "why": [f.sentence() for f in findings[:8]]})
-        self.say("members-held", generation=roster.generation, digest=roster.digest, codes=codes,
-                 why=[f.sentence() for f in findings[:8]])
+        self.keep(
+            {
+                "what": "held",
+                "at": now,
+                "generation": roster.generation,
+                "digest": roster.digest,
+                "mark": str(roster.mark),
+                "who": who,
+                "codes": list(codes),
+                "why": [f.sentence() for f in findings[:8]],
+            }
+        )
+        self.say(
+            "members-held",
+            generation=roster.generation,
+            digest=roster.digest,
+            codes=codes,
+            why=[f.sentence() for f in findings[:8]],
+        )
 
     def let_go(self, why, now):
         if self.held is not None:
@@ -211,13 +265,30 @@
         self.refused = None
         names = ro.difference(self.target, roster)
         codes = list(dict.fromkeys(f.code for f in findings))
-        self.keep({
-            "what": "taken", "at": now, "generation": roster.generation, "digest": roster.digest, "who": who,
-            "codes": codes, "steps": steps, "of": of,
-            "put": [roster.members[name].plain() for name in sorted(names) if name in roster.members],
-            "drop": sorted(name for name in names if name not in roster.members)})
-        self.say("members-taken", generation=roster.generation, digest=roster.digest, of=of, who=who,
-                 changed=len(names), steps=steps, codes=codes)
+        self.keep(
+            {
+                "what": "taken",
+                "at": now,
+                "generation": roster.generation,
+                "digest": roster.digest,
+                "who": who,
+                "codes": codes,
+                "steps": steps,
+                "of": of,
+                "put": [roster.members[name].plain() for name in sorted(names) if name in roster.members],
+                "drop": sorted(name for name in names if name not in roster.members),
+            }
+        )
+        self.say(
+            "members-taken",
+            generation=roster.generation,
+            digest=roster.digest,
+            of=of,
+            who=who,
+            changed=len(names),
+            steps=steps,
+            codes=codes,
+        )
         self.step_at = now
         self.advance(now)
 
@@ -227,8 +298,9 @@
         """A held generation is taken, a stopped one goes on. False where neither waits for it."""
         if self.held is not None and self.held.roster.generation == generation:
             held = self.held
-            self.take(now, held.roster, who, [Finding(code, NOTE, "confirmed") for code in held.codes],
-                      held.steps)
+            self.take(
+                now, held.roster, who, [Finding(code, NOTE, "confirmed") for code in held.codes], held.steps
+            )
             return True
         if self.stopped and generation == self.generation:
             self.keep({"what": "resumed", "at": now, "generation": generation, "who": who})
@@ -251,8 +323,14 @@
         if gravest(findings) == REFUSE:
             self.refuse(now, roster, generation, findings, who)
             return False
-        self.take(now, roster, who, [f._replace(severity=NOTE) for f in findings],
-                  gravest(findings) == STEPS, of=generation)
+        self.take(
+            now,
+            roster,
+            who,
+            [f._replace(severity=NOTE) for f in findings],
+            gravest(findings) == STEPS,
+            of=generation,
+        )
         return True
 
     def stop(self, now, who="operator"):
@@ -347,8 +425,13 @@
         if put or drop:
             # What the stream alone told, it tells again after a restart; its own number is in the told one.
             mine = not at_once or any(member.name not in at_once for member in put)
-            record = {"what": "at-work", "at": now, "step": self.step + mine,
-                      "put": [member.plain() for member in put], "drop": drop}
+            record = {
+                "what": "at-work",
+                "at": now,
+                "step": self.step + mine,
+                "put": [member.plain() for member in put],
+                "drop": drop,
+            }
             (self.keep if mine else self.apply)(record)
             self.out.append(("tell", self.number, not self.listed, entries, back))
             self.listed = True
@@ -382,8 +465,11 @@
             cold = made.started and now - made.started * 10 < self.facts.cold_time
             factor = self.terms.limits.factor if self.stepping else COLD_FACTOR if cold else None
             if factor is not None:
-                made = made._replace(weight=min(max(made.weight, was.weight / factor if self.stepping else 0),
-                                                was.weight * factor))
+                made = made._replace(
+                    weight=min(
+                        max(made.weight, was.weight / factor if self.stepping else 0), was.weight * factor
+                    )
+                )
         return made
 
     @staticmethod
@@ -446,30 +532,49 @@
         elif what not in ("refused", "lapsed"):
             raise ValueError(f"{what!r} is no record")
         if what != "whole":
-            short = {name: record.get(name) for name in ("what", "at", "generation", "digest", "who", "codes",
-                                                         "why", "of", "steps") if name in record}
+            short = {
+                name: record.get(name)
+                for name in ("what", "at", "generation", "digest", "who", "codes", "why", "of", "steps")
+                if name in record
+            }
             short |= {name: len(record[name]) for name in ("put", "drop") if name in record}
-            self.logged = [*self.logged[-LOGGED + 1:], short]
+            self.logged = [*self.logged[-LOGGED + 1 :], short]
 
     def whole(self, now):
         """A record that stands for all before it."""
         generations, before = [], ro.EMPTY
         for number, taken in self.history.items():
             names = sorted(ro.difference(before, taken.roster))
-            generations.append([
-                number, taken.at, taken.who,
-                [taken.roster.members[n].plain() for n in names if n in taken.roster.members],
-                [n for n in names if n not in taken.roster.members]])
+            generations.append(
+                [
+                    number,
+                    taken.at,
+                    taken.who,
+                    [taken.roster.members[n].plain() for n in names if n in taken.roster.members],
+                    [n for n in names if n not in taken.roster.members],
+                ]
+            )
             before = taken.roster
         names = sorted(ro.difference(before, self.target))
         return {
-            "what": "whole", "at": now, "generation": self.generation, "of": self.of, "step": self.step,
-            "numbered": self.numbered, "file_mark": str(self.file_mark), "generations": generations,
-            "target": [[self.target.members[n].plain() for n in names if n in self.target.members],
-                       [n for n in names if n not in self.target.members]],
+            "what": "whole",
+            "at": now,
+            "generation": self.generation,
+            "of": self.of,
+            "step": self.step,
+            "numbered": self.numbered,
+            "file_mark": str(self.file_mark),
+            "generations": generations,
+            "target": [
+                [self.target.members[n].plain() for n in names if n in self.target.members],
+                [n for n in names if n not in self.target.members],
+            ],
             "shown": [member.plain() for _, member in sorted(self.shown.items())],
-            "stepping": self.stepping, "stopped": self.stopped, "logged": self.logged,
-            "held_as": self.held_as and [str(self.held_as[0]), self.held_as[1]]}
+            "stepping": self.stepping,
+            "stopped": self.stopped,
+            "logged": self.logged,
+            "held_as": self.held_as and [str(self.held_as[0]), self.held_as[1]],
+        }
 
     def load(self, record):
         self.history, before = {}, ro.EMPTY
@@ -500,12 +605,20 @@
             self.pending = set()
             return
         self.pending = set(ro.difference(ro.whole(0, self.shown.values()), self.target))
-        self.leaving = {name: now + self.terms.linger for name, member in self.shown.items()
-                        if name not in self.target.members and member.state != i.READY}
+        self.leaving = {
+            name: now + self.terms.linger
+            for name, member in self.shown.items()
+            if name not in self.target.members and member.state != i.READY
+        }
         self.old = bool(self.shown) or bool(self.generation)
         if self.shown:
-            self.say("members-from-journal", generation=self.generation, of=self.of, engines=len(self.shown),
-                     digest=self.target.digest)
+            self.say(
+                "members-from-journal",
+                generation=self.generation,
+                of=self.of,
+                engines=len(self.shown),
+                digest=self.target.digest,
+            )
             entries = [member.entry() for _, member in sorted(self.shown.items())]
             self.out.append(("tell", self.number, True, entries, []))
             self.listed = True
@@ -513,5 +626,11 @@
             self.step_at = now + self.terms.step
 
 
-GIVEN = (("weight", "weight"), ("zone", "zone"), ("kind", "type"), ("cell", "group"), ("started", "since_ms"),
-         ("address", "address"))
+GIVEN = (
+    ("weight", "weight"),
+    ("zone", "zone"),
+    ("kind", "type"),
+    ("cell", "group"),
+    ("started", "since_ms"),
+    ("address", "address"),
+)
--- a/wickvane/members/part.py
+++ b/wickvane/members/part.py
@@ -39,10 +39,12 @@
     found = {}
     if limits:
         for name, field, kind in (
-                ("share-removed", "share", parts.share(0.001, 1)),
-                ("capacity-left", "capacity", parts.share(0.01, 100)),
-                ("weight-jump", "factor", parts.share(1.01, 1000)),
-                ("group-without-engine", "last", None), ("empty", "empty", None)):
+            ("share-removed", "share", parts.share(0.001, 1)),
+            ("capacity-left", "capacity", parts.share(0.01, 100)),
+            ("weight-jump", "factor", parts.share(1.01, 1000)),
+            ("group-without-engine", "last", None),
+            ("empty", "empty", None),
+        ):
             child = limits.child(name)
             if child is None:
                 continue
@@ -52,18 +54,25 @@
             child.done()
         limits.done()
     terms = Terms(
-        checks.Limits(**found), node.value("step", parts.duration("10ms", "1h"), Terms().step),
+        checks.Limits(**found),
+        node.value("step", parts.duration("10ms", "1h"), Terms().step),
         node.value("hold", parts.duration("1s", "168h"), Terms().hold),
         node.value("linger", parts.duration("1s", "24h"), Terms().linger),
-        node.value("overrides", parts.flag, False))
+        node.value("overrides", parts.flag, False),
+    )
     return Part(
-        directory or file, directory is not None, node.value("state", parts.path),
-        node.value("sealed", parts.flag, False), node.value("watch", parts.word(EVENTS, POLL), EVENTS),
+        directory or file,
+        directory is not None,
+        node.value("state", parts.path),
+        node.value("sealed", parts.flag, False),
+        node.value("watch", parts.word(EVENTS, POLL), EVENTS),
         node.value("poll", parts.duration("50ms", "10s"), 2_500),
         node.value("still", parts.duration("10ms", "10s"), 1_000),
         node.value("most", parts.size("1KiB", "64MiB"), 16 << 20),
         node.value("engines", parts.whole(1, 100_000), 20_000),
-        node.value("parts", parts.whole(1, 10_000), 1_000), terms)
+        node.value("parts", parts.whole(1, 10_000), 1_000),
+        terms,
+    )
 
 
 class At(shape.Part):
@@ -80,8 +89,16 @@
 
         gateway, sent = service.decider.gateway, service.book.sent
         self.source = Source(
-            self.terms, facts_of(service.book), service.listed, service.clock, service.log, service.counters,
-            lambda: gateway.used * gateway.gateways, lambda name: sent.get(name, 0) > 0, service.name)
+            self.terms,
+            facts_of(service.book),
+            service.listed,
+            service.clock,
+            service.log,
+            service.counters,
+            lambda: gateway.used * gateway.gateways,
+            lambda name: sent.get(name, 0) > 0,
+            service.name,
+        )
 
     def streamed(self, number, whole, entries):
         self.source.streamed(number, whole, entries)
--- a/wickvane/members/roster.py
+++ b/wickvane/members/roster.py
@@ -36,8 +36,16 @@
 
     def entry(self):
         """As the decider and the control service are told of it."""
-        return (self.name, self.address, self.state, self.zone, self.kind, self.cell, self.started,
-                self.weight)
+        return (
+            self.name,
+            self.address,
+            self.state,
+            self.zone,
+            self.kind,
+            self.cell,
+            self.started,
+            self.weight,
+        )
 
     def plain(self):
         """As JSON has it."""
@@ -49,12 +57,16 @@
     name, address, zone, kind, cell, started, weight, state, given = row
     if address is not None:
         address = str(address[0]), int(address[1])
-    usual = isinstance(name, str) and state in (i.READY, i.DRAINING, i.GONE) and all(
-        isinstance(x, (int, float)) and math.isfinite(x) for x in (cell, started, weight))
+    usual = (
+        isinstance(name, str)
+        and state in (i.READY, i.DRAINING, i.GONE)
+        and all(isinstance(x, (int, float)) and math.isfinite(x) for x in (cell, started, weight))
+    )
     if not usual:
         raise ValueError("no member of a list")
-    return Member(name, address, zone, kind, cell, started, weight, state,
-                  None if given is None else frozenset(given))
+    return Member(
+        name, address, zone, kind, cell, started, weight, state, None if given is None else frozenset(given)
+    )
 
 
 def mark_of(member):
@@ -114,6 +126,10 @@
     if before.before == after.mark:
         return before.touched
     return frozenset(
-        [name for name, member in after.members.items()
-         if (was := before.members.get(name)) is not member and was != member]
-        + [name for name in before.members if name not in after.members])
+        [
+            name
+            for name, member in after.members.items()
+            if (was := before.members.get(name)) is not member and was != member
+        ]
+        + [name for name in before.members if name not in after.members]
+    )
--- a/wickvane/members/source.py
+++ b/wickvane/members/source.py
@@ -68,8 +68,11 @@
             for record in records:
                 self.membership.apply(record)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise Unstartable(f"members: the journal in {self.part.state} has a record that cannot be used: "
-                              f"{type(error).__name__}: {error}", 2) from None
+            raise Unstartable(
+                f"members: the journal in {self.part.state} has a record that cannot be used: "
+                f"{type(error).__name__}: {error}",
+                2,
+            ) from None
 
     def carry(self):
         """Carries out what was decided, in its order; under the lock."""
@@ -122,8 +125,9 @@
         path = os.path.join(self.part.state, STATUS)
         try:
             with open(path + ".fresh", "wb") as file:
-                file.write(orjson.dumps(found | {"name": self.name, "pid": os.getpid(),
-                                                 "at": self.clock.now()}))
+                file.write(
+                    orjson.dumps(found | {"name": self.name, "pid": os.getpid(), "at": self.clock.now()})
+                )
             os.replace(path + ".fresh", path)
         except OSError:
             self.counters.add("members-status-failed")
@@ -257,8 +261,9 @@
                 self.again_at = self.clock.now() + self.part.still
                 return False
             data, state, self.writer = got
-            part = document.read(data, file, self.part.sealed, self.part.engines, self.part.terms.overrides,
-                                 give_way)
+            part = document.read(
+                data, file, self.part.sealed, self.part.engines, self.part.terms.overrides, give_way
+            )
             self.broken.pop(file, None)
             self.gathered.put(part)
             self.counters.add("members-files-read")
@@ -286,10 +291,23 @@
         roster = self.gathered.settle()
         findings = [*self.broken.values(), *self.gathered.findings()]
         if len(roster.members) > self.part.engines:
-            findings.append(Finding("too-many-engines", REFUSE, f"all files list {len(roster.members)} "
-                                    f"engines of {self.part.engines} at most", self.part.path))
-        self.membership.candidate(now, roster, self.gathered.generation(), findings, self.writer,
-                                  self.seen_load(), self.gathered.place_of)
+            findings.append(
+                Finding(
+                    "too-many-engines",
+                    REFUSE,
+                    f"all files list {len(roster.members)} engines of {self.part.engines} at most",
+                    self.part.path,
+                )
+            )
+        self.membership.candidate(
+            now,
+            roster,
+            self.gathered.generation(),
+            findings,
+            self.writer,
+            self.seen_load(),
+            self.gathered.place_of,
+        )
 
     # Orders of operators
 
@@ -338,8 +356,10 @@
 
     def status(self):
         with self.lock:
-            return self.membership.status() | {"files": len(self.gathered.parts),
-                                               "broken": sorted({f.code for f in self.broken.values()})}
+            return self.membership.status() | {
+                "files": len(self.gathered.parts),
+                "broken": sorted({f.code for f in self.broken.values()}),
+            }
 
 
 def give_way():
--- a/wickvane/members/tool.py
+++ b/wickvane/members/tool.py
@@ -108,8 +108,9 @@
     directory = os.path.isdir(path)
     try:
         there, ignored = watch.look(path, directory, part.files if part else 1000)
-        findings += [Finding("part-ignored", NOTE, "its name is not that of a part", name)
-                     for name in ignored]
+        findings += [
+            Finding("part-ignored", NOTE, "its name is not that of a part", name) for name in ignored
+        ]
         for file in sorted(there) or [None]:
             if file is None:
                 raise Unfit("missing", "it is not there", path)
@@ -125,8 +126,9 @@
         findings.append(wrong.finding)
     findings += gathered.findings()
     members, now = membership_of(folder, facts, terms) if folder else Membership(facts, terms), Clock().now()
-    members.candidate(now, gathered.settle(), gathered.generation(), findings, writer, None,
-                      gathered.place_of)
+    members.candidate(
+        now, gathered.settle(), gathered.generation(), findings, writer, None, gathered.place_of
+    )
     outcome = told_of(members.effects())
     for finding in findings:
         if finding.severity == NOTE:
@@ -146,12 +148,20 @@
             continue
         record = rest[0]
         what, generation = record["what"], record["generation"]
-        said = {"taken": f"it would be taken as generation {generation}"
-                         + (" in steps" if record.get("steps") else ""),
-                "held": f"it would be held as generation {generation} until it is confirmed",
-                "refused": "it would be refused"}[what]
-        return {"what": what, "generation": generation, "digest": record["digest"], "said": said,
-                "codes": record["codes"], "why": record.get("why", [])}
+        said = {
+            "taken": f"it would be taken as generation {generation}"
+            + (" in steps" if record.get("steps") else ""),
+            "held": f"it would be held as generation {generation} until it is confirmed",
+            "refused": "it would be refused",
+        }[what]
+        return {
+            "what": what,
+            "generation": generation,
+            "digest": record["digest"],
+            "said": said,
+            "codes": record["codes"],
+            "why": record.get("why", []),
+        }
     return {"what": "nothing", "said": "it changes nothing", "codes": [], "why": []}
 
 
@@ -204,16 +214,20 @@
         print(orjson.dumps(found).decode())
         return 0
     of = f", the content of {found['of']}" if found["of"] else ""
-    print(f"generation {found['generation']}{of} ({found['digest']}): {found['ready']} ready of "
-          f"{found['engines']}")
+    print(
+        f"generation {found['generation']}{of} ({found['digest']}): {found['ready']} ready of "
+        f"{found['engines']}"
+    )
     if found["pending"] and found["stepping"]:
         print(f"{found['pending']} engines change in steps" + (", stopped" if found["stopped"] else ""))
     if found["leaving"]:
         print("leaving: " + ", ".join(found["leaving"]))
     if found["held"]:
         held = found["held"]
-        print(f"held: generation {held['generation']} ({', '.join(held['codes'])}); wickvane members confirm "
-              f"{held['generation']}")
+        print(
+            f"held: generation {held['generation']} ({', '.join(held['codes'])}); wickvane members confirm "
+            f"{held['generation']}"
+        )
     if found["refused"]:
         print("refused: " + ", ".join(found["refused"]))
     if found["old"]:
@@ -225,14 +239,23 @@
 
 def print_member(member):
     place = f"{member.address[0]}:{member.address[1]}" if member.address else "-"
-    print(f"  {member.name:<24} {place:<22} {STATES[member.state]:<9} weight {member.weight:g}"
-          + (f" {member.kind}" if member.kind else "") + (f" {member.zone}" if member.zone else ""))
+    print(
+        f"  {member.name:<24} {place:<22} {STATES[member.state]:<9} weight {member.weight:g}"
+        + (f" {member.kind}" if member.kind else "")
+        + (f" {member.zone}" if member.zone else "")
+    )
 
 
 def print_roster(roster, as_json):
     if as_json:
-        print(orjson.dumps({"digest": roster.digest, "engines": [
-            member.plain() for _, member in sorted(roster.members.items())]}).decode())
+        print(
+            orjson.dumps(
+                {
+                    "digest": roster.digest,
+                    "engines": [member.plain() for _, member in sorted(roster.members.items())],
+                }
+            ).decode()
+        )
         return
     print(f"{len(roster.members)} engines ({roster.digest})")
     for _, member in sorted(roster.members.items()):
@@ -292,8 +315,10 @@
         if as_json:
             print(orjson.dumps({"folder": folder, "state": state, **found}).decode())
         else:
-            print(f"{folder}: {state}, generation {found['generation']} ({found['digest']}), "
-                  f"{found['ready']} ready of {found['engines']}")
+            print(
+                f"{folder}: {state}, generation {found['generation']} ({found['digest']}), "
+                f"{found['ready']} ready of {found['engines']}"
+            )
     return 1 if behind else 0
 
 
--- a/wickvane/members/watch.py
+++ b/wickvane/members/watch.py
@@ -39,8 +39,11 @@
             self.restless = now - self.since > PATIENCE
             return (), (), self.changed_at + self.still
         self.restless = False
-        return (sorted(name for name, state in found.items() if self.taken.get(name) != state),
-                sorted(name for name in self.taken if name not in found), None)
+        return (
+            sorted(name for name, state in found.items() if self.taken.get(name) != state),
+            sorted(name for name in self.taken if name not in found),
+            None,
+        )
 
     def took(self, file, state):
         """Nothing is read again until it differs from this; None: it is gone."""
@@ -51,8 +54,14 @@
 
 
 def state_of(found):
-    return (found.st_dev, found.st_ino, found.st_size, found.st_mtime_ns, found.st_ctime_ns,
-            stat.S_IFMT(found.st_mode))
+    return (
+        found.st_dev,
+        found.st_ino,
+        found.st_size,
+        found.st_mtime_ns,
+        found.st_ctime_ns,
+        stat.S_IFMT(found.st_mode),
+    )
 
 
 def look(path, directory, most):
@@ -83,8 +92,11 @@
     except FileNotFoundError:
         return {}, []
     except OSError as error:
-        raise Unfit("not-a-file" if isinstance(error, NotADirectoryError) else "unreadable",
-                    f"the folder cannot be read: {error.strerror}", path) from None
+        raise Unfit(
+            "not-a-file" if isinstance(error, NotADirectoryError) else "unreadable",
+            f"the folder cannot be read: {error.strerror}",
+            path,
+        ) from None
     return found, sorted(ignored)
 
 
@@ -146,9 +158,17 @@
             from watchfiles import watch
 
             folders = [folder for folder in self.folders if os.path.isdir(folder)]
-            for _ in watch(*folders, watch_filter=None, debounce=50, step=20, stop_event=self.stopped,
-                           rust_timeout=60_000, yield_on_timeout=True, recursive=False,
-                           raise_interrupt=False):
+            for _ in watch(
+                *folders,
+                watch_filter=None,
+                debounce=50,
+                step=20,
+                stop_event=self.stopped,
+                rust_timeout=60_000,
+                yield_on_timeout=True,
+                recursive=False,
+                raise_interrupt=False,
+            ):
                 self.woken.set()
         except Exception as error:  # no such library, no watches left, a folder that is gone
             self.failed(f"{type(error).__name__}: {error}")
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -76,7 +76,7 @@
                 raise Malformed("a line is too long")
             self.more()
         line = bytes(self.buffer[:end]).rstrip(b"\r")
-        del self.buffer[:end + 1]
+        del self.buffer[: end + 1]
         return line
 
     def head(self):
@@ -110,7 +110,7 @@
                 while len(self.buffer) < left + 2:
                     self.more()
                 text += self.buffer[:left]
-                del self.buffer[:left + 2]
+                del self.buffer[: left + 2]
             else:
                 if not self.buffer:
                     self.more()
@@ -118,7 +118,7 @@
                 self.buffer.clear()
             while (end := text.find(b"\n")) >= 0:
                 yield bytes(text[:end]).rstrip(b"\r")
-                del text[:end + 1]
+                del text[: end + 1]
             if len(text) > LINE_MOST:
                 raise Malformed("a line is too long")
 
@@ -206,9 +206,11 @@
             if address != self.address:
                 return  # moved while it was dialled
             sock.settimeout(SILENT_S)
-            sock.sendall(b"GET /v2/stream HTTP/1.1\r\nHost: %b:%d\r\nAccept: text/event-stream\r\n"
-                         b"Cache-Control: no-cache\r\nLast-Event-ID: %d\r\n\r\n"
-                         % (address[0].encode(), address[1], self.last))
+            sock.sendall(
+                b"GET /v2/stream HTTP/1.1\r\nHost: %b:%d\r\nAccept: text/event-stream\r\n"
+                b"Cache-Control: no-cache\r\nLast-Event-ID: %d\r\n\r\n"
+                % (address[0].encode(), address[1], self.last)
+            )
             lines = Lines(sock.recv)
             lines.head()
             data, size = [], 0
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -121,18 +121,38 @@
     def taken(self, ticket, again=False):
         ticket.q = self.book.take(ticket)
         ticket.stages["taken"] = self.now
-        self.events.append((
-            i.TAKEN, ticket.q, ticket.rg, ticket.tenant, ticket.cost, ticket.memory, ticket.coord, ticket.key,
-            max(0, ticket.limit - self.now), again,
-        ))
+        self.events.append(
+            (
+                i.TAKEN,
+                ticket.q,
+                ticket.rg,
+                ticket.tenant,
+                ticket.cost,
+                ticket.memory,
+                ticket.coord,
+                ticket.key,
+                max(0, ticket.limit - self.now),
+                again,
+            )
+        )
 
     def ended(self, submission, ending, elapsed, complete):
         ticket = submission.ticket
         self.book.ended(ticket.q, submission.lane.name)
-        self.events.append((
-            i.ENDED, ticket.q, submission.number, submission.engine, ending, elapsed, complete,
-            submission.work, submission.memory, None,
-        ))
+        self.events.append(
+            (
+                i.ENDED,
+                ticket.q,
+                submission.number,
+                submission.engine,
+                ending,
+                elapsed,
+                complete,
+                submission.work,
+                submission.memory,
+                None,
+            )
+        )
         if complete:
             self.book.over.add(ticket.q)
         self.counters.add(f"ending-{ENDINGS[ending]}")
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -27,9 +27,32 @@
     """A query between its session and its engines."""
 
     __slots__ = (
-        "id", "rg", "verb", "limit", "tenant", "token", "key", "cost", "memory", "coord", "body", "tag",
-        "arrived", "q", "count", "urgency", "submission", "asked_on", "answer", "pages", "ready", "stages",
-        "why", "away", "source", "client",
+        "id",
+        "rg",
+        "verb",
+        "limit",
+        "tenant",
+        "token",
+        "key",
+        "cost",
+        "memory",
+        "coord",
+        "body",
+        "tag",
+        "arrived",
+        "q",
+        "count",
+        "urgency",
+        "submission",
+        "asked_on",
+        "answer",
+        "pages",
+        "ready",
+        "stages",
+        "why",
+        "away",
+        "source",
+        "client",
     )
 
     def __init__(self, arrived, limit, **read):
@@ -47,8 +70,21 @@
 class Submission:
     """One attempt. start_by: when its first byte has to be on its way, or it is not sent any more."""
 
-    __slots__ = ("ticket", "number", "engine", "lane", "at", "until", "start_by", "over", "written", "pages",
-                 "told", "work", "memory")
+    __slots__ = (
+        "ticket",
+        "number",
+        "engine",
+        "lane",
+        "at",
+        "until",
+        "start_by",
+        "over",
+        "written",
+        "pages",
+        "told",
+        "work",
+        "memory",
+    )
 
     def __init__(self, ticket, number, engine, lane, at, until, start_by=None):
         self.ticket, self.number, self.engine, self.lane = ticket, number, engine, lane
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -86,8 +86,14 @@
             self.accounts.closed(self.account, self.clock.now(), reason == "stop")
         self.counters.add_octets("client", self.received, self.sent)
         self.counters.add(f"client-connections-ended-{reason}")
-        self.log.line("client-connection-ended", peer=self.peer, reason=reason, detail=detail,
-                      queries=self.queries, lived=(self.clock.now() - began) / 10_000)
+        self.log.line(
+            "client-connection-ended",
+            peer=self.peer,
+            reason=reason,
+            detail=detail,
+            queries=self.queries,
+            lived=(self.clock.now() - began) / 10_000,
+        )
 
     def farewell(self, last):
         try:
@@ -133,8 +139,15 @@
         finally:
             self.sent += sent
             if self.account is not None and sent:
-                self.accounts.count(self.account, key, self.clock.now(), REVERSE, sent, messages,
-                                    what if sent == len(data) else 0)
+                self.accounts.count(
+                    self.account,
+                    key,
+                    self.clock.now(),
+                    REVERSE,
+                    sent,
+                    messages,
+                    what if sent == len(data) else 0,
+                )
 
     def claim(self, key):
         """What was read up to here and is nobody's yet belongs to this resource group and tenant."""
@@ -152,8 +165,13 @@
             self.sock.settimeout(max(0.001, until - time.monotonic()))
             data = self.sock.recv(RECV)
             if not data:
-                raise Ended("made-room" if self.sent_away else
-                            "client-closed-midway" if self.buffer else "client-closed")
+                raise Ended(
+                    "made-room"
+                    if self.sent_away
+                    else "client-closed-midway"
+                    if self.buffer
+                    else "client-closed"
+                )
             self.received += len(data)
             self.buffer += self.plain(data)
             if len(self.buffer) < n and time.monotonic() > until:
@@ -300,8 +318,9 @@
 
     def count_left(self, ticket):
         if self.account is not None:
-            self.accounts.count(self.account, (ticket.rg, ticket.tenant), self.clock.now(), REVERSE, 0, 0,
-                                ANSWERS[ex.LEFT])
+            self.accounts.count(
+                self.account, (ticket.rg, ticket.tenant), self.clock.now(), REVERSE, 0, 0, ANSWERS[ex.LEFT]
+            )
 
     @staticmethod
     def advice(ticket):
@@ -316,9 +335,16 @@
         self.counters.add("bytes-answered", size)
         now, begin, last = self.clock.now(), ticket.arrived, ticket.submission
         self.log.line(
-            "query", txn=ticket.id, rg=ticket.verb, answer=kind, submissions=ticket.count,
-            engine=last.lane.name if last and last.lane else None, coord=ticket.coord,
-            cost=ticket.cost / 10, took=(now - begin) / 10, limit=(ticket.limit - begin) / 10,
+            "query",
+            txn=ticket.id,
+            rg=ticket.verb,
+            answer=kind,
+            submissions=ticket.count,
+            engine=last.lane.name if last and last.lane else None,
+            coord=ticket.coord,
+            cost=ticket.cost / 10,
+            took=(now - begin) / 10,
+            limit=(ticket.limit - begin) / 10,
             **{stage: (at - begin) / 10 for stage, at in ticket.stages.items()},
         )
 
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -62,7 +62,7 @@
     whole = end + 2 + length + 2
     if len(buffer) < whole:
         return None
-    if buffer[whole - 2:whole] != b"\r\n":
+    if buffer[whole - 2 : whole] != b"\r\n":
         raise Malformed("a length is wrong")
     fields = {}
     if words[2] != b"-":
@@ -71,7 +71,7 @@
             if not equals:
                 raise Malformed("fields cannot be read")
             fields[name] = value
-    body = bytes(buffer[end + 2:whole - 2])
+    body = bytes(buffer[end + 2 : whole - 2])
     del buffer[:whole]
     return words[0], words[1], fields, body
 
@@ -141,17 +141,28 @@
         except Malformed as error:
             self.fail("malformed", str(error))
         except OSError as error:
-            self.fail("reset" if self.up else "connect-timeout" if isinstance(error, TimeoutError)
-                      else "connect-refused", error.strerror)
+            self.fail(
+                "reset"
+                if self.up
+                else "connect-timeout"
+                if isinstance(error, TimeoutError)
+                else "connect-refused",
+                error.strerror,
+            )
         except Exception as error:  # a fault of ours must not leave its submissions without an ending
             self.fail("fault", f"{type(error).__name__}: {error}")
 
     def takes(self, sub, now):
         with self.lock:
-            return (not self.dead and not self.retired and len(self.open) < self.link.streams
-                    and sub.ticket.id not in self.open and sub.ticket.id not in self.past
-                    and self not in sub.ticket.asked_on
-                    and (self.open or now - self.used < self.link.idle_time))
+            return (
+                not self.dead
+                and not self.retired
+                and len(self.open) < self.link.streams
+                and sub.ticket.id not in self.open
+                and sub.ticket.id not in self.past
+                and self not in sub.ticket.asked_on
+                and (self.open or now - self.used < self.link.idle_time)
+            )
 
     def put(self, *order):
         """From any thread: written at once where the engine takes it, else by a thread that may wait. False
@@ -521,8 +532,15 @@
             link.exchange.end(sub, lost if sub is half else i.RESET if sub.written else unwritten)
         link.ended(self)
         link.counters.add(f"engine-connections-ended-{reason}")
-        link.log.line("engine-connection-ended", engine=link.lane.name, reason=reason, detail=detail,
-                      asked=self.asked, open=count, lived=(link.clock.now() - self.made) / 10_000)
+        link.log.line(
+            "engine-connection-ended",
+            engine=link.lane.name,
+            reason=reason,
+            detail=detail,
+            asked=self.asked,
+            open=count,
+            lived=(link.clock.now() - self.made) / 10_000,
+        )
         link.links.call(self)
 
     def end_idle(self, reason):
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -117,7 +117,12 @@
             self.links.look_at(place)
 
     ORDERS = {
-        "ask": ask, "quit": quit, "terms": terms, "drain": drain, "restarted": restarted, "close": close,
+        "ask": ask,
+        "quit": quit,
+        "terms": terms,
+        "drain": drain,
+        "restarted": restarted,
+        "close": close,
     }
 
     def ended(self, place):
--- a/wickvane/net/log.py
+++ b/wickvane/net/log.py
@@ -42,20 +42,22 @@
         # None is the last: what came before it is still written.
         last = None in held
         if last:
-            held = held[:held.index(None)]
+            held = held[: held.index(None)]
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
             held.append((self.clock.now(), "log-lines-dropped", {"count": dropped}))
-        self.write(b"".join(
-            orjson.dumps({"at": at / 10_000, "event": event, **fields}, default=shown) + b"\n"
-            for at, event, fields in held
-        ))
+        self.write(
+            b"".join(
+                orjson.dumps({"at": at / 10_000, "event": event, **fields}, default=shown) + b"\n"
+                for at, event, fields in held
+            )
+        )
         return last
 
     def write(self, data):
         try:
             while data:
-                data = data[os.write(self.descriptor, data):]
+                data = data[os.write(self.descriptor, data) :]
         except OSError:
             self.dropped += 1  # nobody reads the log any more; queries go on without it
 
--- a/wickvane/net/postgres/rows.py
+++ b/wickvane/net/postgres/rows.py
@@ -20,9 +20,18 @@
         for row in page.split(b"\n")[:-1]:
             a, b, c = row.split(b"\t")
             # Four bytes and the column count, three lengths of four, and the row less its two tabs.
-            add(b"D%b\0\3%b%b%b%b%b%b" % (
-                lengths[16 + len(row)], lengths[len(a)], a, lengths[len(b)], b, lengths[len(c)], c,
-            ))
+            add(
+                b"D%b\0\3%b%b%b%b%b%b"
+                % (
+                    lengths[16 + len(row)],
+                    lengths[len(a)],
+                    a,
+                    lengths[len(b)],
+                    b,
+                    lengths[len(c)],
+                    c,
+                )
+            )
             count += 1
     done = b"%b %d\0" % (tag, count)
     parts.append(b"C" + pack("!I", 4 + len(done)) + done)
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -30,11 +30,19 @@
 
 READY = message(b"Z", b"I")
 EMPTY = message(b"I") + READY
-PARAMETERS = b"".join(message(b"S", name + b"\0" + value + b"\0") for name, value in (
-    (b"server_version", b"15.0 (wickvane)"), (b"server_encoding", b"UTF8"), (b"client_encoding", b"UTF8"),
-    (b"DateStyle", b"ISO, MDY"), (b"TimeZone", b"UTC"), (b"integer_datetimes", b"on"),
-    (b"standard_conforming_strings", b"on"), (b"is_superuser", b"off"),
-))
+PARAMETERS = b"".join(
+    message(b"S", name + b"\0" + value + b"\0")
+    for name, value in (
+        (b"server_version", b"15.0 (wickvane)"),
+        (b"server_encoding", b"UTF8"),
+        (b"client_encoding", b"UTF8"),
+        (b"DateStyle", b"ISO, MDY"),
+        (b"TimeZone", b"UTC"),
+        (b"integer_datetimes", b"on"),
+        (b"standard_conforming_strings", b"on"),
+        (b"is_superuser", b"off"),
+    )
+)
 
 
 class Session(Front):
@@ -88,8 +96,13 @@
             greeting = message(b"v", pack("!II", 0, len(unknown)) + names)
         secret = secrets.randbits(32)
         self.pid = self.exchange.cancel_key(self, secret)
-        self.put(greeting + message(b"R", pack("!I", 0)) + PARAMETERS
-                 + message(b"K", pack("!II", self.pid, secret)) + READY)
+        self.put(
+            greeting
+            + message(b"R", pack("!I", 0))
+            + PARAMETERS
+            + message(b"K", pack("!II", self.pid, secret))
+            + READY
+        )
         skipping = False
         while True:
             kind, body = self.next_message()
@@ -107,8 +120,10 @@
                 self.query(body)
             elif kind in EXTENDED:
                 skipping = kind != b"F"
-                self.put(error("0A000", "only simple queries are spoken, not the extended protocol")
-                         + (b"" if skipping else READY))
+                self.put(
+                    error("0A000", "only simple queries are spoken, not the extended protocol")
+                    + (b"" if skipping else READY)
+                )
             elif kind in b"dcfp":
                 raise Ended("message-out-of-place", error("08P01", "message out of place", b"FATAL"))
             else:
@@ -178,8 +193,14 @@
             if self.stopping.is_set():
                 data = error("57P03", "deferred: the dispatcher stops; it may be sent again") + READY
             else:
-                data = error("53000", "deferred: no engine has room in time; it may be sent again",
-                             away=self.advice(ticket)) + READY
+                data = (
+                    error(
+                        "53000",
+                        "deferred: no engine has room in time; it may be sent again",
+                        away=self.advice(ticket),
+                    )
+                    + READY
+                )
         elif kind == ex.KILLED:
             data = error("58000", "killed: it could not be finished, and may have run") + READY
         else:
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -65,9 +65,14 @@
         book = Book(settings, fronts)
         if members is not None:
             book.deployment = book.deployment._replace(weighs=True)
-        return (book, settings_of(settings).section("limits"), address_of(found["listen"]),
-                limits.count("sockets", SOCKETS), coordinator,
-                read_known(found.get("known") or {}))
+        return (
+            book,
+            settings_of(settings).section("limits"),
+            address_of(found["listen"]),
+            limits.count("sockets", SOCKETS),
+            coordinator,
+            read_known(found.get("known") or {}),
+        )
     except Malformed as error:
         raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
     except (KeyError, IndexError) as error:
@@ -80,8 +85,10 @@
 
 def fixed(found):
     """Marks of what is settled at the start, to tell whether a later configuration has it otherwise."""
-    return {part: blake2b(orjson.dumps(found.get(part), option=orjson.OPT_SORT_KEYS)).digest()
-            for part in ("name", "listen", "limits", "settings")}
+    return {
+        part: blake2b(orjson.dumps(found.get(part), option=orjson.OPT_SORT_KEYS)).digest()
+        for part in ("name", "listen", "limits", "settings")
+    }
 
 
 def one_arena():
@@ -99,8 +106,11 @@
         return []
     from wickvane.parts import PARTS
 
-    made = ((getattr(importlib.import_module(PARTS[name]), "At", None), documented[name])
-            for name in PARTS if name in documented)
+    made = (
+        (getattr(importlib.import_module(PARTS[name]), "At", None), documented[name])
+        for name in PARTS
+        if name in documented
+    )
     return [at(terms) for at, terms in made if at is not None]
 
 
@@ -122,7 +132,8 @@
         for part in self.parts:
             part.prepare(self, found)
         self.book, limits, self.address, sockets, coordinator, known = understood(
-            found, self.fronts, self.lister and self.lister.terms)
+            found, self.fronts, self.lister and self.lister.terms
+        )
         self.name, self.seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
         self.reader = Reader(self.book)
         self.exchange = Exchange(self.clock, self.counters)
@@ -130,11 +141,27 @@
         for part in self.parts:
             part.build(self, found)
         try:
-            self.decider = self.deciding(self.exchange, self.book, self.seed, self.clock, self.log,
-                                         self.counters, self.accounts, self.speaks)
+            self.decider = self.deciding(
+                self.exchange,
+                self.book,
+                self.seed,
+                self.clock,
+                self.log,
+                self.counters,
+                self.accounts,
+                self.speaks,
+            )
             # One third for engines; what is left, less a few for the rest, for clients, who are promised one.
-            self.links = Links(self.exchange, limits, max(8, sockets // 3), self.clock, self.log,
-                               self.counters, self.accounts, self.threads)
+            self.links = Links(
+                self.exchange,
+                limits,
+                max(8, sockets // 3),
+                self.clock,
+                self.log,
+                self.counters,
+                self.accounts,
+                self.threads,
+            )
             self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
             for part in self.parts:
                 part.join(self, found)
@@ -144,8 +171,9 @@
         if coordinator:
             listed = self.lister.streamed if self.lister else self.listed
             # With files, what is known is told once what was at work is.
-            self.coordinator = Coordinator(coordinator, (0, []) if self.lister else known, listed, self.seed,
-                                           self.log, self.counters)
+            self.coordinator = Coordinator(
+                coordinator, (0, []) if self.lister else known, listed, self.seed, self.log, self.counters
+            )
 
     def listed(self, number, whole, entries, back=()):
         self.exchange.inbox.put(("listed", whole, entries), always=True)
@@ -184,6 +212,7 @@
 
     def thread(self, work, name):
         """One of those that nothing works without: its death ends the program, and is seen."""
+
         def guarded():
             try:
                 work()
@@ -244,8 +273,11 @@
         if self.coordinator:
             self.coordinator.move(coordinator, events)
         self.counters.add("configurations-taken")
-        self.log.line("configuration-taken", coordinator=coordinator and f"{coordinator[0]}:{coordinator[1]}",
-                      needs_restart=kept)
+        self.log.line(
+            "configuration-taken",
+            coordinator=coordinator and f"{coordinator[0]}:{coordinator[1]}",
+            needs_restart=kept,
+        )
         return True
 
     def changed(self, parts_path):
@@ -264,12 +296,22 @@
 
     def show_counters(self, why):
         with open("/proc/self/status", "rb") as status:
-            memory = {line.split(b":")[0].decode(): int(line.split()[1]) for line in status
-                      if line.startswith((b"VmHWM", b"VmRSS", b"Threads"))}
+            memory = {
+                line.split(b":")[0].decode(): int(line.split()[1])
+                for line in status
+                if line.startswith((b"VmHWM", b"VmRSS", b"Threads"))
+            }
         told = {part.name: said for part in self.parts if (said := part.status()) is not None}
-        self.log.line("counters", why=why, descriptors=len(os.listdir("/proc/self/fd")) - 1, **memory,
-                      cpu_s=time.process_time(), longest_round_ms=self.decider.longest / 10,
-                      **told, **self.counters.shown())
+        self.log.line(
+            "counters",
+            why=why,
+            descriptors=len(os.listdir("/proc/self/fd")) - 1,
+            **memory,
+            cpu_s=time.process_time(),
+            longest_round_ms=self.decider.longest / 10,
+            **told,
+            **self.counters.shown(),
+        )
 
     def stop(self):
         began = time.monotonic()
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -32,7 +32,11 @@
 BEFORE_NAME = {b"if", b"not", b"exists", b"lateral"}
 TAKES_FROM = {b"extract", b"substring", b"trim", b"overlay", b"position"}
 TAGS = {
-    b"insert": b"INSERT 0", b"update": b"UPDATE", b"delete": b"DELETE", b"copy": b"COPY", b"merge": b"MERGE",
+    b"insert": b"INSERT 0",
+    b"update": b"UPDATE",
+    b"delete": b"DELETE",
+    b"copy": b"COPY",
+    b"merge": b"MERGE",
 }
 
 
@@ -67,7 +71,7 @@
         if not text.startswith(b"/*", at):
             return None, text[at:]
         end = comment_end(text, at)
-        inside = text[at + 2:end - 2]
+        inside = text[at + 2 : end - 2]
         if re.search(rb"(?:\A|,)\s*txn\s*=", inside):
             return inside, (text[:at].lstrip() + text[end:].lstrip())
         at = end
@@ -101,7 +105,7 @@
             at = len(text) if end < 0 else end + len(found["dollar"])
             yield "string", b""
         elif kind == "quoted":
-            yield kind, found[0][found[0].index(b'"') + 1:-1].replace(b'""', b'"')
+            yield kind, found[0][found[0].index(b'"') + 1 : -1].replace(b'""', b'"')
         elif kind == "word":
             yield kind, found[0].lower()
         elif kind in ("mark", "number"):
@@ -171,7 +175,7 @@
 
 def goes_on(tokens, n):
     """Whether a comma that goes on with the list of relations stands behind at most an alias."""
-    for kind, word in tokens[n + 1:n + 4]:
+    for kind, word in tokens[n + 1 : n + 4]:
         if word == b"," and kind == "mark":
             return True
         if kind not in NAMES:
@@ -227,9 +231,16 @@
         start = FIRST_WORD.match(body)
         first = start[1].lower() if start else next((w for kind, w in words(body) if kind == "word"), b"")
         return {
-            "id": txn.encode(), "rg": self.first + rg, "verb": self.encoded[found["verb"]], "limit": limit,
-            "tenant": tenant, "token": token.encode() if token else None,
+            "id": txn.encode(),
+            "rg": self.first + rg,
+            "verb": self.encoded[found["verb"]],
+            "limit": limit,
+            "tenant": tenant,
+            "token": token.encode() if token else None,
             "key": int.from_bytes(key.encode(), "big") if key and self.of[rg].ordered else None,
-            "cost": tenths(number(found, "cpu", 1e9)), "memory": number(found, "memory", 1e9),
-            "coord": table_group(body), "body": body, "tag": TAGS.get(first, b"SELECT"),
+            "cost": tenths(number(found, "cpu", 1e9)),
+            "memory": number(found, "memory", 1e9),
+            "coord": table_group(body),
+            "body": body,
+            "tag": TAGS.get(first, b"SELECT"),
         }
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -24,8 +24,9 @@
 
 
 def read(node):
-    return Part(node.value("remember", parts.duration("1s", "10m")),
-                node.value("pace-connections", parts.flag, True))
+    return Part(
+        node.value("remember", parts.duration("1s", "10m")), node.value("pace-connections", parts.flag, True)
+    )
 
 
 class Gate:
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -48,8 +48,13 @@
 
     def takes(self, sub, now):
         with self.lock:
-            return (not self.dead and not self.retired and not self.open and not self.busy
-                    and now - self.used < self.link.idle_time)
+            return (
+                not self.dead
+                and not self.retired
+                and not self.open
+                and not self.busy
+                and now - self.used < self.link.idle_time
+            )
 
     # Orders
 
@@ -162,14 +167,32 @@
     def log_in(self, sock):
         """Why the engine does not take us, or None."""
         encryption = bytes((lg.ENCRYPT_NOT_SUPPORTED,))
-        answer = lg.read_prelogin(self.exchange_of(sock, packets.frame(packets.PRELOGIN, lg.prelogin({
-            lg.VERSION: bytes(6), lg.ENCRYPTION: encryption, lg.INSTANCE: b"\0", lg.THREAD: bytes(4),
-            lg.MARS: b"\0"}))))
+        answer = lg.read_prelogin(
+            self.exchange_of(
+                sock,
+                packets.frame(
+                    packets.PRELOGIN,
+                    lg.prelogin(
+                        {
+                            lg.VERSION: bytes(6),
+                            lg.ENCRYPTION: encryption,
+                            lg.INSTANCE: b"\0",
+                            lg.THREAD: bytes(4),
+                            lg.MARS: b"\0",
+                        }
+                    ),
+                ),
+            )
+        )
         if lg.encryption(answer) in (lg.ENCRYPT_ON, lg.ENCRYPT_REQUIRED):
             return "it takes encrypted logins only"
         engines = self.engines
-        body = self.exchange_of(sock, packets.frame(packets.LOGIN, lg.login(
-            engines.user, engines.password, "wickvane", engines.database)))
+        body = self.exchange_of(
+            sock,
+            packets.frame(
+                packets.LOGIN, lg.login(engines.user, engines.password, "wickvane", engines.database)
+            ),
+        )
         welcome, why = False, "no login was acknowledged"
         for count, (token, _, said) in enumerate(t.Stream().feed(body)):
             if token == t.LOGINACK:
@@ -180,7 +203,7 @@
             elif token == t.ENVCHANGE and said[0] == t.ROUTING:
                 return "it routes elsewhere"
             elif token == t.ENVCHANGE and said[0] == t.PACKET_SIZE and said[1]:
-                size = said[1][1:1 + 2 * said[1][0]].decode("utf-16-le", "replace")
+                size = said[1][1 : 1 + 2 * said[1][0]].decode("utf-16-le", "replace")
                 if size.isdigit() and packets.SIZE_LEAST <= int(size) <= packets.SIZE_MOST:
                     self.size = int(size)
             if count > LOGIN_TOKENS_MOST:
--- a/wickvane/net/tds/errors.py
+++ b/wickvane/net/tds/errors.py
@@ -14,8 +14,9 @@
 # Numbers that an engine answers with before anything of a batch has run: it is full, or was out of memory
 # before the first step. All other errors of a batch may have run, whatever their severity: a batch has many
 # statements.
-TURNED_AWAY = frozenset((
-    8628, 8645, 8651, 10928, 10929, 17189, 17300, 17312, 17809, 17810, 40501, 49918, 49919, 49920))
+TURNED_AWAY = frozenset(
+    (8628, 8645, 8651, 10928, 10929, 17189, 17300, 17312, 17809, 17810, 40501, 49918, 49919, 49920)
+)
 FATAL = 20  # severity from which the engine ends the connection itself
 
 
--- a/wickvane/net/tds/login.py
+++ b/wickvane/net/tds/login.py
@@ -28,7 +28,7 @@
         offset, length = struct.unpack_from(">HH", body, at + 1)
         if offset + length > len(body):
             raise Malformed("a PRELOGIN's option lies outside of it")
-        found[option] = body[offset:offset + length]
+        found[option] = body[offset : offset + length]
         at += 5
 
 
@@ -82,7 +82,7 @@
             raise Malformed(f"a LOGIN7's {name} lies outside of it")
         if count > 128:
             raise Malformed(f"a LOGIN7's {name} is too long")
-        data = body[offset:offset + 2 * count]
+        data = body[offset : offset + 2 * count]
         value = unscrambled(data) if name == "password" else data.decode("utf-16-le", "replace")
         setattr(login, name, value)
     if flags3 & EXTENSION_FLAG:
@@ -94,12 +94,12 @@
     """Ids of the feature extensions; what they hold is not looked at."""
     if count < 4 or offset + 4 > len(body):
         raise Malformed("a LOGIN7's extension lies outside of it")
-    at, found = int.from_bytes(body[offset:offset + 4], "little"), []
+    at, found = int.from_bytes(body[offset : offset + 4], "little"), []
     while at < len(body) and body[at] != 0xFF:
         if at + 5 > len(body) or len(found) >= FEATURES_MOST:
             raise Malformed("a LOGIN7's features cannot be read")
         found.append(body[at])
-        at += 5 + int.from_bytes(body[at + 1:at + 5], "little")
+        at += 5 + int.from_bytes(body[at + 1 : at + 5], "little")
     if at >= len(body):
         raise Malformed("a LOGIN7's features have no end")
     return found
--- a/wickvane/net/tds/packets.py
+++ b/wickvane/net/tds/packets.py
@@ -40,7 +40,7 @@
             raise Malformed("a packet's length is out of range")
         if len(self.buffer) < length:
             return None
-        body = bytes(self.buffer[HEAD.size:length])
+        body = bytes(self.buffer[HEAD.size : length])
         del self.buffer[:length]
         return kind, status, body
 
@@ -75,7 +75,7 @@
         return HEAD.pack(kind, LAST | status, HEAD.size + len(body), spid, 1, 0) + body
     parts = []
     for n, at in enumerate(range(0, len(body), room), 1):
-        piece = body[at:at + room]
+        piece = body[at : at + room]
         flags = (LAST if at + room >= len(body) else 0) | (status if n == 1 else 0)
         parts.append(HEAD.pack(kind, flags, HEAD.size + len(piece), spid, n & 255, 0))
         parts.append(piece)
@@ -92,8 +92,8 @@
         self.held += data
         parts = []
         while len(self.held) > self.room:
-            parts.append(self.one(bytes(self.held[:self.room]), 0))
-            del self.held[:self.room]
+            parts.append(self.one(bytes(self.held[: self.room]), 0))
+            del self.held[: self.room]
         return b"".join(parts)
 
     def one(self, body, status):
--- a/wickvane/net/tds/part.py
+++ b/wickvane/net/tds/part.py
@@ -46,8 +46,10 @@
     acknowledge: int
 
 
-TEXT = parts.Kind("a text with * for any characters",
-                  lambda value: value if isinstance(value, str) and 0 < len(value) <= 128 else parts.refuse())
+TEXT = parts.Kind(
+    "a text with * for any characters",
+    lambda value: value if isinstance(value, str) and 0 < len(value) <= 128 else parts.refuse(),
+)
 
 
 def pattern(node, name):
@@ -72,10 +74,16 @@
         raise node.wrong("a file of logins where others than this machine can connect")
     rules, engines = [], []
     for child in node.children("rule"):
-        rules.append(Rule(
-            pattern(child, "application"), pattern(child, "database"), child.property("user", parts.name),
-            child.value("group", parts.name, needed=True), child.value("tenant", parts.name),
-            str(child.value("limit", LIMITS, needed=True) // 10)))
+        rules.append(
+            Rule(
+                pattern(child, "application"),
+                pattern(child, "database"),
+                child.property("user", parts.name),
+                child.value("group", parts.name, needed=True),
+                child.value("tenant", parts.name),
+                str(child.value("limit", LIMITS, needed=True) // 10),
+            )
+        )
         child.done()
     for child in node.children("engines"):
         file, password = child.value("password-file", parts.path), ""
@@ -85,17 +93,31 @@
                     password = opened.read(1024).strip("\r\n")
             except (OSError, UnicodeDecodeError) as error:
                 raise child.wrong(f"a file that can be read ({error})", file, "password-file") from None
-        engines.append(Engines(
-            child.argument(parts.name), child.value("user", parts.name, "wickvane"), password,
-            child.value("database", parts.name, ""), child.value("takes-postgres", parts.flag, False)))
+        engines.append(
+            Engines(
+                child.argument(parts.name),
+                child.value("user", parts.name, "wickvane"),
+                password,
+                child.value("database", parts.name, ""),
+                child.value("takes-postgres", parts.flag, False),
+            )
+        )
         child.done()
     if len({e.kind for e in engines}) < len(engines):
         raise node.wrong("each kind of engines once")
     return Tds(
-        listen, node.value("connections", parts.whole(1, 10_000), 64),
-        node.value("idle", parts.duration("1s", "24h"), 600_000), encryption, certificate, key, users,
-        tuple(rules), tuple(engines), node.value("lines-take-tds", parts.flag, False),
-        node.value("attention-time", parts.duration("10ms", "1m"), 50_000))
+        listen,
+        node.value("connections", parts.whole(1, 10_000), 64),
+        node.value("idle", parts.duration("1s", "24h"), 600_000),
+        encryption,
+        certificate,
+        key,
+        users,
+        tuple(rules),
+        tuple(engines),
+        node.value("lines-take-tds", parts.flag, False),
+        node.value("attention-time", parts.duration("10ms", "1m"), 50_000),
+    )
 
 
 class At(shape.Part):
--- a/wickvane/net/tds/results.py
+++ b/wickvane/net/tds/results.py
@@ -34,10 +34,13 @@
     parts.append(PLAIN_COLUMNS)
     add, lengths = parts.append, LENGTHS
     for line in lines:
-        a, b, c = line.encode("utf-16-le").split(b"\t\0") if line.isascii() else [
-            cell.encode("utf-16-le") for cell in line.split("\t")]
+        a, b, c = (
+            line.encode("utf-16-le").split(b"\t\0")
+            if line.isascii()
+            else [cell.encode("utf-16-le") for cell in line.split("\t")]
+        )
         if len(a) + len(b) + len(c) > 2 * CHARACTERS:
-            a, b, c = a[:2 * CHARACTERS], b[:2 * CHARACTERS], c[:2 * CHARACTERS]
+            a, b, c = a[: 2 * CHARACTERS], b[: 2 * CHARACTERS], c[: 2 * CHARACTERS]
         add(b"\xd1%b%b%b%b%b%b" % (lengths[len(a)], a, lengths[len(b)], b, lengths[len(c)], c))
     return b"".join(parts), len(lines)
 
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -92,8 +92,9 @@
             self.handshake()
             self.serve()
         except Malformed as error:
-            raise Ended("message-malformed", frame(RESULT, failed(errors.PROTOCOL, str(error), 20)),
-                        str(error)) from None
+            raise Ended(
+                "message-malformed", frame(RESULT, failed(errors.PROTOCOL, str(error), 20)), str(error)
+            ) from None
         except ssl.SSLError as error:
             raise Ended("tls-failed", detail=error.reason or type(error).__name__) from None
 
@@ -103,15 +104,31 @@
             raise Malformed("the first message is no PRELOGIN")
         wanted, ours = lg.encryption(lg.read_prelogin(body)), self.door.encryption
         agreed = self.agree(wanted, ours)
-        self.put(frame(RESULT, lg.prelogin({
-            lg.VERSION: VERSION, lg.ENCRYPTION: bytes((agreed,)), lg.INSTANCE: b"\0", lg.THREAD: b"",
-            lg.MARS: b"\0"})))
+        self.put(
+            frame(
+                RESULT,
+                lg.prelogin(
+                    {
+                        lg.VERSION: VERSION,
+                        lg.ENCRYPTION: bytes((agreed,)),
+                        lg.INSTANCE: b"\0",
+                        lg.THREAD: b"",
+                        lg.MARS: b"\0",
+                    }
+                ),
+            )
+        )
         if self.full:
             raise Ended("too-many", self.TOO_MANY)
         if agreed != lg.ENCRYPT_NOT_SUPPORTED:
             if wanted == lg.ENCRYPT_NOT_SUPPORTED:
-                raise Ended("no-encryption", frame(RESULT, failed(
-                    errors.ENCRYPTION, "this dispatcher takes encrypted connections only", 20)))
+                raise Ended(
+                    "no-encryption",
+                    frame(
+                        RESULT,
+                        failed(errors.ENCRYPTION, "this dispatcher takes encrypted connections only", 20),
+                    ),
+                )
             self.secure()
         kind, _, body = self.next_message(self.first_by)
         if kind != LOGIN:
@@ -128,7 +145,8 @@
         if ours == "required":
             return lg.ENCRYPT_REQUIRED
         return {lg.ENCRYPT_OFF: lg.ENCRYPT_OFF, lg.ENCRYPT_NOT_SUPPORTED: lg.ENCRYPT_NOT_SUPPORTED}.get(
-            wanted, lg.ENCRYPT_ON)
+            wanted, lg.ENCRYPT_ON
+        )
 
     def secure(self):
         """A handshake inside of PRELOGIN packets; from there on TLS is outside."""
@@ -179,7 +197,9 @@
             + t.envchange(t.COLLATION_CHANGE, collation, b"\0")
             + t.envchange(t.LANGUAGE, "us_english", "")
             + t.loginack()
-            + t.envchange(t.PACKET_SIZE, str(self.size), str(packets.SIZE)) + t.done())
+            + t.envchange(t.PACKET_SIZE, str(self.size), str(packets.SIZE))
+            + t.done()
+        )
         self.sock.settimeout(WRITE_S)
         self.put(frame(RESULT, answer, packets.SIZE, SPID))
 
@@ -282,8 +302,13 @@
         told, status = b"", 0
         if word == "rollback" and effects:
             status = t.DONE_ERROR
-            told = t.told(t.ERROR, errors.NO_ROLLBACK, 1, 16,
-                          "what has run since the transaction began stays: each query is a transaction here")
+            told = t.told(
+                t.ERROR,
+                errors.NO_ROLLBACK,
+                1,
+                16,
+                "what has run since the transaction began stays: each query is a transaction here",
+            )
         if not old:
             return told, status
         return told + t.envchange(t.COMMIT if word == "commit" else t.ROLLBACK, b"\0", b"\x08" + old), status
@@ -354,8 +379,15 @@
 
     @staticmethod
     def too_fast(away):
-        return frame(RESULT, failed(errors.LOGIN_BUSY, f"too many new connections stay-away={away}ms" if away
-                                    else "too many new connections", 20, errors.state_of(away)))
+        return frame(
+            RESULT,
+            failed(
+                errors.LOGIN_BUSY,
+                f"too many new connections stay-away={away}ms" if away else "too many new connections",
+                20,
+                errors.state_of(away),
+            ),
+        )
 
     @staticmethod
     def is_urgent(first):
@@ -417,9 +449,11 @@
 
     def defaults(self, application, database, user):
         for rule in self.rules:
-            if (rule.application is None or re.fullmatch(rule.application, application, re.I)) and (
-                    rule.database is None or re.fullmatch(rule.database, database, re.I)) and (
-                    rule.user is None or rule.user == user):
+            if (
+                (rule.application is None or re.fullmatch(rule.application, application, re.I))
+                and (rule.database is None or re.fullmatch(rule.database, database, re.I))
+                and (rule.user is None or rule.user == user)
+            ):
                 found = {"verb": rule.group, "limit": rule.limit}
                 return found | ({"team": rule.tenant} if rule.tenant else {})
         return None
--- a/wickvane/net/tds/statements.py
+++ b/wickvane/net/tds/statements.py
@@ -25,14 +25,22 @@
 )
 
 EXECUTESQL, PREPARE, EXECUTE, PREPEXEC, UNPREPARE = 10, 11, 12, 13, 15
-NAMED = {"sp_executesql": EXECUTESQL, "sp_prepare": PREPARE, "sp_execute": EXECUTE, "sp_prepexec": PREPEXEC,
-         "sp_unprepare": UNPREPARE}
+NAMED = {
+    "sp_executesql": EXECUTESQL,
+    "sp_prepare": PREPARE,
+    "sp_execute": EXECUTE,
+    "sp_prepexec": PREPEXEC,
+    "sp_unprepare": UNPREPARE,
+}
 PARAMETERS_MOST = 2100
 HANDLES_MOST = 64  # prepared statements a session holds: the oldest makes room
 OUTPUT, DEFAULT = 1, 2
 # Stretches in which an @name is no parameter, then the names.
-PIECES = re.compile(r"'(?:[^']|'')*(?:'|\Z)|\"(?:[^\"]|\"\")*(?:\"|\Z)|\[(?:[^\]]|\]\])*(?:\]|\Z)|--[^\n]*"
-                    r"|/\*.*?(?:\*/|\Z)|(?P<name>@@?[\w#$]+)", re.S)
+PIECES = re.compile(
+    r"'(?:[^']|'')*(?:'|\Z)|\"(?:[^\"]|\"\")*(?:\"|\Z)|\[(?:[^\]]|\]\])*(?:\]|\Z)|--[^\n]*"
+    r"|/\*.*?(?:\*/|\Z)|(?P<name>@@?[\w#$]+)",
+    re.S,
+)
 DECLARED = re.compile(r"\s*(@[\w#$]+)\s+[^@]*?(?=,\s*@|\Z)", re.S)
 
 
@@ -45,7 +53,7 @@
         raise Malformed("a request's headers are longer than it")
     at = 4
     while at < total:
-        size = int.from_bytes(body[at:at + 4], "little")
+        size = int.from_bytes(body[at : at + 4], "little")
         if size < 6 or at + size > total:
             raise Malformed("a request's header has a wrong length")
         at += size
@@ -53,7 +61,7 @@
 
 
 def batch_text(body):
-    data = body[past_headers(body):]
+    data = body[past_headers(body) :]
     if len(data) % 2:
         raise Malformed("a batch has an odd length")
     return data.decode("utf-16-le", "replace")
@@ -157,8 +165,10 @@
     if call.name and not call.number:
         if any(flags & OUTPUT for _, flags, _, _ in call.parameters):
             raise Malformed("parameters that are given back are not taken")
-        given = ", ".join((f"{name} = " if name else "") + literal_of(value, info)
-                          for name, _, info, value in call.parameters)
+        given = ", ".join(
+            (f"{name} = " if name else "") + literal_of(value, info)
+            for name, _, info, value in call.parameters
+        )
         return f"EXEC {call.name} {given}".rstrip(), b""
     raise Malformed(f"the procedure {call.number} is not known here")
 
@@ -169,13 +179,27 @@
 USE = re.compile(r"\s*use\s+(?:\[((?:[^\]]|\]\])+)\]|\"([^\"]+)\"|([\w$#@]+))\s*;?\s*\Z", re.I)
 VARIABLE = r"@@\w+(?:\s+as\s+\[?\w+\]?)?"
 SELECT = re.compile(rf"\s*select\s+({VARIABLE}(?:\s*,\s*{VARIABLE})*)\s*;?\s*\Z", re.I)
-TRANSACTION = re.compile(r"\s*(?:if\s+@@trancount\s*>\s*0\s+)?(begin|commit|rollback)"
-                         r"(?:\s+(?:tran|transaction|work))?\s*;?\s*\Z", re.I)
+TRANSACTION = re.compile(
+    r"\s*(?:if\s+@@trancount\s*>\s*0\s+)?(begin|commit|rollback)"
+    r"(?:\s+(?:tran|transaction|work))?\s*;?\s*\Z",
+    re.I,
+)
 VARIABLES = {
-    "@@version": "Microsoft SQL Server 2016 (wickvane)", "@@servername": "wickvane", "@@error": 0,
-    "@@servicename": "wickvane", "@@language": "us_english", "@@spid": 51, "@@trancount": 0, "@@rowcount": 0,
-    "@@options": 5496, "@@textsize": 2_147_483_647, "@@lock_timeout": -1, "@@max_precision": 38,
-    "@@datefirst": 7, "@@nestlevel": 0, "@@microsoftversion": 0x0D000000,
+    "@@version": "Microsoft SQL Server 2016 (wickvane)",
+    "@@servername": "wickvane",
+    "@@error": 0,
+    "@@servicename": "wickvane",
+    "@@language": "us_english",
+    "@@spid": 51,
+    "@@trancount": 0,
+    "@@rowcount": 0,
+    "@@options": 5496,
+    "@@textsize": 2_147_483_647,
+    "@@lock_timeout": -1,
+    "@@max_precision": 38,
+    "@@datefirst": 7,
+    "@@nestlevel": 0,
+    "@@microsoftversion": 0x0D000000,
 }
 
 
@@ -200,7 +224,8 @@
     if found := USE.match(text):
         name = (found[1] or found[2] or found[3]).replace("]]", "]")[:128]
         told = t.envchange(t.DATABASE, name, database) + t.told(
-            t.INFO, 5701, 2, 0, f"Changed database context to '{name}'.")
+            t.INFO, 5701, 2, 0, f"Changed database context to '{name}'."
+        )
         return Answered(told, database=name)
     if found := SELECT.match(text):
         named = []
@@ -209,10 +234,12 @@
             if words[0].lower() not in VARIABLES:
                 return None
             named.append((words[-1].strip("[]") if len(words) > 1 else "", VARIABLES[words[0].lower()]))
-        columns = t.columns_of([(name, INT_INFO if isinstance(value, int) else nvarchar_info(128))
-                                for name, value in named])
-        row = bytes((t.ROW,)) + b"".join(int4(value) if isinstance(value, int) else nvarchar(value)
-                                         for _, value in named)
+        columns = t.columns_of(
+            [(name, INT_INFO if isinstance(value, int) else nvarchar_info(128)) for name, value in named]
+        )
+        row = bytes((t.ROW,)) + b"".join(
+            int4(value) if isinstance(value, int) else nvarchar(value) for _, value in named
+        )
         return Answered(columns + row, rows=1)
     return None
 
--- a/wickvane/net/tds/tokens.py
+++ b/wickvane/net/tds/tokens.py
@@ -16,7 +16,16 @@
 COLUMNS_MOST, TOKEN_MOST = 4096, 2 << 20
 # Of ENVCHANGE
 DATABASE, LANGUAGE, PACKET_SIZE, COLLATION_CHANGE, BEGIN, COMMIT, ROLLBACK, RESET_ACK, ROUTING = (
-    1, 2, 4, 7, 8, 9, 10, 18, 20)
+    1,
+    2,
+    4,
+    7,
+    8,
+    9,
+    10,
+    18,
+    20,
+)
 
 
 class Column:
@@ -148,21 +157,24 @@
         if token == ROW:
             return [read_raw(cursor, column.info) for column in columns]
         bits = cursor.take((len(columns) + 7) // 8)
-        return [None if bits[n >> 3] >> (n & 7) & 1 else read_raw(cursor, column.info)
-                for n, column in enumerate(columns)]
+        return [
+            None if bits[n >> 3] >> (n & 7) & 1 else read_raw(cursor, column.info)
+            for n, column in enumerate(columns)
+        ]
     except More:
         raise Malformed("a row is cut") from None
 
 
 # Writing
 
+
 def b_varchar(text):
     data = text[:255].encode("utf-16-le")[:510]
     return bytes((len(data) // 2,)) + data
 
 
 def us_varchar(text):
-    data = text.encode("utf-16-le")[:65_534 // 2 * 2]
+    data = text.encode("utf-16-le")[: 65_534 // 2 * 2]
     return struct.pack("<H", len(data) // 2) + data
 
 
@@ -202,5 +214,11 @@
 
 
 def return_value(ordinal, name, info, value):
-    return (struct.pack("<BH", RETURNVALUE, ordinal) + b_varchar(name) + b"\1" + struct.pack("<IH", 0, 0)
-            + info + value)
+    return (
+        struct.pack("<BH", RETURNVALUE, ordinal)
+        + b_varchar(name)
+        + b"\1"
+        + struct.pack("<IH", 0, 0)
+        + info
+        + value
+    )
--- a/wickvane/net/tds/types.py
+++ b/wickvane/net/tds/types.py
@@ -12,8 +12,20 @@
 from wickvane.net.tds.packets import Malformed
 
 PLP_MOST = 1 << 20  # octets of one value; longer ones are refused
-FIXED = {0x1F: 0, 0x30: 1, 0x32: 1, 0x34: 2, 0x38: 4, 0x3A: 4, 0x3B: 4, 0x3C: 8, 0x3D: 8, 0x3E: 8, 0x7A: 4,
-         0x7F: 8}
+FIXED = {
+    0x1F: 0,
+    0x30: 1,
+    0x32: 1,
+    0x34: 2,
+    0x38: 4,
+    0x3A: 4,
+    0x3B: 4,
+    0x3C: 8,
+    0x3D: 8,
+    0x3E: 8,
+    0x7A: 4,
+    0x7F: 8,
+}
 INTN, BITN, DECIMALN, NUMERICN, FLTN, MONEYN, DATETIMN, GUID = 0x26, 0x68, 0x6A, 0x6C, 0x6D, 0x6E, 0x6F, 0x24
 DATEN, TIMEN, DATETIME2N, DATETIMEOFFSETN = 0x28, 0x29, 0x2A, 0x2B
 BYTE_LENGTH = {GUID, INTN, BITN, FLTN, MONEYN, DATETIMN}
@@ -26,8 +38,18 @@
 # Code pages by LCID's low word, for varchar; what is not here is read as cp1252. UTF-8 collations have a
 # flag.
 CODE_PAGES = {
-    0x401: "cp1256", 0x404: "cp950", 0x405: "cp1250", 0x408: "cp1253", 0x40D: "cp1255", 0x40E: "cp1250",
-    0x411: "cp932", 0x412: "cp949", 0x415: "cp1250", 0x419: "cp1251", 0x41F: "cp1254", 0x804: "cp936",
+    0x401: "cp1256",
+    0x404: "cp950",
+    0x405: "cp1250",
+    0x408: "cp1253",
+    0x40D: "cp1255",
+    0x40E: "cp1250",
+    0x411: "cp932",
+    0x412: "cp949",
+    0x415: "cp1250",
+    0x419: "cp1251",
+    0x41F: "cp1254",
+    0x804: "cp936",
 }
 PLP_NULL, PLP_UNKNOWN = 0xFFFFFFFFFFFFFFFF, 0xFFFFFFFFFFFFFFFE
 EPOCH_1900, DAYS_MOST = date(1900, 1, 1), 3_652_058
@@ -50,7 +72,7 @@
         if n > self.end - at:
             raise More
         self.at = at + n
-        return bytes(self.data[at:at + n])
+        return bytes(self.data[at : at + n])
 
     def skip(self, n):
         if n > self.end - self.at:
@@ -137,7 +159,7 @@
         info.size = cursor.long()
     else:
         raise Malformed(f"the type {type:#x} is not known")
-    info.raw = bytes(cursor.data[begin:cursor.at])
+    info.raw = bytes(cursor.data[begin : cursor.at])
     return info
 
 
@@ -247,8 +269,11 @@
         digits = int.from_bytes(data[1:], "little")
         return Decimal((0 if data[0] else 1, tuple(map(int, str(digits))), -info.scale))
     if type in (0x3C, 0x7A, MONEYN):
-        whole = (int.from_bytes(data, "little", signed=True) if size == 4 else
-                 (int.from_bytes(data[:4], "little", signed=True) << 32) + int.from_bytes(data[4:], "little"))
+        whole = (
+            int.from_bytes(data, "little", signed=True)
+            if size == 4
+            else (int.from_bytes(data[:4], "little", signed=True) << 32) + int.from_bytes(data[4:], "little")
+        )
         return Decimal(whole).scaleb(-4)
     if type in (0x3A, 0x3D, DATETIMN):
         return old_datetime(data)
@@ -282,7 +307,7 @@
     ticks = int.from_bytes(data[:size], "little") * 10 ** (7 - scale)  # of 100 ns
     if ticks >= 864_000_000_000:
         raise Malformed("a time is out of range")
-    days = int.from_bytes(data[size:size + 3], "little") if type != TIMEN else 0
+    days = int.from_bytes(data[size : size + 3], "little") if type != TIMEN else 0
     if days > DAYS_MOST:
         raise Malformed("a date is out of range")
     if type == DATEN:
@@ -293,7 +318,7 @@
         moment = datetime.min + timedelta(days=days, microseconds=ticks // 10)
         if type == DATETIME2N:
             return moment
-        offset = int.from_bytes(data[size + 3:], "little", signed=True)
+        offset = int.from_bytes(data[size + 3 :], "little", signed=True)
         if abs(offset) > 840:
             raise Malformed("an offset from UTC is out of range")
         sign, offset, local = "-" if offset < 0 else "+", abs(offset), moment + timedelta(minutes=offset)
@@ -343,6 +368,7 @@
 
 # What we write ourselves
 
+
 def nvarchar_info(characters=4000):
     return bytes((NVARCHAR,)) + struct.pack("<H", 2 * characters) + COLLATION
 
--- a/wickvane/pace.py
+++ b/wickvane/pace.py
@@ -46,8 +46,12 @@
         share = (cpu - self.cpu) * SECOND / span / self.cores
         strained = self.worst > self.late or share > BUSY
         let, came, turns = self.let * SECOND / span, self.came * SECOND / span, []
-        told = {"lag_ms": self.worst / 10, "core": round(share, 3), "came": round(came, 1),
-                "let": round(let, 1)}
+        told = {
+            "lag_ms": self.worst / 10,
+            "core": round(share, 3),
+            "came": round(came, 1),
+            "let": round(let, 1),
+        }
         self.look_at, self.worst, self.cpu, self.came, self.let = now + STEP, 0, cpu, 0, 0
         if strained:
             self.ease = 0
--- a/wickvane/parts.py
+++ b/wickvane/parts.py
@@ -11,9 +11,15 @@
 
 PART_MOST = 1 << 20  # bytes; a document longer than that is somebody's mistake
 # node: the module whose read() understands it, in the order in which a dispatcher puts them to work
-PARTS = {"flows": "wickvane.flows.part", "tds": "wickvane.net.tds.part", "storms": "wickvane.net.storms",
-         "control": "wickvane.control.part", "members": "wickvane.members.part",
-         "peers": "wickvane.peers.part", "shares": "wickvane.shares.part"}
+PARTS = {
+    "flows": "wickvane.flows.part",
+    "tds": "wickvane.net.tds.part",
+    "storms": "wickvane.net.storms",
+    "control": "wickvane.control.part",
+    "members": "wickvane.members.part",
+    "peers": "wickvane.peers.part",
+    "shares": "wickvane.shares.part",
+}
 
 DURATION = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)(ms|s|m|h)\Z", re.A)
 SIZE = re.compile(r"(\d{1,12})(B|KiB|MiB|GiB)\Z", re.A)
@@ -40,8 +46,11 @@
 
     def children(self, name):
         self.asked.add(name)
-        return [Node(child, f"{self.path} > {name}", self.text)
-                for child in self.node.children if child.name == name]
+        return [
+            Node(child, f"{self.path} > {name}", self.text)
+            for child in self.node.children
+            if child.name == name
+        ]
 
     def child(self, name):
         found = self.children(name)
@@ -114,6 +123,7 @@
 
 def duration(low, high):
     """Tenths of a millisecond, from a text such as "250ms"; bounds likewise as texts."""
+
     def read(value):
         found = DURATION.match(value)
         if not found:
@@ -121,12 +131,15 @@
         return round(float(found[1]) * MS_OF[found[2]] * 10)
 
     least, most = read(low), read(high)
-    return Kind(f'a time from "{low}" to "{high}"',
-                lambda value: t if least <= (t := read(value)) <= most else refuse())
+    return Kind(
+        f'a time from "{low}" to "{high}"',
+        lambda value: t if least <= (t := read(value)) <= most else refuse(),
+    )
 
 
 def size(low, high):
     """Bytes, from a text such as "64MiB"."""
+
     def read(value):
         found = SIZE.match(value)
         if not found:
@@ -134,19 +147,31 @@
         return int(found[1]) * BYTES_OF[found[2]]
 
     least, most = read(low), read(high)
-    return Kind(f'a size from "{low}" to "{high}"',
-                lambda value: n if least <= (n := read(value)) <= most else refuse())
+    return Kind(
+        f'a size from "{low}" to "{high}"',
+        lambda value: n if least <= (n := read(value)) <= most else refuse(),
+    )
 
 
 def share(low, high):
-    return Kind(f"a number from {low} to {high}", lambda value: (
-        float(value) if isinstance(value, (int, float)) and not isinstance(value, bool)
-        and math.isfinite(value) and low <= value <= high else refuse()))
+    return Kind(
+        f"a number from {low} to {high}",
+        lambda value: (
+            float(value)
+            if isinstance(value, (int, float))
+            and not isinstance(value, bool)
+            and math.isfinite(value)
+            and low <= value <= high
+            else refuse()
+        ),
+    )
 
 
 def word(*choices):
-    return Kind(" or ".join(f'"{choice}"' for choice in choices),
-                lambda value: value if value in choices else refuse())
+    return Kind(
+        " or ".join(f'"{choice}"' for choice in choices),
+        lambda value: value if value in choices else refuse(),
+    )
 
 
 def read_flag(value):
@@ -189,11 +214,14 @@
 
 
 def line_of(text, name, value):
-    """"line N: " where just one line of the text has the node's name, and the value with it; else nothing.
+    """ "line N: " where just one line of the text has the node's name, and the value with it; else nothing.
     The reader tells no lines, and a wrong one would be worse than none."""
-    name = re.compile(rf'(?<![\w.-]){re.escape(str(name))}(?![\w.-])')
-    lines = [n for n, line in enumerate(text.splitlines(), 1)
-             if name.search(line.split("//")[0]) and (value is None or str(value) in line)]
+    name = re.compile(rf"(?<![\w.-]){re.escape(str(name))}(?![\w.-])")
+    lines = [
+        n
+        for n, line in enumerate(text.splitlines(), 1)
+        if name.search(line.split("//")[0]) and (value is None or str(value) in line)
+    ]
     return f"line {lines[0]}: " if len(lines) == 1 else ""
 
 
--- a/wickvane/peers/membership.py
+++ b/wickvane/peers/membership.py
@@ -78,9 +78,23 @@
             row = self.free.pop()
         else:
             row = len(self.name)
-            for column in (self.name, self.epoch, self.address, self.incarnation, self.state, self.since,
-                           self.by, self.heard, self.bucket, self.counter, self.window, self.saw, self.saw_at,
-                           self.back, self.back_at):
+            for column in (
+                self.name,
+                self.epoch,
+                self.address,
+                self.incarnation,
+                self.state,
+                self.since,
+                self.by,
+                self.heard,
+                self.bucket,
+                self.counter,
+                self.window,
+                self.saw,
+                self.saw_at,
+                self.back,
+                self.back_at,
+            ):
                 column.append(0)
         self.name[row], self.epoch[row], self.address[row] = name, epoch, address
         self.incarnation[row], self.state[row], self.by[row] = incarnation, state, by
@@ -112,7 +126,8 @@
         """Puts a living row into its bucket's sum, or takes it out of there again."""
         if self.state[row] not in DEAD:
             self.sums[self.bucket[row]] ^= (
-                mark(self.name[row], self.epoch[row], self.incarnation[row]) & 0xFFFFFFFF)
+                mark(self.name[row], self.epoch[row], self.incarnation[row]) & 0xFFFFFFFF
+            )
 
     def drop(self, row):
         """A dead or unanswered life is forgotten; no life of its name up to it comes back by an old word."""
@@ -184,8 +199,11 @@
         if any(self.epoch[row] > epoch and self.address[row] == address for row in lives):
             state = LEFT  # replaced
         if len(lives) >= LIVES_MOST or len(self.rows) >= self.most:
-            over = [row for row in (lives if len(lives) >= LIVES_MOST else self.dead)
-                    if self.state[row] in DEAD and row]
+            over = [
+                row
+                for row in (lives if len(lives) >= LIVES_MOST else self.dead)
+                if self.state[row] in DEAD and row
+            ]
             if not over or state in DEAD:
                 self.full += 1
                 return None
@@ -282,8 +300,11 @@
         """Forgets the long dead, and newcomers that nobody could answer."""
         for row in [row for row in sorted(self.dead) if row and now - self.since[row] > self.remember]:
             self.drop(row)
-        for row in [row for row in self.living if row and self.state[row] == JOINING
-                    and now - self.since[row] > JOINING_LASTS]:
+        for row in [
+            row
+            for row in self.living
+            if row and self.state[row] == JOINING and now - self.since[row] > JOINING_LASTS
+        ]:
             self.drop(row)
 
     # The view
@@ -323,8 +344,11 @@
 
     def agreed(self, now, within):
         """Whether all whose view was heard of `within` that time hold this one; None where none was heard."""
-        heard = [self.saw[row] == self.digest for row, _ in self.held.values()
-                 if row and now - self.saw_at[row] < within]
+        heard = [
+            self.saw[row] == self.digest
+            for row, _ in self.held.values()
+            if row and now - self.saw_at[row] < within
+        ]
         return all(heard) if heard else None
 
     # What is sent on
@@ -366,20 +390,31 @@
         return len(self.name[row].encode()) + len(self.address[row]) + len(str(self.by[row]).encode()) + 24
 
     def entry(self, row):
-        return (self.name[row], self.epoch[row], self.address[row], self.incarnation[row], self.state[row],
-                self.by[row])
+        return (
+            self.name[row],
+            self.epoch[row],
+            self.address[row],
+            self.incarnation[row],
+            self.state[row],
+            self.by[row],
+        )
 
     def sums_told(self):
         return b"".join(value.to_bytes(SUM) for value in self.sums)
 
     def differing(self, told):
         """Buckets in which another's sums differ."""
-        return [n for n in range(BUCKETS) if int.from_bytes(told[n * SUM:(n + 1) * SUM]) != self.sums[n]]
+        return [n for n in range(BUCKETS) if int.from_bytes(told[n * SUM : (n + 1) * SUM]) != self.sums[n]]
 
     def rows_in(self, buckets):
         wanted = set(buckets)
         return [row for row in self.rows.values() if self.bucket[row] in wanted]
 
     def shown(self, row):
-        return {"name": self.name[row], "epoch": self.epoch[row], "address": self.address[row],
-                "incarnation": self.incarnation[row], "by": self.by[row] or None}
+        return {
+            "name": self.name[row],
+            "epoch": self.epoch[row],
+            "address": self.address[row],
+            "incarnation": self.incarnation[row],
+            "by": self.by[row] or None,
+        }
--- a/wickvane/peers/part.py
+++ b/wickvane/peers/part.py
@@ -37,12 +37,17 @@
     if len(seeds) > SEEDS_MOST:
         raise node.wrong(f"{SEEDS_MOST} seeds at most")
     return Part(
-        node.value("cluster", parts.name, "wickvane"), listen, advertise,
-        node.value("key-file", parts.path, needed=True), tuple(seeds), node.value("seeds-file", parts.path),
+        node.value("cluster", parts.name, "wickvane"),
+        listen,
+        advertise,
+        node.value("key-file", parts.path, needed=True),
+        tuple(seeds),
+        node.value("seeds-file", parts.path),
         node.value("period", parts.duration("100ms", "10s"), 5_000),
         node.value("members", parts.whole(2, 16_384), 4_096),
         node.value("remember", parts.duration("1m", "168h"), 24 * 36_000_000),
-        node.value("state", parts.path))
+        node.value("state", parts.path),
+    )
 
 
 class At(shape.Part):
@@ -54,8 +59,14 @@
     def build(self, service, found):
         from wickvane.peers.shell import Peers
 
-        self.peers = Peers(self.terms, service.name, service.book.deployment.gateways, service.seed,
-                           service.log, service.counters)
+        self.peers = Peers(
+            self.terms,
+            service.name,
+            service.book.deployment.gateways,
+            service.seed,
+            service.log,
+            service.counters,
+        )
 
     def open(self, service):
         self.peers.open()
--- a/wickvane/peers/protocol.py
+++ b/wickvane/peers/protocol.py
@@ -45,8 +45,20 @@
     """seeds: addresses that are asked first; configured: how many dispatchers the settings count;
     told: called with (event, fields)."""
 
-    def __init__(self, now, name, epoch, address, seeds, configured, seed, told, period=SECOND // 2,
-                 most=4096, remember=24 * 3600 * SECOND):
+    def __init__(
+        self,
+        now,
+        name,
+        epoch,
+        address,
+        seeds,
+        configured,
+        seed,
+        told,
+        period=SECOND // 2,
+        most=4096,
+        remember=24 * 3600 * SECOND,
+    ):
         self.chance = Random(f"{seed}/peers/{name}")
         self.table = Table(now, name, epoch, address, most, remember, told)
         self.detector = Detector(now, self.table, self.chance, period)
@@ -156,8 +168,9 @@
         """By this life; helpers that had no answer either are others that suspect it."""
         table = self.table
         for by in [table.name[0], *(table.name[helper] for helper in helpers)]:
-            self.hears(table.name[row], table.epoch[row], table.address[row], table.incarnation[row],
-                       SUSPECT, by)
+            self.hears(
+                table.name[row], table.epoch[row], table.address[row], table.incarnation[row], SUSPECT, by
+            )
         self.say(row, GOSSIP)  # it should hear of it first
 
     def failed(self, row):
@@ -217,8 +230,12 @@
             return
         self.stray_at = self.now + STRAY_EVERY
         table = self.table
-        last = max([table.floors.get(name, 0), *(table.epoch[row] for row in table.of_name.get(name, ())
-                                                 if table.address[row] == address)])
+        last = max(
+            [
+                table.floors.get(name, 0),
+                *(table.epoch[row] for row in table.of_name.get(name, ()) if table.address[row] == address),
+            ]
+        )
         self.send(address, epoch, GOSSIP, raw=[(name, max(last, epoch), address, 0, LEFT, table.name[0])])
 
     def known(self):
@@ -325,8 +342,22 @@
         room = DATAGRAM - HEAD - len(sums) - 200 * len(raw)
         entries = table.pick(room, [0, *(row for row in also if row)])
         entries[1:1] = raw
-        self.out.send(address, (kind, table.name[0], table.epoch[0], self.counter, to, table.number,
-                                table.digest, seq, about, sums, entries))
+        self.out.send(
+            address,
+            (
+                kind,
+                table.name[0],
+                table.epoch[0],
+                self.counter,
+                to,
+                table.number,
+                table.digest,
+                seq,
+                about,
+                sums,
+                entries,
+            ),
+        )
 
     # By hand
 
@@ -360,8 +391,9 @@
         table = self.table
         here, suspected, failed, _ = st.census(table)
         agreed, settled = table.agreed(now, AGREE), self.detector.settled(now)
-        stands, reasons = st.standing(self.configured, here, suspected, failed, agreed, self.unheard(now),
-                                      table.aside(), settled)
+        stands, reasons = st.standing(
+            self.configured, here, suspected, failed, agreed, self.unheard(now), table.aside(), settled
+        )
         part = st.part(self.configured, here, suspected, failed, settled)
         return stands, part, reasons, table.number, agreed, st.divisor(self.configured, table)
 
@@ -370,22 +402,50 @@
         stands, part, reasons, number, agreed, divisor = self.stand(now)
         if (stands, part) != self.stands:
             before, self.stands = self.stands, (stands, part)
-            self.told("peers-standing", {"standing": stands, "part": part, "reasons": reasons,
-                                         "was": before and before[0], "view": number, "divisor": divisor})
+            self.told(
+                "peers-standing",
+                {
+                    "standing": stands,
+                    "part": part,
+                    "reasons": reasons,
+                    "was": before and before[0],
+                    "view": number,
+                    "divisor": divisor,
+                },
+            )
         return stands, part, reasons, number, agreed, divisor
 
     def status(self, now):
         """All that is believed, as plain figures for a file; ages in milliseconds."""
         stands, part, reasons, number, agreed, divisor = self.stand(now)
         table, detector = self.table, self.detector
-        members = [{**table.shown(row), "state": STATES[table.state[row]],
-                    "since_ms": (now - table.since[row]) // 10,
-                    "heard_ms": None if table.heard[row] == NEVER else (now - table.heard[row]) // 10,
-                    "in_view": table.held.get(table.name[row], (None,))[0] == row, "me": row == 0}
-                   for _, row in sorted(table.rows.items())]
-        return {"name": table.name[0], "epoch": table.epoch[0], "standing": stands, "part": part,
-                "reasons": reasons, "view": number, "digest": f"{table.digest:016x}",
-                "agreed": agreed, "divisor": divisor, "configured": self.configured,
-                "health": detector.health, "standstills": detector.stood, "probes": detector.probes,
-                "probes_missed": detector.missed, "refused": dict(sorted(self.refused.items())),
-                "dropped_full": table.full, "members": members}
+        members = [
+            {
+                **table.shown(row),
+                "state": STATES[table.state[row]],
+                "since_ms": (now - table.since[row]) // 10,
+                "heard_ms": None if table.heard[row] == NEVER else (now - table.heard[row]) // 10,
+                "in_view": table.held.get(table.name[row], (None,))[0] == row,
+                "me": row == 0,
+            }
+            for _, row in sorted(table.rows.items())
+        ]
+        return {
+            "name": table.name[0],
+            "epoch": table.epoch[0],
+            "standing": stands,
+            "part": part,
+            "reasons": reasons,
+            "view": number,
+            "digest": f"{table.digest:016x}",
+            "agreed": agreed,
+            "divisor": divisor,
+            "configured": self.configured,
+            "health": detector.health,
+            "standstills": detector.stood,
+            "probes": detector.probes,
+            "probes_missed": detector.missed,
+            "refused": dict(sorted(self.refused.items())),
+            "dropped_full": table.full,
+            "members": members,
+        }
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -56,8 +56,19 @@
             raise Unstartable(f"the parts document: peers: key-file: {error}", 2) from None
         self.stamps = stamps_of(part)
         self.events, self.lines, self.unsaid = deque(maxlen=EVENTS_HELD), 0, 0
-        self.node = Node(now(), name, epoch(), text_of(part.advertise), self.seeds(), configured, seed,
-                         self.told, part.period, part.most, part.remember)
+        self.node = Node(
+            now(),
+            name,
+            epoch(),
+            text_of(part.advertise),
+            self.seeds(),
+            configured,
+            seed,
+            self.told,
+            part.period,
+            part.most,
+            part.remember,
+        )
         self.sock, self.family, self.poll, self.stopping = None, None, select.poll(), False
         self.addresses, self.refused, self.said = {}, Counter(), Counter()
         self.look_at, self.shown, self.show_at, self.mark = 0, None, 0, None
@@ -76,8 +87,11 @@
         try:
             with open(self.part.seeds_file, "rb") as file:
                 lines = file.read(FILE_MOST).decode().splitlines()
-            return [text_of(parts.address(line.strip())) for line in lines
-                    if line.strip() and not line.startswith("#")]
+            return [
+                text_of(parts.address(line.strip()))
+                for line in lines
+                if line.strip() and not line.startswith("#")
+            ]
         except (OSError, ValueError, TypeError) as error:
             self.counters.add("peers-seeds-unusable")
             self.log.line("peers-seeds-unusable", file=self.part.seeds_file, why=str(error))
@@ -116,8 +130,12 @@
                 faults += 1
                 at = traceback.extract_tb(error.__traceback__)[-1]
                 self.counters.add("faults")
-                self.log.line("fault", part="peers", error=f"{type(error).__name__}: {error}",
-                              where=f"{at.name}:{at.lineno}")
+                self.log.line(
+                    "fault",
+                    part="peers",
+                    error=f"{type(error).__name__}: {error}",
+                    where=f"{at.name}:{at.lineno}",
+                )
                 if faults >= FAULTS_MOST:
                     self.counters.add("peers-given-up")
                     self.log.line("peers-given-up", reason="faults")
@@ -203,8 +221,12 @@
         self.look_at_files()
         if self.part.state:
             self.take_order()
-            mark = (believed, self.node.table.digest, sum(self.node.refused.values()),
-                    self.events and self.events[-1])
+            mark = (
+                believed,
+                self.node.table.digest,
+                sum(self.node.refused.values()),
+                self.events and self.events[-1],
+            )
             if mark != self.mark or time.monotonic() >= self.show_at:
                 self.mark, self.show_at = mark, time.monotonic() + SHOW_S
                 self.show()
@@ -271,8 +293,12 @@
         if what == "forget":
             with self.lock:
                 lives = self.node.forget(now(), name)
-            done, said = lives > 0, f"{lives} lives of {name} are taken for left" if lives else \
-                f"no failed life of {name} is known"
+            done, said = (
+                lives > 0,
+                f"{lives} lives of {name} are taken for left"
+                if lives
+                else f"no failed life of {name} is known",
+            )
         elif what == "leave":
             self.leave()
             done, said = True, "it has said that it leaves, and goes on serving alone"
@@ -288,10 +314,20 @@
         with self.lock:
             stands, part, reasons, number, agreed, divisor = self.node.stand(now())
             table = self.node.table
-            return {"standing": stands, "part": part, "reasons": reasons, "view": number, "agreed": agreed,
-                    "divisor": divisor, "members": len(table.held), "known": len(table.rows),
-                    "health": self.node.detector.health, "standstills": self.node.detector.stood,
-                    "refused": dict(self.node.refused), "lost_sends": self.lost_sends}
+            return {
+                "standing": stands,
+                "part": part,
+                "reasons": reasons,
+                "view": number,
+                "agreed": agreed,
+                "divisor": divisor,
+                "members": len(table.held),
+                "known": len(table.rows),
+                "health": self.node.detector.health,
+                "standstills": self.node.detector.stood,
+                "refused": dict(self.node.refused),
+                "lost_sends": self.lost_sends,
+            }
 
     # The end
 
--- a/wickvane/peers/standing.py
+++ b/wickvane/peers/standing.py
@@ -62,9 +62,15 @@
     agreed: True, False, or None where no other view was heard of lately. unheard: this life hears, but none
     hears it. aside: its name is an older life's elsewhere."""
     reasons = []
-    for holds, reason in ((aside, "name-taken"), (unheard, "unheard"), (not settled, "not-settled"),
-                          (suspected, "suspected"), (failed, "failed"),
-                          (here + suspected < configured, "missing"), (agreed is False, "views-differ")):
+    for holds, reason in (
+        (aside, "name-taken"),
+        (unheard, "unheard"),
+        (not settled, "not-settled"),
+        (suspected, "suspected"),
+        (failed, "failed"),
+        (here + suspected < configured, "missing"),
+        (agreed is False, "views-differ"),
+    ):
         if holds:
             reasons.append(reason)
     others = here + suspected - 1
--- a/wickvane/peers/tool.py
+++ b/wickvane/peers/tool.py
@@ -36,8 +36,11 @@
     elif asked["events"]:
         show(found["events"], asked["--json"], event)
     elif asked["--json"]:
-        print(orjson.dumps({key: value for key, value in found.items()
-                            if key not in ("members", "events")}).decode())
+        print(
+            orjson.dumps(
+                {key: value for key, value in found.items() if key not in ("members", "events")}
+            ).decode()
+        )
     else:
         brief(found)
     return 0
@@ -77,14 +80,17 @@
     flags = " (this one)" if row["me"] else "" if row["in_view"] else " (not in the view)"
     heard = f", heard {row['heard_ms'] / 1000:.1f} s ago" if row["heard_ms"] is not None else ""
     by = f" by {row['by']}" if row["by"] else ""
-    return (f"{row['name']:<20} {row['state']:<8}{by} for {row['since_ms'] / 1000:.1f} s "
-            f"at {row['address']}, incarnation {row['incarnation']}{heard}{flags}")
+    return (
+        f"{row['name']:<20} {row['state']:<8}{by} for {row['since_ms'] / 1000:.1f} s "
+        f"at {row['address']}, incarnation {row['incarnation']}{heard}{flags}"
+    )
 
 
 def event(row):
     at = time.strftime("%H:%M:%S", time.localtime(row["at"]))
-    rest = " ".join(f"{key}={value}" for key, value in row.items()
-                    if key not in ("at", "event") and value is not None)
+    rest = " ".join(
+        f"{key}={value}" for key, value in row.items() if key not in ("at", "event") and value is not None
+    )
     return f"{at} {row['event']} {rest}"
 
 
@@ -95,14 +101,21 @@
     agreed = {True: "agreed", False: "differs from others'", None: "no other was heard"}[found["agreed"]]
     states = [row["state"] for row in found["members"]]
     count = ", ".join(f"{states.count(state)} {state}" for state in dict.fromkeys(states))
-    print(f"{found['name']}: {found['standing']}, in the {found['part']} part" if found["part"] != "unknown"
-          else f"{found['name']}: {found['standing']}, part unknown")
+    print(
+        f"{found['name']}: {found['standing']}, in the {found['part']} part"
+        if found["part"] != "unknown"
+        else f"{found['name']}: {found['standing']}, part unknown"
+    )
     if found["reasons"]:
         print(f"because: {', '.join(found['reasons'])}")
-    print(f"view {found['view']} ({found['digest']}), {agreed}; {count}; configured {found['configured']}, "
-          f"shared by {found['divisor']}")
-    print(f"health {found['health']} (0 is best), {found['standstills']} standstills, "
-          f"{found['probes_missed']} of {found['probes']} probes missed")
+    print(
+        f"view {found['view']} ({found['digest']}), {agreed}; {count}; configured {found['configured']}, "
+        f"shared by {found['divisor']}"
+    )
+    print(
+        f"health {found['health']} (0 is best), {found['standstills']} standstills, "
+        f"{found['probes_missed']} of {found['probes']} probes missed"
+    )
     if found["refused"]:
         print("refused: " + ", ".join(f"{reason} {n}" for reason, n in found["refused"].items()))
 
--- a/wickvane/peers/wire.py
+++ b/wickvane/peers/wire.py
@@ -26,9 +26,19 @@
 # cluster, kind, sender, its epoch, its counter, the receiver's epoch, view number, view digest, seq, about
 # whom, sums or what a rider says, entries
 Message = tuple[
-    Name, Annotated[int, msgspec.Meta(ge=0, le=8)], Name, Whole, Whole, Whole, Whole, int, Whole,
-    tuple[Name, Whole] | None, Annotated[bytes, msgspec.Meta(max_length=960)],
-    Annotated[list[Entry], msgspec.Meta(max_length=40)]]
+    Name,
+    Annotated[int, msgspec.Meta(ge=0, le=8)],
+    Name,
+    Whole,
+    Whole,
+    Whole,
+    Whole,
+    int,
+    Whole,
+    tuple[Name, Whole] | None,
+    Annotated[bytes, msgspec.Meta(max_length=960)],
+    Annotated[list[Entry], msgspec.Meta(max_length=40)],
+]
 
 
 class Refused(Exception):
@@ -81,9 +91,9 @@
             raise Refused("short")
         if data[0] != VERSION:
             raise Refused("version")
-        body = data[:1] + data[1 + MAC:]
+        body = data[:1] + data[1 + MAC :]
         for key in self.keys:
-            if hmac.compare_digest(blake2b(body, digest_size=MAC, key=key).digest(), data[1:1 + MAC]):
+            if hmac.compare_digest(blake2b(body, digest_size=MAC, key=key).digest(), data[1 : 1 + MAC]):
                 break
         else:
             raise Refused("unauthenticated")
--- a/wickvane/policy/agreement.py
+++ b/wickvane/policy/agreement.py
@@ -190,7 +190,7 @@
             return None
         if kind == VOTERS:
             now, then = set(self.voters()), set(what)
-            pending = any(entry.kind == VOTERS for entry in self.log[self.committed:])
+            pending = any(entry.kind == VOTERS for entry in self.log[self.committed :])
             own = self.term_at(self.committed) == self.term
             if len(now ^ then) != 1 or pending or not own or not then:
                 return None
@@ -204,7 +204,7 @@
 
     def append(self, mark):
         place = self.next.get(mark, len(self.log) + 1)
-        entries = tuple(self.log[place - 1:place - 1 + ENTRIES_MOST])
+        entries = tuple(self.log[place - 1 : place - 1 + ENTRIES_MOST])
         self.say(mark, APPEND, self.term, place - 1, self.term_at(place - 1), entries, self.committed)
 
     def appended_to(self, sender, term, place, place_term, entries, committed):
@@ -220,7 +220,7 @@
             if self.term_at(n) == entry.term:
                 continue
             # What differs was never committed, or this leader would have it.
-            del self.log[n - 1:]
+            del self.log[n - 1 :]
             self.log.append(entry)
             changed = True
         if changed:
--- a/wickvane/policy/document.py
+++ b/wickvane/policy/document.py
@@ -59,15 +59,23 @@
     node = Node(document.nodes[0], "policy", text)
     if document.nodes[0].args:
         raise node.wrong("no value of its own")
-    found = Policy(read_groups(node, groups, deployment), read_tenants(node, tenants),
-                   *read_further(node, deployment), read_cold(node, deployment))
+    found = Policy(
+        read_groups(node, groups, deployment),
+        read_tenants(node, tenants),
+        *read_further(node, deployment),
+        read_cold(node, deployment),
+    )
     node.done()
     return found
 
 
 def named(child, known, word):
-    return child.argument(parts.Kind(f"{word} of the settings: {', '.join(known) or 'none'}",
-                                     lambda value: value if value in known else parts.refuse()))
+    return child.argument(
+        parts.Kind(
+            f"{word} of the settings: {', '.join(known) or 'none'}",
+            lambda value: value if value in known else parts.refuse(),
+        )
+    )
 
 
 def once(found, name, child):
@@ -81,8 +89,12 @@
         name = named(child, names, "a resource group")
         once(found, name, child)
         settings = deployment.groups[list(names).index(name)]
-        group = Group(child.value("target", TIME), child.value("timeout", TIME), child.value("value", VALUE),
-                      child.value("late", PART))
+        group = Group(
+            child.value("target", TIME),
+            child.value("timeout", TIME),
+            child.value("value", VALUE),
+            child.value("late", PART),
+        )
         if group.timeout is not None and group.timeout > settings.timeout:
             raise child.wrong(f"at most the settings' {settings.timeout / 10:g}ms (rule 1)", name="timeout")
         target = settings.promise if group.target is None else group.target
@@ -115,8 +127,10 @@
     child.done()
     if not deployment.extra_window:
         raise child.wrong("settings with a window of further submissions")
-    for value, most, name in ((free, deployment.extra_free, "free"),
-                              (share, deployment.extra_share, "share")):
+    for value, most, name in (
+        (free, deployment.extra_free, "free"),
+        (share, deployment.extra_share, "share"),
+    ):
         if value is not None and value > most:
             raise child.wrong(f"at most the settings' {most:g} (rule 7)", value, name)
     return free, share
@@ -139,48 +153,73 @@
 
 def applied(policy, deployment, groups, tenants):
     """The deployment under a policy; groups, tenants: names in its order, a group's once a front."""
+
     def group(name, at):
         of = policy.groups.get(name)
-        return at if of is None else at._replace(
-            promise=over(at.promise, of.target), timeout=over(at.timeout, of.timeout),
-            value=over(at.value, of.value), late_value=over(at.late_value, of.late))
+        return (
+            at
+            if of is None
+            else at._replace(
+                promise=over(at.promise, of.target),
+                timeout=over(at.timeout, of.timeout),
+                value=over(at.value, of.value),
+                late_value=over(at.late_value, of.late),
+            )
+        )
 
     return deployment._replace(
         groups=[group(name, at) for name, at in zip(groups, deployment.groups, strict=True)],
-        tenants=[(policy.tenants.get(name, share), rate)
-                 for name, (share, rate) in zip(tenants, deployment.tenants, strict=True)],
+        tenants=[
+            (policy.tenants.get(name, share), rate)
+            for name, (share, rate) in zip(tenants, deployment.tenants, strict=True)
+        ],
         extra_free=over(deployment.extra_free, policy.free),
         extra_share=over(deployment.extra_share, policy.share),
-        fall_multiple=over(deployment.fall_multiple, policy.multiple))
+        fall_multiple=over(deployment.fall_multiple, policy.multiple),
+    )
 
 
 def least(one, other):
     """The stricter of two deployments on every bound, and of each value the lesser: what a dispatcher may go
     by that does not know which of them is at work."""
+
     def group(a, b):
-        return a._replace(promise=min(a.promise, b.promise), timeout=min(a.timeout, b.timeout),
-                          value=min(a.value, b.value), late_value=min(a.late_value, b.late_value))
+        return a._replace(
+            promise=min(a.promise, b.promise),
+            timeout=min(a.timeout, b.timeout),
+            value=min(a.value, b.value),
+            late_value=min(a.late_value, b.late_value),
+        )
 
     return one._replace(
         groups=[group(a, b) for a, b in zip(one.groups, other.groups, strict=True)],
         tenants=[(min(a[0], b[0]), a[1]) for a, b in zip(one.tenants, other.tenants, strict=True)],
-        extra_free=min(one.extra_free, other.extra_free), extra_share=min(one.extra_share, other.extra_share),
-        fall_multiple=min(one.fall_multiple, other.fall_multiple))
+        extra_free=min(one.extra_free, other.extra_free),
+        extra_share=min(one.extra_share, other.extra_share),
+        fall_multiple=min(one.fall_multiple, other.fall_multiple),
+    )
 
 
 def differences(before, after, groups, tenants):
     """[(what, before, after)] of two deployments, for operators."""
     found = []
     for name, a, b in zip(groups, before.groups, after.groups, strict=True):
-        for field, word in (("promise", "target"), ("timeout", "timeout"), ("value", "value"),
-                            ("late_value", "late")):
+        for field, word in (
+            ("promise", "target"),
+            ("timeout", "timeout"),
+            ("value", "value"),
+            ("late_value", "late"),
+        ):
             if getattr(a, field) != getattr(b, field):
                 found.append((f"group {name} {word}", getattr(a, field), getattr(b, field)))
     for name, (a, _), (b, _) in zip(tenants, before.tenants, after.tenants, strict=True):
         if a != b:
             found.append((f"tenant {name} share", a, b))
-    for field, word in (("extra_free", "further free"), ("extra_share", "further share"),
-                        ("fall_multiple", "cold multiple")):
+    for field, word in (
+        ("extra_free", "further free"),
+        ("extra_share", "further share"),
+        ("fall_multiple", "cold multiple"),
+    ):
         if getattr(before, field) != getattr(after, field):
             found.append((word, getattr(before, field), getattr(after, field)))
     return found
--- a/wickvane/policy/lease.py
+++ b/wickvane/policy/lease.py
@@ -49,8 +49,11 @@
 
     def closed(self, now):
         """Whether nobody can count on anything that this voter lent."""
-        return (self.closing is not None and now >= self.unknown_until
-                and all(now >= until for until in self.lent.values()))
+        return (
+            self.closing is not None
+            and now >= self.unknown_until
+            and all(now >= until for until in self.lent.values())
+        )
 
     def open(self, number):
         """The log says that a number is at work, or that its successor was abandoned: never a lower one."""
--- a/wickvane/policy/store.py
+++ b/wickvane/policy/store.py
@@ -38,8 +38,14 @@
             self.mark, self.record = f"{name}/{os.urandom(8).hex()}", (0, None, ())
             self.save(self.record)
         else:
-            self.mark, self.record = found.mark, (found.term, found.voted, tuple(
-                Entry(term, kind, frozen(what)) for term, kind, what in found.log))
+            self.mark, self.record = (
+                found.mark,
+                (
+                    found.term,
+                    found.voted,
+                    tuple(Entry(term, kind, frozen(what)) for term, kind, what in found.log),
+                ),
+            )
 
     def read(self):
         try:
@@ -47,10 +53,10 @@
                 data = file.read(MOST)
         except FileNotFoundError:
             return None
-        body = data[len(MAGIC) + SUM:]
-        if data[:len(MAGIC)] != MAGIC:
+        body = data[len(MAGIC) + SUM :]
+        if data[: len(MAGIC)] != MAGIC:
             self.lost = "another version, or cut short"
-        elif blake2b(body, digest_size=SUM).digest() != data[len(MAGIC):len(MAGIC) + SUM]:
+        elif blake2b(body, digest_size=SUM).digest() != data[len(MAGIC) : len(MAGIC) + SUM]:
             self.lost = "the checksum differs"
         else:
             try:
--- a/wickvane/policy/tool.py
+++ b/wickvane/policy/tool.py
@@ -29,11 +29,20 @@
     except (KeyError, TypeError, ValueError) as error:
         print(f"wickvane: the configuration lacks, or does not know, {error}", file=sys.stderr)
         return 2
-    rows = document.differences(book.deployment, document.applied(found, book.deployment, groups, tenants),
-                                groups, tenants)
+    rows = document.differences(
+        book.deployment, document.applied(found, book.deployment, groups, tenants), groups, tenants
+    )
     if asked["--json"]:
-        print(orjson.dumps({"digest": digest_of(text), "changes": [
-            {"what": what, "before": before, "after": after} for what, before, after in rows]}).decode())
+        print(
+            orjson.dumps(
+                {
+                    "digest": digest_of(text),
+                    "changes": [
+                        {"what": what, "before": before, "after": after} for what, before, after in rows
+                    ],
+                }
+            ).decode()
+        )
         return 0
     print(f"{digest_of(text)}: {len(rows)} changes")
     for what, before, after in rows:
--- a/wickvane/rehearsal/baselines.py
+++ b/wickvane/rehearsal/baselines.py
@@ -43,8 +43,12 @@
 
     def taken(self, out, q, rg, *rest):
         group = self.groups[rg]
-        fit = [e for e in self.ready if (group.kinds is None or self.kind[e] in group.kinds)
-               and (group.zones is None or self.zone[e] in group.zones)]
+        fit = [
+            e
+            for e in self.ready
+            if (group.kinds is None or self.kind[e] in group.kinds)
+            and (group.zones is None or self.zone[e] in group.zones)
+        ]
         if not fit:
             return out.defer(q, 0)
         e = self.chosen(fit)
--- a/wickvane/rehearsal/cells.py
+++ b/wickvane/rehearsal/cells.py
@@ -33,8 +33,9 @@
     if not variant.startswith(REVISION):
         return text_of(baselines if variant in baselines.BASELINES else choice)
     revision = variant.removeprefix(REVISION)
-    shown = subprocess.run(["git", "show", "--end-of-options", f"{revision}:wickvane/choice.py"], cwd=ROOT,
-                           capture_output=True)
+    shown = subprocess.run(
+        ["git", "show", "--end-of-options", f"{revision}:wickvane/choice.py"], cwd=ROOT, capture_output=True
+    )
     if shown.returncode:
         raise parts.Unusable(f"variant {variant}: git knows no such commit with a wickvane/choice.py here")
     return shown.stdout.decode()
@@ -124,11 +125,19 @@
 
 
 def table(planned, lines, out):
-    out.write("| script | case | variant | seeds | service | against the first | recovery s | late "
-              "| deferred | killed | further | rules broken |\n" + "| --- " * 12 + "|\n")
+    out.write(
+        "| script | case | variant | seeds | service | against the first | recovery s | late "
+        "| deferred | killed | further | rules broken |\n" + "| --- " * 12 + "|\n"
+    )
     for line in lines:
-        words = [line["script"], line["case"] or "-", line["variant"], str(line["seeds"]),
-                 spread(line["service"]), spread(line["difference"]) if "difference" in line else "-",
-                 *(spread(line[name]) for name in ("recovery", "late", "deferred", "killed", "further")),
-                 ", ".join(map(str, line["broken"])) or "none"]
+        words = [
+            line["script"],
+            line["case"] or "-",
+            line["variant"],
+            str(line["seeds"]),
+            spread(line["service"]),
+            spread(line["difference"]) if "difference" in line else "-",
+            *(spread(line[name]) for name in ("recovery", "late", "deferred", "killed", "further")),
+            ", ".join(map(str, line["broken"])) or "none",
+        ]
         out.write("| " + " | ".join(words) + " |\n")
--- a/wickvane/rehearsal/command.py
+++ b/wickvane/rehearsal/command.py
@@ -19,9 +19,11 @@
 
 def shown(outcome, seed, took):
     counts, world = outcome.counts, outcome.world
-    print(f"seed {seed}: service {outcome.service():.3f}, recovery {outcome.recovery()} s, "
-          f"finished {counts['finished']} ({counts['late']} late), deferred {counts['deferred']}, "
-          f"killed {counts['killed']}; {world.script.length / 10_000:.0f} s in {took:.1f} s")
+    print(
+        f"seed {seed}: service {outcome.service():.3f}, recovery {outcome.recovery()} s, "
+        f"finished {counts['finished']} ({counts['late']} late), deferred {counts['deferred']}, "
+        f"killed {counts['killed']}; {world.script.length / 10_000:.0f} s in {took:.1f} s"
+    )
     print("checked " + ", ".join(f"rule {rule}: {count}" for rule, count in outcome.checked.items()))
     for rule, text in outcome.breaches[:20]:
         print(f"rule {rule} broken: {text}")
@@ -109,7 +111,7 @@
     try:
         return parts.duration("1s", "8760h")(words) / 10_000
     except ValueError:
-        raise parts.Unusable(f"--for {words}: expected a time such as \"10s\"") from None
+        raise parts.Unusable(f'--for {words}: expected a time such as "10s"') from None
 
 
 def experiment(path, folder, jobs, plots):
@@ -149,8 +151,10 @@
                 print(f"wickvane: {path} can be played: cells {len(cells.read(path).cells)}")
                 return 0
             script = scripts.read(path)
-            print(f"wickvane: {path} can be played: clients {len(script.clients)}, "
-                  f"troubles {len(script.troubles)}")
+            print(
+                f"wickvane: {path} can be played: clients {len(script.clients)}, "
+                f"troubles {len(script.troubles)}"
+            )
             return 0
         if asked["load"]:
             return load(path, int(seed), asked["--to"], asked["--tds"])
--- a/wickvane/rehearsal/demo.py
+++ b/wickvane/rehearsal/demo.py
@@ -39,9 +39,15 @@
     list-delay "500ms"
 }"""
 # By key: (kind, part, size, seconds)
-KEYS = {"s": ("stall", 0.34, 1, 10), "n": ("neighbour", 0.5, 0.5, 10), "l": ("slow", 1.0, 3, 10),
-        "i": ("silent", 0.2, 1, 10), "r": ("reset", 0.5, 1, 0), "c": ("crash", 0.17, 1, 5),
-        "d": ("drain", 0.17, 1, 5)}
+KEYS = {
+    "s": ("stall", 0.34, 1, 10),
+    "n": ("neighbour", 0.5, 0.5, 10),
+    "l": ("slow", 1.0, 3, 10),
+    "i": ("silent", 0.2, 1, 10),
+    "r": ("reset", 0.5, 1, 0),
+    "c": ("crash", 0.17, 1, 5),
+    "d": ("drain", 0.17, 1, 5),
+}
 START_S, EVERY_S = 10, 0.5
 
 
@@ -68,8 +74,13 @@
                 if not self.dispatchers.tend() or time.monotonic() > by:
                     raise RuntimeError(f"a dispatcher does not come up; see its log in {self.folder}")
                 time.sleep(0.05)
-        self.load = Load(self.script, self.seed, ("127.0.0.1", self.port), 96,
-                         more=[("127.0.0.1", port) for port in ports[1:]])
+        self.load = Load(
+            self.script,
+            self.seed,
+            ("127.0.0.1", self.port),
+            96,
+            more=[("127.0.0.1", port) for port in ports[1:]],
+        )
         Thread(target=self.load.run, daemon=True).start()
 
     def stop(self):
@@ -91,8 +102,10 @@
         number = 1000 + self.switched
         self.serving.orders.append(lambda: self.serving.trouble(number, trouble))
         self.log.info("trouble", kind=kind, seconds=seconds)
-        self.said = [f"{time.strftime('%H:%M:%S')} {kind}" + (f" for {seconds} s" if seconds else ""),
-                     *self.said[:5]]
+        self.said = [
+            f"{time.strftime('%H:%M:%S')} {kind}" + (f" for {seconds} s" if seconds else ""),
+            *self.said[:5],
+        ]
         return kind
 
     def figures(self):
@@ -116,8 +129,10 @@
 
     def psql(self):
         comment = f"/* verb={self.script.groups[0].name},txn=$(openssl rand -hex 8),limit=5000 */"
-        return (f'psql "host=127.0.0.1 port={self.port} user=app dbname=bi" '
-                f'-c "{comment} SELECT 1 FROM sales_1.orders"')
+        return (
+            f'psql "host=127.0.0.1 port={self.port} user=app dbname=bi" '
+            f'-c "{comment} SELECT 1 FROM sales_1.orders"'
+        )
 
 
 def connects(port):
@@ -146,8 +161,10 @@
 
 def plain_views(views):
     """A line of what each dispatcher believes."""
-    return "; ".join(f"{name} {standing}, part {part}, view {number}: {others(name, members)}"
-                     for name, standing, part, number, _, members in views)
+    return "; ".join(
+        f"{name} {standing}, part {part}, view {number}: {others(name, members)}"
+        for name, standing, part, number, _, members in views
+    )
 
 
 def others(name, members):
@@ -171,8 +188,15 @@
     views = demo.dispatchers.views()
     if len(demo.dispatchers.ports) > 1:
         keys += ", p cut one dispatcher off, k kill one"
-    peers = Table("dispatcher", "stands", "part", "view", "agreed", "what it says of the others",
-                  title="what each dispatcher believes")
+    peers = Table(
+        "dispatcher",
+        "stands",
+        "part",
+        "view",
+        "agreed",
+        "what it says of the others",
+        title="what each dispatcher believes",
+    )
     for name, standing, part, number, agreed, members in views:
         peers.add_row(name, standing, part, str(number), str(agreed).lower(), others(name, members))
     return Group(demo.psql(), f"keys: {keys}, q end", answers, fleet, *([peers] if views else []), *demo.said)
--- a/wickvane/rehearsal/experiment.py
+++ b/wickvane/rehearsal/experiment.py
@@ -66,8 +66,12 @@
 
 def plain(node):
     """A node as plain words, the same for the same content."""
-    return [node.name, [str(a) for a in node.args], sorted((k, str(v)) for k, v in node.properties.items()),
-            [plain(child) for child in node.children]]
+    return [
+        node.name,
+        [str(a) for a in node.args],
+        sorted((k, str(v)) for k, v in node.properties.items()),
+        [plain(child) for child in node.children],
+    ]
 
 
 def merged(text, patches):
@@ -154,6 +158,7 @@
 
 # Outcomes
 
+
 def figures(outcome):
     """One cell's figures, from an Outcome of wickvane.rehearsal.world."""
     world, counts = outcome.world, outcome.counts
@@ -165,11 +170,15 @@
         "service": round(outcome.service(), 6),
         # One that did not come back at all counts as the whole script.
         "recovery": recovery if recovery is not None else world.script.length / scripts.SECOND,
-        "late": counts["late"] / answers, "deferred": counts["deferred"] / answers,
-        "killed": counts["killed"] / answers, "breaches": len(outcome.breaches),
+        "late": counts["late"] / answers,
+        "deferred": counts["deferred"] / answers,
+        "killed": counts["killed"] / answers,
+        "breaches": len(outcome.breaches),
         "broken": sorted({rule for rule, _ in outcome.breaches}),
-        "further": sum(max(0, len(q.submissions) - 1) for host in world.hosts + world.gone
-                       for q in host.queries.values()) / answers,
+        "further": sum(
+            max(0, len(q.submissions) - 1) for host in world.hosts + world.gone for q in host.queries.values()
+        )
+        / answers,
         "uneven": max(worked) / mean if mean else 0.0,
         "queries": world.next_id,
         "course": [round(earned / asked, 4) if asked else None for earned, asked in world.service],
@@ -213,7 +222,8 @@
         shared = sorted(set(by_seed) & set(against))
         if variant != experiment.variants[0] and shared:
             line["difference"] = interval(
-                [by_seed[s]["service"] - against[s]["service"] for s in shared], experiment.confidence)
+                [by_seed[s]["service"] - against[s]["service"] for s in shared], experiment.confidence
+            )
         line["broken"] = sorted({rule for row in by_seed.values() for rule in row["broken"]})
         lines.append(line)
     return lines
--- a/wickvane/rehearsal/fleet.py
+++ b/wickvane/rehearsal/fleet.py
@@ -32,8 +32,10 @@
         for n, (host, port) in enumerate(self.relay.listens):
             seeds = "; ".join(f'seed "{address}"' for address in self.relay.addresses[:2])
             with open(self.path(n, "kdl"), "w") as file:
-                file.write(f'peers {{ listen "{host}:{port}"; advertise "{self.relay.addresses[n]}"; '
-                           f'{seeds}; key-file "{folder}/key"; state "{folder}/state-{n}" }}')
+                file.write(
+                    f'peers {{ listen "{host}:{port}"; advertise "{self.relay.addresses[n]}"; '
+                    f'{seeds}; key-file "{folder}/key"; state "{folder}/state-{n}" }}'
+                )
         self.relay.start()
 
     def path(self, n, kind):
@@ -46,8 +48,11 @@
         name = "dispatcher.log" if len(self.ports) == 1 else f"dispatcher-{n}.log"
         with open(os.path.join(self.folder, name), "ab") as output:
             self.processes[n] = subprocess.Popen(
-                [sys.executable, "-m", "wickvane", "serve", *words], stdout=output,
-                stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+                [sys.executable, "-m", "wickvane", "serve", *words],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
         return self.processes[n].pid
 
     def tend(self):
@@ -56,12 +61,21 @@
             if time.monotonic() >= at:
                 del self.back[n]
                 self.start(n)
-        return not any(process is not None and process.poll() is not None
-                       for n, process in enumerate(self.processes) if n not in self.back)
+        return not any(
+            process is not None and process.poll() is not None
+            for n, process in enumerate(self.processes)
+            if n not in self.back
+        )
 
     def ended(self):
-        return next((process.poll() for n, process in enumerate(self.processes)
-                     if n not in self.back and process is not None and process.poll() is not None), None)
+        return next(
+            (
+                process.poll()
+                for n, process in enumerate(self.processes)
+                if n not in self.back and process is not None and process.poll() is not None
+            ),
+            None,
+        )
 
     def switch(self, key):
         """p: the last is cut off from the others, or let back; k: the first is killed, and comes back."""
@@ -90,9 +104,16 @@
             except (OSError, orjson.JSONDecodeError):
                 continue
             old = time.time() - told["at"] > 4
-            found.append((told["name"], "silent" if old else told["standing"], told["part"], told["view"],
-                          told["agreed"], {row["name"]: row["state"] for row in told["members"]
-                                           if row["state"] != "left"}))
+            found.append(
+                (
+                    told["name"],
+                    "silent" if old else told["standing"],
+                    told["part"],
+                    told["view"],
+                    told["agreed"],
+                    {row["name"]: row["state"] for row in told["members"] if row["state"] != "left"},
+                )
+            )
         return found
 
     def stop(self):
--- a/wickvane/rehearsal/load.py
+++ b/wickvane/rehearsal/load.py
@@ -136,8 +136,9 @@
         self.asked[group.name] += 1
         self.wanted += group.value
         self.second(at)[1] += group.value
-        return Order(clients, at, self.draws.chance(f"queries/{clients.name}"), group,
-                     sum(self.asked.values()))
+        return Order(
+            clients, at, self.draws.chance(f"queries/{clients.name}"), group, sum(self.asked.values())
+        )
 
     def second(self, at):
         return self.course[min(at // SECOND, len(self.course) - 1)]
@@ -154,17 +155,24 @@
         with self.lock:
             txn = order.txn = f"{ids.getrandbits(64):016x}"
         work = lognormal(Random(f"{self.seed}/{txn}"), group.work, group.spread)
-        fields = {"verb": group.name, "txn": txn, "limit": limit_ms,
-                  "team": self.script.tenants[clients.tenant][0], "cpu": f"{work * order.error:.1f}",
-                  "memory": f"{group.memory:.0f}"}
+        fields = {
+            "verb": group.name,
+            "txn": txn,
+            "limit": limit_ms,
+            "team": self.script.tenants[clients.tenant][0],
+            "cpu": f"{work * order.error:.1f}",
+            "memory": f"{group.memory:.0f}",
+        }
         if order.token is not None:
             fields["unique"] = f"{order.token:016x}"
         if order.key is not None:
             fields["item"] = f"k{order.key}"
         comment = ",".join(f"{name}={value}" for name, value in fields.items())
         # Of its own text: what comes with the same one again is known for a repeat.
-        return (f"/* {comment} */ SELECT day, count(*) FROM sales_{order.table}.orders "
-                f"WHERE unit = {order.number}"), work
+        return (
+            f"/* {comment} */ SELECT day, count(*) FROM sales_{order.table}.orders "
+            f"WHERE unit = {order.number}"
+        ), work
 
     def run(self):
         """Drives it all; the figures by group."""
@@ -184,10 +192,16 @@
             self.line.put(None)
         for thread in threads:
             thread.join(max(g.timeout for g in self.script.groups) / SECOND + 5)
-        return {name: {
-            "answers": dict(sorted(self.answers[name].items())),
-            **{f"p{p}_ms": round(self.histograms[name].get_value_at_percentile(p) / 1000, 2)
-               for p in (50, 90, 99, 99.9)}} for name in self.histograms}
+        return {
+            name: {
+                "answers": dict(sorted(self.answers[name].items())),
+                **{
+                    f"p{p}_ms": round(self.histograms[name].get_value_at_percentile(p) / 1000, 2)
+                    for p in (50, 90, 99, 99.9)
+                },
+            }
+            for name in self.histograms
+        }
 
     def service(self):
         """The share of the value asked for that was earned."""
@@ -244,7 +258,8 @@
             self.open -= 1
             self.answers[group.name][answer] += 1
             self.histograms[group.name].record_value(
-                min(HIGHEST_US, max(1, int((now - order.first) / SECOND * 1e6))))
+                min(HIGHEST_US, max(1, int((now - order.first) / SECOND * 1e6)))
+            )
             if answer == "finished":
                 target = at + group.promise + group.stretch * work * 10 / group.threads
                 value = group.value * (group.late if now > min(target, at + group.timeout) else 1.0)
--- a/wickvane/rehearsal/logs.py
+++ b/wickvane/rehearsal/logs.py
@@ -23,6 +23,8 @@
     import structlog
 
     return structlog.wrap_logger(
-        structlog.BytesLogger(open(path, "ab", buffering=0)), processors=[stamped, rendered],
-        cache_logger_on_first_use=True, wrapper_class=structlog.make_filtering_bound_logger(0),
+        structlog.BytesLogger(open(path, "ab", buffering=0)),
+        processors=[stamped, rendered],
+        cache_logger_on_first_use=True,
+        wrapper_class=structlog.make_filtering_bound_logger(0),
     ).bind(service=service)
--- a/wickvane/rehearsal/model.py
+++ b/wickvane/rehearsal/model.py
@@ -24,9 +24,23 @@
 class Kind:
     """What engines of one kind have and how they behave; the script's constants."""
 
-    def __init__(self, cores=8, disks=4.0, memory=16_384.0, knee=1.6, thrash=0.6, spill=2.5, warm_sets=4,
-                 warm_gain=0.5, cold_from=0.3, cold_ms=15_000.0, fall_multiple=2.5, fall_ms=3000.0,
-                 sessions=8, repeat_ms=12_000.0):
+    def __init__(
+        self,
+        cores=8,
+        disks=4.0,
+        memory=16_384.0,
+        knee=1.6,
+        thrash=0.6,
+        spill=2.5,
+        warm_sets=4,
+        warm_gain=0.5,
+        cold_from=0.3,
+        cold_ms=15_000.0,
+        fall_multiple=2.5,
+        fall_ms=3000.0,
+        sessions=8,
+        repeat_ms=12_000.0,
+    ):
         self.cores, self.disks, self.memory, self.knee, self.thrash = cores, disks, memory, knee, thrash
         self.spill, self.warm_sets, self.warm_gain = spill, warm_sets, warm_gain
         self.cold_from, self.cold_ms = cold_from, cold_ms
@@ -37,8 +51,21 @@
 class Running:
     """A query on an engine: left is the work still to be done, rate how much of it a millisecond."""
 
-    __slots__ = ("mark", "threads", "reading", "priority", "need", "grant", "left", "rate", "began", "weight",
-                 "spilt", "token", "work")
+    __slots__ = (
+        "mark",
+        "threads",
+        "reading",
+        "priority",
+        "need",
+        "grant",
+        "left",
+        "rate",
+        "began",
+        "weight",
+        "spilt",
+        "token",
+        "work",
+    )
 
     def __init__(self, mark, threads, reading, priority, need, grant, work, began, token):
         self.mark, self.threads, self.reading, self.priority = mark, threads, reading, priority
@@ -69,8 +96,9 @@
 
     # What happens to it
 
-    def offer(self, now, mark, work, threads, reading, table, need, grant=0.0, priority=1, token=None,
-              usual=None):
+    def offer(
+        self, now, mark, work, threads, reading, table, need, grant=0.0, priority=1, token=None, usual=None
+    ):
         """A query comes: "full", "fallen", "repeat" where its token is known, or "in". usual: what it weighs
         in the collapse rule."""
         self.advance(now)
@@ -201,8 +229,9 @@
     def next_end(self):
         """When the first of what runs would end, None where nothing does; a cold engine's rates hold only for
         a while, so that it is also looked at each twentieth of its warming."""
-        soonest = min((query.left / query.rate for query in self.running.values() if query.rate > 0),
-                      default=None)
+        soonest = min(
+            (query.left / query.rate for query in self.running.values() if query.rate > 0), default=None
+        )
         if soonest is None:
             return None
         at = self.now + max(0.0, soonest)
--- a/wickvane/rehearsal/peers.py
+++ b/wickvane/rehearsal/peers.py
@@ -28,14 +28,25 @@
         sums[bucket] ^= mark(name, epoch, 0) & 0xFFFFFFFF
         digest ^= held
     for n, table in enumerate(tables):
+
         def mine_first(column, n=n):
-            return column[n:n + 1] + column[:n] + column[n + 1:]
+            return column[n : n + 1] + column[:n] + column[n + 1 :]
 
         table.name, table.epoch = mine_first(names), mine_first(epochs)
         table.address, table.bucket = mine_first(addresses), mine_first(buckets)
-        for column, value in (("incarnation", 0), ("state", ALIVE), ("since", 0), ("by", ""),
-                              ("heard", NEVER), ("counter", 0), ("window", 0), ("saw", 0),
-                              ("saw_at", NEVER), ("back", 0), ("back_at", NEVER)):
+        for column, value in (
+            ("incarnation", 0),
+            ("state", ALIVE),
+            ("since", 0),
+            ("by", ""),
+            ("heard", NEVER),
+            ("counter", 0),
+            ("window", 0),
+            ("saw", 0),
+            ("saw_at", NEVER),
+            ("back", 0),
+            ("back_at", NEVER),
+        ):
             setattr(table, column, [value] * size)
         table.rows = dict(zip(zip(table.name, table.epoch), range(size)))
         table.of_name = {name: [row] for row, name in enumerate(table.name)}
@@ -48,8 +59,19 @@
 class Member:
     """One program: its node, and what holds it up."""
 
-    __slots__ = ("node", "name", "address", "up", "still_until", "inbox", "wakes", "sent", "octets", "clock",
-                 "epochs")
+    __slots__ = (
+        "node",
+        "name",
+        "address",
+        "up",
+        "still_until",
+        "inbox",
+        "wakes",
+        "sent",
+        "octets",
+        "clock",
+        "epochs",
+    )
 
     def __init__(self, name, address):
         self.name, self.address, self.node, self.up = name, address, None, False
@@ -72,8 +94,20 @@
     loss: of datagrams; settled: all know all at the start; delay: (least, most) tenths of a millisecond on
     the way; buffer: datagrams that are kept for who stands still."""
 
-    def __init__(self, size, seed, loss=0.0, delay=(3, 30), seeds=3, spread=SECOND, period=SECOND // 2,
-                 doubled=0.0, configured=None, settled=False, buffer=500):
+    def __init__(
+        self,
+        size,
+        seed,
+        loss=0.0,
+        delay=(3, 30),
+        seeds=3,
+        spread=SECOND,
+        period=SECOND // 2,
+        doubled=0.0,
+        configured=None,
+        settled=False,
+        buffer=500,
+    ):
         self.chance, self.seed, self.loss, self.delay = Random(f"{seed}/fleet"), seed, loss, delay
         self.buffer, self.doubled, self.period, self.configured = buffer, doubled, period, configured or size
         self.now, self.heap, self.count, self.events, self.marks = 0, [], 0, [], []
@@ -102,9 +136,16 @@
         member.epochs += 1
         epoch = epoch or EPOCH + self.now + member.epochs
         member.node = Node(
-            self.now, member.name, epoch, member.address, [s for s in self.seeds if s != member.address],
-            self.configured, f"{self.seed}/{member.epochs}",
-            lambda event, fields: self.told(n, event, fields), self.period)
+            self.now,
+            member.name,
+            epoch,
+            member.address,
+            [s for s in self.seeds if s != member.address],
+            self.configured,
+            f"{self.seed}/{member.epochs}",
+            lambda event, fields: self.told(n, event, fields),
+            self.period,
+        )
         member.up, member.inbox, member.wakes = True, [], None
         self.wake_at(n, self.now + 1)
 
@@ -199,8 +240,11 @@
 
     def false_failures(self, since=0):
         """Verdicts `failed` about a program that ran then: (at, by whom, about whom)."""
-        return [(at, self.members[n].name, fields["name"]) for at, n, event, fields in self.events
-                if event == "peers-failed" and at >= since and self.ran(fields["name"], at)]
+        return [
+            (at, self.members[n].name, fields["name"])
+            for at, n, event, fields in self.events
+            if event == "peers-failed" and at >= since and self.ran(fields["name"], at)
+        ]
 
     def ran(self, name, at):
         lives = [(when, up) for when, who, up in self.marks if who == name and when <= at]
--- a/wickvane/rehearsal/plots.py
+++ b/wickvane/rehearsal/plots.py
@@ -18,8 +18,9 @@
 def mean_course(courses):
     """By second, the mean over seeds of those that have a figure then; None where none has."""
     seconds = max(map(len, courses))
-    columns = ([course[n] for course in courses if n < len(course) and course[n] is not None]
-               for n in range(seconds))
+    columns = (
+        [course[n] for course in courses if n < len(course) and course[n] is not None] for n in range(seconds)
+    )
     return [fmean(column) if column else None for column in columns]
 
 
@@ -43,12 +44,19 @@
     figure, axes = pyplot.subplots(figsize=(max(6, 1.6 * len(groups) + 3), 4), layout="constrained")
     width = 0.8 / len(planned.variants)
     for v, variant in enumerate(planned.variants):
-        mine = {(line["script"], line["case"]): line["service"]
-                for line in lines if line["variant"] == variant}
+        mine = {
+            (line["script"], line["case"]): line["service"] for line in lines if line["variant"] == variant
+        }
         at = [n + (v - (len(planned.variants) - 1) / 2) * width for n, g in enumerate(groups) if g in mine]
         pairs = [mine[g] for g in groups if g in mine]
-        axes.bar(at, [mean for mean, _ in pairs], width, yerr=[half or 0 for _, half in pairs], label=variant,
-                 capsize=2)
+        axes.bar(
+            at,
+            [mean for mean, _ in pairs],
+            width,
+            yerr=[half or 0 for _, half in pairs],
+            label=variant,
+            capsize=2,
+        )
     axes.set_xticks(range(len(groups)), [f"{s}\n{c}" if c else s for s, c in groups])
     axes.set_ylabel(f"service, mean and {planned.confidence:.0%} interval over seeds")
     axes.set_ylim(0, 1)
@@ -60,7 +68,7 @@
         name = "-".join(f"{script} {case}".split())
         figure, (top, load, budget, cold) = pyplot.subplots(4, 1, figsize=(8, 11), layout="constrained")
         for variant, found in mine.items():
-            line, = top.plot(gaps(mean_course([row["course"] for row in found])), label=variant)
+            (line,) = top.plot(gaps(mean_course([row["course"] for row in found])), label=variant)
             for axes, what in ((budget, "budget"), (cold, "cold")):
                 course = mean_course([row["margins"][what] for row in found])
                 axes.plot(gaps(course), ".", color=line.get_color())
--- a/wickvane/rehearsal/relay.py
+++ b/wickvane/rehearsal/relay.py
@@ -66,7 +66,7 @@
             spoilt = data
             if self.chance.random() < link.spoil:
                 at = self.chance.randrange(len(data))
-                spoilt = data[:at] + bytes((data[at] ^ 1 << self.chance.randrange(8),)) + data[at + 1:]
+                spoilt = data[:at] + bytes((data[at] ^ 1 << self.chance.randrange(8),)) + data[at + 1 :]
             late = link.delay + self.chance.random() * link.jitter
             if late:
                 self.count += 1
--- a/wickvane/rehearsal/rules.py
+++ b/wickvane/rehearsal/rules.py
@@ -16,8 +16,20 @@
     cores by kind; cold: (part, seconds until warm, multiple, window); work: seconds a query of a group
     weighs."""
 
-    def __init__(self, effects, kinds=None, ordered=(), window=12.0, grace=2.0, rest=0.3, budget=None,
-                 cores=None, cold=None, work=None, slack=0.35):
+    def __init__(
+        self,
+        effects,
+        kinds=None,
+        ordered=(),
+        window=12.0,
+        grace=2.0,
+        rest=0.3,
+        budget=None,
+        cores=None,
+        cold=None,
+        work=None,
+        slack=0.35,
+    ):
         self.effects, self.kinds, self.ordered, self.window = effects, kinds or {}, set(ordered), window
         self.grace, self.rest, self.budget, self.cores, self.cold = grace, rest, budget, cores or {}, cold
         self.work, self.slack = work or {}, slack
@@ -42,8 +54,9 @@
     def submitted(self, at, id, engine):
         """A submission reached an engine; the index by which its end is told."""
         with self.lock:
-            self.sent.append({"at": at, "id": id, "engine": engine, "end": None, "how": "silent",
-                              "gave": None})
+            self.sent.append(
+                {"at": at, "id": id, "engine": engine, "end": None, "how": "silent", "gave": None}
+            )
             return len(self.sent) - 1
 
     def ended(self, at, n, how):
@@ -77,8 +90,16 @@
             of = {id: [] for id in self.queries}
             for s in sent:
                 of[s["id"]].append(s)
-            for check in (self.one_answer, self.one_effect, self.drains, self.cold_engines, self.key_order,
-                          self.placement, self.budget, self.one_out):
+            for check in (
+                self.one_answer,
+                self.one_effect,
+                self.drains,
+                self.cold_engines,
+                self.key_order,
+                self.placement,
+                self.budget,
+                self.one_out,
+            ):
                 found.extend(check(sent, of, counts))
         return found, counts
 
@@ -139,8 +160,11 @@
             return
         part, warm, multiple, window = self.figures.cold
         for engine, started in self.started.items():
-            mine = [(s["at"], self.figures.work[self.queries[s["id"]]["group"]]) for s in sent
-                    if s["engine"] == engine and started <= s["at"] <= started + warm]
+            mine = [
+                (s["at"], self.figures.work[self.queries[s["id"]]["group"]])
+                for s in sent
+                if s["engine"] == engine and started <= s["at"] <= started + warm
+            ]
             first = work = 0
             for at, weight in mine:
                 work += weight
--- a/wickvane/rehearsal/script.py
+++ b/wickvane/rehearsal/script.py
@@ -12,8 +12,22 @@
 
 SECOND = 10_000
 TIMES = parts.duration("0ms", "24h")
-TROUBLES = ("stall", "neighbour", "slow", "silent", "reset", "crash", "drain", "deploy", "list-late",
-            "storm", "estimates", "standstill", "kill", "list-again")
+TROUBLES = (
+    "stall",
+    "neighbour",
+    "slow",
+    "silent",
+    "reset",
+    "crash",
+    "drain",
+    "deploy",
+    "list-late",
+    "storm",
+    "estimates",
+    "standstill",
+    "kill",
+    "list-again",
+)
 EFFECTS = {"read-only": i.READ_ONLY, "tokened": i.TOKENED, "mutating": i.MUTATING}
 
 
@@ -103,10 +117,21 @@
     lists: str = "stream"  # or "file": watched files, wickvane.members
 
 
-KIND = {"cores": figure(1, 256), "disks": figure(0.1, 256), "memory": figure(64, 1e7),
-        "knee": figure(0.5, 16), "thrash": figure(0, 8), "spill": figure(0, 16),
-        "warm-sets": parts.whole(0, 1000), "warm-gain": figure(0, 0.99), "cold-from": figure(0.01, 1),
-        "cold": TIMES, "fall-multiple": figure(1, 100), "fall": TIMES, "sessions": parts.whole(1, 1000)}
+KIND = {
+    "cores": figure(1, 256),
+    "disks": figure(0.1, 256),
+    "memory": figure(64, 1e7),
+    "knee": figure(0.5, 16),
+    "thrash": figure(0, 8),
+    "spill": figure(0, 16),
+    "warm-sets": parts.whole(0, 1000),
+    "warm-gain": figure(0, 0.99),
+    "cold-from": figure(0.01, 1),
+    "cold": TIMES,
+    "fall-multiple": figure(1, 100),
+    "fall": TIMES,
+    "sessions": parts.whole(1, 1000),
+}
 NAMES = {"cold": "cold_ms", "fall": "fall_ms", "sessions": "sessions"}
 
 
@@ -125,13 +150,21 @@
 
 def read_group(node):
     group = Group(
-        node.argument(parts.name), node.value("effect", parts.word(*EFFECTS), "read-only"),
-        node.value("work", TIMES, 1000) / 10, node.value("spread", figure(0, 10), 0.8),
-        node.value("threads", parts.whole(1, 64), 1), node.value("reading", figure(0, 0.99), 0.3),
-        node.value("memory", figure(1, 1e6), 96.0), node.value("promise", TIMES, 15_000),
-        node.value("stretch", figure(0, 100), 2.0), node.value("timeout", TIMES, 75_000),
-        node.value("value", figure(0.001, 1e6), 1.0), node.value("late", figure(0, 1), 0.0),
-        node.value("ordered", parts.flag, False), node.value("loads", parts.flag, False))
+        node.argument(parts.name),
+        node.value("effect", parts.word(*EFFECTS), "read-only"),
+        node.value("work", TIMES, 1000) / 10,
+        node.value("spread", figure(0, 10), 0.8),
+        node.value("threads", parts.whole(1, 64), 1),
+        node.value("reading", figure(0, 0.99), 0.3),
+        node.value("memory", figure(1, 1e6), 96.0),
+        node.value("promise", TIMES, 15_000),
+        node.value("stretch", figure(0, 100), 2.0),
+        node.value("timeout", TIMES, 75_000),
+        node.value("value", figure(0.001, 1e6), 1.0),
+        node.value("late", figure(0, 1), 0.0),
+        node.value("ordered", parts.flag, False),
+        node.value("loads", parts.flag, False),
+    )
     node.done()
     return group
 
@@ -141,14 +174,21 @@
         return Kind(" or ".join(table), lambda value: table.index(value) if value in table else refuse())
 
     clients = Clients(
-        node.argument(parts.name), node.value("group", named(groups, "group"), needed=True),
-        node.value("tenant", named(tenants, "tenant"), 0), node.value("rate", figure(0.001, 1e5), 0.0),
+        node.argument(parts.name),
+        node.value("group", named(groups, "group"), needed=True),
+        node.value("tenant", named(tenants, "tenant"), 0),
+        node.value("rate", figure(0.001, 1e5), 0.0),
         node.value("arrivals", parts.word("poisson", "even"), "poisson") == "even",
-        node.value("closed", parts.whole(1, 10_000), 0), node.value("think", TIMES, 10_000),
-        node.value("retries", parts.whole(0, 20), 0), node.value("back-off", TIMES, 1000),
-        node.value("tables", parts.whole(1, 10_000), 20), node.value("keys", parts.whole(1, 10_000), 10),
-        node.value("since", TIMES, 0), node.value("until", TIMES, length),
-        node.value("heeds", parts.flag, False))
+        node.value("closed", parts.whole(1, 10_000), 0),
+        node.value("think", TIMES, 10_000),
+        node.value("retries", parts.whole(0, 20), 0),
+        node.value("back-off", TIMES, 1000),
+        node.value("tables", parts.whole(1, 10_000), 20),
+        node.value("keys", parts.whole(1, 10_000), 10),
+        node.value("since", TIMES, 0),
+        node.value("until", TIMES, length),
+        node.value("heeds", parts.flag, False),
+    )
     if bool(clients.rate) == bool(clients.closed):
         raise node.wrong("either rate or closed")
     node.done()
@@ -156,9 +196,13 @@
 
 
 def read_trouble(node):
-    trouble = Trouble(node.argument(parts.word(*TROUBLES)), node.property("at", TIMES, 0),
-                      node.property("for", TIMES, 50_000), node.property("part", figure(0, 1), 1.0),
-                      node.property("size", figure(0, 100), 2.0))
+    trouble = Trouble(
+        node.argument(parts.word(*TROUBLES)),
+        node.property("at", TIMES, 0),
+        node.property("for", TIMES, 50_000),
+        node.property("part", figure(0, 1), 1.0),
+        node.property("size", figure(0, 100), 2.0),
+    )
     node.done()
     return trouble
 
@@ -202,29 +246,48 @@
     tenants = tenants or [("all", 1.0)]
     if not fleet or not groups:
         raise node.wrong("nodes engines and group")
-    for names, word in (([f.kind for f in fleet], "engines"), ([g.name for g in groups], "group"),
-                        ([name for name, _ in tenants], "tenant")):
+    for names, word in (
+        ([f.kind for f in fleet], "engines"),
+        ([g.name for g in groups], "group"),
+        ([name for name, _ in tenants], "tenant"),
+    ):
         if len(set(names)) < len(names):
             raise node.wrong(f"each {word} by a name of its own")
-    clients = tuple(read_clients(child, [g.name for g in groups], [name for name, _ in tenants], length)
-                    for child in node.children("clients"))
+    clients = tuple(
+        read_clients(child, [g.name for g in groups], [name for name, _ in tenants], length)
+        for child in node.children("clients")
+    )
     if not clients:
         raise node.wrong("a node clients")
     budget = node.child("budget")
     extra = None
     if budget:
-        extra = (budget.property("free", figure(0, 1000), 3.0), budget.property("share", figure(0, 1), 0.1),
-                 budget.property("window", TIMES, 50_000))
+        extra = (
+            budget.property("free", figure(0, 1000), 3.0),
+            budget.property("share", figure(0, 1), 0.1),
+            budget.property("window", TIMES, 50_000),
+        )
         budget.done()
     script = Script(
-        node.value("name", parts.name, "rehearsal"), length, node.value("gateways", parts.whole(1, 1000), 1),
-        fleet, groups, tuple(tenants), clients,
+        node.value("name", parts.name, "rehearsal"),
+        length,
+        node.value("gateways", parts.whole(1, 1000), 1),
+        fleet,
+        groups,
+        tuple(tenants),
+        clients,
         tuple(read_trouble(child) for child in node.children("trouble")),
-        tuple(read_expectation(child) for child in node.children("expect")), node.value("latency", TIMES, 3),
-        node.value("list-delay", TIMES, 10_000), node.value("grace", TIMES, 20_000),
-        node.value("rest", TIMES, 3000), extra, node.value("repeats-dropped-for", TIMES, 120_000),
-        node.value("longest-advice", TIMES, 0), node.value("watch-storms", parts.flag, False),
-        node.value("lists", parts.word("stream", "file"), "stream"))
+        tuple(read_expectation(child) for child in node.children("expect")),
+        node.value("latency", TIMES, 3),
+        node.value("list-delay", TIMES, 10_000),
+        node.value("grace", TIMES, 20_000),
+        node.value("rest", TIMES, 3000),
+        extra,
+        node.value("repeats-dropped-for", TIMES, 120_000),
+        node.value("longest-advice", TIMES, 0),
+        node.value("watch-storms", parts.flag, False),
+        node.value("lists", parts.word("stream", "file"), "stream"),
+    )
     node.done()
     return script
 
@@ -255,19 +318,47 @@
     """What the dispatchers are told of all this, as their settings would say it."""
     first = script.fleet[0].figures
     return i.Deployment(
-        groups=[i.ResourceGroup(
-            effect=EFFECTS[g.effect], drops_repeats=i.ANY_ENGINE, repeat_window=max(0, script.window - 1),
-            promise=g.promise, stretch=g.stretch, timeout=g.timeout, value=g.value, late_value=g.late,
-            ordered=g.ordered, zones=None, kinds=None, threads=g.threads, loads=g.loads,
-            stands_behind_loads=False) for g in script.groups],
+        groups=[
+            i.ResourceGroup(
+                effect=EFFECTS[g.effect],
+                drops_repeats=i.ANY_ENGINE,
+                repeat_window=max(0, script.window - 1),
+                promise=g.promise,
+                stretch=g.stretch,
+                timeout=g.timeout,
+                value=g.value,
+                late_value=g.late,
+                ordered=g.ordered,
+                zones=None,
+                kinds=None,
+                threads=g.threads,
+                loads=g.loads,
+                stands_behind_loads=False,
+            )
+            for g in script.groups
+        ],
         tenants=[(share, 0.0) for _, share in script.tenants],
         cores=[int(f.figures.get("cores", 8)) for f in script.fleet],
-        memory=[f.figures.get("memory", 16_384.0) for f in script.fleet], gateways=script.gateways, zone=0,
-        crossing=0.0, most_submissions=5, may_cancel=True, grants=False, priorities=True, most_grant=0.4,
-        note_period=0, asks_for_list=False, ask_within=0, key_rest=script.rest + 1,
+        memory=[f.figures.get("memory", 16_384.0) for f in script.fleet],
+        gateways=script.gateways,
+        zone=0,
+        crossing=0.0,
+        most_submissions=5,
+        may_cancel=True,
+        grants=False,
+        priorities=True,
+        most_grant=0.4,
+        note_period=0,
+        asks_for_list=False,
+        ask_within=0,
+        key_rest=script.rest + 1,
         extra_free=script.budget[0] if script.budget else 0.0,
         extra_share=script.budget[1] if script.budget else 0.0,
         extra_window=script.budget[2] + 1 if script.budget else 0,
-        cold_from=first.get("cold_from", 0.3), cold_time=int(first.get("cold_ms", 15_000.0) * 10) + 1,
-        fall_multiple=first.get("fall_multiple", 2.5), fall_time=int(first.get("fall_ms", 3000.0) * 10) + 1,
-        longest_advice=script.advice, reports=[])
+        cold_from=first.get("cold_from", 0.3),
+        cold_time=int(first.get("cold_ms", 15_000.0) * 10) + 1,
+        fall_multiple=first.get("fall_multiple", 2.5),
+        fall_time=int(first.get("fall_ms", 3000.0) * 10) + 1,
+        longest_advice=script.advice,
+        reports=[],
+    )
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -29,8 +29,16 @@
         self.tell, host.tell, self.asides = host.tell, self.passes, []
         self.fleet = join(host.gateway)
         self.tenants = [name for name, _ in world.script.tenants]
-        self.node = Node(world.now, host.name, EPOCH + world.now, f"10.0.{number >> 8}.{number & 255}:1", (),
-                         len(world.hosts), f"{world.seed}/{number}/{world.now}", lambda event, fields: None)
+        self.node = Node(
+            world.now,
+            host.name,
+            EPOCH + world.now,
+            f"10.0.{number >> 8}.{number & 255}:1",
+            (),
+            len(world.hosts),
+            f"{world.seed}/{number}/{world.now}",
+            lambda event, fields: None,
+        )
         lent = budgets(world.deployment) if "lends" in world.heeds else ()
         self.node.rider = self.spread = Spread(world.now, self.node, self.offered, self, world.every, lent)
         self.wake_at(world.now + 1 + number % 100)
@@ -60,11 +68,14 @@
         met, self.met = self.met, []
         return Offer(
             {engines[e].name: n for e, n in enumerate(gateway.engines.in_flight) if n > 0 and e in engines},
-            list(sums.items()), {tenant: int(work) // 10 for tenant, work in self.works.items()},
+            list(sums.items()),
+            {tenant: int(work) // 10 for tenant, work in self.works.items()},
             self.asked // 10,
-            self.fleet.needs(), met,
+            self.fleet.needs(),
+            met,
             [engines[e].name for e, state in enumerate(gateway.engines.state) if state == i.READY],
-            self.number_told)
+            self.number_told,
+        )
 
     def heeds(self, what):
         return what in self.world.heeds and not self.host.killed
@@ -122,8 +133,20 @@
     lies on few gateways, 0 for evenly, or that by clients; blocked: (gateway, engine) whose connections never
     come up; liars: gateways that call a third of the engines failing."""
 
-    def __init__(self, script, seed, keep_log=False, every=EVERY, loss=0.0, way=(3, 30), heeds=ALL,
-                 uneven=0.0, blocked=(), liars=(), **more):
+    def __init__(
+        self,
+        script,
+        seed,
+        keep_log=False,
+        every=EVERY,
+        loss=0.0,
+        way=(3, 30),
+        heeds=ALL,
+        uneven=0.0,
+        blocked=(),
+        liars=(),
+        **more,
+    ):
         super().__init__(script, seed, keep_log, **more)
         self.blocked, self.liars = frozenset(blocked), frozenset(liars)
         # Each clients' traffic lies on gateways of its own, so that a tenant is heavy at some.
--- a/wickvane/rehearsal/sockets.py
+++ b/wickvane/rehearsal/sockets.py
@@ -71,45 +71,89 @@
     def configuration(self, listen, name="n0", limits=None):
         """What a dispatcher before these engines is started with."""
         settings = {
-            "classes": [{
-                "name": g.name, "effect": EFFECTS[g.effect],
-                "group": "all", "promise_ms": g.promise / 10, "deadline_ms": g.timeout / 10,
-                "aim_stretch": g.stretch, "worth": g.value, "late_worth": g.late, "sequential": g.ordered,
-                "repeat_window_ms": self.script.window / 10} for g in self.script.groups],
+            "classes": [
+                {
+                    "name": g.name,
+                    "effect": EFFECTS[g.effect],
+                    "group": "all",
+                    "promise_ms": g.promise / 10,
+                    "deadline_ms": g.timeout / 10,
+                    "aim_stretch": g.stretch,
+                    "worth": g.value,
+                    "late_worth": g.late,
+                    "sequential": g.ordered,
+                    "repeat_window_ms": self.script.window / 10,
+                }
+                for g in self.script.groups
+            ],
             "accounts": [{"name": name, "share": share} for name, share in self.script.tenants],
-            "az": "here", "zones": ["here"], "host_types": [fleet.kind for fleet in self.script.fleet],
+            "az": "here",
+            "zones": ["here"],
+            "host_types": [fleet.kind for fleet in self.script.fleet],
             "fleet_size": 1,
             "family_info": {
-                "size_cores": [kind.cores for kind in self.kinds], "priorities": True, "tells_cost": True,
+                "size_cores": [kind.cores for kind in self.kinds],
+                "priorities": True,
+                "tells_cost": True,
                 "size_mb": [kind.memory for kind in self.kinds],
                 "class_threads": [g.threads for g in self.script.groups],
-                "writes_tables": [g.loads for g in self.script.groups]},
-            "limits": {"retry_after": bool(self.script.advice),
-                       "max_retry_after_ms": self.script.advice / 10, "cancel": True,
-                       "max_attempts": 5, "streams_per_conn": 100, "dial_timeout_ms": 250.0,
-                       "conn_idle_ms": 30_000.0},
+                "writes_tables": [g.loads for g in self.script.groups],
+            },
+            "limits": {
+                "retry_after": bool(self.script.advice),
+                "max_retry_after_ms": self.script.advice / 10,
+                "cancel": True,
+                "max_attempts": 5,
+                "streams_per_conn": 100,
+                "dial_timeout_ms": 250.0,
+                "conn_idle_ms": 30_000.0,
+            },
             "obligations": {
-                "stop_sending_within_ms": self.script.grace / 10, "key_rest_ms": self.script.rest / 10,
-                "cold_from": self.kinds[0].cold_from, "cold_ms": self.kinds[0].cold_ms,
-                "fall_multiple": self.kinds[0].fall_multiple, "fall_ms": self.kinds[0].fall_ms}}
+                "stop_sending_within_ms": self.script.grace / 10,
+                "key_rest_ms": self.script.rest / 10,
+                "cold_from": self.kinds[0].cold_from,
+                "cold_ms": self.kinds[0].cold_ms,
+                "fall_multiple": self.kinds[0].fall_multiple,
+                "fall_ms": self.kinds[0].fall_ms,
+            },
+        }
         if self.script.budget:
             free, share, window = self.script.budget
             settings["obligations"] |= {
-                "extra_free": free, "further_ratio": share, "budget_window_ms": window / 10}
-        return {"name": name, "listen": listen, "seed": str(self.seed), "coordinator": self.coordinator,
-                "settings": settings, "limits": limits or {"sockets": 1024},
-                "known": {"index": len(self.events), "updates": self.events[:]}}
+                "extra_free": free,
+                "further_ratio": share,
+                "budget_window_ms": window / 10,
+            }
+        return {
+            "name": name,
+            "listen": listen,
+            "seed": str(self.seed),
+            "coordinator": self.coordinator,
+            "settings": settings,
+            "limits": limits or {"sockets": 1024},
+            "known": {"index": len(self.events), "updates": self.events[:]},
+        }
 
     # The list of engines
 
     def publish(self, processes, whole=False):
         index = len(self.events) + 1
-        entries = [{"name": p.name, "address": p.address, "zone": "here", "group": 0, "weight": 1,
-                    "type": self.script.fleet[p.kind].kind, "status": STATES[p.state],
-                    "since_ms": int(self.since * 1000 + p.started) if p.started is not None else 0}
-                   for p in processes]
-        self.events.append({"index": index, "endpoints": {
-            "index": index, "snapshot": whole, "endpoints": entries}})
+        entries = [
+            {
+                "name": p.name,
+                "address": p.address,
+                "zone": "here",
+                "group": 0,
+                "weight": 1,
+                "type": self.script.fleet[p.kind].kind,
+                "status": STATES[p.state],
+                "since_ms": int(self.since * 1000 + p.started) if p.started is not None else 0,
+            }
+            for p in processes
+        ]
+        self.events.append(
+            {"index": index, "endpoints": {"index": index, "snapshot": whole, "endpoints": entries}}
+        )
         for follower in list(self.followers):
             self.tell(follower, self.events[-1])
 
@@ -177,9 +221,18 @@
         table, priority = TABLE.search(body), fields.get(b"urgency", b"1")
         connection.open[query.id] = query
         got = process.model.offer(
-            self.now / 10, query.mark, query.work, group.threads, group.reading,
-            int(table[1]) if table else 0, group.memory, 0.0,
-            int(priority) if priority in (b"0", b"1", b"2", b"3") else 1, fields.get(b"uniq"), group.work)
+            self.now / 10,
+            query.mark,
+            query.work,
+            group.threads,
+            group.reading,
+            int(table[1]) if table else 0,
+            group.memory,
+            0.0,
+            int(priority) if priority in (b"0", b"1", b"2", b"3") else 1,
+            fields.get(b"uniq"),
+            group.work,
+        )
         if got == "in":
             process.out[query.mark] = connection, query, 0
             process.plan()
@@ -259,7 +312,7 @@
             whole += int(words[3]) + 2
             if len(buffer) < whole:
                 return False
-            body = bytes(buffer[end + 2:whole - 2])
+            body = bytes(buffer[end + 2 : whole - 2])
         del buffer[:whole]
         if words[0] == b"ASK":
             self.asked(connection, words, body)
--- a/wickvane/rehearsal/tds.py
+++ b/wickvane/rehearsal/tds.py
@@ -13,8 +13,9 @@
 
 MESSAGE_MOST = 1 << 18
 HEAD = re.compile(r"/\* id=(\w{1,32}),([^*]*) \*/ (.*)", re.S)
-COLUMNS = t.columns_of([("engine", types.nvarchar_info(64)), ("work", types.INT_INFO),
-                        ("id", types.nvarchar_info(32))])
+COLUMNS = t.columns_of(
+    [("engine", types.nvarchar_info(64)), ("work", types.INT_INFO), ("id", types.nvarchar_info(32))]
+)
 BUSY, UNKNOWN = 10_928, 50_001
 ANSWERS = {errors.DEFERRED: "deferred", errors.STOPPING: "deferred", errors.KILLED: "killed"}
 
@@ -68,8 +69,12 @@
             return
         if ending == i.FINISHED:
             memory = self.serving.script.groups[rg].memory
-            row = (bytes((t.ROW,)) + types.nvarchar(process.name) + types.int4(work // 10)
-                   + types.nvarchar(query.id.decode()))
+            row = (
+                bytes((t.ROW,))
+                + types.nvarchar(process.name)
+                + types.int4(work // 10)
+                + types.nvarchar(query.id.decode())
+            )
             report = t.told(t.INFO, errors.REPORT, 1, 0, f"work={work / 10:.1f} memory={memory:.0f}")
             self.tokens(COLUMNS + row + report + t.done(t.COUNTED, 1))
         elif ending == i.TURNED_AWAY:
@@ -83,9 +88,20 @@
 
     def start(self):
         self.stream = packets.Assembler(1 << 24, frozenset((packets.RESULT,)))
-        self.exchange(packets.frame(packets.PRELOGIN, lg.prelogin({
-            lg.VERSION: bytes(6), lg.ENCRYPTION: bytes((lg.ENCRYPT_NOT_SUPPORTED,)), lg.INSTANCE: b"\0",
-            lg.THREAD: bytes(4), lg.MARS: b"\0"})))
+        self.exchange(
+            packets.frame(
+                packets.PRELOGIN,
+                lg.prelogin(
+                    {
+                        lg.VERSION: bytes(6),
+                        lg.ENCRYPTION: bytes((lg.ENCRYPT_NOT_SUPPORTED,)),
+                        lg.INSTANCE: b"\0",
+                        lg.THREAD: bytes(4),
+                        lg.MARS: b"\0",
+                    }
+                ),
+            )
+        )
         answer = self.exchange(packets.frame(packets.LOGIN, lg.login("load", "", "rehearsal", "bi")))
         if not any(token == t.LOGINACK for token, _, _ in t.Stream().feed(answer)):
             raise ValueError("the login was refused")
@@ -117,7 +133,9 @@
     kinds = [fleet.kind for fleet in script.fleet if fleet.speaks == "tds"]
     lines = len(kinds) < len(script.fleet)
     engines = "".join(f'    engines "{kind}" {{ user "wickvane"; takes-postgres #true }}\n' for kind in kinds)
-    return (f'tds {{\n    listen "{listen}"\n    connections {clients}\n'
-            f'    rule application="*" {{ group "{script.groups[0].name}"; tenant "{script.tenants[0][0]}"; '
-            f'limit "10s" }}\n'
-            f'{engines}    lines-take-tds #{"true" if lines else "false"}\n}}\n')
+    return (
+        f'tds {{\n    listen "{listen}"\n    connections {clients}\n'
+        f'    rule application="*" {{ group "{script.groups[0].name}"; tenant "{script.tenants[0][0]}"; '
+        f'limit "10s" }}\n'
+        f"{engines}    lines-take-tds #{'true' if lines else 'false'}\n}}\n"
+    )
