--- a/wickvane/rehearsal/world.py
+++ b/wickvane/rehearsal/world.py
@@ -31,8 +31,28 @@
 class Query:
     """One try of a client."""
 
-    __slots__ = ("id", "origin", "clients", "rg", "work", "table", "key", "token", "cost", "taken", "limit",
-                 "target", "tries", "answer", "submissions", "place", "gateway", "priority", "first", "again")
+    __slots__ = (
+        "id",
+        "origin",
+        "clients",
+        "rg",
+        "work",
+        "table",
+        "key",
+        "token",
+        "cost",
+        "taken",
+        "limit",
+        "target",
+        "tries",
+        "answer",
+        "submissions",
+        "place",
+        "gateway",
+        "priority",
+        "first",
+        "again",
+    )
 
 
 class Process:
@@ -82,8 +102,15 @@
         self.events, self.planned, self.queries, self.engines, self.index = [], False, {}, {}, {}
         self.paused = self.killed = False
         script = world.script
-        self.storm = storm.Storm(world.now, script.budget[1] if script.budget else 0.1, script.advice + max(
-            g.timeout for g in script.groups)) if script.watched else None
+        self.storm = (
+            storm.Storm(
+                world.now,
+                script.budget[1] if script.budget else 0.1,
+                script.advice + max(g.timeout for g in script.groups),
+            )
+            if script.watched
+            else None
+        )
         self.told = {}  # engine: the last state that was told, against what comes late or twice
         self.members = world.membership()
 
@@ -113,8 +140,13 @@
         self.engines[e] = process
         started = process.started or 0
         self.tell(i.ENGINE, e, process.name.encode(), state, 0, process.kind, 0, int(started * 10), 1.0)
-        self.seen.listed(self.world.now / SECOND, process.name, ("ready", "draining", "gone")[state],
-                         process.kind, process.started and process.started / 1000)
+        self.seen.listed(
+            self.world.now / SECOND,
+            process.name,
+            ("ready", "draining", "gone")[state],
+            process.kind,
+            process.started and process.started / 1000,
+        )
 
     def filed(self, roster):
         """A watched file has come to lie here, and is still."""
@@ -146,16 +178,27 @@
             source = query.clients.name if alone else query.origin
             again = self.storm.taken(self.world.now, mark_of(query), source, query.cost)
         self.seen.taken(self.world.now / SECOND, query.id, query.rg, left / SECOND, query.key)
-        self.tell(i.TAKEN, query.id, query.rg, query.clients.tenant, query.cost, memory, query.table,
-                  query.key, left, again)
+        self.tell(
+            i.TAKEN,
+            query.id,
+            query.rg,
+            query.clients.tenant,
+            query.cost,
+            memory,
+            query.table,
+            query.key,
+            left,
+            again,
+        )
 
     def hears(self, query, submission, process, ending, work, rg):
         """An ending is on its way back."""
         place = query.submissions[submission]
         if place[1] is not None:
             self.seen.ended(self.world.now / SECOND, place[1], ENDINGS[ending])
-        self.world.at(self.world.now + self.world.script.latency, self.heard, query, submission, process,
-                      ending, work)
+        self.world.at(
+            self.world.now + self.world.script.latency, self.heard, query, submission, process, ending, work
+        )
 
     def heard(self, query, submission, process, ending, work):
         place = query.submissions[submission]
@@ -170,8 +213,18 @@
                 elapsed, threads = self.world.now - place[0], self.world.script.groups[query.rg].threads
                 self.storm.finished(self.world.now, self.world.now > query.target, work)
                 self.storm.engine(self.world.now, process.name, elapsed, query.cost / threads)
-        self.tell(i.ENDED, query.id, submission, self.index[process.name], ending, self.world.now - place[0],
-                  complete, work if ending == i.FINISHED else 0, 0, None)
+        self.tell(
+            i.ENDED,
+            query.id,
+            submission,
+            self.index[process.name],
+            ending,
+            self.world.now - place[0],
+            complete,
+            work if ending == i.FINISHED else 0,
+            0,
+            None,
+        )
 
     # The writer
 
@@ -180,8 +233,9 @@
         submission = len(query.submissions)
         query.submissions.append([self.world.now, None, False, process])
         self.world.log("submitted", query=q, gateway=self.name, engine=process.name, number=submission)
-        self.world.at(self.world.now + self.world.script.latency, self.world.arrives, self, query, submission,
-                      process)
+        self.world.at(
+            self.world.now + self.world.script.latency, self.world.arrives, self, query, submission, process
+        )
         self.world.at(query.limit, self.expires, query, submission, process)
 
     def expires(self, query, submission, process):
@@ -237,8 +291,11 @@
         self.service = [[0.0, 0.0] for _ in range(script.length // SECOND + 1)]
         self.counts = dict.fromkeys(("finished", "deferred", "killed", "late"), 0)
         self.latencies = [array("I") for _ in script.groups]  # of what is finished, from its first try on
-        self.processes = [Process(self, self.name_engine(), kind, n)
-                          for kind, fleet in enumerate(script.fleet) for n in range(fleet.count)]
+        self.processes = [
+            Process(self, self.name_engine(), kind, n)
+            for kind, fleet in enumerate(script.fleet)
+            for n in range(fleet.count)
+        ]
         self.hosts = [Host(self, n) for n in range(script.gateways)]
         self.cold = Seen(self.figures)  # rule 4 counts all gateways together
         self.storms = []  # (seconds, gateway, event, fields)
@@ -250,12 +307,15 @@
         return Figures(
             {n: g.effect for n, g in enumerate(groups)},
             ordered=[n for n, g in enumerate(groups) if g.ordered],
-            window=script.window / SECOND, grace=script.grace / SECOND,
+            window=script.window / SECOND,
+            grace=script.grace / SECOND,
             rest=script.rest / SECOND,
             budget=script.budget and (*script.budget[:2], script.budget[2] / SECOND),
             cores={n: kind.cores for n, kind in enumerate(self.kinds)},
             cold=(first.cold_from, first.cold_ms / 1000, first.fall_multiple, first.fall_ms / 1000),
-            work={n: g.work / 1000 for n, g in enumerate(groups)}, slack=SLACK)
+            work={n: g.work / 1000 for n, g in enumerate(groups)},
+            slack=SLACK,
+        )
 
     def membership(self):
         """What follows watched files, where the script has the list from them; else None."""
@@ -264,17 +324,26 @@
         from wickvane.members import checks, membership, roster
 
         self.document = self.document or roster.EMPTY
-        facts = checks.Facts({n: kind.cores for n, kind in enumerate(self.kinds)}, None, (),
-                             self.deployment.cold_from, self.deployment.cold_time)
+        facts = checks.Facts(
+            {n: kind.cores for n, kind in enumerate(self.kinds)},
+            None,
+            (),
+            self.deployment.cold_from,
+            self.deployment.cold_time,
+        )
         return membership.Membership(facts, membership.Terms(checks.Limits(share_past="steps")))
 
     def write(self, changes):
         """The deploy tool writes its file: processes and their states."""
         from wickvane.members import roster
 
-        put = [roster.Member(process.name, (process.name, 1), None, process.kind, 0,
-                             int(process.started or 0), 1.0, state)
-               for process, state in changes if state != i.GONE]
+        put = [
+            roster.Member(
+                process.name, (process.name, 1), None, process.kind, 0, int(process.started or 0), 1.0, state
+            )
+            for process, state in changes
+            if state != i.GONE
+        ]
         drop = [process.name for process, state in changes if state == i.GONE]
         self.document = roster.changed(self.document, self.document.generation + 1, put, drop)
 
@@ -346,8 +415,9 @@
         self.next_id += 1
         query.id, query.answer, query.submissions = self.next_id, None, []
         query.limit = self.now + group.timeout
-        query.target = min(query.limit, self.now + group.promise + int(
-            group.stretch * query.work * 10 / group.threads))
+        query.target = min(
+            query.limit, self.now + group.promise + int(group.stretch * query.work * 10 / group.threads)
+        )
         alive = [host for host in self.hosts if not host.killed]
         if not alive:
             return
@@ -373,7 +443,8 @@
             self.latencies[query.rg].append(self.now - query.first)
             self.counts["late"] += late
             self.service[min(query.first // SECOND, len(self.service) - 1)][0] += group.value * (
-                group.late if late else 1.0)
+                group.late if late else 1.0
+            )
         elif query.tries < clients.retries and (answer == "deferred" or group.effect == "read-only"):
             again = Query()
             for name in ("origin", "clients", "rg", "work", "table", "key", "token", "cost", "first"):
@@ -407,8 +478,19 @@
             self.cold.queries.setdefault(query.id, {"group": query.rg})
             self.cold.submitted(self.now / SECOND, query.id, process.name)
         mark = (query.id, submission)
-        got = process.model.offer(self.now / 10, mark, query.work, group.threads, group.reading, query.table,
-                                  group.memory, 0.0, query.priority, query.token, group.work)
+        got = process.model.offer(
+            self.now / 10,
+            mark,
+            query.work,
+            group.threads,
+            group.reading,
+            query.table,
+            group.memory,
+            0.0,
+            query.priority,
+            query.token,
+            group.work,
+        )
         if got == "in":
             process.out[mark] = host, query, submission
             process.plan()
@@ -519,7 +601,7 @@
         batch = max(1, int(trouble.size))
         for k in range(0, len(some), batch):
             at = self.now + trouble.length * k // max(1, len(some))
-            for process in some[k:k + batch]:
+            for process in some[k : k + batch]:
                 self.at(at, self.lists, process, i.DRAINING)
                 self.at(at + 3 * SECOND, self.ends, process)
                 self.at(at + 3 * SECOND, self.starts, process.kind)
@@ -693,8 +775,10 @@
         return found
 
     def log(self):
-        return b"".join(orjson.dumps({"at": at / 10, "event": event, **fields}) + b"\n"
-                        for at, event, fields in self.world.lines or ())
+        return b"".join(
+            orjson.dumps({"at": at / 10, "event": event, **fields}) + b"\n"
+            for at, event, fields in self.world.lines or ()
+        )
 
 
 def mark_of(query):
@@ -721,7 +805,7 @@
     while troubles:
         step = max(1, len(troubles) // size)
         for at in range(0, len(troubles), step):
-            fewer = troubles[:at] + troubles[at + step:]
+            fewer = troubles[:at] + troubles[at + step :]
             if fails(play(script._replace(troubles=tuple(fewer)), seed, False)):
                 troubles, size = fewer, 2
                 break
--- a/wickvane/settings.py
+++ b/wickvane/settings.py
@@ -105,12 +105,16 @@
 
     def counts(self, name):
         """A list of whole numbers, where a zero or null stands for 1."""
-        return [int(checked_number(value or 1, f"{self.at(name)}[{n}]", COUNT_MOST)) or 1
-                for n, value in enumerate(self.items(name))]
+        return [
+            int(checked_number(value or 1, f"{self.at(name)}[{n}]", COUNT_MOST)) or 1
+            for n, value in enumerate(self.items(name))
+        ]
 
     def figures(self, name):
-        return [checked_number(value or 0.0, f"{self.at(name)}[{n}]", FIGURE_MOST)
-                for n, value in enumerate(self.items(name))]
+        return [
+            checked_number(value or 0.0, f"{self.at(name)}[{n}]", FIGURE_MOST)
+            for n, value in enumerate(self.items(name))
+        ]
 
     def section(self, name):
         """An object in it; empty for none."""
@@ -147,6 +151,7 @@
 
 def resource_group(group, threads, loads, stands_behind_loads, zones, kinds):
     """A class as the decision module knows it."""
+
     def placed(name, indices):
         return frozenset(map(indices, group.names(name))) if group.has(name) else None
 
@@ -184,8 +189,9 @@
     budgeted = rules.has("budget_window_ms")
     return i.Deployment(
         groups=resource_groups(settings, family, zones, kinds),
-        tenants=[(tenant.number("share"), tenant.number("quota_per_s"))
-                 for tenant in settings.sections("accounts")],
+        tenants=[
+            (tenant.number("share"), tenant.number("quota_per_s")) for tenant in settings.sections("accounts")
+        ],
         cores=family.counts("size_cores"),
         memory=family.figures("size_mb"),
         gateways=settings.count("fleet_size", 1),
--- a/wickvane/shares/broker.py
+++ b/wickvane/shares/broker.py
@@ -103,17 +103,21 @@
             for number, (owner, units, _, until) in list(escrow.held.items()):
                 if until - now < RENEW and escrow.again(now, number):
                     self.out.append((owner, (ASK, kind, number, units, now)))
-            budget.open = {number: said for number, said in budget.open.items()
-                           if now < said[1] and number in escrow.asked}
+            budget.open = {
+                number: said
+                for number, said in budget.open.items()
+                if now < said[1] and number in escrow.asked
+            }
             coming = sum(units for units, _ in budget.open.values()) + sum(
-                units for _, units, begins, _ in escrow.held.values() if begins > now)
+                units for _, units, begins, _ in escrow.held.values() if begins > now
+            )
             short = int(budget.need) - usable - coming
             of = {}  # owner: what it lends here, or was asked for
             for number, (owner, *_) in escrow.asked.items():
                 lent = escrow.held[number][1] if number in escrow.held else UNITS
                 of[owner] = of.get(owner, 0) + lent
             able = [owner for owner in owners if of.get(owner, 0) < UNITS - KEPT]
-            for owner in able[:ASKED if lacks else 0]:
+            for owner in able[: ASKED if lacks else 0]:
                 units = min(short, UNITS - KEPT - of.get(owner, 0))
                 number = escrow.ask(now, owner) if units > 0 else None
                 if number is None:
@@ -174,13 +178,27 @@
         for name, budget in zip(names, self.budgets, strict=False):
             escrow = budget.escrow
             found[name] = {
-                "own": UNITS, "kept": KEPT, "usable": escrow.usable(now), "mine": escrow.mine(now),
-                "need": round(budget.need, 1), "lacks": budget.lacks, "whole_in_ms": max(
-                    0, escrow.whole_at - now) // 10,
-                "lent": [{"to": holder[0], "units": units, "ends_in_ms": (until - now) // 10}
-                         for (holder, _), (units, until) in sorted(escrow.lent.items())],
-                "held": [{"of": owner[0], "units": units, "begins_in_ms": max(0, begins - now) // 10,
-                          "ends_in_ms": (until - now) // 10}
-                         for _, (owner, units, begins, until) in sorted(escrow.held.items())],
-                "lent_ever": budget.lent, "borrowed_ever": budget.borrowed}
+                "own": UNITS,
+                "kept": KEPT,
+                "usable": escrow.usable(now),
+                "mine": escrow.mine(now),
+                "need": round(budget.need, 1),
+                "lacks": budget.lacks,
+                "whole_in_ms": max(0, escrow.whole_at - now) // 10,
+                "lent": [
+                    {"to": holder[0], "units": units, "ends_in_ms": (until - now) // 10}
+                    for (holder, _), (units, until) in sorted(escrow.lent.items())
+                ],
+                "held": [
+                    {
+                        "of": owner[0],
+                        "units": units,
+                        "begins_in_ms": max(0, begins - now) // 10,
+                        "ends_in_ms": (until - now) // 10,
+                    }
+                    for _, (owner, units, begins, until) in sorted(escrow.held.items())
+                ],
+                "lent_ever": budget.lent,
+                "borrowed_ever": budget.borrowed,
+            }
         return found
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -31,8 +31,16 @@
             sums, self.sums = self.sums, {}
             met, self.met = self.met, []
             needs = self.needs if now - self.needs_at < BUSY else NOTHING
-            return Offer(self.levels, list(sums.items()), {t: int(w) // 10 for t, w in self.works.items()},
-                         self.asked // 10, needs, met, self.ready, self.taken)
+            return Offer(
+                self.levels,
+                list(sums.items()),
+                {t: int(w) // 10 for t, w in self.works.items()},
+                self.asked // 10,
+                needs,
+                met,
+                self.ready,
+                self.taken,
+            )
 
 
 def set_aside(gateway, before):
@@ -46,6 +54,7 @@
 
 def counting(base, apart=0):
     """The class of deciders `base` that also counts into its `box`. apart: its clock less that of peers."""
+
     class Counting(base):
         def __init__(self, *words):
             super().__init__(*words)
@@ -73,8 +82,9 @@
                 self.looked = self.now
                 for e in set_aside(gateway, self.asides):
                     self.met(names[e], 1, None)
-                box.ready = [names[e] for e, state in enumerate(gateway.engines.state)
-                             if state == i.READY and names[e]]
+                box.ready = [
+                    names[e] for e, state in enumerate(gateway.engines.state) if state == i.READY and names[e]
+                ]
                 box.needs, box.needs_at = self.fleet.needs(), self.now
 
         def taken(self, ticket, again=False):
--- a/wickvane/shares/opinions.py
+++ b/wickvane/shares/opinions.py
@@ -100,8 +100,10 @@
                 good[engine] = good.get(engine, 0) + 1
             if middle:
                 slow.setdefault(engine, []).append(slower / 10 / middle)
-    doubted = sorted((e for e, n in bad.items() if n >= QUORUM and n > good.get(e, 0) and e in engines),
-                     key=lambda e: (good.get(e, 0) - bad[e], e))
+    doubted = sorted(
+        (e for e, n in bad.items() if n >= QUORUM and n > good.get(e, 0) and e in engines),
+        key=lambda e: (good.get(e, 0) - bad[e], e),
+    )
     most = max(1, len(engines) // MOST_DOUBTED) if len(engines) > 1 else 0
     held = set(doubted[:most])
     found = {}
--- a/wickvane/shares/part.py
+++ b/wickvane/shares/part.py
@@ -16,10 +16,20 @@
 
 
 def read(node):
-    heeds = {word for word, name in (("others", "heeds-others"), ("charges", "heeds-charges"),
-                                     ("opinions", "heeds-opinions")) if node.value(name, parts.flag, True)}
-    return Part(node.value("every", parts.duration("20ms", "10s"), 1_000), frozenset(heeds),
-                node.value("lends", parts.flag, True))
+    heeds = {
+        word
+        for word, name in (
+            ("others", "heeds-others"),
+            ("charges", "heeds-charges"),
+            ("opinions", "heeds-opinions"),
+        )
+        if node.value(name, parts.flag, True)
+    }
+    return Part(
+        node.value("every", parts.duration("20ms", "10s"), 1_000),
+        frozenset(heeds),
+        node.value("lends", parts.flag, True),
+    )
 
 
 def budgets(deployment):
@@ -52,8 +62,9 @@
         if lent:
             service.links.stale = FENCE
         self.peers = peers
-        self.spread = peers.node.rider = Spread(now(), peers.node, lambda: box.take(clock.now()), out,
-                                                self.terms.every, lent)
+        self.spread = peers.node.rider = Spread(
+            now(), peers.node, lambda: box.take(clock.now()), out, self.terms.every, lent
+        )
 
     def stop(self):
         from wickvane.peers.shell import now
--- a/wickvane/shares/spread.py
+++ b/wickvane/shares/spread.py
@@ -42,8 +42,7 @@
 
     __slots__ = ("levels", "sums", "works", "asked", "needs", "met", "ready", "taken")
 
-    def __init__(self, levels=None, sums=(), works=None, asked=0, needs=NOTHING, met=(),
-                 ready=(), taken=0):
+    def __init__(self, levels=None, sums=(), works=None, asked=0, needs=NOTHING, met=(), ready=(), taken=0):
         self.levels, self.sums, self.works, self.needs = levels or {}, sums, works or {}, needs
         self.asked = asked
         self.met, self.ready, self.taken = met, ready, taken
@@ -109,8 +108,11 @@
                 self.evidence.met(now, *met)
         if now >= self.over_at:
             self.over_at = now + OVER_EVERY
-            living = {(table.name[row], table.epoch[row]) for row in table.living
-                      if table.state[row] in (ALIVE, SUSPECT)}
+            living = {
+                (table.name[row], table.epoch[row])
+                for row in table.living
+                if table.state[row] in (ALIVE, SUSPECT)
+            }
             counts.over(now, living)
             self.opinions.over(living)
             self.charges.over(living)
@@ -141,7 +143,8 @@
                 self.out.charged(charges)
             me = self.life()
             said = self.opinions.heard(
-                lambda life, t: now - t if life == me else self.counts.since(now, life, t))
+                lambda life, t: now - t if life == me else self.counts.since(now, life, t)
+            )
             self.judged = merge(said, frozenset(offer.ready))
             self.out.judged(*self.judged)
 
@@ -167,7 +170,7 @@
             row = self.node.table.rows.get(life)
             if row is not None:
                 for at in range(0, len(words), wire.WORDS_MOST):
-                    self.node.carry(row, wire.seal(words=words[at:at + wire.WORDS_MOST]))
+                    self.node.carry(row, wire.seal(words=words[at : at + wire.WORDS_MOST]))
 
     # Counts
 
@@ -203,15 +206,24 @@
         counts, now = self.counts, self.node.now
         held, mean, oldest, counted, out = counts.held(now, LASTS)
         found, pool, spared = self.judged
-        return {"lives": len(counts.lives), "counted": counted, "left_out": out, "age_ms": mean // 10,
-                "oldest_ms": oldest // 10,
-                "held_by_others": dict(sorted(held.items())), "folded_lives": len(counts.floors),
-                "refused": dict(counts.refused), "malformed": self.malformed,
-                "traffic": round(self.charges.weight(), 2),
-                "budgets": self.broker.status(now) if self.broker else {},
-                "opinions": {"of": len(self.opinions.said), "pool_slow": pool and round(pool, 2),
-                             "doubted": sorted(e for e, (bad, _, _) in found.items() if bad),
-                             "spared": sorted(spared),
-                             "slow": {engine: round(slow, 2)
-                                      for engine, (_, slow, _) in sorted(found.items()) if slow}},
-                "totals": dict(sorted(counts.totals().items()))}
+        return {
+            "lives": len(counts.lives),
+            "counted": counted,
+            "left_out": out,
+            "age_ms": mean // 10,
+            "oldest_ms": oldest // 10,
+            "held_by_others": dict(sorted(held.items())),
+            "folded_lives": len(counts.floors),
+            "refused": dict(counts.refused),
+            "malformed": self.malformed,
+            "traffic": round(self.charges.weight(), 2),
+            "budgets": self.broker.status(now) if self.broker else {},
+            "opinions": {
+                "of": len(self.opinions.said),
+                "pool_slow": pool and round(pool, 2),
+                "doubted": sorted(e for e, (bad, _, _) in found.items() if bad),
+                "spared": sorted(spared),
+                "slow": {engine: round(slow, 2) for engine, (_, slow, _) in sorted(found.items()) if slow},
+            },
+            "totals": dict(sorted(counts.totals().items())),
+        }
--- a/wickvane/shares/tool.py
+++ b/wickvane/shares/tool.py
@@ -31,23 +31,32 @@
 
 
 def lines(name, found):
-    yield (f"{name}: counts of {found['counted']} others, {found['age_ms']} ms old (the oldest "
-           f"{found['oldest_ms']} ms), {found['left_out']} left out; {found['lives']} lives known, "
-           f"{found['folded_lives']} folded")
+    yield (
+        f"{name}: counts of {found['counted']} others, {found['age_ms']} ms old (the oldest "
+        f"{found['oldest_ms']} ms), {found['left_out']} left out; {found['lives']} lives known, "
+        f"{found['folded_lives']} folded"
+    )
     yield f"traffic: {found['traffic']} times the mean of all"
     for kind, budget in found["budgets"].items():
         wants = ", more would be used" if budget["lacks"] else ""
         late = f"; its own whole in {budget['whole_in_ms'] / 1000:.1f} s" if budget["whole_in_ms"] else ""
-        yield (f"{kind}: {budget['usable']} units may be used, {budget['mine']} of its own {budget['own']} "
-               f"({budget['kept']} are never lent), {budget['need']} wanted{wants}{late}")
+        yield (
+            f"{kind}: {budget['usable']} units may be used, {budget['mine']} of its own {budget['own']} "
+            f"({budget['kept']} are never lent), {budget['need']} wanted{wants}{late}"
+        )
         for way, word in (("held", "of"), ("lent", "to")):
             for loan in budget[way]:
                 rest = f", from {loan['begins_in_ms'] / 1000:.1f} s on" if loan.get("begins_in_ms") else ""
-                yield (f"  {way} {loan['units']:>3} {word} {loan[word]:<20} for "
-                       f"{max(0, loan['ends_in_ms']) / 1000:.1f} s{rest}")
+                yield (
+                    f"  {way} {loan['units']:>3} {word} {loan[word]:<20} for "
+                    f"{max(0, loan['ends_in_ms']) / 1000:.1f} s{rest}"
+                )
     opinions = found["opinions"]
-    pool = f"; the usual engine {opinions['pool_slow']} times what queries take alone" \
-        if opinions["pool_slow"] is not None else ""
+    pool = (
+        f"; the usual engine {opinions['pool_slow']} times what queries take alone"
+        if opinions["pool_slow"] is not None
+        else ""
+    )
     yield f"opinions of {opinions['of']} lives{pool}"
     for word in ("doubted", "spared"):
         if opinions[word]:
--- a/wickvane/shares/wire.py
+++ b/wickvane/shares/wire.py
@@ -16,8 +16,12 @@
 Rows = Annotated[list[tuple[Name, Figure, Figure, Figure]], msgspec.Meta(max_length=64)]
 Life = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]  # of peers' mark of it: both know the life itself
 Word = tuple[
-    Annotated[int, msgspec.Meta(ge=0, le=2)], Annotated[int, msgspec.Meta(ge=0, le=7)], Whole,
-    Annotated[int, msgspec.Meta(ge=0, le=4096)], Whole]
+    Annotated[int, msgspec.Meta(ge=0, le=2)],
+    Annotated[int, msgspec.Meta(ge=0, le=7)],
+    Whole,
+    Annotated[int, msgspec.Meta(ge=0, le=4096)],
+    Whole,
+]
 
 
 class Message(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
--- a/wickvane/storm.py
+++ b/wickvane/storm.py
@@ -82,8 +82,17 @@
 class Step:
     """What came and went in one step."""
 
-    __slots__ = ("taken", "repeats", "offered", "done", "finished", "late", "deferred", "connected",
-                 "sources")
+    __slots__ = (
+        "taken",
+        "repeats",
+        "offered",
+        "done",
+        "finished",
+        "late",
+        "deferred",
+        "connected",
+        "sources",
+    )
 
     def __init__(self):
         self.taken = self.repeats = self.finished = self.late = self.deferred = self.connected = 0
@@ -158,7 +167,8 @@
         slow = [name for name in lately if self.recent[name] > SLOWER * self.best[name]]
         top = max((count for source, count in sources.items() if source is not None), default=0)
         return {
-            "taken": taken, "repeats": repeats / taken if taken else 0.0,
+            "taken": taken,
+            "repeats": repeats / taken if taken else 0.0,
             "offered": sum(step.offered for step in steps) / span,
             "done": sum(step.done for step in steps) / span,
             "deferred": sum(step.deferred for step in steps) / taken if taken else 0.0,
@@ -181,8 +191,13 @@
             if state == STORM and depth_of(figures) > DEEPER * self.depth:
                 self.depth = depth_of(figures)
                 found.append(("deepens", self.told(now, figures)))
-        elif state == STORM and self.before == STORM or state != STORM and state != CALM and self.state in (
-                CALM, GROWTH, SLOW):
+        elif (
+            state == STORM
+            and self.before == STORM
+            or state != STORM
+            and state != CALM
+            and self.state in (CALM, GROWTH, SLOW)
+        ):
             found += self.turns(now, state, figures)
         else:
             # What began is over once it was not seen for some looks on end, against one that flickers.
@@ -199,7 +214,8 @@
         if figures["taken"] < LEAST:
             return CALM
         pressed = figures["offered"] > figures["done"] and (
-            figures["deferred"] > self.allowed or figures["late"] > self.allowed)
+            figures["deferred"] > self.allowed or figures["late"] > self.allowed
+        )
         # A dispatcher of many sees few queries in a window: what chance brings about there is no sign.
         share = min(0.9, 2 * self.usual_repeats + self.allowed)
         many = figures["repeats"] > share + SURE * sqrt(share * (1 - share) / figures["taken"])
@@ -226,5 +242,8 @@
         return found
 
     def told(self, now, figures):
-        return {"kind": self.state, "for": (now - self.since) / SECOND,
-                **{name: round(value, 3) for name, value in figures.items()}}
+        return {
+            "kind": self.state,
+            "for": (now - self.since) / SECOND,
+            **{name: round(value, 3) for name, value in figures.items()},
+        }
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -8,8 +8,13 @@
 from wickvane.settings import tenths
 
 ENDINGS = {
-    "served": i.FINISHED, "server_error": i.ERROR, "no_answer": i.NO_ANSWER, "connection_lost": i.RESET,
-    "called_off": i.CANCELLED, "turned_away": i.TURNED_AWAY, "no_connection": i.NO_CONNECTION,
+    "served": i.FINISHED,
+    "server_error": i.ERROR,
+    "no_answer": i.NO_ANSWER,
+    "connection_lost": i.RESET,
+    "called_off": i.CANCELLED,
+    "turned_away": i.TURNED_AWAY,
+    "no_connection": i.NO_CONNECTION,
     "not_sent": i.NOT_SENT,
 }
 STATES = {"IN": i.READY, "LAME": i.DRAINING, "OUT": i.GONE}
@@ -32,12 +37,19 @@
 
     def job_in(self, item, lists):
         tenant = item.get("client_group")
-        self.events.append((
-            i.TAKEN, self.book.take(item["id"]), self.book.groups.index[item["profile"]],
-            self.book.tenants(tenant) if tenant else 0, tenths(item.get("expected_ms")),
-            item.get("ram_mb") or 0, item.get("source_set") or 0, item.get("table"),
-            tenths(item["remaining_ms"]),
-        ))
+        self.events.append(
+            (
+                i.TAKEN,
+                self.book.take(item["id"]),
+                self.book.groups.index[item["profile"]],
+                self.book.tenants(tenant) if tenant else 0,
+                tenths(item.get("expected_ms")),
+                item.get("ram_mb") or 0,
+                item.get("source_set") or 0,
+                item.get("table"),
+                tenths(item["remaining_ms"]),
+            )
+        )
 
     def verdict(self, item, lists):
         q, node = self.book.queries.of.get(item["id"]), item["node"]
@@ -45,11 +57,20 @@
             return
         self.book.ended(q, node)
         stats = int(item.get("stats") or 0)
-        self.events.append((
-            i.ENDED, q, item["attempt"], self.book.engines.of[node], ENDINGS[item["result"]],
-            tenths(item.get("delay_seen_ms")), bool(item.get("complete")), (stats >> 12) * 10,
-            (stats & 4095) * 4, item.get("load"),
-        ))
+        self.events.append(
+            (
+                i.ENDED,
+                q,
+                item["attempt"],
+                self.book.engines.of[node],
+                ENDINGS[item["result"]],
+                tenths(item.get("delay_seen_ms")),
+                bool(item.get("complete")),
+                (stats >> 12) * 10,
+                (stats & 4095) * 4,
+                item.get("load"),
+            )
+        )
         if item.get("complete"):
             self.book.over.add(q)
 
@@ -77,14 +98,23 @@
             self.events.extend(self.book.unlisted({entry["node"] for entry in entries}))
         for entry in entries:
             event = self.book.list_engine(
-                entry["node"], STATES[entry["phase"]], entry.get("failure_domain"), entry.get("family_type"),
-                entry.get("cohort"), entry.get("up_since_ms"), entry.get("heft"),
+                entry["node"],
+                STATES[entry["phase"]],
+                entry.get("failure_domain"),
+                entry.get("family_type"),
+                entry.get("cohort"),
+                entry.get("up_since_ms"),
+                entry.get("heft"),
             )
             if event:
                 self.events.append(event)
 
     READERS = {
-        "job_in": job_in, "verdict": verdict, "aborted": aborted, "due": due, "update_of": update_of,
+        "job_in": job_in,
+        "verdict": verdict,
+        "aborted": aborted,
+        "due": due,
+        "update_of": update_of,
         "registry": registry,
     }
 
