choice.py is scheduler.py, and its class Gateway is Scheduler

Need: the old names do not say what the module does; a newcomer looks for a scheduler.

Variants of an experiment look for both paths and both class names, so that earlier commits can still be played.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -211,13 +211,13 @@
     """Service and breaches by rule of one day, through dispatchers and through proxies that only follow."""
     from collections import Counter
 
-    from wickvane.choice import Gateway
     from wickvane.control.follower import Follower
     from wickvane.rehearsal import script as scripts
     from wickvane.rehearsal.world import play
+    from wickvane.scheduler import Scheduler
 
     found = {}
-    for name, made in (("dispatchers", Gateway), ("proxies", Follower)):
+    for name, made in (("dispatchers", Scheduler), ("proxies", Follower)):
         text = DAY.format(gateways=gateways, engines=engines, rate=0.6 * engines * 40, more=more)
         outcome = play(scripts.read_text(text), 1, False, made)
         found[name] = [round(outcome.service(), 3), dict(Counter(rule for rule, _ in outcome.breaches))]
--- a/benchmarks/rehearsal.py
+++ b/benchmarks/rehearsal.py
@@ -19,12 +19,12 @@
 from threading import Thread
 
 from benchmarks import conclude
-from wickvane.choice import Gateway
 from wickvane.net.clock import Clock
 from wickvane.net.log import Log
 from wickvane.rehearsal import logs
 from wickvane.rehearsal import script as scripts
 from wickvane.rehearsal.world import play
+from wickvane.scheduler import Scheduler
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 WANTED = {
@@ -46,7 +46,7 @@
 }}"""
 
 
-class Timed(Gateway):
+class Timed(Scheduler):
     """The module, with the time spent in it."""
 
     spent = 0.0
--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -11,8 +11,8 @@
 from threading import Lock, Thread
 
 from wickvane import interface as i
-from wickvane.choice import Gateway
 from wickvane.net.service import Service
+from wickvane.scheduler import Scheduler
 from wickvane.shares.fleet import join
 
 
@@ -71,7 +71,7 @@
     """One gateway and all that it wrote. in_fleet: it hears of other dispatchers."""
 
     def __init__(self, deployment, seed=1, in_fleet=False):
-        self.gateway, self.now, self.site = Gateway(seed, deployment), 1_000_000, deployment
+        self.gateway, self.now, self.site = Scheduler(seed, deployment), 1_000_000, deployment
         self.sent, self.out, self.final, self.cancelled, self.log = {}, {}, {}, [], []
         self.count, self.next_q, self.alarms, self.answered = {}, 0, [], {}
         if in_fleet:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -12,17 +12,17 @@
 from test_tds import TdsEngine
 
 from wickvane import interface as i
-from wickvane.choice import PACE_OVER, Gateway
 from wickvane.net.tds import errors
 from wickvane.rehearsal import script as scripts
 from wickvane.rehearsal import world
+from wickvane.scheduler import PACE_OVER, Scheduler
 
 STORM = SMALL.replace("retries 1", 'retries 6; back-off "100ms"; heeds #{heeds}').replace("12s", "20s")
 
 
 def gateway(advice=50_000):
     deployment = world.deployment(scripts.read_text(SMALL.format(more="")))
-    return Gateway(3, deployment._replace(longest_advice=advice))
+    return Scheduler(3, deployment._replace(longest_advice=advice))
 
 
 class Away:
--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -8,7 +8,7 @@
 import pytest
 from bench_free import Gateways, collapse_budget, group, i, site
 
-from wickvane.choice import Gateway
+from wickvane.scheduler import Scheduler
 
 BUSY, CORES, STEP = 0.85, 8, 500  # the share of cores that is an engine's capacity; a step in tenths of a ms
 FALL_MULTIPLE, FALL_TIME, COLD_FROM, COLD_TIME = 2.5, 30_000, 0.3, 150_000
@@ -106,7 +106,7 @@
 
 
 def test_without_the_ramp_the_same_fleets_push_cold_engines_over(monkeypatch):
-    monkeypatch.setattr(Gateway, "cold_room", lambda self, qy, e: True)
+    monkeypatch.setattr(Scheduler, "cold_room", lambda self, qy, e: True)
     worst = []
     for seed in range(16):
         fleet = Fleet(seed)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,13 +11,13 @@
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
 
 from wickvane import interface as i
-from wickvane.choice import FIRST_ENGINES, Gateway
 from wickvane.control import fleet as fl
 from wickvane.control import store
 from wickvane.control.catalog import CDS, EDS, LDS, RDS, read_version
 from wickvane.control.hub import Hub, Nodes, Refused
 from wickvane.control.placement import FIRST_MOST, LATER, WARM_STEPS, Placement
 from wickvane.control.session import ASKS_MOST, DELTA, SOTW, Broken
+from wickvane.scheduler import FIRST_ENGINES, Scheduler
 
 SECOND = 10_000
 TABLES = (1, 2, 3)
@@ -170,7 +170,7 @@
     for table in TABLES:
         order = [names[e] for e in gateway.gateway.order_of(table)]
         assert [p.name for p in made.cache[f"g0/{table}"]] == order[: FIRST_ENGINES + LATER]
-    assert Gateway.order_of  # the same text decides
+    assert Scheduler.order_of  # the same text decides
 
 
 def test_groups_that_may_use_other_engines_have_clusters_of_their_own():
@@ -196,7 +196,7 @@
     made.lateness, before, updates = late, {}, 0
     made.list(now, fleet)
     for _ in range(60):
-        real = Gateway(1, made.site)
+        real = Scheduler(1, made.site)
         real.engines.grow(1)
         for table in TABLES:
             for place in made.cache[f"g0/{table}"]:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -14,12 +14,12 @@
 from test_rehearsal import ROOT
 
 from wickvane import parts
-from wickvane.choice import Gateway
 from wickvane.policy import course as steps
 from wickvane.policy import document
 from wickvane.policy.agreement import ABANDON, NOTHING, POLICY, START, VOTERS, Entry, Voter
 from wickvane.policy.course import Change, Course, digest_of
 from wickvane.policy.store import Store
+from wickvane.scheduler import Scheduler
 
 
 def stated(number, text="x"):
@@ -206,7 +206,7 @@
         ("cold multiple", 2.5, 2.0),
     ]
     assert document.applied(read("policy"), SETTINGS, GROUPS, TENANTS) == SETTINGS
-    Gateway(1, made)
+    Scheduler(1, made)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -20,12 +20,12 @@
 
 from wickvane import interface as i
 from wickvane import parts
-from wickvane.choice import HANDLERS, Gateway
 from wickvane.net.service import Service
 from wickvane.rehearsal import demo, model, tds, world
 from wickvane.rehearsal import script as scripts
 from wickvane.rehearsal.load import Load, Postgres
 from wickvane.rehearsal.sockets import Serving
+from wickvane.scheduler import HANDLERS, Scheduler
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 EXAMPLE = os.path.join(ROOT, "deploy", "rehearsal.kdl")
@@ -299,9 +299,10 @@
     ],
 )
 def test_a_gateway_that_breaks_a_rule_is_caught(monkeypatch, rule, name, broken):
-    monkeypatch.setattr(Gateway, name, broken(getattr(Gateway, name)))
+    monkeypatch.setattr(Scheduler, name, broken(getattr(Scheduler, name)))
     monkeypatch.setattr(
-        "wickvane.choice.HANDLERS", tuple(getattr(Gateway, handler.__name__, handler) for handler in HANDLERS)
+        "wickvane.scheduler.HANDLERS",
+        tuple(getattr(Scheduler, handler.__name__, handler) for handler in HANDLERS),
     )
     more = (
         'trouble "drain" at="2s" for="6s" part=0.5\n trouble "reset" at="4s" part=1.0\n'
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 from bench_free import Gateways, group, i, site
 
-from wickvane.choice import Gateway
+from wickvane.scheduler import Scheduler
 
 TICK = 50
 
@@ -223,7 +223,7 @@
 
 @pytest.mark.parametrize("rule", BREAKS)
 def test_model_catches_a_module_that_breaks(rule, monkeypatch):
-    monkeypatch.setattr(Gateway, *BREAKS[rule])
+    monkeypatch.setattr(Scheduler, *BREAKS[rule])
     seen = set()
     for seed in range(12):
         try:
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -1,7 +1,7 @@
-"""What crosses the border of wickvane.choice: event codes, endings, and the writer it is handed.
+"""What crosses the border of wickvane.scheduler: event codes, endings, and the writer it is handed.
 
 Any protocol can stand on the other side. It turns its own messages into plain event tuples
-(code, fields ...), calls ``Gateway.round(now, events, out)`` once for all that came in, and carries
+(code, fields ...), calls ``Scheduler.round(now, events, out)`` once for all that came in, and carries
 out what is written into ``out``. Times are whole tenths of a millisecond, queries and engines are
 small indices that the caller may use again once a query has ended with every submission's ending
 told, or an engine is gone with none of its submissions open.
--- a/wickvane/members/checks.py
+++ b/wickvane/members/checks.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 from wickvane import interface as i
-from wickvane.choice import warm_part
 from wickvane.members.findings import HOLD, NOTE, REFUSE, STEPS, Finding
+from wickvane.scheduler import warm_part
 
 NAMED = 5  # engines named in one sentence
 
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -5,9 +5,9 @@
 from heapq import heappop, heappush
 
 from wickvane import interface as i
-from wickvane.choice import Gateway
 from wickvane.net.exchange import DEFERRED, KILLED, Submission
 from wickvane.net.queues import EngineQueue
+from wickvane.scheduler import Scheduler
 
 LONGEST_WAIT = 10_000
 LATE, SETTLE_S, SETTLES = 250, 0.01, 6
@@ -22,7 +22,7 @@
 
     def __init__(self, exchange, book, seed, clock, log, counters, accounts=None, speaks=None):
         self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
-        self.gateway = Gateway(seed, book.deployment)
+        self.gateway = Scheduler(seed, book.deployment)
         self.lanes, self.alarms, self.events = {}, [], []
         self.now, self.longest, self.faults = clock.now(), 0, 0
         self.lag, self.lag_at, self.held, self.accounts = 0, self.now, [], accounts
--- a/wickvane/rehearsal/cells.py
+++ b/wickvane/rehearsal/cells.py
@@ -14,12 +14,15 @@
 
 import orjson
 
-from wickvane import choice, parts
+from wickvane import parts, scheduler
 from wickvane.rehearsal import baselines, draws, experiment, model, rules, world
 from wickvane.rehearsal import script as scripts
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 REVISION = "commit:"
+# The decision module's path and its class, now and in earlier commits.
+MODULE_PATHS = ("wickvane/scheduler.py", "wickvane/choice.py")
+CLASS_NAMES = ("Scheduler", "Gateway")
 
 
 def text_of(module):
@@ -31,14 +34,15 @@
 def module_text(variant):
     """The text of the module that decides in a variant."""
     if not variant.startswith(REVISION):
-        return text_of(baselines if variant in baselines.BASELINES else choice)
+        return text_of(baselines if variant in baselines.BASELINES else scheduler)
     revision = variant.removeprefix(REVISION)
-    shown = subprocess.run(
-        ["git", "show", "--end-of-options", f"{revision}:wickvane/choice.py"], cwd=ROOT, capture_output=True
-    )
-    if shown.returncode:
-        raise parts.Unusable(f"variant {variant}: git knows no such commit with a wickvane/choice.py here")
-    return shown.stdout.decode()
+    for path in MODULE_PATHS:
+        shown = subprocess.run(
+            ["git", "show", "--end-of-options", f"{revision}:{path}"], cwd=ROOT, capture_output=True
+        )
+        if not shown.returncode:
+            return shown.stdout.decode()
+    raise parts.Unusable(f"variant {variant}: git knows no such commit with a {MODULE_PATHS[0]} here")
 
 
 @lru_cache
@@ -53,11 +57,11 @@
     if variant in baselines.BASELINES:
         return baselines.BASELINES[variant]
     if variant == "here":
-        return choice.Gateway
-    module = types.ModuleType(f"choice_{experiment.key_of(variant)}")
+        return scheduler.Scheduler
+    module = types.ModuleType(f"scheduler_{experiment.key_of(variant)}")
     module.__file__ = variant
     exec(compile(module_text(variant), variant, "exec"), module.__dict__)  # this repository's own text
-    return module.Gateway
+    return next(getattr(module, name) for name in CLASS_NAMES if hasattr(module, name))
 
 
 def play(cell):
--- a/wickvane/rehearsal/world.py
+++ b/wickvane/rehearsal/world.py
@@ -1,5 +1,5 @@
-"""A rehearsal in virtual time: gateways from wickvane.choice before modelled engines, clients, and scripted
-trouble.
+"""A rehearsal in virtual time: gateways of wickvane.scheduler before modelled engines, clients, and faults by
+script.
 
 Everything that happens is an event on one heap, by time and then by the order in which it was made. What is
 drawn comes from streams of chance by name, so that one more client leaves all that engines draw as it was.
@@ -15,11 +15,11 @@
 
 from wickvane import interface as i
 from wickvane import storm
-from wickvane.choice import Gateway
 from wickvane.rehearsal import model
 from wickvane.rehearsal.draws import Draws
 from wickvane.rehearsal.rules import Figures, Seen
 from wickvane.rehearsal.script import SECOND, deployment
+from wickvane.scheduler import Scheduler
 
 TICK = 10
 ENDINGS = ("finished", "error", "no-answer", "reset", "cancelled", "turned-away", "refused", "not-sent")
@@ -275,9 +275,9 @@
 
 
 class World:
-    """gateway: what makes a host's module of (seed, deployment): choice, an earlier one, a baseline."""
+    """gateway: what makes a host's module of (seed, deployment): today's, an earlier one, a baseline."""
 
-    def __init__(self, script, seed, keep_log=True, gateway=Gateway):
+    def __init__(self, script, seed, keep_log=True, gateway=Scheduler):
         self.gateway = gateway
         self.script, self.seed, self.now, self.heap, self.made = script, seed, 0, [], 0
         self.lines = [] if keep_log else None
@@ -794,7 +794,7 @@
     return mean * exp(chance.gauss(0, 1) * deviation - deviation * deviation / 2)
 
 
-def play(script, seed, keep_log=True, gateway=Gateway):
+def play(script, seed, keep_log=True, gateway=Scheduler):
     return World(script, seed, keep_log, gateway).play()
 
 
--- a/wickvane/choice.py
+++ b/wickvane/scheduler.py
@@ -1,8 +1,9 @@
 """Every decision of a gateway: which query leaves, for which engine, when to try again, when to give up.
 
-Called by wickvane.net (sockets) and wickvane.wirehost (bench): one Gateway for each instance, and its round()
-once a round with all that came in. Decisions go straight into out, the Writer of wickvane/interface.py, which
-also says what the events are. Times are whole tenths of a millisecond; work is such a time of one thread.
+Called by wickvane.net (sockets) and wickvane.wirehost (bench): one Scheduler for each instance, and its
+round() once a round with all that came in. Decisions go straight into out, the Writer of
+wickvane/interface.py, which also says what the events are. Times are whole tenths of a millisecond; work is
+such a time of one thread.
 
 The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct,
 reset, hash order of table groups, a thread bound under pressure. Mechanisms beside it:
@@ -63,7 +64,7 @@
     return 1.0 if age >= cold_time else cold_from + (1 - cold_from) * max(0, age) / cold_time
 
 
-class Gateway:
+class Scheduler:
     def __init__(self, seed, site):
         self.chance = Random(seed)
         self.site, self.groups, self.gateways = site, site.groups, site.gateways
@@ -711,12 +712,12 @@
 
 
 HANDLERS = (
-    Gateway.taken,
-    Gateway.ended,
-    Gateway.left,
+    Scheduler.taken,
+    Scheduler.ended,
+    Scheduler.left,
     lambda *alarm: None,
-    Gateway.progress,
-    Gateway.engine,
-    Gateway.list_lost,
-    Gateway.stopping,
+    Scheduler.progress,
+    Scheduler.engine,
+    Scheduler.list_lost,
+    Scheduler.stopping,
 )
--- a/wickvane/shares/fleet.py
+++ b/wickvane/shares/fleet.py
@@ -1,7 +1,7 @@
 """Decisions that only fleets need: what other dispatchers told is weighed into one dispatcher's own state.
 
-Free of I/O. `join` lays it over the decision module at that module's one hook, `Gateway.fleet`; a dispatcher
-that knows no others never imports it.
+Free of I/O. `join` lays it over the decision module at that module's one hook, `Scheduler.fleet`; a
+dispatcher that knows no others never imports it.
 """
 
 from typing import NamedTuple
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -3,8 +3,8 @@
 import json
 
 from wickvane import interface as i
-from wickvane.choice import Gateway
 from wickvane.door import Book
+from wickvane.scheduler import Scheduler
 from wickvane.settings import tenths
 
 ENDINGS = {
@@ -26,7 +26,7 @@
     def __init__(self, seed, params):
         self.book = Book(params)
         self.events, self.actions = [], []
-        self.gateway = Gateway(seed, self.book.deployment)
+        self.gateway = Scheduler(seed, self.book.deployment)
 
     # Events
 
