Events at the decision module's border are typed, and its figures enumerations

Need: events were tuples with a code in front, whose fields a reader had to count (event[7] is when an engine started); endings, states and effects were bare numbers.

Change: one NamedTuple an event in wickvane/interface.py, with its fields explained where they stand; Ending, EngineState, Effect, KeyScope, Budget and Progress are IntEnums under the old constants. The scheduler, baselines and proxies' follower tell events apart by type.

--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -87,18 +87,18 @@
 
     def engine(self, e, state=i.READY, zone=0, kind=0, cell=0, started=0, name=None):
         rank = f"engine-{e if name is None else name}".encode()
-        self.round((i.ENGINE, e, rank, state, zone, kind, cell, started, 1.0))
+        self.round(i.EngineListed(e, rank, state, zone, kind, cell, started, 1.0))
 
     def take(self, rg=0, tenant=0, cost=1000, coord=1, key=None, left=70_000):
         q, self.next_q = self.next_q, self.next_q + 1
         self.sent[q], self.count[q] = [], 0
-        self.round((i.TAKEN, q, rg, tenant, cost, 10, coord, key, left))
+        self.round(i.Taken(q, rg, tenant, cost, 10, coord, key, left))
         return q
 
     def end(self, q, ending=i.FINISHED, elapsed=1000, work=0, after=0):
         e = self.out.pop(q)
         done = ending == i.FINISHED or q in self.final
-        self.round((i.ENDED, q, self.count[q] - 1, e, ending, elapsed, done, work, 0, None), after=after)
+        self.round(i.Ended(q, self.count[q] - 1, e, ending, elapsed, done, work, 0, None), after=after)
 
     def submit(self, q, engine, wait, start_by):
         self.sent[q].append((self.now, engine))
@@ -126,7 +126,7 @@
         while self.alarms and min(self.alarms) <= until:
             self.now = min(self.alarms)
             self.alarms = [at for at in self.alarms if at > self.now]
-            self.round((i.DUE, 1))
+            self.round(i.Due(1))
 
     def watch_list(self, on):
         self.log.append(on)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -192,7 +192,7 @@
         "            self.voted, self.elect_at = sender, self.now + self.patience()\n",
     ),
     "keeps what differs": (
-        "            del self.log[n - 1:]\n            self.log.append(entry)\n",
+        "            del self.log[n - 1 :]\n            self.log.append(entry)\n",
         "            self.log.append(entry)\n",
     ),
     "takes what does not follow": (
@@ -445,8 +445,8 @@
         "lease x a b, close a b, crash a b, start a b, open a b, lease y a b",
     ),
     "closed though lent": (
-        "and all(now >= until for until in self.lent.values()))",
-        ")",
+        "            and all(now >= until for until in self.lent.values())\n",
+        "",
         "lease x a b, close a b, start a b, open a b, lease y a b",
     ),
     "lends while it closes": (
--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -72,7 +72,7 @@
         self.now += STEP
         for one, rate in zip(self.dispatchers, self.traffic):
             one.now = self.now
-            one.round((i.DUE, 1))
+            one.round(i.Due(1))
             while self.chance.random() < min(0.95, rate * burst):
                 one.take(cost=self.work, coord=self.chance.randrange(8), left=150_000)
             for q in [q for q in one.out if self.chance.random() < STEP / max(STEP, self.work)]:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -166,7 +166,7 @@
     fleet, _ = fl.changed(fl.Fleet(), 0, 1, True, [entry(name) for name in names], fl.Floor())
     made.list(0, fleet)
     for n, name in enumerate(names):
-        gateway.round((i.ENGINE, n, name.encode(), i.READY, 0, 0, 0, 0, 1.0))
+        gateway.round(i.EngineListed(n, name.encode(), i.READY, 0, 0, 0, 0, 1.0))
     for table in TABLES:
         order = [names[e] for e in gateway.gateway.order_of(table)]
         assert [p.name for p in made.cache[f"g0/{table}"]] == order[: FIRST_ENGINES + LATER]
--- a/tests/test_damping.py
+++ b/tests/test_damping.py
@@ -32,7 +32,7 @@
     for again, cost in ((True, 950), (False, 3000), (True, 700), (False, 1000)):
         q, made.next_q = made.next_q, made.next_q + 1
         made.sent[q], made.count[q] = [], 0
-        made.round((i.TAKEN, q, 0, 0, cost, 10, 1, None, 70_000, again))
+        made.round(i.Taken(q, 0, 0, cost, 10, 1, None, 70_000, again))
         came.append(q)
     assert not made.out  # nothing is listed to send to
     made.engines(1)
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -197,13 +197,13 @@
 def test_a_baseline_sends_once_to_what_is_ready_and_answers_what_failed(name, steps):
     deployment = world.deployment(scripts.read_text(SMALL.format(more="")))
     gateway, out = baselines.BASELINES[name](1, deployment), Writer()
-    gateway.round(0, [(i.ENGINE, e, b"e%d" % e, i.READY, 0, 0, 0, 0, 1.0) for e in range(4)], out)
+    gateway.round(0, [i.EngineListed(e, b"e%d" % e, i.READY, 0, 0, 0, 0, 1.0) for e in range(4)], out)
     ready, running, q, answered = {0, 1, 2, 3}, {}, 0, set()
     for what, n in steps:
         if what == "taken":
             q += 1
             before = {e: sum(x == e for x in running.values()) for e in ready}
-            gateway.round(q, [(i.TAKEN, q, n % 2, 0, 10, 10, 0, None, 1000)], out)
+            gateway.round(q, [i.Taken(q, n % 2, 0, 10, 10, 0, None, 1000)], out)
             if not ready:
                 assert out.deferred[-1] == q
                 continue
@@ -213,16 +213,16 @@
             running[q] = out.sent[q]
         elif what == "drain":
             ready.discard(n % 4)
-            gateway.round(q, [(i.ENGINE, n % 4, b"e", i.DRAINING, 0, 0, 0, 0, 1.0)], out)
+            gateway.round(q, [i.EngineListed(n % 4, b"e", i.DRAINING, 0, 0, 0, 0, 1.0)], out)
         elif running:
             one = sorted(running)[n % len(running)]
             if what == "left":
-                gateway.round(q, [(i.LEFT, one)], out)
+                gateway.round(q, [i.Left(one)], out)
                 assert (out.cancelled[-1:] == [one]) or one in answered
                 answered.add(one)
             else:
                 ending, group = n, gateway.open.get(one)
-                gateway.round(q, [(i.ENDED, one, 0, running.pop(one), ending, 5, False, 0, 0, None)], out)
+                gateway.round(q, [i.Ended(one, 0, running.pop(one), ending, 5, False, 0, 0, None)], out)
                 if group is not None and ending != i.FINISHED:
                     proven = ending >= i.TURNED_AWAY or group.effect == i.READ_ONLY
                     assert (out.deferred if proven else out.killed)[-1] == one
@@ -326,12 +326,12 @@
 
     def round(self, now, events, out):
         for event in events:
-            if event[0] == i.TAKEN:
-                out.submit(event[1], 0, 0, i.FOREVER)
-            elif event[0] == i.ENDED:
-                self.heard.append((event[1], event[4]))
-                if not event[6]:
-                    out.kill(event[1])
+            if isinstance(event, i.Taken):
+                out.submit(event.query, 0, 0, i.FOREVER)
+            elif isinstance(event, i.Ended):
+                self.heard.append((event.query, event.ending))
+                if not event.complete:
+                    out.kill(event.query)
 
 
 def test_an_end_a_cancel_a_death_and_the_time_s_end_in_one_tick_are_one_ending():
--- a/tests/test_opinions.py
+++ b/tests/test_opinions.py
@@ -208,12 +208,12 @@
     g.engines(3)
     first = g.gateway.order_of(1)[0]
     g.now += SECOND
-    g.round((i.JUDGED, first, True, 0.0, 100))
+    g.round(i.Judged(first, True, 0.0, 100))
     assert g.out[g.take()] != first
     g.now += SECOND + 1
     assert any(g.out[g.take()] == first for _ in range(3))
     g.end(next(q for q, e in g.out.items() if e == first))
-    g.round((i.JUDGED, first, True, 0.0, 100))  # older than the answer that came here
+    g.round(i.Judged(first, True, 0.0, 100))  # older than the answer that came here
     assert any(g.out[g.take()] == first for _ in range(3))
 
 
@@ -221,7 +221,7 @@
     """Also one that stood still past the end, and hears of nothing else first."""
     g = Gateways(site([group()], gateways=4, cold_time=9_000_000, fall_time=20_000), in_fleet=True)
     g.engine(0, started=g.now - 10)
-    g.round((i.PART, i.COLD, 3.0, g.now + 5_000, 1.0))
+    g.round(i.Leased(i.COLD, 3.0, g.now + 5_000, 1.0))
     cost = int(g.gateway.fall_work * 8 * 0.3 / 2)  # two of its own part, six of what it has
 
     def sent():
@@ -233,7 +233,7 @@
     assert sent() == 6
     g.now += 20_001  # past its end and the window
     assert sent() - 6 == 2
-    g.round((i.PART, i.COLD, 0.0, 1 << 62, 0.0))
+    g.round(i.Leased(i.COLD, 0.0, 1 << 62, 0.0))
     g.now += 20_001
     assert sent() - 8 == 0
 
@@ -244,7 +244,7 @@
     for _ in range(12):
         g.take(tenant=0, cost=1000), g.take(tenant=1, cost=1000)
     before = list(g.gateway.deficit)
-    g.round((i.CHARGED, [50_000, 10_000]))
+    g.round(i.Charged([50_000, 10_000]))
     fall = [b - a for a, b in zip(g.gateway.deficit, before, strict=True)]
     assert fall[1] == 0 < fall[0] and g.gateway.deficit[0] >= -4.0 * g.gateway.quantum(0)
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -44,7 +44,7 @@
     g = Gateways(site([group()]))
     g.take()
     for _ in range(20):
-        g.round((i.DUE, 1), after=50)
+        g.round(i.Due(1), after=50)
     assert g.gateway.deficit[0] == 0
 
 
@@ -103,7 +103,7 @@
     lost, mutating = g.take(), g.take(rg=1)
     for _ in range(8):
         g.end(g.take())
-    g.round((i.DUE, 1), after=9_000)
+    g.round(i.Due(1), after=9_000)
     assert g.cancelled == [lost]
     g.end(lost, ending=i.CANCELLED)
     assert [e for _, e in g.sent[lost]] == [g.sent[lost][0][1], g.out[lost]]
@@ -310,7 +310,7 @@
     g = Gateways(site([group(late_value=0.3), group(effect=i.MUTATING, timeout=200_000, late_value=0.5)]))
     g.engines(2)
     out = [g.take(cost=2000), g.take(rg=1, left=190_000)]
-    g.round((i.STOPPING, 37_000))
+    g.round(i.Stopping(37_000))
     later = g.take(cost=100)
     hopeless = g.take(cost=80_000)
     assert g.final == {hopeless: "deferred"} and g.answered[hopeless] == g.now
@@ -422,10 +422,10 @@
     gates.engines(2)
     q = gates.take(cost=1000)
     before = gates.gateway.median
-    gates.round((i.DUE, 1), after=4000)
+    gates.round(i.Due(1), after=4000)
     once = gates.gateway.median
     assert once > before
-    gates.round((i.DUE, 1), after=400)
+    gates.round(i.Due(1), after=400)
     assert gates.gateway.median == once
     gates.end(q, elapsed=4400)
     assert gates.gateway.median == once
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -302,7 +302,7 @@
     monkeypatch.setattr(Scheduler, name, broken(getattr(Scheduler, name)))
     monkeypatch.setattr(
         "wickvane.scheduler.HANDLERS",
-        tuple(getattr(Scheduler, handler.__name__, handler) for handler in HANDLERS),
+        {kind: getattr(Scheduler, handler.__name__, handler) for kind, handler in HANDLERS.items()},
     )
     more = (
         'trouble "drain" at="2s" for="6s" part=0.5\n trouble "reset" at="4s" part=1.0\n'
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -40,7 +40,7 @@
         self.sent[q], self.count[q] = [], 0
         self.history.append([])
         tenant = chance.randrange(2)
-        self.round((i.TAKEN, q, rg, tenant, cost, 10, chance.randrange(4), key, left))
+        self.round(i.Taken(q, rg, tenant, cost, 10, chance.randrange(4), key, left))
 
     def may_have_run(self, q):
         return [s for s in self.history[q] if s[2] is None or s[2] < i.TURNED_AWAY]
@@ -111,7 +111,7 @@
         work = chance.choice([0, 3000])
         done = q in self.final
         sent = self.now - last[3]
-        self.round((i.ENDED, q, self.count[q] - 1, e, ending, sent, done, work, 0, None))
+        self.round(i.Ended(q, self.count[q] - 1, e, ending, sent, done, work, 0, None))
 
 
 def generated_site(chance):
@@ -155,7 +155,7 @@
     endings = [i.FINISHED] * 6 + list(range(8))
     for _ in range(rounds):
         # Now and then the gateway stands still, for longer than some queries have.
-        model.round((i.DUE, 1), after=20_000 if chance.random() < 0.01 else chance.choice([TICK, TICK, 400]))
+        model.round(i.Due(1), after=20_000 if chance.random() < 0.01 else chance.choice([TICK, TICK, 400]))
         for _ in range(chance.choice([0, 1, 1, 4])):
             model.arrive(chance)
         if chance.random() < 0.05:
@@ -173,7 +173,7 @@
         for q, _, _, came, left in model.taken[-200:]:
             if q not in model.final and chance.random() < 0.001:
                 model.final[q] = "left"
-                model.round((i.LEFT, q))
+                model.round(i.Left(q))
             model.must(q in model.final or model.now <= came + left + 200, "1 in time")
     model.must(all(t[0] in model.final or model.now <= t[3] + t[4] + 200 for t in model.taken), "1 in time")
     return model
@@ -195,7 +195,7 @@
         for g in fleet:
             g.engine(0, started=began)
             for _ in range(250):
-                g.round((i.DUE, 1), after=500)
+                g.round(i.Due(1), after=500)
                 if chance.random() < 0.2:
                     g.take(cost=cost, left=150_000)
                 for q in list(g.out):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -78,7 +78,7 @@
             if q in gateways.out:
                 gateways.end(q, ending, elapsed=900, work=900, after=900)
     for _ in range(20):
-        gateways.round((i.DUE, 1), after=600)
+        gateways.round(i.Due(1), after=600)
 
 
 @pytest.mark.parametrize("path", list(paths(FULL)), ids=lambda path: ".".join(map(str, path)))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -148,9 +148,9 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_with_nothing_heard_or_only_what_is_old_every_decision_is_as_without(seed):
-    old = [(i.OTHERS, e, 40 * (e % 2), 60 * SECOND) for e in range(6)]
-    fresh = [(i.OTHERS, e, 40 * (e % 2), 10) for e in range(6)]
-    assert day(seed, [(i.DUE, 1)], in_fleet=False) == day(seed, old) != day(seed, fresh)
+    old = [i.InFlightElsewhere(e, 40 * (e % 2), 60 * SECOND) for e in range(6)]
+    fresh = [i.InFlightElsewhere(e, 40 * (e % 2), 10) for e in range(6)]
+    assert day(seed, [i.Due(1)], in_fleet=False) == day(seed, old) != day(seed, fresh)
 
 
 def test_an_engine_that_others_crowd_gets_the_next_query_last():
@@ -158,7 +158,7 @@
     g.engines(3)
     first = g.gateway.order_of(0)[0]
     g.end(g.take(cost=1000), work=1000)
-    g.round(*[(i.OTHERS, e, 24 if e == first else 0, 10) for e in range(3)])
+    g.round(*[i.InFlightElsewhere(e, 24 if e == first else 0, 10) for e in range(3)])
     q = g.take(cost=1000)
     assert g.out[q] != first
 
--- a/wickvane/control/follower.py
+++ b/wickvane/control/follower.py
@@ -58,18 +58,18 @@
         step = self.placement.next_step()
         if step is not None and now >= step:
             self.placement.step(now)
-        for code, *fields in events:
-            if code == i.TAKEN:
-                self.taken(now, out, *fields)
-            elif code == i.ENDED:
-                self.ended(now, out, *fields)
-            elif code == i.LEFT and fields[0] in self.open:
-                rg, cluster = self.open.pop(fields[0])
+        for event in events:
+            if isinstance(event, i.Taken):
+                self.taken(now, out, *event)
+            elif isinstance(event, i.Ended):
+                self.ended(now, out, *event)
+            elif isinstance(event, i.Left) and event.query in self.open:
+                rg, cluster = self.open.pop(event.query)
                 self.active[cluster] -= 1
                 self.gradients[rg].out -= 1
-                out.cancel(fields[0], 0)
-            elif code == i.ENGINE:
-                self.engine(now, *fields)
+                out.cancel(event.query, 0)
+            elif isinstance(event, i.EngineListed):
+                self.engine(now, *event)
 
     def engine(self, now, e, rank, state, zone, kind, cell, started, weight):
         name = rank.decode()
--- a/wickvane/door.py
+++ b/wickvane/door.py
@@ -91,8 +91,7 @@
             self.listed.pop(name, None)
         else:
             self.listed[name] = (zone, kind, cell, started, weight)
-        return (
-            i.ENGINE,
+        return i.EngineListed(
             e,
             name.encode(),
             state,
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -1,48 +1,180 @@
-"""What crosses the border of wickvane.scheduler: event codes, endings, and the writer it is handed.
-
-Any protocol can stand on the other side. It turns its own messages into plain event tuples
-(code, fields ...), calls ``Scheduler.round(now, events, out)`` once for all that came in, and carries
-out what is written into ``out``. Times are whole tenths of a millisecond, queries and engines are
-small indices that the caller may use again once a query has ended with every submission's ending
-told, or an engine is gone with none of its submissions open.
-
-Event tuples, with the fields that follow the code:
-
-TAKEN     q, rg, tenant, cost, memory, coord, key, left, again
-          again: it is known to repeat what was lately deferred here; left out where nobody looks
-          cost: estimated work of all threads (0: none told); memory in MB (0: none told);
-          coord: its table group; key: a number, or None; left: time until the client gives up
-ENDED     q, submission, engine, ending, elapsed, complete, work, memory, report
-          work and memory 0 where not told; report: {name: figure} or None
-LEFT      q: the client has gone, nothing is owed
-DUE       token
-PROGRESS  q, submission, engine, what, amount
-ENGINE    engine, rank, state, zone, kind, cell, started, weight
-          rank: the wire id's own bytes, the same at every gateway, for the shared hash order
-LIST_LOST the list of engines could not be had
-OTHERS    engine, threads, age: what all other gateways together hold of it, as was last heard, and how long
-          ago that was in the mean; never told where gateways do not tell each other
-PART      what, part, until, then: of BOUNDS on engines or of what COLD ones get in a window, this gateway may
-          use `part` times its configured part until the time `until`, and `then` times it from there on
-CHARGED   works: by tenant, the work that other gateways gave it since the last such event
-JUDGED    engine, bad, slow, age: what several others found of it lately; bad: it fails them; slow: by how
-          much more than the usual engine (0: not told)
-STOPPING  left: time until the process that holds this gateway may be ended, with all that it has not answered
+"""What crosses the border of wickvane.scheduler: typed events, endings, and the writer it is handed.
+
+Any protocol can stand on the other side. It turns its own messages into events, calls
+``Scheduler.round(now, events, out)`` once for all that came in, and carries out what is written into ``out``.
+Times are whole tenths of a millisecond, queries and engines are small indices that the caller may use again
+once a query has ended with every attempt's ending told, or an engine is gone with none of its attempts open.
 """
 
+from enum import IntEnum
 from typing import NamedTuple, Protocol
 
-TAKEN, ENDED, LEFT, DUE, PROGRESS, ENGINE, LIST_LOST, STOPPING, OTHERS, PART, CHARGED, JUDGED = range(12)
+FOREVER = 1 << 62  # a time that never comes
+
 
-# How a submission ended. From TURNED_AWAY on it is proven that nothing ran.
-FINISHED, ERROR, NO_ANSWER, RESET, CANCELLED, TURNED_AWAY, NO_CONNECTION, NOT_SENT = range(8)
+class Ending(IntEnum):
+    """How an attempt ended. From TURNED_AWAY on it is proven that nothing ran."""
 
-READY, DRAINING, GONE = range(3)
-READ_ONLY, TOKENED, MUTATING = range(3)
-ANY_ENGINE, SAME_ZONE, SAME_CELL = range(3)
-BOUNDS, COLD = range(2)
-FOREVER = 1 << 62  # a time that never comes
-SHARE_DONE, SPILLS, WAITS = 1, 2, 3
+    FINISHED = 0
+    ERROR = 1
+    NO_ANSWER = 2
+    RESET = 3
+    CANCELLED = 4
+    TURNED_AWAY = 5
+    NO_CONNECTION = 6
+    NOT_SENT = 7
+
+
+class EngineState(IntEnum):
+    """What the engine list says of an engine."""
+
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+class Effect(IntEnum):
+    """What running a query of a resource group twice would do."""
+
+    READ_ONLY = 0  # nothing: it is safe to repeat
+    TOKENED = 1  # nothing where its idempotency key is known
+    MUTATING = 2  # its effect, twice
+
+
+class KeyScope(IntEnum):
+    """Which engines know an idempotency key that another has seen."""
+
+    ANY_ENGINE = 0
+    SAME_ZONE = 1
+    SAME_CELL = 2
+
+
+class Budget(IntEnum):
+    """What may be leased between dispatchers."""
+
+    BOUNDS = 0  # threads in flight on engines
+    COLD = 1  # work that engines get while they warm up
+
+
+class Progress(IntEnum):
+    """What a running attempt tells of itself."""
+
+    SHARE_DONE = 1
+    SPILLS = 2
+    WAITS = 3
+
+
+FINISHED, ERROR, NO_ANSWER, RESET, CANCELLED, TURNED_AWAY, NO_CONNECTION, NOT_SENT = Ending
+READY, DRAINING, GONE = EngineState
+READ_ONLY, TOKENED, MUTATING = Effect
+ANY_ENGINE, SAME_ZONE, SAME_CELL = KeyScope
+BOUNDS, COLD = Budget
+SHARE_DONE, SPILLS, WAITS = Progress
+
+
+class Taken(NamedTuple):
+    """A query that a client is promised an answer to."""
+
+    query: int
+    group: int
+    tenant: int
+    cost: int  # estimated work of all threads; 0: none told
+    memory: float  # in MB; 0: none told
+    table_group: int
+    key: int | None
+    time_left: int  # until the client gives up
+    is_retry: bool = False  # of what was lately deferred here, as far as anybody looks
+
+
+class Ended(NamedTuple):
+    """The one ending of an attempt."""
+
+    query: int
+    attempt: int
+    engine: int
+    ending: Ending
+    elapsed: int
+    complete: bool  # the client has its whole answer
+    work: int  # 0: not told
+    memory: float  # 0: not told
+    report: dict[str, float] | None  # the engine's load
+
+
+class Left(NamedTuple):
+    """The client has gone; nothing is owed."""
+
+    query: int
+
+
+class Due(NamedTuple):
+    """An alarm that was set by the writer."""
+
+    token: int
+
+
+class Progressed(NamedTuple):
+    """A note of a running attempt."""
+
+    query: int
+    attempt: int
+    engine: int
+    what: Progress
+    amount: float
+
+
+class EngineListed(NamedTuple):
+    """An engine is new, or its entry in the list has changed."""
+
+    engine: int
+    rank: bytes  # the wire id, the same at every dispatcher, for the shared hash order
+    state: EngineState
+    zone: int
+    kind: int
+    cell: int
+    started: int  # 0: it was there from the beginning
+    weight: float
+
+
+class ListLost(NamedTuple):
+    """The list of engines could not be had."""
+
+
+class Stopping(NamedTuple):
+    """This process may be ended in `time_left`, with all that it has not answered."""
+
+    time_left: int
+
+
+class InFlightElsewhere(NamedTuple):
+    """Threads that all other dispatchers hold on an engine, as was last heard, `age` ago in the mean."""
+
+    engine: int
+    threads: int
+    age: int
+
+
+class Leased(NamedTuple):
+    """Of a budget, `part` times what is configured may be used until `until`, `then` times from there on."""
+
+    budget: Budget
+    part: float
+    until: int
+    then: float
+
+
+class Charged(NamedTuple):
+    """By tenant, the work that other dispatchers gave it since the last such event."""
+
+    works: list[int]
+
+
+class Judged(NamedTuple):
+    """What several other dispatchers found of an engine, `age` ago."""
+
+    engine: int
+    bad: bool  # it fails their attempts
+    slow: float  # by how much more than the usual engine; 0: not told
+    age: int
 
 
 class ResourceGroup(NamedTuple):
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -64,7 +64,7 @@
             if kind != "taken":
                 getattr(self, self.READERS[kind])(*rest)
         while self.alarms and self.alarms[0][0] <= self.now:
-            self.events.append((i.DUE, heappop(self.alarms)[1]))
+            self.events.append(i.Due(heappop(self.alarms)[1]))
         events, self.events = self.events, []
         if not events:
             return
@@ -122,8 +122,7 @@
         ticket.q = self.book.take(ticket)
         ticket.stages["taken"] = self.now
         self.events.append(
-            (
-                i.TAKEN,
+            i.Taken(
                 ticket.q,
                 ticket.rg,
                 ticket.tenant,
@@ -140,8 +139,7 @@
         ticket = submission.ticket
         self.book.ended(ticket.q, submission.lane.name)
         self.events.append(
-            (
-                i.ENDED,
+            i.Ended(
                 ticket.q,
                 submission.number,
                 submission.engine,
@@ -159,7 +157,7 @@
 
     def left(self, ticket):
         if ticket.q >= 0 and ticket.q in self.book.open and self.book.queries.names[ticket.q] is ticket:
-            self.events.append((i.LEFT, ticket.q))
+            self.events.append(i.Left(ticket.q))
             self.book.over.add(ticket.q)
 
     def listed(self, whole, entries):
@@ -167,12 +165,12 @@
             gone = list(self.book.unlisted({entry[0] for entry in entries}))
             self.events.extend(gone)
             for event in gone:
-                self.change_lane(event[2].decode(), i.GONE, None, 0)
+                self.change_lane(event.rank.decode(), i.GONE, None, 0)
         for name, address, state, zone, kind, cell, started, weight in entries:
             event = self.book.list_engine(name, state, zone, kind, cell, started, weight)
             if event:
                 self.events.append(event)
-                self.change_lane(name, state, address, event[7], self.speaks.get(kind))
+                self.change_lane(name, state, address, event.started, self.speaks.get(kind))
 
     def change_lane(self, name, state, address, started, speaks=None):
         lane = self.lanes.get(name)
@@ -198,7 +196,7 @@
             lane.put(("close",), always=True)
 
     def stop(self, left):
-        self.events.append((i.STOPPING, left))
+        self.events.append(i.Stopping(left))
 
     # By name, so that who lays more over a decider is asked.
     READERS = {kind: kind for kind in ("ended", "left", "listed", "stop")}
--- a/wickvane/rehearsal/baselines.py
+++ b/wickvane/rehearsal/baselines.py
@@ -21,15 +21,15 @@
         self.ready, self.kind, self.zone, self.out, self.open, self.turn = [], [], [], [], {}, 0
 
     def round(self, now, events, out):
-        for code, *fields in events:
-            if code == i.TAKEN:
-                self.taken(out, *fields)
-            elif code == i.ENDED:
-                self.ended(out, *fields)
-            elif code == i.LEFT:
-                self.left(out, *fields)
-            elif code == i.ENGINE:
-                self.engine(*fields)
+        for event in events:
+            if isinstance(event, i.Taken):
+                self.taken(out, *event)
+            elif isinstance(event, i.Ended):
+                self.ended(out, *event)
+            elif isinstance(event, i.Left):
+                self.left(out, *event)
+            elif isinstance(event, i.EngineListed):
+                self.engine(*event)
 
     def engine(self, e, rank, state, zone, kind, cell, started, weight):
         while e >= len(self.out):
--- a/wickvane/rehearsal/cells.py
+++ b/wickvane/rehearsal/cells.py
@@ -14,6 +14,7 @@
 
 import orjson
 
+from wickvane import interface as i
 from wickvane import parts, scheduler
 from wickvane.rehearsal import baselines, draws, experiment, model, rules, world
 from wickvane.rehearsal import script as scripts
@@ -23,6 +24,22 @@
 # The decision module's path and its class, now and in earlier commits.
 MODULE_PATHS = ("wickvane/scheduler.py", "wickvane/choice.py")
 CLASS_NAMES = ("Scheduler", "Gateway")
+# Events were tuples with a code in front before they were typed; these were the codes, in order.
+EVENT_TYPES = (
+    i.Taken,
+    i.Ended,
+    i.Left,
+    i.Due,
+    i.Progressed,
+    i.EngineListed,
+    i.ListLost,
+    i.Stopping,
+    i.InFlightElsewhere,
+    i.Leased,
+    i.Charged,
+    i.Judged,
+)
+PLAIN_CODES = {kind: code for code, kind in enumerate(EVENT_TYPES)}
 
 
 def text_of(module):
@@ -52,6 +69,19 @@
     return experiment.key_of(module_text(variant), *map(text_of, played_by))
 
 
+def with_plain_events(earlier):
+    """A module's class of before events were typed: it is told tuples (code, fields ...)."""
+
+    class Earlier(earlier):
+        """The same decisions."""
+
+        def round(self, now, events, out):
+            """One round, with each event as it was then."""
+            super().round(now, [(PLAIN_CODES[type(event)], *event) for event in events], out)
+
+    return Earlier
+
+
 @lru_cache
 def gateway_of(variant):
     if variant in baselines.BASELINES:
@@ -61,7 +91,8 @@
     module = types.ModuleType(f"scheduler_{experiment.key_of(variant)}")
     module.__file__ = variant
     exec(compile(module_text(variant), variant, "exec"), module.__dict__)  # this repository's own text
-    return next(getattr(module, name) for name in CLASS_NAMES if hasattr(module, name))
+    made = next(getattr(module, name) for name in CLASS_NAMES if hasattr(module, name))
+    return made if "i.Taken" in module_text(variant) else with_plain_events(made)
 
 
 def play(cell):
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -43,20 +43,21 @@
         self.node.rider = self.spread = Spread(world.now, self.node, self.offered, self, world.every, lent)
         self.wake_at(world.now + 1 + number % 100)
 
-    def passes(self, *event):
+    def passes(self, event):
         """What the host tells its module; ends are evidence, and work of a tenant."""
-        if event[0] == i.TAKEN:
-            self.asked += event[4]
-        if event[0] == i.ENDED:
-            _, q, _, e, ending, elapsed, _, work, *_ = event
-            query, slow = self.host.queries[q], None
-            if ending == i.FINISHED:
+        if isinstance(event, i.Taken):
+            self.asked += event.cost
+        if isinstance(event, i.Ended):
+            query, slow = self.host.queries[event.query], None
+            if event.ending == i.FINISHED:
                 tenant = self.tenants[query.clients.tenant]
-                self.works[tenant] = self.works.get(tenant, 0) + work
-                slow = elapsed / (work / self.world.script.groups[query.rg].threads + SETTLING)
-            if ending == i.FINISHED or ending in FAILED:
-                self.met.append((self.host.engines[e].name, int(ending in FAILED), slow))
-        self.tell(*event)
+                self.works[tenant] = self.works.get(tenant, 0) + event.work
+                threads = self.world.script.groups[query.rg].threads
+                slow = event.elapsed / (event.work / threads + SETTLING)
+            if event.ending == i.FINISHED or event.ending in FAILED:
+                name = self.host.engines[event.engine].name
+                self.met.append((name, int(event.ending in FAILED), slow))
+        self.tell(event)
 
     def offered(self):
         gateway, engines = self.host.gateway, self.host.engines
@@ -83,7 +84,7 @@
     def others(self, totals, age, oldest, counted, out):
         if counted and self.heeds("others"):
             for e, process in self.host.engines.items():
-                self.tell(i.OTHERS, e, totals.get(process.name, 0), age)
+                self.tell(i.InFlightElsewhere(e, totals.get(process.name, 0), age))
 
     def parts(self, number, figures):
         # At once: the world's next round of this host has it before anything that is decided later.
@@ -93,13 +94,13 @@
 
     def charged(self, works):
         if self.heeds("charges"):
-            self.tell(i.CHARGED, [works.get(name, 0) * 10 for name in self.tenants])
+            self.tell(i.Charged([works.get(name, 0) * 10 for name in self.tenants]))
 
     def judged(self, found, pool, spared):
         if self.heeds("opinions"):
             for e, process in self.host.engines.items():
                 if process.name in found:
-                    self.tell(i.JUDGED, e, *found[process.name])
+                    self.tell(i.Judged(e, *found[process.name]))
 
     def wake_at(self, when):
         when = max(when, self.world.now + 1)
--- a/wickvane/rehearsal/world.py
+++ b/wickvane/rehearsal/world.py
@@ -114,7 +114,7 @@
         self.told = {}  # engine: the last state that was told, against what comes late or twice
         self.members = world.membership()
 
-    def tell(self, *event):
+    def tell(self, event):
         if self.killed:
             return
         self.events.append(event)
@@ -139,7 +139,7 @@
         e = self.index.setdefault(process.name, len(self.index))
         self.engines[e] = process
         started = process.started or 0
-        self.tell(i.ENGINE, e, process.name.encode(), state, 0, process.kind, 0, int(started * 10), 1.0)
+        self.tell(i.EngineListed(e, process.name.encode(), state, 0, process.kind, 0, int(started * 10), 1.0))
         self.seen.listed(
             self.world.now / SECOND,
             process.name,
@@ -179,16 +179,17 @@
             again = self.storm.taken(self.world.now, mark_of(query), source, query.cost)
         self.seen.taken(self.world.now / SECOND, query.id, query.rg, left / SECOND, query.key)
         self.tell(
-            i.TAKEN,
-            query.id,
-            query.rg,
-            query.clients.tenant,
-            query.cost,
-            memory,
-            query.table,
-            query.key,
-            left,
-            again,
+            i.Taken(
+                query.id,
+                query.rg,
+                query.clients.tenant,
+                query.cost,
+                memory,
+                query.table,
+                query.key,
+                left,
+                again,
+            )
         )
 
     def hears(self, query, submission, process, ending, work, rg):
@@ -214,16 +215,17 @@
                 self.storm.finished(self.world.now, self.world.now > query.target, work)
                 self.storm.engine(self.world.now, process.name, elapsed, query.cost / threads)
         self.tell(
-            i.ENDED,
-            query.id,
-            submission,
-            self.index[process.name],
-            ending,
-            self.world.now - place[0],
-            complete,
-            work if ending == i.FINISHED else 0,
-            0,
-            None,
+            i.Ended(
+                query.id,
+                submission,
+                self.index[process.name],
+                ending,
+                self.world.now - place[0],
+                complete,
+                work if ending == i.FINISHED else 0,
+                0,
+                None,
+            )
         )
 
     # The writer
@@ -265,7 +267,7 @@
         self.queries[q].priority = max(0, priority)
 
     def alarm(self, token, at):
-        self.world.at(at, self.tell, i.DUE, token)
+        self.world.at(at, self.tell, i.Due(token))
 
     def watch_list(self, on):
         pass
--- a/wickvane/scheduler.py
+++ b/wickvane/scheduler.py
@@ -97,10 +97,11 @@
         self.now, self.out = now, out
         self.no_room, self.pool = set(), None
         for event in events:
-            if event[0] < len(HANDLERS):
-                HANDLERS[event[0]](self, *event[1:])
+            handler = HANDLERS.get(type(event))
+            if handler is not None:
+                handler(self, *event)
             else:
-                self.fleet.hear(*event)
+                self.fleet.hear(event)
         if self.fleet is not None:
             self.fleet.before_decisions(now)
         if self.ask_at is not None and now >= self.ask_at:
@@ -711,13 +712,13 @@
                 qy.known_slow = True
 
 
-HANDLERS = (
-    Scheduler.taken,
-    Scheduler.ended,
-    Scheduler.left,
-    lambda *alarm: None,
-    Scheduler.progress,
-    Scheduler.engine,
-    Scheduler.list_lost,
-    Scheduler.stopping,
-)
+HANDLERS = {
+    i.Taken: Scheduler.taken,
+    i.Ended: Scheduler.ended,
+    i.Left: Scheduler.left,
+    i.Due: lambda *alarm: None,  # that a round is played is all that an alarm is for
+    i.Progressed: Scheduler.progress,
+    i.EngineListed: Scheduler.engine,
+    i.ListLost: Scheduler.list_lost,
+    i.Stopping: Scheduler.stopping,
+}
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -127,22 +127,22 @@
             late = age + max(0, self.now - at)
             for name, e in self.book.engines.of.items():
                 if name in self.book.listed:
-                    self.events.append((i.OTHERS, e, totals.get(name, 0), late))
+                    self.events.append(i.InFlightElsewhere(e, totals.get(name, 0), late))
 
         def parted(self, number, figures):
             self.told_parts = number
             for what, (part, until, then) in enumerate(figures):
                 # One without an end stands until the next is told.
-                self.events.append((i.PART, what, part, i.FOREVER if until is None else until + apart, then))
+                self.events.append(i.Leased(what, part, i.FOREVER if until is None else until + apart, then))
 
         def charged(self, works):
-            self.events.append((i.CHARGED, [works.get(name, 0) * 10 for name in self.tenant_names]))
+            self.events.append(i.Charged([works.get(name, 0) * 10 for name in self.tenant_names]))
 
         def judged(self, found, at):
             late = max(0, self.now - at)
             for name, (bad, slow, age) in found.items():
                 if name in self.book.listed:
-                    self.events.append((i.JUDGED, self.book.engines.of[name], bad, slow, age + late))
+                    self.events.append(i.Judged(self.book.engines.of[name], bad, slow, age + late))
 
         READERS = base.READERS | {name: name for name in ("others", "parted", "charged", "judged")}
 
--- a/wickvane/shares/fleet.py
+++ b/wickvane/shares/fleet.py
@@ -38,15 +38,15 @@
         self.leases = [WHOLE, WHOLE]  # of BOUNDS and of COLD
         self.told_lasts = 0.0
         self.handlers = {
-            i.OTHERS: self.told_in_flight,
-            i.PART: self.leased,
-            i.CHARGED: self.charged,
-            i.JUDGED: self.judged,
+            i.InFlightElsewhere: self.told_in_flight,
+            i.Leased: self.leased,
+            i.Charged: self.charged,
+            i.Judged: self.judged,
         }
 
-    def hear(self, code, *fields):
+    def hear(self, event):
         """One event of a round."""
-        self.handlers[code](*fields)
+        self.handlers[type(event)](*event)
 
     def before_decisions(self, now):
         """Called once a round, ahead of what is decided: who stood still past a lease's end has lost it."""
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -38,8 +38,7 @@
     def job_in(self, item, lists):
         tenant = item.get("client_group")
         self.events.append(
-            (
-                i.TAKEN,
+            i.Taken(
                 self.book.take(item["id"]),
                 self.book.groups.index[item["profile"]],
                 self.book.tenants(tenant) if tenant else 0,
@@ -58,8 +57,7 @@
         self.book.ended(q, node)
         stats = int(item.get("stats") or 0)
         self.events.append(
-            (
-                i.ENDED,
+            i.Ended(
                 q,
                 item["attempt"],
                 self.book.engines.of[node],
@@ -77,21 +75,21 @@
     def aborted(self, item, lists):
         q = self.book.queries.of.get(item["id"])
         if q is not None:
-            self.events.append((i.LEFT, q))
+            self.events.append(i.Left(q))
             self.book.over.add(q)
 
     def due(self, item, lists):
-        self.events.append((i.DUE, item["token"]))
+        self.events.append(i.Due(item["token"]))
 
     def update_of(self, item, lists):
         q, e = self.book.queries.of.get(item["id"]), self.book.engines.of.get(item["node"])
         if q is not None and e is not None:
             amount = item.get("amount") or 0
-            self.events.append((i.PROGRESS, q, item["attempt"], e, item["what"], amount))
+            self.events.append(i.Progressed(q, item["attempt"], e, item["what"], amount))
 
     def registry(self, item, lists):
         if item["mode"] == "refused":
-            self.events.append((i.LIST_LOST,))
+            self.events.append(i.ListLost())
             return
         entries = lists[item["table"]]
         if item["mode"] != "changes":
