--- a/tests/fuzz_codecs.py
+++ b/tests/fuzz_codecs.py
@@ -3,7 +3,7 @@
     pip install atheris==3.0.0
     python tests/fuzz_codecs.py [-max_total_time=60] [CORPUS]
 
-Anything but the codecs' own Malformed is a finding, and so is a buffer past its bound. What it starts from is
+Anything but a ProtocolError is a finding, and so is a buffer past its bound. What it starts from is
 made here; a finding is written by the fuzzer as a file, and goes as a case into the tests.
 """
 
@@ -13,6 +13,8 @@
 
 import atheris
 
+from wickvane.errors import ProtocolError
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path[:0] = [ROOT, os.path.join(ROOT, "tests")]
 
@@ -59,7 +61,7 @@
         return
     try:
         READERS[data[0] % len(READERS)](data[1:])
-    except (packets.Malformed, ipfix.Malformed):
+    except ProtocolError:
         pass
 
 
--- a/tests/standins/collector.py
+++ b/tests/standins/collector.py
@@ -6,8 +6,9 @@
 import time
 from threading import Event, Lock, Thread
 
+from wickvane.errors import ProtocolError
 from wickvane.flows.collected import Collected
-from wickvane.flows.ipfix import Malformed, Reader
+from wickvane.flows.ipfix import Reader
 from wickvane.flows.netflow9 import Reader9
 
 ENTERPRISE = 32_473
@@ -47,7 +48,7 @@
                 for event in events:
                     self.events.append(event[:3])
                     self.collected.take(event)
-            except Malformed:
+            except ProtocolError:
                 self.collected.malformed += 1
                 return False
         return True
--- a/tests/standins/tds_engine.py
+++ b/tests/standins/tds_engine.py
@@ -8,6 +8,7 @@
 
 from bench_free import STANDING, reset
 
+from wickvane.errors import ProtocolError
 from wickvane.net.tds import login as lg
 from wickvane.net.tds import packets, statements, types
 from wickvane.net.tds import tokens as t
@@ -128,7 +129,7 @@
     def guarded(self, connection):
         try:
             connection.serve()
-        except (OSError, ValueError, struct.error, packets.Malformed, AttributeError):
+        except (OSError, ValueError, struct.error, ProtocolError, AttributeError):
             pass
         connection.sock.close()
 
--- a/tests/test_flow_codecs.py
+++ b/tests/test_flow_codecs.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from spoilt import inputs
 
+from wickvane.errors import ProtocolError
 from wickvane.flows import accounts as a
 from wickvane.flows import ipfix, netflow9
 from wickvane.flows.collected import Collected, Sequence
@@ -198,13 +199,13 @@
     ],
 )
 def test_spoilt_sets_are_refused_with_a_reason(sets, why):
-    with pytest.raises(ipfix.Malformed, match=why):
+    with pytest.raises(ProtocolError, match=why):
         list(ipfix.Reader(PEN).message(ipfix.message(1, 0, 0, sets)))
 
 
 def test_more_templates_than_are_held_are_refused():
     reader = ipfix.Reader(PEN, templates=5)
-    with pytest.raises(ipfix.Malformed, match="too many"):
+    with pytest.raises(ProtocolError, match="too many"):
         for n in range(9):
             sets = struct.pack("!HHHHHH", 2, 12, 300 + n, 1, 1, 8)
             list(reader.message(ipfix.message(1, 0, 0, sets)))
@@ -224,7 +225,7 @@
         try:
             count = sum(1 for _ in read(data))
             assert count <= 2 * len(data) + 3
-        except ipfix.Malformed:
+        except ProtocolError:
             pass
     assert stream.midway() <= 65_535 and len(reader.shapes) <= 1024
 
--- a/tests/test_members_files.py
+++ b/tests/test_members_files.py
@@ -35,9 +35,10 @@
 from wickvane.control import fleet as fl
 from wickvane.control import tool
 from wickvane.control.catalog import Catalog
+from wickvane.errors import ConfigError
 from wickvane.members import document, journal, watch
 from wickvane.members.membership import Membership, Terms
-from wickvane.members.source import Source, Unstartable
+from wickvane.members.source import Source
 from wickvane.net.clock import Clock
 from wickvane.net.counters import Counters
 from wickvane.net.service import Service
@@ -356,7 +357,7 @@
     following = Following(path, state)
     swap(path, [*fleet(3), member(3, weight=0.0)], 2)
     until(lambda: following.told.get("e3") == i.DRAINING)
-    with pytest.raises(Unstartable, match="another process"):
+    with pytest.raises(ConfigError, match="another process"):
         Following(path, state)
     following.stop()
     for spoil in (lambda: os.unlink(path), lambda: swap(path, fleet(4), 1)):
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -10,6 +10,7 @@
 from bench_free import SETTINGS, entry, event, hit, i, rows, sse, statement
 
 from wickvane.door import Book
+from wickvane.errors import ProtocolError
 from wickvane.net import coordinator
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Exchange, PendingQuery, Submission
@@ -119,8 +120,8 @@
         for n, (work, wrong) in enumerate(
             (
                 (lambda text=text: (is_empty(text), READER.read(text)), Unusable),
-                (lambda answer=answer: lines.parse(answer), lines.Malformed),
-                (lambda news=news: follow([news]), coordinator.Malformed),
+                (lambda answer=answer: lines.parse(answer), ProtocolError),
+                (lambda news=news: follow([news]), ProtocolError),
             )
         ):
             try:
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -39,8 +39,9 @@
 
 from wickvane import interface as i
 from wickvane import parts
+from wickvane.errors import ConfigError
 from wickvane.net.lines import connection as lines
-from wickvane.net.service import Service, Unstartable
+from wickvane.net.service import Service
 from wickvane.net.tds import errors, logins, packets
 from wickvane.net.tds import login as lg
 from wickvane.net.tds import tokens as t
@@ -1000,7 +1001,7 @@
 
 
 def test_a_document_that_names_an_unknown_kind_of_engines_is_refused():
-    with pytest.raises(Unstartable, match="expected a kind of host_types: old, mssql"):
+    with pytest.raises(ConfigError, match="expected a kind of host_types: old, mssql"):
         service = parts.read_text('tds { engines "other" { user "w" } }')
         made = found([], Events())
         made["settings"] = settled()
--- a/tests/test_tds_codec.py
+++ b/tests/test_tds_codec.py
@@ -11,10 +11,10 @@
 from hypothesis import strategies as st
 from spoilt import inputs
 
+from wickvane.errors import ProtocolError
 from wickvane.net.tds import login as lg
 from wickvane.net.tds import packets, results, statements, types
 from wickvane.net.tds import tokens as t
-from wickvane.net.tds.packets import Malformed
 from wickvane.net.tds.types import Cursor
 
 
@@ -64,7 +64,7 @@
     ],
 )
 def test_packets_that_lie_are_refused(data, why):
-    with pytest.raises(Malformed, match=why):
+    with pytest.raises(ProtocolError, match=why):
         messages(data)
 
 
@@ -210,7 +210,7 @@
     for _ in range(statements.HANDLES_MOST):
         prepared.add("x", "")
     assert len(prepared.held) == statements.HANDLES_MOST
-    with pytest.raises(Malformed, match="handle"):
+    with pytest.raises(ProtocolError, match="handle"):
         statements.statement_of(again, prepared)
 
 
@@ -285,5 +285,5 @@
     ):
         try:
             read(data)
-        except Malformed:
+        except ProtocolError:
             pass
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -79,6 +79,7 @@
 from docopt import DocoptExit, docopt
 
 from wickvane import __version__
+from wickvane.errors import ConfigError
 
 
 def main(words=None):
@@ -118,7 +119,7 @@
         from wickvane.control.tool import status
 
         return status(asked["--to"], asked["--tls"], asked["--json"])
-    from wickvane.net.service import Service, Unstartable, configuration
+    from wickvane.net.service import Service, configuration
 
     path = os.environ.get("LB_CONFIG") if asked["--config"] == "$LB_CONFIG" else asked["--config"]
     more = os.environ.get("WICKVANE_PARTS") if asked["--parts"] == "$WICKVANE_PARTS" else asked["--parts"]
@@ -128,7 +129,7 @@
             print(f"wickvane: {more} can be used")
             return 0
         if not path:
-            raise Unstartable("no configuration: name one with --config or in LB_CONFIG", 2)
+            raise ConfigError("no configuration: name one with --config or in LB_CONFIG", 2)
         if asked["control"]:
             return control(path, more, found)
         config, members = configuration(path), (found or {}).get("members")
@@ -139,28 +140,27 @@
             return service.run(path, more)
         if asked["explain"]:
             return explain(service.reader, sys.stdin.buffer.read())
-    except Unstartable as error:
+    except ConfigError as error:
         print(f"wickvane: {error}", file=sys.stderr)
-        return error.code
+        return error.exit_code
     print(f"wickvane: {path} can be served" + (f", {more} can be used" if more else ""))
     return 0
 
 
 def parts_of(path):
     from wickvane import parts
-    from wickvane.net.shape import Unstartable
 
     try:
         return parts.read(path)
     except parts.Unusable as error:
-        raise Unstartable(str(error), 2) from None
+        raise ConfigError(str(error), 2) from None
 
 
 def control(path, more, found):
-    from wickvane.net.service import Unstartable, configuration
+    from wickvane.net.service import configuration
 
     if "control" not in (found or {}):
-        raise Unstartable(f"the parts document {more} has no node control", 2)
+        raise ConfigError(f"the parts document {more} has no node control", 2)
     from wickvane.control.server import Server
 
     return Server(configuration(path), found["control"], members=found.get("members")).run(path, more)
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -25,6 +25,7 @@
 from wickvane.control.placement import Placement
 from wickvane.control.resources import Make
 from wickvane.control.session import DELTA, SOTW, Broken
+from wickvane.errors import ConfigError
 from wickvane.net.clock import Clock
 from wickvane.net.coordinator import Coordinator
 from wickvane.net.counters import Counters
@@ -517,9 +518,7 @@
             else:
                 server.add_insecure_port(place)
         except (RuntimeError, OSError, ValueError) as error:
-            from wickvane.net.shape import Unstartable
-
-            raise Unstartable(f"cannot listen on {place}: {error}", 1) from None
+            raise ConfigError(f"cannot listen on {place}: {error}", 1) from None
         self.restore()
         # What the configuration knows comes before the first proxy, so that none is told less.
         self.coordinator, follower = None, None
--- a/wickvane/flows/export.py
+++ b/wickvane/flows/export.py
@@ -12,6 +12,7 @@
 from random import Random
 from threading import Condition, Event, Lock
 
+from wickvane.errors import ProtocolError
 from wickvane.flows import ipfix, netflow9, spool
 from wickvane.flows.accounts import Accounts
 from wickvane.flows.elements import PLAIN_KINDS
@@ -179,7 +180,7 @@
                 try:
                     spoilt = segment.counts[index - segment.first] == SPOILT
                     groups = {} if spoilt else self.groups_of(segment, self.read(segment, index))
-                except (OSError, ipfix.Malformed):
+                except (OSError, ProtocolError):
                     groups = {}
                 way.outlet.count_lost(1, size, groups)
                 self.exporter.counters.add("flow-messages-dropped")
@@ -459,7 +460,7 @@
                 if count == UNCOUNTED:
                     count = sum(self.line.groups_of(segment, data).values())
                     segment.counts[index - segment.first] = count
-            except (OSError, ipfix.Malformed) as error:
+            except (OSError, ProtocolError) as error:
                 self.exporter.fault("flow-spool-unreadable", error)
                 segment.counts[index - segment.first] = SPOILT
                 self.line.spoilt += 1
--- a/wickvane/flows/ipfix.py
+++ b/wickvane/flows/ipfix.py
@@ -12,6 +12,7 @@
 from hashlib import md5
 from zlib import crc32
 
+from wickvane.errors import ProtocolError
 from wickvane.flows.elements import ELEMENTS, FORMS, FULL_KINDS, OWN, SHAPES, VARIABLE, fixed, packer, text
 
 VERSION, HEAD, SET_HEAD = 10, struct.Struct("!HHIII"), struct.Struct("!HH")
@@ -29,10 +30,6 @@
 NOT_SENT_FIELDS = struct.Struct("!II"), struct.Struct("!QQQ")
 
 
-class Malformed(Exception):
-    """Input that is no IPFIX or NetFlow v9; nothing else is raised for any bytes."""
-
-
 class Generation:
     """The templates under one enterprise number: ids, and the records that define them. width: names have so
     many octets, for collectors that know no strings of variable length; 0: they are as long as they are."""
@@ -281,14 +278,14 @@
     for name, type, length in shape.fields:
         if length == VARIABLE:
             if at >= end:
-                raise Malformed("a record ends inside a string's length")
+                raise ProtocolError("a record ends inside a string's length")
             length, at = data[at], at + 1
             if length == 255:
                 if at + 2 > end:
-                    raise Malformed("a record ends inside a string's length")
+                    raise ProtocolError("a record ends inside a string's length")
                 length, at = int.from_bytes(data[at : at + 2], "big"), at + 2
         if at + length > end:
-            raise Malformed("a record ends inside a field")
+            raise ProtocolError("a record ends inside a field")
         found[name] = value_of(type, data[at : at + length])
         at += length
     return found, at
@@ -303,7 +300,7 @@
     ("unknown", domain, id, octets)          a set whose template is not known: skipped
     ("end", domain, sequence, records)       records None where some could not be counted
 
-    Raises Malformed and nothing else. Holds one message at most, and `templates` templates of `fields`
+    Raises ProtocolError and nothing else. Holds one message at most, and `templates` templates of `fields`
     fields."""
 
     def __init__(self, enterprise, templates=1024, fields=256):
@@ -328,7 +325,7 @@
                     return
             version, length = SET_HEAD.unpack_from(self.buffer)
             if version != VERSION or length < HEAD.size:
-                raise Malformed("this is no IPFIX message")
+                raise ProtocolError("this is no IPFIX message")
             more = min(length - len(self.buffer), len(view))
             if more > 0:
                 self.buffer += view[:more]
@@ -346,24 +343,24 @@
     def message(self, data):
         """Events of one whole message, as a datagram brings it."""
         if len(data) < HEAD.size:
-            raise Malformed("a message is shorter than its header")
+            raise ProtocolError("a message is shorter than its header")
         version, length, seconds, sequence, domain = HEAD.unpack_from(data)
         if version != VERSION or length != len(data):
-            raise Malformed("this is no IPFIX message, or its length is wrong")
+            raise ProtocolError("this is no IPFIX message, or its length is wrong")
         yield "message", domain, sequence, seconds
         at, count = HEAD.size, 0
         while at < length:
             if length - at < SET_HEAD.size:
-                raise Malformed("a set is shorter than its header")
+                raise ProtocolError("a set is shorter than its header")
             number, size = SET_HEAD.unpack_from(data, at)
             if size < SET_HEAD.size or at + size > length:
-                raise Malformed("a set's length is wrong")
+                raise ProtocolError("a set's length is wrong")
             begin, end = at + SET_HEAD.size, at + size
             at = end
             if number in (TEMPLATES, OPTIONS):
                 yield from self.define(domain, data, begin, end, number == OPTIONS)
             elif number < FIRST_DATA:
-                raise Malformed("a set's id is reserved")
+                raise ProtocolError("a set's id is reserved")
             elif (shape := self.shapes.get((domain, number))) is None:
                 count = None
                 yield "unknown", domain, number, end - begin
@@ -384,23 +381,23 @@
                 yield from self.withdraw(domain, number)
                 continue
             if number < FIRST_DATA or count > self.fields_most:
-                raise Malformed("a template's id or its number of fields is out of range")
+                raise ProtocolError("a template's id or its number of fields is out of range")
             scope = 0
             if options:
                 if end - at < 2:
-                    raise Malformed("a template ends inside its head")
+                    raise ProtocolError("a template ends inside its head")
                 scope, at = int.from_bytes(data[at : at + 2], "big"), at + 2
                 if not 0 < scope <= count:
-                    raise Malformed("an options template has no scope, or more than there are fields")
+                    raise ProtocolError("an options template has no scope, or more than there are fields")
             fields = []
             for _ in range(count):
                 if end - at < 4:
-                    raise Malformed("a template ends inside a field")
+                    raise ProtocolError("a template ends inside a field")
                 element, length = SET_HEAD.unpack_from(data, at)
                 at, enterprise = at + 4, 0
                 if element & 0x8000:
                     if end - at < 4:
-                        raise Malformed("a template ends inside a field")
+                        raise ProtocolError("a template ends inside a field")
                     element, enterprise, at = (
                         element & 0x7FFF,
                         int.from_bytes(data[at : at + 4], "big"),
@@ -412,9 +409,9 @@
 
     def learn(self, domain, number, shape):
         if not shape.least:
-            raise Malformed("a template's records would have no length")
+            raise ProtocolError("a template's records would have no length")
         if (domain, number) not in self.shapes and len(self.shapes) >= self.templates_most:
-            raise Malformed("there are too many templates")
+            raise ProtocolError("there are too many templates")
         self.shapes[domain, number] = shape
         return "template", domain, number, [name for name, _, _ in shape.fields]
 
--- a/wickvane/flows/netflow9.py
+++ b/wickvane/flows/netflow9.py
@@ -7,8 +7,9 @@
 
 import struct
 
+from wickvane.errors import ProtocolError
 from wickvane.flows.elements import ELEMENTS, FORMS, OWN, REVERSE_BIT, REVERSE_PEN, SHAPES, VARIABLE, fixed
-from wickvane.flows.ipfix import SET_HEAD, Malformed, Packer, Reader, Shape, fields_of, names_of
+from wickvane.flows.ipfix import SET_HEAD, Packer, Reader, Shape, fields_of, names_of
 
 VERSION, HEAD = 9, struct.Struct("!HHIIII")
 TEMPLATES, OPTIONS, FIRST_DATA = 0, 1, 256
@@ -128,22 +129,22 @@
         super().__init__(0, templates, fields)
 
     def feed(self, data):
-        raise Malformed("NetFlow version 9 comes in packets")
+        raise ProtocolError("NetFlow version 9 comes in packets")
 
     def message(self, data):
         if len(data) < HEAD.size:
-            raise Malformed("a packet is shorter than its header")
+            raise ProtocolError("a packet is shorter than its header")
         version, _, _, seconds, sequence, source = HEAD.unpack_from(data)
         if version != VERSION:
-            raise Malformed("this is no NetFlow version 9")
+            raise ProtocolError("this is no NetFlow version 9")
         yield "message", source, sequence, seconds
         at = HEAD.size
         while at < len(data):
             if len(data) - at < SET_HEAD.size:
-                raise Malformed("a flow set is shorter than its header")
+                raise ProtocolError("a flow set is shorter than its header")
             number, size = SET_HEAD.unpack_from(data, at)
             if size < SET_HEAD.size or at + size > len(data):
-                raise Malformed("a flow set's length is wrong")
+                raise ProtocolError("a flow set's length is wrong")
             begin, end = at + SET_HEAD.size, at + size
             at = end
             if number == TEMPLATES:
@@ -151,7 +152,7 @@
             elif number == OPTIONS:
                 yield from self.define_options(source, data, begin, end)
             elif number < FIRST_DATA:
-                raise Malformed("a flow set's id is reserved")
+                raise ProtocolError("a flow set's id is reserved")
             elif (shape := self.shapes.get((source, number))) is None:
                 yield "unknown", source, number, end - begin
             else:
@@ -166,7 +167,7 @@
             type, length = SET_HEAD.unpack_from(data, at + 4 * n)
             known = ((0, type), "octetArray") if n < scope else NAMES.get(type, ((0, type), "octetArray"))
             if length == VARIABLE:
-                raise Malformed("a field of version 9 has no fixed length")
+                raise ProtocolError("a field of version 9 has no fixed length")
             fields.append((*known, length))
         return fields
 
@@ -177,7 +178,7 @@
                 return  # padding
             at += SET_HEAD.size
             if number < FIRST_DATA or not 0 < count <= self.fields_most or end - at < 4 * count:
-                raise Malformed("a template is out of range, or cut short")
+                raise ProtocolError("a template is out of range, or cut short")
             yield self.learn(source, number, Shape(self.fields9(data, at, count), 0))
             at += 4 * count
 
@@ -196,6 +197,6 @@
                 or not 0 < count <= self.fields_most
                 or end - at < 4 * count
             ):
-                raise Malformed("an options template is out of range, or cut short")
+                raise ProtocolError("an options template is out of range, or cut short")
             yield self.learn(source, number, Shape(self.fields9(data, at, count, scope // 4), scope // 4))
             at += 4 * count
--- a/wickvane/flows/part.py
+++ b/wickvane/flows/part.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from wickvane import parts
+from wickvane.errors import ConfigError
 from wickvane.net import shape
 
 ENTERPRISE = 32_473  # RFC 5612: kept for examples; a site that has a number of its own names it
@@ -160,7 +161,7 @@
                 service.seed,
             )
         except Unusable as error:
-            raise shape.Unstartable(f"the parts document: {error}", 2) from None
+            raise ConfigError(f"the parts document: {error}", 2) from None
         service.accounts = self.exporter.accounts
 
     def settled(self, service):
--- a/wickvane/flows/spool.py
+++ b/wickvane/flows/spool.py
@@ -15,8 +15,9 @@
 import struct
 from zlib import crc32
 
+from wickvane.errors import ProtocolError
 from wickvane.flows.elements import ELEMENTS
-from wickvane.flows.ipfix import HEAD, SET_HEAD, VERSION, Malformed, Reader, checksum_holds, message
+from wickvane.flows.ipfix import HEAD, SET_HEAD, VERSION, Reader, checksum_holds, message
 from wickvane.flows.outlet import SPOILT, UNCOUNTED, Segment
 
 SEGMENT = re.compile(r"flows-(\d{20})-([0-9a-f]{8})\.ipfix\Z")
@@ -75,7 +76,7 @@
                 continue
             try:
                 segment, after, spoilt, cut = self.recover_segment(name, int(found[1]), int(found[2], 16))
-            except (OSError, Malformed) as error:
+            except (OSError, ProtocolError) as error:
                 faults.append((name, str(error), 0, 0))
                 self.set_aside(name)
                 continue
@@ -97,11 +98,11 @@
         with open(path, "rb") as file:
             data = file.read()
         if len(data) < HEAD.size:
-            raise Malformed("its head is cut")
+            raise ProtocolError("its head is cut")
         version, length, _, sequence, domain = HEAD.unpack_from(data)
         sets = data[HEAD.size : length]
         if version != VERSION or not HEAD.size <= length <= len(data) or crc32(sets) != mark:
-            raise Malformed("its templates are cut or spoilt")
+            raise ProtocolError("its templates are cut or spoilt")
         segment = Segment(first, Generation(sets, domain), length, name)
         at, spoilt, last = length, 0, b""
         while len(data) - at >= HEAD.size:
--- a/wickvane/flows/tool.py
+++ b/wickvane/flows/tool.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from wickvane.errors import ProtocolError
 from wickvane.flows import ipfix, netflow9
 from wickvane.flows.collected import SUMMED, Collected, Table
 from wickvane.flows.part import ENTERPRISE
@@ -93,7 +94,7 @@
                 else:
                     try:
                         self.take(list(reader.message(data)))
-                    except ipfix.Malformed as error:
+                    except ProtocolError as error:
                         self.notes.append(f"{path}: octet {at}: {error}")
                 at += size
         if spoilt:
@@ -152,7 +153,7 @@
                 return
         except BlockingIOError:
             return
-        except (OSError, ipfix.Malformed) as error:
+        except (OSError, ProtocolError) as error:
             self.notes.append(f"a connection ended: {error}")
         selector.unregister(conn)
         del readers[conn]
@@ -171,7 +172,7 @@
             readers[place] = netflow9.Reader9() if nine else ipfix.Reader(enterprise)
         try:
             self.take(readers[place].message(data))
-        except ipfix.Malformed as error:
+        except ProtocolError as error:
             self.collected.malformed += 1
             if len(self.notes) < 100:
                 self.notes.append(f"a datagram of {peer[0]}:{peer[1]}: {error}")
--- a/wickvane/members/source.py
+++ b/wickvane/members/source.py
@@ -13,12 +13,12 @@
 
 import orjson
 
+from wickvane.errors import ConfigError
 from wickvane.members import document, journal, watch
 from wickvane.members.findings import REFUSE, Finding, Unfit
 from wickvane.members.gather import Gathered
 from wickvane.members.membership import Membership
 from wickvane.members.part import EVENTS
-from wickvane.net.shape import Unstartable
 from wickvane.net.threads import Threads
 
 AGAIN = 20_000  # a change that was refused by what is at work is looked at anew so often
@@ -45,7 +45,7 @@
     # The journal
 
     def restore(self):
-        """What was at work, before anything is told. Raises Unstartable."""
+        """What was at work, before anything is told. Raises ConfigError."""
         try:
             os.makedirs(os.path.join(self.part.state, ORDERS), 0o700, exist_ok=True)
             self.journal = journal.Journal(self.part.state)
@@ -55,9 +55,9 @@
                     os.unlink(os.path.join(orders, name))
             records = self.journal.read()
         except journal.InUse as error:
-            raise Unstartable(f"members: {error}", 2) from None
+            raise ConfigError(f"members: {error}", 2) from None
         except OSError as error:
-            raise Unstartable(f"members: {self.part.state} cannot be used: {error.strerror}", 2) from None
+            raise ConfigError(f"members: {self.part.state} cannot be used: {error.strerror}", 2) from None
         except journal.Unreadable as error:
             # What cannot be read is kept for people to look at; nothing is known then.
             self.torn, records = True, []
@@ -68,7 +68,7 @@
             for record in records:
                 self.membership.apply(record)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise Unstartable(
+            raise ConfigError(
                 f"members: the journal in {self.part.state} has a record that cannot be used: "
                 f"{type(error).__name__}: {error}",
                 2,
--- a/wickvane/members/tool.py
+++ b/wickvane/members/tool.py
@@ -12,6 +12,7 @@
 import orjson
 
 from wickvane import interface as i
+from wickvane.errors import ConfigError
 from wickvane.members import checks, document, journal, watch
 from wickvane.members.findings import NOTE, Finding, Unfit
 from wickvane.members.gather import Gathered
@@ -170,11 +171,11 @@
     if not config:
         return ANY
     from wickvane.door import Book
-    from wickvane.net.service import Unstartable, configuration
+    from wickvane.net.service import configuration
 
     try:
         return checks.facts_of(Book(configuration(config)["settings"]))
-    except Unstartable as error:
+    except ConfigError as error:
         raise Wrong(str(error)) from None
     except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
         raise Wrong(f"the configuration {config} cannot be used: {error}") from None
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -9,6 +9,7 @@
 import orjson
 
 from wickvane import interface as i
+from wickvane.errors import ProtocolError
 
 STATES = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 LINE_MOST, EVENT_MOST, HEAD_MOST = 1 << 20, 1 << 21, 16_384
@@ -17,10 +18,6 @@
 PAUSE_FIRST, PAUSE_MOST, LIVED_S = 0.02, 0.25, 5.0
 
 
-class Malformed(Exception):
-    pass
-
-
 def address_of(text):
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
@@ -44,7 +41,7 @@
             raise ValueError("a figure")
         return name, address, state, zone, kind, cell, started, float(weight)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise Malformed(f"an entry cannot be read: {error}") from None
+        raise ProtocolError(f"an entry cannot be read: {error}") from None
 
 
 def read_event(event):
@@ -55,7 +52,7 @@
             raise ValueError("index")
         return number, bool(change.get("snapshot")), [read_entry(entry) for entry in change["endpoints"]]
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise Malformed(f"an event cannot be read: {error}") from None
+        raise ProtocolError(f"an event cannot be read: {error}") from None
 
 
 class Lines:
@@ -73,7 +70,7 @@
     def raw(self, most):
         while (end := self.buffer.find(b"\n")) < 0:
             if len(self.buffer) > most:
-                raise Malformed("a line is too long")
+                raise ProtocolError("a line is too long")
             self.more()
         line = bytes(self.buffer[:end]).rstrip(b"\r")
         del self.buffer[: end + 1]
@@ -84,14 +81,14 @@
         while line := self.raw(HEAD_MOST):
             total += len(line)
             if total > HEAD_MOST:
-                raise Malformed("the head is too long")
+                raise ProtocolError("the head is too long")
             name, _, value = line.partition(b":")
             fields[name.strip().lower()] = value.strip().lower()
         words = status.split(None, 2)
         if len(words) < 2 or not words[0].startswith(b"HTTP/1."):
-            raise Malformed("no HTTP answer")
+            raise ProtocolError("no HTTP answer")
         if words[1] != b"200":
-            raise Malformed(f"status {words[1][:8].decode('ascii', 'replace')}")
+            raise ProtocolError(f"status {words[1][:8].decode('ascii', 'replace')}")
         self.chunked = fields.get(b"transfer-encoding") == b"chunked"
 
     def body(self):
@@ -102,11 +99,11 @@
                 try:
                     left = int(size, 16)
                 except ValueError:
-                    raise Malformed("a chunk has no length") from None
+                    raise ProtocolError("a chunk has no length") from None
                 if left == 0:
                     raise EOFError
                 if left > EVENT_MOST:
-                    raise Malformed("a chunk is too long")
+                    raise ProtocolError("a chunk is too long")
                 while len(self.buffer) < left + 2:
                     self.more()
                 text += self.buffer[:left]
@@ -120,7 +117,7 @@
                 yield bytes(text[:end]).rstrip(b"\r")
                 del text[: end + 1]
             if len(text) > LINE_MOST:
-                raise Malformed("a line is too long")
+                raise ProtocolError("a line is too long")
 
 
 def read_known(known):
@@ -180,7 +177,7 @@
                 self.follow()
             except EOFError:
                 pass
-            except Malformed as error:
+            except ProtocolError as error:
                 reason, detail = "malformed", str(error)
                 self.counters.add("list-events-malformed")
             except TimeoutError:
@@ -223,17 +220,17 @@
                     data.append(line[5:].removeprefix(b" "))
                     size += len(line)
                     if size > EVENT_MOST:
-                        raise Malformed("an event is too long")
+                        raise ProtocolError("an event is too long")
 
     def event(self, data):
         try:
             event = read_event(orjson.loads(data))
         except orjson.JSONDecodeError:
-            raise Malformed("an event is no JSON") from None
+            raise ProtocolError("an event is no JSON") from None
         number, whole, _ = event
         if self.last and number > self.last + 1 and not whole and self.gap_at != self.last:
             # What lies in between may be the end of an engine. One that stays a gap when asked for is none.
             self.gap_at = self.last
-            raise Malformed(f"event {number} came after {self.last}")
+            raise ProtocolError(f"event {number} came after {self.last}")
         self.tell(event)
         self.pause = PAUSE_FIRST
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -8,6 +8,7 @@
 from threading import Lock
 
 from wickvane import interface as i
+from wickvane.errors import RequestRejected
 from wickvane.net.queues import BoundedQueue, ReadyQueue
 
 FINISHED, DEFERRED, KILLED, LEFT = "finished", "deferred", "killed", "left"
@@ -15,14 +16,6 @@
 STOPS = "57P03"  # the SQLSTATE of what a dispatcher that ends does not take
 
 
-class RequestRejected(Exception):
-    """A query that is not taken, with the SQLSTATE and the words that its client is told."""
-
-    def __init__(self, sqlstate, text):
-        super().__init__(text)
-        self.sqlstate, self.text = sqlstate, text
-
-
 class PendingQuery:
     """A query between its session and its engines."""
 
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -13,6 +13,7 @@
 from threading import Lock
 
 from wickvane import interface as i
+from wickvane.errors import ProtocolError
 from wickvane.net.counters import FIRST, FORWARD, FURTHER, NOBODY, REVERSE
 from wickvane.net.lines.pages import PAGES_MOST, RESULT_MOST, is_page
 
@@ -30,19 +31,15 @@
 NUMBER = re.compile(rb"\d{1,15}(\.\d{0,15})?\Z")
 
 
-class Malformed(Exception):
-    pass
-
-
 def figure(value, most):
     if not NUMBER.match(value) or float(value) > most:
-        raise Malformed("a figure is no number, or out of range")
+        raise ProtocolError("a figure is no number, or out of range")
     return float(value)
 
 
 def page_number(value):
     if not value.isdigit() or len(value) > 3 or int(value) > PAGES_MOST:
-        raise Malformed("a page's number cannot be, or is out of range")
+        raise ProtocolError("a page's number cannot be, or is out of range")
     return int(value)
 
 
@@ -51,25 +48,25 @@
     end = buffer.find(b"\r\n", 0, LINE_MOST + 2)
     if end < 0:
         if len(buffer) > LINE_MOST:
-            raise Malformed("a line is too long")
+            raise ProtocolError("a line is too long")
         return None
     words = bytes(buffer[:end]).split(b" ")
     if len(words) != 4 or not all(words) or not words[3].isdigit() or len(words[3]) > 5:
-        raise Malformed("a line has not the form of an answer")
+        raise ProtocolError("a line has not the form of an answer")
     length = int(words[3])
     if length > BODY_MOST:
-        raise Malformed("a page is too long")
+        raise ProtocolError("a page is too long")
     whole = end + 2 + length + 2
     if len(buffer) < whole:
         return None
     if buffer[whole - 2 : whole] != b"\r\n":
-        raise Malformed("a length is wrong")
+        raise ProtocolError("a length is wrong")
     fields = {}
     if words[2] != b"-":
         for part in words[2].split(b","):
             name, equals, value = part.partition(b"=")
             if not equals:
-                raise Malformed("fields cannot be read")
+                raise ProtocolError("fields cannot be read")
             fields[name] = value
     body = bytes(buffer[end + 2 : whole - 2])
     del buffer[:whole]
@@ -138,7 +135,7 @@
     def guard(self, work):
         try:
             work()
-        except Malformed as error:
+        except ProtocolError as error:
             self.fail("malformed", str(error))
         except OSError as error:
             self.fail(
@@ -433,7 +430,7 @@
         if word == b"HIT":
             sheets = page_number(fields.get(b"sheets", b"1"))
             if not sheets or not is_page(body):
-                raise Malformed("a result has no page that can be read")
+                raise ProtocolError("a result has no page that can be read")
             sub.told = self.link.clock.now()
             sub.work = int(figure(fields.get(b"toil", b"0"), 1e9) * 10)
             sub.memory = figure(fields.get(b"room", b"0"), 1e9)
@@ -447,14 +444,14 @@
         elif word == b"PART" and sub.pages is not None:
             n = page_number(fields.get(b"sheet", b""))
             if not 0 < n < len(sub.pages) or not is_page(body):
-                raise Malformed("a page is out of range or cannot be read")
+                raise ProtocolError("a page is out of range or cannot be read")
             if sub.pages[n] is not None:
                 self.link.counters.add("answers-surplus")
                 return
             sub.pages[n] = body
             if None not in sub.pages:
                 if sum(map(len, sub.pages)) > RESULT_MOST:
-                    raise Malformed("a result is too long")
+                    raise ProtocolError("a result is too long")
                 self.drop(sub, i.FINISHED, sub.pages)
                 self.put("line", b"FREE %b\r\n" % txn, sub.ticket)
         elif word == b"FAULT":
@@ -464,7 +461,7 @@
         elif word == b"LATE" and sub.pages is None:
             self.drop(sub, i.NOT_SENT)
         else:
-            raise Malformed("an answer that does not fit what was asked")
+            raise ProtocolError("an answer that does not fit what was asked")
 
     # The end
 
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -14,8 +14,9 @@
 import orjson
 
 from wickvane.door import Book
+from wickvane.errors import ConfigError, ProtocolError
 from wickvane.net.clock import Clock
-from wickvane.net.coordinator import Coordinator, Malformed, address_of, read_known
+from wickvane.net.coordinator import Coordinator, address_of, read_known
 from wickvane.net.counters import Counters
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Exchange
@@ -23,7 +24,6 @@
 from wickvane.net.listener import SPARE, Listener
 from wickvane.net.log import Log
 from wickvane.net.postgres.session import Session
-from wickvane.net.shape import Unstartable
 from wickvane.net.statement import Reader
 from wickvane.net.threads import Stopped, Threads
 from wickvane.settings import Section, SettingsError, settings_of
@@ -49,14 +49,14 @@
         with open(path, "rb") as file:
             found = orjson.loads(file.read())
     except OSError as error:
-        raise Unstartable(f"the configuration {path} cannot be read: {error.strerror}", 2) from None
+        raise ConfigError(f"the configuration {path} cannot be read: {error.strerror}", 2) from None
     except orjson.JSONDecodeError as error:
-        raise Unstartable(f"the configuration {path} is no JSON: {error}", 2) from None
+        raise ConfigError(f"the configuration {path} is no JSON: {error}", 2) from None
     return found
 
 
 def understood(found, fronts=(), members=None):
-    """The parts of a configuration in the form that is worked with; Unstartable where one cannot be used.
+    """The parts of a configuration in the form that is worked with; ConfigError where one cannot be used.
     members: that part, with which no coordinator is needed unless it overrides what one lists."""
     try:
         settings, limits = found["settings"], Section(found.get("limits") or {}, "limits")
@@ -73,14 +73,14 @@
             coordinator,
             read_known(found.get("known") or {}),
         )
-    except Malformed as error:
-        raise Unstartable(f"the configuration's list of engines: {error}", 2) from None
+    except ProtocolError as error:
+        raise ConfigError(f"the configuration's list of engines: {error}", 2) from None
     except (KeyError, IndexError) as error:
-        raise Unstartable(f"the configuration lacks, or does not know, {error}", 2) from None
+        raise ConfigError(f"the configuration lacks, or does not know, {error}", 2) from None
     except SettingsError as error:
-        raise Unstartable(f"the configuration cannot be used: {error}", 2) from None
+        raise ConfigError(f"the configuration cannot be used: {error}", 2) from None
     except (TypeError, ValueError, AttributeError) as error:
-        raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
+        raise ConfigError(f"the configuration has a value of the wrong form: {error}", 2) from None
 
 
 def fixed(found):
@@ -166,7 +166,7 @@
             for part in self.parts:
                 part.join(self, found)
         except (TypeError, ValueError, AttributeError) as error:
-            raise Unstartable(f"the configuration has a value of the wrong form: {error}", 2) from None
+            raise ConfigError(f"the configuration has a value of the wrong form: {error}", 2) from None
         self.coordinator, self.known = None, known
         if coordinator:
             listed = self.lister.streamed if self.lister else self.listed
@@ -208,7 +208,7 @@
             self.listeners.append(Listener(address, self, most, session, self.gate))
         except OSError as error:
             place = f"{address[0]}:{address[1]}"
-            raise Unstartable(f"cannot listen on {place}: {error.strerror}", 1) from None
+            raise ConfigError(f"cannot listen on {place}: {error.strerror}", 1) from None
 
     def thread(self, work, name):
         """One of those that nothing works without: its death ends the program, and is seen."""
--- a/wickvane/net/shape.py
+++ b/wickvane/net/shape.py
@@ -1,4 +1,4 @@
-"""The one shape of what the parts document turns on, and what a program that cannot start says.
+"""The one shape of what the parts document turns on.
 
 Below the service and all parts, so that either may import it. A part's module has read(node), which makes
 plain figures of the document, and the class At, which puts them to work in a dispatcher; a node that is no
@@ -7,17 +7,9 @@
 """
 
 
-class Unstartable(Exception):
-    """code: the program's exit status."""
-
-    def __init__(self, text, code):
-        super().__init__(text)
-        self.code = code
-
-
 class Part:
     """One node of the parts document in one dispatcher: each step is called once, in this order, but those
-    of a reload. Raises Unstartable up to start()."""
+    of a reload. Raises ConfigError up to start()."""
 
     name = ""
     threads = 0  # it holds for good
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -18,6 +18,7 @@
 from struct import pack
 
 from wickvane import interface as i
+from wickvane.errors import ProtocolError
 from wickvane.net.lines import connection as lines
 from wickvane.net.queues import ResultStream
 from wickvane.net.tds import errors, packets, statements
@@ -133,12 +134,6 @@
         return sock
 
     def work(self):
-        try:
-            self.talk()
-        except packets.Malformed as error:
-            raise lines.Malformed(str(error)) from None
-
-    def talk(self):
         sock = self.dial()
         with self.lock:
             self.sock = sock  # so that a connection that is ended meanwhile is closed under its login
@@ -207,7 +202,7 @@
                 if size.isdigit() and packets.SIZE_LEAST <= int(size) <= packets.SIZE_MOST:
                     self.size = int(size)
             if count > LOGIN_TOKENS_MOST:
-                raise packets.Malformed("a login's answer is too long")
+                raise ProtocolError("a login's answer is too long")
         return None if welcome else why
 
     # Reading
@@ -222,7 +217,7 @@
                 half = self.assembler.buffer or self.stream and self.stream.midway()
                 stalls = stalls + 1 if half else 0
                 if stalls >= STALLS:
-                    raise packets.Malformed("an answer stopped midway") from None
+                    raise ProtocolError("an answer stopped midway") from None
                 continue
             if not data:
                 return self.fail("peer-closed")
@@ -234,7 +229,7 @@
             while (found := self.assembler.packet()) is not None:
                 kind, status, body = found
                 if kind != packets.RESULT or self.stream is None or not self.busy:
-                    raise packets.Malformed("an answer to nothing")
+                    raise ProtocolError("an answer to nothing")
                 if self.attending and (self.pipe is not None or self.gathered > RESULT_MOST):
                     self.discard(body, status & packets.LAST)
                 else:
@@ -246,7 +241,7 @@
         sub, ended, chunk, size = self.submission, None, [], 0
         for token, raw, said in self.stream.feed(body):
             if ended is not None and not self.attending:
-                raise packets.Malformed("tokens behind the end of an answer")
+                raise ProtocolError("tokens behind the end of an answer")
             if token in t.DONES:
                 status, _, rows = said
                 if status & t.ATTENTION:
@@ -277,7 +272,7 @@
                 self.result.clear()  # given up, or an error's: nobody reads it
         if last:
             if self.stream.midway() or ended is None:
-                raise packets.Malformed("an answer without its end")
+                raise ProtocolError("an answer without its end")
             self.finish(sub, ended)
 
     def discard(self, body, last):
@@ -287,7 +282,7 @@
             return
         end = body[-DONE_SIZE:]
         if len(end) < DONE_SIZE or end[0] not in t.DONES:
-            raise packets.Malformed("an answer without its end")
+            raise ProtocolError("an answer without its end")
         self.finish(self.submission, int.from_bytes(end[1:3], "little"))
 
     def begin_stream(self, sub):
--- a/wickvane/net/tds/fronts.py
+++ b/wickvane/net/tds/fronts.py
@@ -2,7 +2,7 @@
 door."""
 
 from wickvane import parts
-from wickvane.net.shape import Unstartable
+from wickvane.errors import ConfigError
 from wickvane.net.statement import Reader
 from wickvane.net.tds.connection import Connection
 from wickvane.net.tds.session import Door, Session
@@ -20,7 +20,7 @@
 
 
 def unstartable(text):
-    return Unstartable(f"the parts document: tds: {text}", 2)
+    return ConfigError(f"the parts document: tds: {text}", 2)
 
 
 def fronts(part, found):
--- a/wickvane/net/tds/login.py
+++ b/wickvane/net/tds/login.py
@@ -2,7 +2,8 @@
 
 import struct
 
-from wickvane.net.tds.packets import SIZE, SIZE_LEAST, SIZE_MOST, Malformed
+from wickvane.errors import ProtocolError
+from wickvane.net.tds.packets import SIZE, SIZE_LEAST, SIZE_MOST
 
 VERSION, ENCRYPTION, INSTANCE, THREAD, MARS, TRACE, FEDAUTH, NONCE, END = 0, 1, 2, 3, 4, 5, 6, 7, 255
 ENCRYPT_OFF, ENCRYPT_ON, ENCRYPT_NOT_SUPPORTED, ENCRYPT_REQUIRED = range(4)
@@ -19,15 +20,15 @@
     found, at = {}, 0
     while True:
         if at >= len(body):
-            raise Malformed("a PRELOGIN has no end")
+            raise ProtocolError("a PRELOGIN has no end")
         option = body[at]
         if option == END:
             return found
         if at + 5 > len(body) or len(found) > 32:
-            raise Malformed("a PRELOGIN ends inside an option")
+            raise ProtocolError("a PRELOGIN ends inside an option")
         offset, length = struct.unpack_from(">HH", body, at + 1)
         if offset + length > len(body):
-            raise Malformed("a PRELOGIN's option lies outside of it")
+            raise ProtocolError("a PRELOGIN's option lies outside of it")
         found[option] = body[offset : offset + length]
         at += 5
 
@@ -44,7 +45,7 @@
 def encryption(found):
     value = found.get(ENCRYPTION, b"\2")
     if len(value) != 1 or value[0] > 3:
-        raise Malformed("a PRELOGIN's encryption cannot be")
+        raise ProtocolError("a PRELOGIN's encryption cannot be")
     return value[0]
 
 
@@ -66,10 +67,10 @@
 
 def read_login(body):
     if len(body) < LOGIN_HEAD:
-        raise Malformed("a LOGIN7 is cut")
+        raise ProtocolError("a LOGIN7 is cut")
     length, version, size = struct.unpack_from("<III", body)
     if length != len(body):
-        raise Malformed("a LOGIN7's length is wrong")
+        raise ProtocolError("a LOGIN7's length is wrong")
     login, flags2, flags3 = Login(), body[25], body[27]
     login.version, login.integrated, login.features = version, bool(flags2 & INTEGRATED_FLAG), []
     login.packet_size = max(SIZE_LEAST, min(size or SIZE, SIZE_MOST))
@@ -79,9 +80,9 @@
             login.extension = (offset, count)
             continue
         if count and not LOGIN_HEAD - 8 <= offset <= len(body) - 2 * count:
-            raise Malformed(f"a LOGIN7's {name} lies outside of it")
+            raise ProtocolError(f"a LOGIN7's {name} lies outside of it")
         if count > 128:
-            raise Malformed(f"a LOGIN7's {name} is too long")
+            raise ProtocolError(f"a LOGIN7's {name} is too long")
         data = body[offset : offset + 2 * count]
         value = unscrambled(data) if name == "password" else data.decode("utf-16-le", "replace")
         setattr(login, name, value)
@@ -93,15 +94,15 @@
 def read_features(body, offset, count):
     """Ids of the feature extensions; what they hold is not looked at."""
     if count < 4 or offset + 4 > len(body):
-        raise Malformed("a LOGIN7's extension lies outside of it")
+        raise ProtocolError("a LOGIN7's extension lies outside of it")
     at, found = int.from_bytes(body[offset : offset + 4], "little"), []
     while at < len(body) and body[at] != 0xFF:
         if at + 5 > len(body) or len(found) >= FEATURES_MOST:
-            raise Malformed("a LOGIN7's features cannot be read")
+            raise ProtocolError("a LOGIN7's features cannot be read")
         found.append(body[at])
         at += 5 + int.from_bytes(body[at + 1 : at + 5], "little")
     if at >= len(body):
-        raise Malformed("a LOGIN7's features have no end")
+        raise ProtocolError("a LOGIN7's features have no end")
     return found
 
 
--- a/wickvane/net/tds/packets.py
+++ b/wickvane/net/tds/packets.py
@@ -2,6 +2,8 @@
 
 import struct
 
+from wickvane.errors import ProtocolError
+
 HEAD = struct.Struct(">BBHHBB")  # type, status, length, SPID, packet number, window
 BATCH, RPC, RESULT, ATTENTION, BULK, TRANSACTION, LOGIN, PRELOGIN = 1, 3, 4, 6, 7, 14, 16, 18
 LAST, IGNORE, RESET, RESET_KEEP = 1, 2, 8, 16
@@ -10,10 +12,6 @@
 SPLIT_MOST = 4096  # packets of one message: against a message made of empty ones
 
 
-class Malformed(Exception):
-    """Input that is no TDS, or past a bound; nothing else is raised for any bytes."""
-
-
 class Assembler:
     """Bytes in, whole messages out as (type, status of the first packet, body); `most` octets a message.
 
@@ -35,9 +33,9 @@
             return None
         kind, status, length, _, _, _ = HEAD.unpack_from(self.buffer)
         if kind not in self.types:
-            raise Malformed("a packet's type is not known here")
+            raise ProtocolError("a packet's type is not known here")
         if not HEAD.size <= length <= SIZE_MOST:
-            raise Malformed("a packet's length is out of range")
+            raise ProtocolError("a packet's length is out of range")
         if len(self.buffer) < length:
             return None
         body = bytes(self.buffer[HEAD.size : length])
@@ -55,11 +53,11 @@
                     # It gives up the message that was being sent.
                     self.parts, self.size, self.count = [], 0, 0
                     return kind, status, body
-                raise Malformed("a packet of another type inside a message")
+                raise ProtocolError("a packet of another type inside a message")
             self.parts.append(body)
             self.size, self.count = self.size + len(body), self.count + 1
             if self.size > self.most or self.count > SPLIT_MOST:
-                raise Malformed("a message is too long")
+                raise ProtocolError("a message is too long")
             if status & LAST:
                 whole, first = b"".join(self.parts), self.status
                 self.parts, self.size, self.count = [], 0, 0
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -5,6 +5,7 @@
 import ssl
 import time
 
+from wickvane.errors import ProtocolError
 from wickvane.interface import READ_ONLY
 from wickvane.net import exchange as ex
 from wickvane.net.counters import NOBODY
@@ -23,7 +24,6 @@
     RPC,
     TRANSACTION,
     Assembler,
-    Malformed,
     frame,
 )
 from wickvane.net.tds.types import COLLATION
@@ -80,7 +80,7 @@
         self.prefix = b""
 
     def next_message(self, until):
-        """The next message, read within its time; Malformed ends the connection with a word."""
+        """The next message, read within its time; ProtocolError ends the connection with a word."""
         while (found := self.assembler.message()) is None:
             self.want(len(self.buffer) + 1, until)
         return found
@@ -91,7 +91,7 @@
         try:
             self.handshake()
             self.serve()
-        except Malformed as error:
+        except ProtocolError as error:
             raise Ended(
                 "message-malformed", frame(RESULT, failed(errors.PROTOCOL, str(error), 20)), str(error)
             ) from None
@@ -101,7 +101,7 @@
     def handshake(self):
         kind, _, body = self.next_message(self.first_by)
         if kind != PRELOGIN:
-            raise Malformed("the first message is no PRELOGIN")
+            raise ProtocolError("the first message is no PRELOGIN")
         wanted, ours = lg.encryption(lg.read_prelogin(body)), self.door.encryption
         agreed = self.agree(wanted, ours)
         self.put(
@@ -132,7 +132,7 @@
             self.secure()
         kind, _, body = self.next_message(self.first_by)
         if kind != LOGIN:
-            raise Malformed("no LOGIN7 behind the PRELOGIN")
+            raise ProtocolError("no LOGIN7 behind the PRELOGIN")
         login = lg.read_login(body)
         if agreed == lg.ENCRYPT_OFF:
             self.tls = None  # the login alone was encrypted
@@ -168,9 +168,9 @@
                 return
             kind, _, body = self.next_message(self.first_by)
             if kind != PRELOGIN:
-                raise Malformed("a handshake that is not in PRELOGIN packets")
+                raise ProtocolError("a handshake that is not in PRELOGIN packets")
             incoming.write(body)
-        raise Malformed("a handshake that does not end")
+        raise ProtocolError("a handshake that does not end")
 
     def let_in(self, login):
         def refuse(reason, number, text, severity=14):
@@ -238,13 +238,13 @@
             elif kind == TRANSACTION:
                 self.transact(body)
             else:
-                raise Malformed("this request is not taken")
+                raise ProtocolError("this request is not taken")
 
     def procedure(self, body):
         self.call, self.told = True, b""
         try:
             text, self.told = statements.statement_of(statements.read_call(body), self.prepared)
-        except Malformed as error:
+        except ProtocolError as error:
             self.reply(failed(errors.UNUSABLE, str(error)))
             return
         if text is None:
@@ -344,7 +344,7 @@
                 return True
             if len(self.buffer) >= packets.HEAD.size and self.buffer[0] == ATTENTION:
                 self.attended = self.assembler.message() is not None
-        except (Malformed, ssl.SSLError):
+        except (ProtocolError, ssl.SSLError):
             return True
         return self.attended
 
--- a/wickvane/net/tds/statements.py
+++ b/wickvane/net/tds/statements.py
@@ -9,8 +9,8 @@
 import re
 import struct
 
+from wickvane.errors import ProtocolError
 from wickvane.net.tds import tokens as t
-from wickvane.net.tds.packets import Malformed
 from wickvane.net.tds.types import (
     INT_INFO,
     Cursor,
@@ -47,15 +47,15 @@
 def past_headers(body):
     """A batch or call behind its ALL_HEADERS (MS-TDS 2.2.5.3)."""
     if len(body) < 4:
-        raise Malformed("a request has no headers")
+        raise ProtocolError("a request has no headers")
     total = int.from_bytes(body[:4], "little")
     if not 4 <= total <= len(body):
-        raise Malformed("a request's headers are longer than it")
+        raise ProtocolError("a request's headers are longer than it")
     at = 4
     while at < total:
         size = int.from_bytes(body[at : at + 4], "little")
         if size < 6 or at + size > total:
-            raise Malformed("a request's header has a wrong length")
+            raise ProtocolError("a request's header has a wrong length")
         at += size
     return total
 
@@ -63,7 +63,7 @@
 def batch_text(body):
     data = body[past_headers(body) :]
     if len(data) % 2:
-        raise Malformed("a batch has an odd length")
+        raise ProtocolError("a batch has an odd length")
     return data.decode("utf-16-le", "replace")
 
 
@@ -82,31 +82,31 @@
             call.number, call.name = cursor.short(), ""
         else:
             if size > 1046:
-                raise Malformed("a procedure's name is too long")
+                raise ProtocolError("a procedure's name is too long")
             call.name = cursor.ucs2(size)
             call.number = NAMED.get(call.name.lower().rpartition(".")[2], 0)
         cursor.short()
         call.parameters = []
         while cursor.at < cursor.end:
             if cursor.data[cursor.at] in (0x80, 0xFE, 0xFF):
-                raise Malformed("more than one call in a request is not taken")
+                raise ProtocolError("more than one call in a request is not taken")
             name, flags, info = cursor.b_varchar(), cursor.byte(), read_info(cursor)
             call.parameters.append((name, flags, info, value_of(info, read_raw(cursor, info))))
             if len(call.parameters) > PARAMETERS_MOST:
-                raise Malformed("a call has too many parameters")
+                raise ProtocolError("a call has too many parameters")
     except More:
-        raise Malformed("a call ends inside itself") from None
+        raise ProtocolError("a call ends inside itself") from None
     return call
 
 
 def with_values(text, declared, parameters):
-    """The statement with its parameters as literals; Malformed where one is not given, or is to be given
+    """The statement with its parameters as literals; ProtocolError where one is not given, or is to be given
     back."""
     names = [name.lower() for name in DECLARED.findall(declared or "")]
     literals = {}
     for n, (name, flags, info, value) in enumerate(parameters):
         if flags & (OUTPUT | DEFAULT):
-            raise Malformed("parameters that are given back, or have a default, are not taken")
+            raise ProtocolError("parameters that are given back, or have a default, are not taken")
         place = name.lower() or (names[n] if n < len(names) else "")
         literals[place] = literal_of(value, info)
 
@@ -114,7 +114,7 @@
         name = found["name"]
         if not name or name.startswith("@@") or name.lower() not in literals:
             if name and name.lower() in names:
-                raise Malformed(f"the parameter {name} has no value")
+                raise ProtocolError(f"the parameter {name} has no value")
             return found[0]
         return literals[name.lower()]
 
@@ -137,7 +137,7 @@
 
 def text_at(call, n):
     if n >= len(call.parameters) or not isinstance(call.parameters[n][3], str):
-        raise Malformed("a call lacks its statement")
+        raise ProtocolError("a call lacks its statement")
     return call.parameters[n][3]
 
 
@@ -159,18 +159,18 @@
             prepared.held.pop(handle, None)
             return None, b""
         if handle not in prepared.held:
-            raise Malformed("this handle is not prepared, or was too long ago")
+            raise ProtocolError("this handle is not prepared, or was too long ago")
         text, declared = prepared.held[handle]
         return with_values(text, declared, call.parameters[1:]), b""
     if call.name and not call.number:
         if any(flags & OUTPUT for _, flags, _, _ in call.parameters):
-            raise Malformed("parameters that are given back are not taken")
+            raise ProtocolError("parameters that are given back are not taken")
         given = ", ".join(
             (f"{name} = " if name else "") + literal_of(value, info)
             for name, _, info, value in call.parameters
         )
         return f"EXEC {call.name} {given}".rstrip(), b""
-    raise Malformed(f"the procedure {call.number} is not known here")
+    raise ProtocolError(f"the procedure {call.number} is not known here")
 
 
 # What drivers say at the start, and between statements
@@ -262,8 +262,8 @@
         if kind == TM_SAVE:
             return kind, False
     except More:
-        raise Malformed("a request of the transaction manager is cut") from None
-    raise Malformed("this request of the transaction manager is not taken")
+        raise ProtocolError("a request of the transaction manager is cut") from None
+    raise ProtocolError("this request of the transaction manager is not taken")
 
 
 def batch(text, descriptor=bytes(8)):
--- a/wickvane/net/tds/tokens.py
+++ b/wickvane/net/tds/tokens.py
@@ -2,7 +2,7 @@
 
 import struct
 
-from wickvane.net.tds.packets import Malformed
+from wickvane.errors import ProtocolError
 from wickvane.net.tds.types import Cursor, More, read_info, read_raw, skip_value
 
 COLMETADATA, ROW, NBCROW, DONE, DONEPROC, DONEINPROC = 0x81, 0xD1, 0xD2, 0xFD, 0xFE, 0xFF
@@ -42,7 +42,7 @@
     DONE and kin     (status, command, rows)   ERROR, INFO       (number, state, class, text)
     ENVCHANGE        (type, octets)            others            octets, or None
 
-    Holds one token at most, of TOKEN_MOST octets. Raises Malformed and nothing else."""
+    Holds one token at most, of TOKEN_MOST octets. Raises ProtocolError and nothing else."""
 
     def __init__(self):
         self.buffer, self.columns = bytearray(), None
@@ -58,7 +58,7 @@
                     token, said = self.one(cursor)
                 except More:
                     if end - at > TOKEN_MOST:
-                        raise Malformed("a token is too long") from None
+                        raise ProtocolError("a token is too long") from None
                     return
                 begin, at = at, cursor.at
                 yield token, bytes(self.buffer[begin:at]), said
@@ -72,13 +72,13 @@
         token = cursor.byte()
         if token == ROW:
             if self.columns is None:
-                raise Malformed("a row ahead of its columns")
+                raise ProtocolError("a row ahead of its columns")
             for column in self.columns:
                 skip_value(cursor, column.info)
             return token, None
         if token == NBCROW:
             if self.columns is None:
-                raise Malformed("a row ahead of its columns")
+                raise ProtocolError("a row ahead of its columns")
             bits = cursor.take((len(self.columns) + 7) // 8)
             for n, column in enumerate(self.columns):
                 if not bits[n >> 3] >> (n & 7) & 1:
@@ -97,18 +97,18 @@
                 state, severity = part.byte(), part.byte()
                 return token, (number, state, severity, part.us_varchar())
             except More:
-                raise Malformed("a message of the server ends inside itself") from None
+                raise ProtocolError("a message of the server ends inside itself") from None
         if token == ENVCHANGE:
             data = cursor.take(cursor.short())
             if not data:
-                raise Malformed("a change of the environment is empty")
+                raise ProtocolError("a change of the environment is empty")
             return token, (data[0], data[1:])
         if token in SHORT_TOKENS:
             return token, cursor.take(cursor.short())
         if token in LONG_TOKENS:
             size = cursor.long()
             if size > TOKEN_MOST:
-                raise Malformed("a token is too long")
+                raise ProtocolError("a token is too long")
             return token, cursor.take(size)
         if token == RETURNSTATUS:
             return token, int.from_bytes(cursor.take(4), "little", signed=True)
@@ -122,12 +122,12 @@
             while cursor.byte() != 0xFF:
                 size = cursor.long()
                 if size > TOKEN_MOST:
-                    raise Malformed("a token is too long")
+                    raise ProtocolError("a token is too long")
                 cursor.skip(size)
             return token, None
         if token == OFFSET:
             return token, cursor.take(4)
-        raise Malformed(f"the token {token:#x} is not known")
+        raise ProtocolError(f"the token {token:#x} is not known")
 
 
 def read_columns(cursor):
@@ -136,7 +136,7 @@
     if count == 0xFFFF:
         return None
     if count > COLUMNS_MOST:
-        raise Malformed("there are too many columns")
+        raise ProtocolError("there are too many columns")
     columns = []
     for _ in range(count):
         cursor.skip(4)
@@ -162,7 +162,7 @@
             for n, column in enumerate(columns)
         ]
     except More:
-        raise Malformed("a row is cut") from None
+        raise ProtocolError("a row is cut") from None
 
 
 # Writing
--- a/wickvane/net/tds/types.py
+++ b/wickvane/net/tds/types.py
@@ -1,7 +1,7 @@
 """TDS data types (MS-TDS 2.2.5.4 to 2.2.5.6): their descriptions, and values read, told as text or literals.
 
 A reader that runs past the end of what there is raises More, so that it can be tried again with more; what
-can never be read raises packets.Malformed. Values are bounded: PLP_MOST octets.
+can never be read raises ProtocolError. Values are bounded: PLP_MOST octets.
 """
 
 import struct
@@ -9,7 +9,7 @@
 from decimal import Decimal
 from uuid import UUID
 
-from wickvane.net.tds.packets import Malformed
+from wickvane.errors import ProtocolError
 
 PLP_MOST = 1 << 20  # octets of one value; longer ones are refused
 FIXED = {
@@ -129,23 +129,23 @@
         info.size = cursor.byte()
         good = {GUID: (16,), INTN: (1, 2, 4, 8), BITN: (1,), FLTN: (4, 8), MONEYN: (4, 8), DATETIMN: (4, 8)}
         if info.size not in good[type]:
-            raise Malformed("a type's length cannot be")
+            raise ProtocolError("a type's length cannot be")
     elif type in (DECIMALN, NUMERICN):
         info.size, info.precision, info.scale = cursor.byte(), cursor.byte(), cursor.byte()
         if not 1 <= info.precision <= 38 or info.scale > info.precision or info.size not in (5, 9, 13, 17):
-            raise Malformed("a decimal's precision or scale cannot be")
+            raise ProtocolError("a decimal's precision or scale cannot be")
     elif type == DATEN:
         info.size = 3
     elif type in (TIMEN, DATETIME2N, DATETIMEOFFSETN):
         info.scale = cursor.byte()
         if info.scale > 7:
-            raise Malformed("a time's scale cannot be")
+            raise ProtocolError("a time's scale cannot be")
     elif type in SHORT_LENGTH:
         info.size = cursor.short()
         if type in TEXT_TYPES:
             info.collation = cursor.take(5)
         if info.size != 0xFFFF and info.size > 8000:
-            raise Malformed("a type's length cannot be")
+            raise ProtocolError("a type's length cannot be")
     elif type in (IMAGE, TEXT, NTEXT):
         info.size = cursor.long()
         if type != IMAGE:
@@ -158,7 +158,7 @@
     elif type == VARIANT:
         info.size = cursor.long()
     else:
-        raise Malformed(f"the type {type:#x} is not known")
+        raise ProtocolError(f"the type {type:#x} is not known")
     info.raw = bytes(cursor.data[begin : cursor.at])
     return info
 
@@ -175,7 +175,7 @@
         if size == 0xFFFF:
             return None
         if size > info.size:
-            raise Malformed("a value is longer than its type")
+            raise ProtocolError("a value is longer than its type")
         return cursor.take(size)
     if type in (IMAGE, TEXT, NTEXT):
         pointer = cursor.byte()
@@ -184,24 +184,24 @@
         cursor.skip(pointer + 8)
         size = cursor.long()
         if size > PLP_MOST:
-            raise Malformed("a value is too long")
+            raise ProtocolError("a value is too long")
         return cursor.take(size)
     if type == VARIANT:
         size = cursor.long()
         if size > 8016:
-            raise Malformed("a value is too long")
+            raise ProtocolError("a value is too long")
         return cursor.take(size) if size else None
     size = cursor.byte()
     if not size:
         return None
     if type in (DECIMALN, NUMERICN):
         if size not in (5, 9, 13, 17):
-            raise Malformed("a decimal's length cannot be")
+            raise ProtocolError("a decimal's length cannot be")
     elif type in (TIMEN, DATETIME2N, DATETIMEOFFSETN):
         if size != time_size(info.scale) + {TIMEN: 0, DATETIME2N: 3, DATETIMEOFFSETN: 5}[type]:
-            raise Malformed("a time's length cannot be")
+            raise ProtocolError("a time's length cannot be")
     elif size != info.size and not (type == INTN and size in (1, 2, 4, 8)):
-        raise Malformed("a value's length is not its type's")
+        raise ProtocolError("a value's length is not its type's")
     return cursor.take(size)
 
 
@@ -210,15 +210,15 @@
     if total == PLP_NULL:
         return None
     if total != PLP_UNKNOWN and total > PLP_MOST:
-        raise Malformed("a value is too long")
+        raise ProtocolError("a value is too long")
     parts, size, count = [], 0, 0
     while chunk := cursor.long():
         size, count = size + chunk, count + 1
         if size > PLP_MOST or count > 65_536:
-            raise Malformed("a value is too long")
+            raise ProtocolError("a value is too long")
         parts.append(cursor.take(chunk))
     if total != PLP_UNKNOWN and size != total:
-        raise Malformed("a value's chunks are not as long as it said")
+        raise ProtocolError("a value's chunks are not as long as it said")
     return b"".join(parts)
 
 
@@ -231,7 +231,7 @@
         size = cursor.short()
         if size != 0xFFFF:
             if size > info.size:
-                raise Malformed("a value is longer than its type")
+                raise ProtocolError("a value is longer than its type")
             cursor.skip(size)
     elif type == INTN:
         cursor.skip(cursor.byte())
@@ -283,7 +283,7 @@
         return new_time(type, info.scale, data)
     if type in (NVARCHAR, NCHAR, NTEXT, XML):
         if size % 2:
-            raise Malformed("a string of two-octet characters has an odd length")
+            raise ProtocolError("a string of two-octet characters has an odd length")
         return data.decode("utf-16-le", "replace")
     if type in (BIGVARCHAR, BIGCHAR, TEXT):
         return data.decode(code_page(info.collation), "replace")
@@ -299,17 +299,17 @@
         milliseconds = (ticks * 10 + 1) // 3
         return datetime(1900, 1, 1) + timedelta(days=days, milliseconds=milliseconds)
     except OverflowError:
-        raise Malformed("a date is out of range") from None
+        raise ProtocolError("a date is out of range") from None
 
 
 def new_time(type, scale, data):
     size = time_size(scale) if type != DATEN else 0
     ticks = int.from_bytes(data[:size], "little") * 10 ** (7 - scale)  # of 100 ns
     if ticks >= 864_000_000_000:
-        raise Malformed("a time is out of range")
+        raise ProtocolError("a time is out of range")
     days = int.from_bytes(data[size : size + 3], "little") if type != TIMEN else 0
     if days > DAYS_MOST:
-        raise Malformed("a date is out of range")
+        raise ProtocolError("a date is out of range")
     if type == DATEN:
         return date.min + timedelta(days=days)
     if type == TIMEN:
@@ -320,10 +320,10 @@
             return moment
         offset = int.from_bytes(data[size + 3 :], "little", signed=True)
         if abs(offset) > 840:
-            raise Malformed("an offset from UTC is out of range")
+            raise ProtocolError("an offset from UTC is out of range")
         sign, offset, local = "-" if offset < 0 else "+", abs(offset), moment + timedelta(minutes=offset)
     except OverflowError:
-        raise Malformed("a date is out of range") from None
+        raise ProtocolError("a date is out of range") from None
     return f"{local.isoformat(' ')} {sign}{offset // 60:02}:{offset % 60:02}"
 
 
@@ -350,7 +350,7 @@
         return "1" if value else "0"
     if isinstance(value, float):
         if value != value or value in (float("inf"), float("-inf")):
-            raise Malformed("a float that is no number cannot stand in a statement")
+            raise ProtocolError("a float that is no number cannot stand in a statement")
         return repr(value) if "e" in repr(value) else repr(value) + "e0"
     if isinstance(value, (int, Decimal)):
         return f"{value:f}" if isinstance(value, Decimal) else str(value)
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -15,8 +15,8 @@
 
 import orjson
 
+from wickvane.errors import ConfigError
 from wickvane.net import clock
-from wickvane.net.shape import Unstartable
 from wickvane.peers import wire
 from wickvane.peers.protocol import Node
 
@@ -48,12 +48,12 @@
 class Peers:
     def __init__(self, part, name, configured, seed, log, counters):
         if not 1 <= len(name) <= 64:
-            raise Unstartable("peers: the configuration's name: expected 1 to 64 characters", 2)
+            raise ConfigError("peers: the configuration's name: expected 1 to 64 characters", 2)
         self.part, self.log, self.counters, self.lock = part, log, counters, threading.Lock()
         try:
             self.codec = wire.Codec(part.cluster, wire.read_keys(part.key_file))
         except wire.Unusable as error:
-            raise Unstartable(f"the parts document: peers: key-file: {error}", 2) from None
+            raise ConfigError(f"the parts document: peers: key-file: {error}", 2) from None
         self.stamps = stamps_of(part)
         self.events, self.lines, self.unsaid = deque(maxlen=EVENTS_HELD), 0, 0
         self.node = Node(
@@ -107,7 +107,7 @@
                     if os.path.exists(os.path.join(self.part.state, left)):
                         os.unlink(os.path.join(self.part.state, left))
         except OSError as error:
-            raise Unstartable(f"peers: {self.part.state} cannot be used: {error.strerror}", 2) from None
+            raise ConfigError(f"peers: {self.part.state} cannot be used: {error.strerror}", 2) from None
         try:
             self.sock = socket.socket(self.family, socket.SOCK_DGRAM)
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
@@ -115,7 +115,7 @@
             self.sock.setblocking(False)
             self.poll.register(self.sock, select.POLLIN)
         except OSError as error:
-            raise Unstartable(f"peers: cannot listen on {host}:{port}: {error.strerror}", 1) from None
+            raise ConfigError(f"peers: cannot listen on {host}:{port}: {error.strerror}", 1) from None
 
     # The thread
 
--- a/wickvane/policy/tool.py
+++ b/wickvane/policy/tool.py
@@ -9,7 +9,8 @@
 
 from wickvane import parts
 from wickvane.door import Book
-from wickvane.net.service import Unstartable, configuration
+from wickvane.errors import ConfigError
+from wickvane.net.service import configuration
 from wickvane.policy import document
 from wickvane.policy.course import digest_of
 
@@ -18,12 +19,12 @@
     path = os.environ.get("LB_CONFIG") if asked["--config"] == "$LB_CONFIG" else asked["--config"]
     try:
         if not path:
-            raise Unstartable("no configuration: name one with --config or in LB_CONFIG", 2)
+            raise ConfigError("no configuration: name one with --config or in LB_CONFIG", 2)
         book = Book(configuration(path)["settings"])
         text = read(asked["FILE"][0])
         groups, tenants = book.group_names, list(book.tenants.index)
         found = document.read(text, groups, tenants, book.deployment)
-    except (Unstartable, parts.Unusable) as error:
+    except (ConfigError, parts.Unusable) as error:
         print(f"wickvane: {error}", file=sys.stderr)
         return 2
     except (KeyError, TypeError, ValueError) as error:
--- a/wickvane/rehearsal/tds.py
+++ b/wickvane/rehearsal/tds.py
@@ -6,6 +6,7 @@
 import re
 
 from wickvane import interface as i
+from wickvane.errors import ProtocolError
 from wickvane.net.tds import errors, packets, statements, types
 from wickvane.net.tds import login as lg
 from wickvane.net.tds import tokens as t
@@ -32,7 +33,7 @@
             self.assembler.feed(data)
             while not self.closed and (found := self.assembler.message()) is not None:
                 self.message(*found)
-        except packets.Malformed:
+        except ProtocolError:
             self.close(reset=True)
 
     def message(self, kind, status, body):
@@ -122,7 +123,7 @@
             for token, _, said in t.Stream().feed(body):
                 if token == t.ERROR:
                     return ANSWERS.get(said[0], f"error {said[0]}")
-        except packets.Malformed as error:
+        except ProtocolError as error:
             raise ValueError(str(error)) from None
         return "finished"
 
--- a/wickvane/shares/part.py
+++ b/wickvane/shares/part.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from wickvane import parts
+from wickvane.errors import ConfigError
 from wickvane.net import shape
 
 FENCE = 5_000  # a submission that was decided longer ago does not leave: what it counted on may be another's
@@ -51,7 +52,7 @@
     def join(self, service, found):
         peers = next((part.peers for part in service.parts if part.name == "peers"), None)
         if peers is None:
-            raise shape.Unstartable("the parts document: shares: expected a node peers beside it", 2)
+            raise ConfigError("the parts document: shares: expected a node peers beside it", 2)
         from wickvane.peers.shell import now
         from wickvane.shares.deciding import Out
         from wickvane.shares.spread import Spread
