Behind a silent engine a key's queries are refused only past a standstill of 2 s

Observed: a test of two keyed queries failed once in a busy run: the engine, which the test holds back, was silent for over 0.8 s, and the second query was refused. That is the new rule at work, but a process that stands still for two seconds is usual, and those behind it would have been served.

Change: queries behind the first of their key are refused for its engine's silence once it is over two seconds past three times its expected time.

--- a/wickvane/scheduler.py
+++ b/wickvane/scheduler.py
@@ -39,6 +39,7 @@
 CROWD_LASTS = 6 * SECOND  # until what was seen of an engine's crowd has faded, but so many times as long as
 HEARD_GAPS = 3.0  # it takes to hear of all engines once, where that is longer
 QUANTUM_MEANS, WAIT_PART = 2.0, 0.2  # mean costs a visit; the part of its time that a query may wait here
+STANDSTILL = 2 * SECOND  # a process may stand still so long, and go on as if nothing had been
 TURN_PART = 0.75  # the same for its key: estimates err, and clients may count time from before they write
 SWEEP, IDLE_SWEEP, ANSWER_MARGIN = SECOND // 50, SECOND // 10, SECOND // 25  # ahead of a limit: two sweeps
 STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, i.FOREVER, 4096
@@ -65,6 +66,8 @@
 
 
 class Scheduler:
+    """One dispatcher's decisions and all that they rest on."""
+
     def __init__(self, seed, site):
         self.chance = Random(seed)
         self.site, self.groups, self.gateways = site, site.groups, site.gateways
@@ -134,8 +137,7 @@
             self.weight.append(1.0)
         qy = Query(q, rg, tenant, memory, coord, key if g.ordered else None)
         qy.cost = cost or self.mean[rg] or SECOND * g.threads
-        if cost:
-            self.learn(rg, cost)
+        self.learn(rg, cost)
         # Else what is given up at its limit is told so when its client has given up too.
         now, left = self.now, min(left - min(ANSWER_MARGIN, left // 10), self.until - self.now)
         # A repeat of what was deferred goes behind first tries of up to a quarter more cost, whose place it
@@ -173,21 +175,14 @@
         self.judge(qy, engine, ending, elapsed)
         if ending == i.FINISHED:
             self.see(engine, elapsed / self.usual(qy, work), report, qy.counted)
-        if ending >= i.TURNED_AWAY:
-            self.deficit[qy.tenant] += qy.cost
-        else:
-            self.deficit[qy.tenant] -= (work or elapsed * g.threads) - qy.cost
-            if ending == i.FINISHED:
-                self.done, self.done_at = self.done_lately() + (work or elapsed * g.threads), now
-                if work:
-                    self.learn(qy.rg, work)
-                if memory and qy.need:
-                    off = memory / qy.need - self.told_over[qy.rg]
-                    self.told_over[qy.rg] += 0.05 * off
-                    self.told_off[qy.rg] += 0.05 * (abs(off) - self.told_off[qy.rg])
-                    self.told_need = True
-            elif qy.ran_at is None:
-                qy.ran_at, qy.ran_on = qy.sent, engine
+            self.learn(qy.rg, work)
+            self.learn_need(qy, memory)
+        cost = work or elapsed * g.threads
+        self.deficit[qy.tenant] += qy.cost - (cost if ending < i.TURNED_AWAY else 0)
+        if ending == i.FINISHED:
+            self.done, self.done_at = self.done_lately() + cost, now
+        elif ending < i.TURNED_AWAY and qy.ran_at is None:
+            qy.ran_at, qy.ran_on = qy.sent, engine
         if ending in (i.NO_ANSWER, i.RESET, i.CANCELLED) and qy.key is not None:
             self.rests[qy.key] = now + self.site.key_rest
         qy.over = qy.over or complete or ending == i.FINISHED
@@ -244,9 +239,18 @@
     # What is known of work and engines
 
     def learn(self, rg, work):
+        if not work:
+            return
         self.mean[rg] += (work - self.mean[rg]) * 0.02 if self.mean[rg] else work
         self.mean_all += (work - self.mean_all) * 0.02 if self.mean_all else work
 
+    def learn_need(self, qy, memory):
+        if memory and qy.need:
+            off = memory / qy.need - self.told_over[qy.rg]
+            self.told_over[qy.rg] += 0.05 * off
+            self.told_off[qy.rg] += 0.05 * (abs(off) - self.told_off[qy.rg])
+            self.told_need = True
+
     def runs_for(self, qy):
         return qy.cost / self.groups[qy.rg].threads * max(1.0, self.crowd_mid)
 
@@ -353,12 +357,9 @@
         """Where a tokened query has run, only those that know the token discard the repeat."""
         g = self.groups[qy.rg]
         same = self.engines.zone if g.drops_repeats == i.SAME_ZONE else self.engines.cell
-        return (
-            qy.ran_at is None
-            or g.effect != i.TOKENED
-            or g.drops_repeats == i.ANY_ENGINE
-            or same[e] == same[qy.ran_on]
-        )
+        if qy.ran_at is None or g.effect != i.TOKENED or g.drops_repeats == i.ANY_ENGINE:
+            return True
+        return same[e] == same[qy.ran_on]
 
     def usable(self, rg):
         if rg not in self.fit:
@@ -591,12 +592,9 @@
 
     def may_resubmit(self, qy):
         harmless = qy.ran_at is None or self.groups[qy.rg].effect != i.MUTATING
-        return (
-            harmless
-            and qy.erred != -1
-            and qy.tries < self.site.most_submissions
-            and self.now < min(self.repeat_by(qy), self.last_start(qy))
-        )
+        if not harmless or qy.erred == -1 or qy.tries >= self.site.most_submissions:
+            return False
+        return self.now < min(self.repeat_by(qy), self.last_start(qy))
 
     def give_up(self, qy):
         g = self.groups[qy.rg]
@@ -654,39 +652,47 @@
         lost, late = [], Counter()
         for qy in list(self.running.values()):
             e, g, since = qy.engine, self.groups[qy.rg], now - qy.sent
-            # Answers tell of a jam or a silence only after it: what is still out tells of it at once.
-            slower = min(8.0, since / self.usual(qy))
-            if not qy.share and slower > self.engines.load_factor[e]:
-                self.engines.load_factor[e], self.engines.load_factor_at[e] = slower, now
-            # Quick answers of engines at ease hide the jam of a few, whose answers come late or never: what
-            # is overdue counts in the median at once, and not again when it ends.
-            if not qy.counted and slower * self.warmth(e) > OVERDUE * max(self.median, self.easy):
-                qy.counted, self.median = True, self.median * MID_STEP
-                self.crowd_mid = self.median / self.easy
-                # Where all end too late no answer comes that would cut the bound, and none ever does again.
-                if self.crowd_mid > CROWDED and now - self.answer_at > SECOND // 2:
-                    self.narrow()
+            self.see_running(qy, since)
             if qy.over:
                 continue
             useless = g.effect == i.READ_ONLY and g.late_value == 0 and now > qy.target
             if useless and self.site.may_cancel or now >= qy.limit:
                 self.give_up(qy)
-            else:
-                if since > 3 * self.runs_for(qy) + SECOND // 2 and self.engines.heard_at[e] < qy.sent:
-                    late[e] += 1
+                continue
+            overdue = since - 3 * self.runs_for(qy)
+            if overdue > SECOND // 2 and self.engines.heard_at[e] < qy.sent:
+                late[e] += 1
+                if overdue > STANDSTILL:
                     self.give_up_behind(qy)
-                # Lost, hung or badly planned, whichever: notes that show it at work speak for it.
-                alone = min(max(1.0, self.crowd_mid), 2.0) * qy.cost / g.threads
-                if since > LOST * alone + SECOND // 10 and not qy.share:
-                    lost.append(qy)
+            # Lost, hung or badly planned, whichever: notes that show it at work speak for it.
+            alone = min(max(1.0, self.crowd_mid), 2.0) * qy.cost / g.threads
+            if since > LOST * alone + SECOND // 10 and not qy.share:
+                lost.append(qy)
         # Many at once are a slowness shared by all, and moving them would only add to it.
         if len(lost) <= LOST_MOST * len(self.running) + 1:
             self.renew(lost)
+        self.eject_silent(late)
+
+    def eject_silent(self, late):
         for e, count in late.items():
-            if count >= 2 and now >= self.engines.ejected_until[e]:
+            if count >= 2 and self.now >= self.engines.ejected_until[e]:
                 self.set_aside(e)
                 self.renew([qy for qy in self.running.values() if qy.engine == e])
 
+    def see_running(self, qy, since):
+        """Answers tell of a jam or a silence only after it: what is still out tells of it at once."""
+        table, e, slower = self.engines, qy.engine, min(8.0, since / self.usual(qy))
+        if not qy.share and slower > table.load_factor[e]:
+            table.load_factor[e], table.load_factor_at[e] = slower, self.now
+        # Quick answers of engines at ease hide the jam of a few, whose answers come late or never: what is
+        # overdue counts in the median at once, and not again when it ends.
+        if not qy.counted and slower * self.warmth(e) > OVERDUE * max(self.median, self.easy):
+            qy.counted, self.median = True, self.median * MID_STEP
+            self.crowd_mid = self.median / self.easy
+            # Where all end too late no answer comes that would cut the bound, and none ever does again.
+            if self.crowd_mid > CROWDED and self.now - self.answer_at > SECOND // 2:
+                self.narrow()
+
     def give_up_behind(self, head):
         """A silent engine may hold its query, and the key with it, up to the query's limit: whose turn would
         come too late is told so now, with time left to ask elsewhere."""
@@ -699,15 +705,10 @@
 
     def renew(self, queries):
         for qy in queries:
+            if qy.over or qy.known_slow or qy.tries >= self.site.most_submissions or not self.budget_left():
+                continue
             movable = self.site.may_cancel and self.groups[qy.rg].effect == i.READ_ONLY
-            if (
-                movable
-                and not qy.over
-                and not qy.known_slow
-                and qy.tries < self.site.most_submissions
-                and self.budget_left()
-                and self.now + self.runs_for(qy) < qy.limit
-            ):
+            if movable and self.now + self.runs_for(qy) < qy.limit:
                 self.out.cancel(qy.q, qy.tries - 1)
                 qy.known_slow = True
 
