Functions of the request path are split by job; the linter bounds complexity and wants class docstrings

Need: the start-up of the command, the PostgreSQL session's loop and the reading of engines' answers did several things in one function, past ten branches; 54 public classes said nothing of themselves.

Change: one function a job in wickvane/__main__.py, net/postgres/session.py and net/lines/connection.py; commands stand in a table. Docstrings on each public module, class and package (D100, D101, D104). Behaviour as it was.

--- a/benchmarks/storm_sockets.py
+++ b/benchmarks/storm_sockets.py
@@ -72,6 +72,8 @@
 
 
 class Noting(Connection):
+    """A connection of the modelled engines that notes each ending."""
+
     def hears(self, query, submission, process, ending, work, rg):
         self.serving.note(self, query.id, ENDINGS[ending])
         super().hears(query, submission, process, ending, work, rg)
--- a/tests/fleet/__init__.py
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Several processes of the program, with faults between them."""
--- a/tests/standins/tds_engine.py
+++ b/tests/standins/tds_engine.py
@@ -40,6 +40,8 @@
 
 
 class Connection:
+    """One connection of a dispatcher to the stand-in engine."""
+
     def __init__(self, engine, sock):
         self.engine, self.sock, self.user, self.attended = engine, sock, None, Event()
         self.lock = Lock()
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -53,6 +53,8 @@
 
 
 class Fleet:
+    """Brokers in virtual time, with links that lose, delay and cut."""
+
     def __init__(self, seed, size=4, loss=0.1, late=3, lag=6, drift=0.0, at_once=False):
         self.chance, self.size, self.tick, self.wire = Random(seed), size, 0, []
         self.loss, self.late, self.lag, self.cut = loss, late, lag, set()
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -358,6 +358,8 @@
 
 
 class GrpcEngine:
+    """An engine that answers each call with its own name."""
+
     def __init__(self, name):
         self.name, self.port = name, free_port()
         self.server = grpc.server(futures.ThreadPoolExecutor(4))
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -174,6 +174,8 @@
 
 
 class Writer:
+    """A writer that keeps what was decided."""
+
     def __init__(self):
         self.sent, self.deferred, self.killed, self.cancelled = {}, [], [], []
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -212,6 +212,8 @@
 
 
 class Said:
+    """A writer that keeps what a detector asked for."""
+
     def __init__(self):
         self.pings, self.asks, self.nacks, self.over, self.suspects = [], [], [], [], []
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -153,6 +153,8 @@
 
 
 class Counts:
+    """Counters that count nothing."""
+
     def add(self, name, n=1):
         pass
 
@@ -196,6 +198,8 @@
 
 
 class Clock:
+    """A clock that stands still, and a log that keeps its last line."""
+
     def now(self):
         return 17_000_000_000_000
 
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -73,6 +73,7 @@
   -h --help      Show this.
 """
 
+import importlib
 import os
 import sys
 
@@ -81,8 +82,20 @@
 from wickvane import __version__
 from wickvane.errors import ConfigError
 
+# Commands that stand alone, and the modules whose main() takes docopt's words; imported only where asked for.
+COMMANDS = {
+    "peers": "wickvane.peers.tool",
+    "policy": "wickvane.policy.tool",
+    "shares": "wickvane.shares.tool",
+    "members": "wickvane.members.tool",
+    "flows": "wickvane.flows.tool",
+    "rehearse": "wickvane.rehearsal.command",
+    "demo": "wickvane.rehearsal.command",
+}
+
 
 def main(words=None):
+    """The command; words: its arguments. The exit status."""
     try:
         asked = docopt(__doc__, argv=words)
     except DocoptExit as wrong:
@@ -91,62 +104,51 @@
     if asked["version"]:
         print(f"wickvane {__version__}")
         return 0
-    if asked["peers"]:
-        from wickvane.peers.tool import main as peers
-
-        return peers(asked)
-    if asked["policy"]:
-        from wickvane.policy.tool import main as policy
-
-        return policy(asked)
-    if asked["shares"]:
-        from wickvane.shares.tool import main as shares
-
-        return shares(asked)
-    if asked["members"]:
-        from wickvane.members.tool import main as members
-
-        return members(asked)
-    if asked["flows"]:
-        from wickvane.flows.tool import main as flows
-
-        return flows(asked)
-    if asked["rehearse"] or asked["demo"]:
-        from wickvane.rehearsal.command import main as rehearse
-
-        return rehearse(asked)
+    for word, module in COMMANDS.items():
+        if asked[word]:
+            return importlib.import_module(module).main(asked)
     if asked["status"]:
         from wickvane.control.tool import status
 
         return status(asked["--to"], asked["--tls"], asked["--json"])
-    from wickvane.net.service import Service, configuration
-
     path = os.environ.get("LB_CONFIG") if asked["--config"] == "$LB_CONFIG" else asked["--config"]
-    more = os.environ.get("WICKVANE_PARTS") if asked["--parts"] == "$WICKVANE_PARTS" else asked["--parts"]
+    document = os.environ.get("WICKVANE_PARTS") if asked["--parts"] == "$WICKVANE_PARTS" else asked["--parts"]
     try:
-        found = parts_of(more) if more and not asked["explain"] else None
-        if asked["check"] and more and not path:
-            print(f"wickvane: {more} can be used")
-            return 0
-        if not path:
-            raise ConfigError("no configuration: name one with --config or in LB_CONFIG", 2)
-        if asked["control"]:
-            return control(path, more, found)
-        config, members = configuration(path), (found or {}).get("members")
-        if not asked["serve"] and members and not members.terms.overrides and isinstance(config, dict):
-            config.setdefault("coordinator", "127.0.0.1:1")  # files stand in its place
-        service = Service(config, parts=found if asked["serve"] else None)
-        if asked["serve"]:
-            return service.run(path, more)
-        if asked["explain"]:
-            return explain(service.reader, sys.stdin.buffer.read())
+        return configured(asked, path, document)
     except ConfigError as error:
         print(f"wickvane: {error}", file=sys.stderr)
         return error.exit_code
-    print(f"wickvane: {path} can be served" + (f", {more} can be used" if more else ""))
+
+
+def configured(asked, path, document):
+    """serve, check, explain and control: the commands that need a configuration."""
+    found = parts_of(document) if document and not asked["explain"] else None
+    if asked["check"] and document and not path:
+        print(f"wickvane: {document} can be used")
+        return 0
+    if not path:
+        raise ConfigError("no configuration: name one with --config or in LB_CONFIG", 2)
+    if asked["control"]:
+        return control(path, document, found)
+    service = service_of(asked, path, found)
+    if asked["serve"]:
+        return service.run(path, document)
+    if asked["explain"]:
+        return explain(service.reader, sys.stdin.buffer.read())
+    print(f"wickvane: {path} can be served" + (f", {document} can be used" if document else ""))
     return 0
 
 
+def service_of(asked, path, found):
+    """A dispatcher that is not started yet."""
+    from wickvane.net.service import Service, configuration
+
+    config, members = configuration(path), (found or {}).get("members")
+    if not asked["serve"] and members and not members.terms.overrides and isinstance(config, dict):
+        config.setdefault("coordinator", "127.0.0.1:1")  # files stand in its place
+    return Service(config, parts=found if asked["serve"] else None)
+
+
 def parts_of(path):
     from wickvane import parts
 
--- a/wickvane/control/part.py
+++ b/wickvane/control/part.py
@@ -8,6 +8,8 @@
 
 
 class Secrets(NamedTuple):
+    """Paths of the files of mutual TLS."""
+
     authority: str
     certificate: str
     key: str
--- a/wickvane/control/session.py
+++ b/wickvane/control/session.py
@@ -54,6 +54,8 @@
 
 
 class Sent(NamedTuple):
+    """A response that its proxy has not acknowledged or refused yet."""
+
     nonce: str
     at: int
     generation: int
--- a/wickvane/flows/accounts.py
+++ b/wickvane/flows/accounts.py
@@ -106,6 +106,8 @@
 
 
 class Accounts:
+    """Flows that are open, and the records of those that ended or are due."""
+
     def __init__(self, incarnation, most, active, idle):
         """incarnation: 32 bits that no other start of this exporter has had; most: flows held at once;
         active, idle: time-outs in tenths of a millisecond."""
--- a/wickvane/flows/elements.py
+++ b/wickvane/flows/elements.py
@@ -16,6 +16,8 @@
 
 
 class Element(NamedTuple):
+    """An information element of IPFIX."""
+
     name: str
     number: int
     enterprise: int  # 0: IANA's own
--- a/wickvane/flows/export.py
+++ b/wickvane/flows/export.py
@@ -530,6 +530,8 @@
 
 
 class Exporter:
+    """The threads and queues that bring records to all collectors."""
+
     def __init__(self, part, clock, log, counters, groups, tenants, seed):
         """groups, tenants: names by index, as the settings give them."""
         self.part, self.clock, self.log, self.counters = part, clock, log, counters
--- a/wickvane/flows/part.py
+++ b/wickvane/flows/part.py
@@ -15,6 +15,8 @@
 
 
 class Credentials(NamedTuple):
+    """Paths of the files of TLS, and the name that the collector's certificate must have."""
+
     authority: str
     certificate: str | None
     key: str | None
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -178,6 +178,8 @@
 
 
 class ResourceGroup(NamedTuple):
+    """What the settings say of one class of queries; times are tenths of a millisecond."""
+
     effect: int
     drops_repeats: int  # the engines that know a tokened query again
     repeat_window: int
@@ -195,6 +197,8 @@
 
 
 class Deployment(NamedTuple):
+    """What the settings say of the whole, for one dispatcher."""
+
     groups: list[ResourceGroup]
     tenants: list[tuple[float, float]]  # share, queries a second within it over all gateways
     cores: list[int]  # by kind
@@ -225,6 +229,8 @@
 
 
 class Writer(Protocol):
+    """Takes the scheduler's decisions; queries and engines by their indices."""
+
     # wait 0: until the client gives up. It must not begin at start_by or later, whatever holds it up.
     def submit(self, q: int, engine: int, wait: int, start_by: int) -> None: ...
 
--- a/wickvane/members/findings.py
+++ b/wickvane/members/findings.py
@@ -52,6 +52,8 @@
 
 
 class Finding(NamedTuple):
+    """Something that a check found in a list, and how bad it is."""
+
     code: str
     severity: str
     text: str
--- a/wickvane/members/membership.py
+++ b/wickvane/members/membership.py
@@ -50,6 +50,8 @@
 
 
 class Held(NamedTuple):
+    """A change that waits for its confirmation."""
+
     roster: ro.Roster
     codes: tuple
     steps: bool
@@ -70,6 +72,8 @@
 
 
 class Membership:
+    """The decisions and state behind a list of engines from watched files."""
+
     def __init__(self, facts, terms):
         self.facts, self.terms = facts, terms
         self.target, self.shown, self.tally = ro.EMPTY, Map(), checks.Tally(facts)
--- a/wickvane/net/clock.py
+++ b/wickvane/net/clock.py
@@ -34,6 +34,8 @@
 
 
 class Clock:
+    """Unix time that does not step: taken once, and carried on by the monotonic clock."""
+
     def __init__(self):
         self.zero = (wall_ns() - monotonic_ns()) // 100_000
 
--- a/wickvane/net/counters.py
+++ b/wickvane/net/counters.py
@@ -12,6 +12,8 @@
 
 
 class Counters:
+    """Named counts that all threads add to."""
+
     def __init__(self):
         self.lock, self.counts = Lock(), Counter()
 
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -87,6 +87,8 @@
 
 
 class Exchange:
+    """Queries and attempts between sessions, the decider and the engines' thread."""
+
     def __init__(self, clock, counters):
         self.clock, self.counters, self.lock = clock, counters, Lock()
         self.inbox, self.calls = BoundedQueue(INBOX_MOST), ReadyQueue()
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -80,7 +80,12 @@
         return False
 
 
+REFUSALS = {b"SHED": i.TURNED_AWAY, b"LATE": i.NOT_SENT}  # answers that prove that nothing ran
+
+
 class Connection:
+    """One connection to an engine by the line protocol, and the attempts that are open on it."""
+
     # Whether what is asked runs only once the last byte of it has come: a peer may act on a line's beginning.
     RUNS_WHOLE = False
     READS = select.EPOLLIN  # what the keeper watches it for, once it is up
@@ -386,13 +391,7 @@
         if self.dead:
             return
         if not self.up:
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if code:
-                raise OSError(code, os.strerror(code))
-            if self.accounts is not None:
-                self.account = self.accounts.engine(self.sock, self.link.lane.name)
-            if self.come_up(self.sock):
-                self.link.links.watch(self, self.READS)
+            self.connected()
             return
         try:
             data = self.sock.recv(RECV, socket.MSG_DONTWAIT)
@@ -403,6 +402,20 @@
             return
         self.buffer += data
         self.received += len(data)
+        self.read_answers()
+
+    def connected(self):
+        """The connection came up, or failed to."""
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code))
+        if self.accounts is not None:
+            self.account = self.accounts.engine(self.sock, self.link.lane.name)
+        if self.come_up(self.sock):
+            self.link.links.watch(self, self.READS)
+
+    def read_answers(self):
+        """Takes all whole answers off the buffer, and notes since when one is not whole."""
         before = len(self.buffer)
         whole = False
         while not self.dead and (answer := parse(self.buffer)):
@@ -419,6 +432,7 @@
                 self.link.links.call(self)
 
     def answer(self, txn, word, fields, body, size):
+        """One whole answer of the engine."""
         with self.lock:
             sub = self.open.get(txn)
         self.claim((sub.ticket.rg, sub.ticket.tenant) if sub else NOBODY, size)
@@ -428,41 +442,48 @@
             self.link.counters.add("answers-surplus")
             return
         if word == b"HIT":
-            sheets = page_number(fields.get(b"sheets", b"1"))
-            if not sheets or not is_page(body):
-                raise ProtocolError("a result has no page that can be read")
-            sub.told = self.link.clock.now()
-            sub.work = int(figure(fields.get(b"toil", b"0"), 1e9) * 10)
-            sub.memory = figure(fields.get(b"room", b"0"), 1e9)
-            sub.pages = [body] + [None] * (sheets - 1)
-            sub.ticket.stages["hit"] = sub.told
-            if sheets > 1:
-                self.put("line", b"".join(b"NEXT %b %d\r\n" % (txn, n) for n in range(1, sheets)), sub.ticket)
-                self.link.links.call(self)
-            else:
-                self.drop(sub, i.FINISHED, sub.pages)
+            self.first_page(sub, txn, fields, body)
         elif word == b"PART" and sub.pages is not None:
-            n = page_number(fields.get(b"sheet", b""))
-            if not 0 < n < len(sub.pages) or not is_page(body):
-                raise ProtocolError("a page is out of range or cannot be read")
-            if sub.pages[n] is not None:
-                self.link.counters.add("answers-surplus")
-                return
-            sub.pages[n] = body
-            if None not in sub.pages:
-                if sum(map(len, sub.pages)) > RESULT_MOST:
-                    raise ProtocolError("a result is too long")
-                self.drop(sub, i.FINISHED, sub.pages)
-                self.put("line", b"FREE %b\r\n" % txn, sub.ticket)
+            self.further_page(sub, txn, fields, body)
         elif word == b"FAULT":
             self.drop(sub, i.ERROR)
-        elif word == b"SHED" and sub.pages is None:
-            self.drop(sub, i.TURNED_AWAY)
-        elif word == b"LATE" and sub.pages is None:
-            self.drop(sub, i.NOT_SENT)
+        elif word in REFUSALS and sub.pages is None:
+            self.drop(sub, REFUSALS[word])
         else:
             raise ProtocolError("an answer that does not fit what was asked")
 
+    def first_page(self, sub, txn, fields, body):
+        """A result begins; its further pages are asked for."""
+        sheets = page_number(fields.get(b"sheets", b"1"))
+        if not sheets or not is_page(body):
+            raise ProtocolError("a result has no page that can be read")
+        sub.told = self.link.clock.now()
+        sub.work = int(figure(fields.get(b"toil", b"0"), 1e9) * 10)
+        sub.memory = figure(fields.get(b"room", b"0"), 1e9)
+        sub.pages = [body] + [None] * (sheets - 1)
+        sub.ticket.stages["hit"] = sub.told
+        if sheets > 1:
+            self.put("line", b"".join(b"NEXT %b %d\r\n" % (txn, n) for n in range(1, sheets)), sub.ticket)
+            self.link.links.call(self)
+        else:
+            self.drop(sub, i.FINISHED, sub.pages)
+
+    def further_page(self, sub, txn, fields, body):
+        """A page that was asked for; with the last one the result is whole."""
+        n = page_number(fields.get(b"sheet", b""))
+        if not 0 < n < len(sub.pages) or not is_page(body):
+            raise ProtocolError("a page is out of range or cannot be read")
+        if sub.pages[n] is not None:
+            self.link.counters.add("answers-surplus")
+            return
+        sub.pages[n] = body
+        if None in sub.pages:
+            return
+        if sum(map(len, sub.pages)) > RESULT_MOST:
+            raise ProtocolError("a result is too long")
+        self.drop(sub, i.FINISHED, sub.pages)
+        self.put("line", b"FREE %b\r\n" % txn, sub.ticket)
+
     # The end
 
     def look(self, now):
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -15,6 +15,8 @@
 
 
 class Listener:
+    """Accepts client connections, and gives each a session and a thread."""
+
     def __init__(self, address, service, most, session, gate=None):
         """session: the class of its sessions, which is the protocol that is spoken here. gate: lets new
         connections in at a pace; None: whoever comes, while there is room."""
--- a/wickvane/net/log.py
+++ b/wickvane/net/log.py
@@ -11,6 +11,8 @@
 
 
 class Log:
+    """Lines wait here, in bounded number, until the log's thread has written them."""
+
     def __init__(self, descriptor, clock):
         self.descriptor, self.clock = descriptor, clock
         self.lines, self.dropped, self.writer = SimpleQueue(), 0, False
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -46,6 +46,8 @@
 
 
 class Session(Front):
+    """One client connection by PostgreSQL 3.0."""
+
     TOO_MANY = error("53300", "too many clients", b"FATAL")
 
     @staticmethod
@@ -80,7 +82,25 @@
         raise Ended("startup-unreadable", error("08P01", "invalid startup packet", b"FATAL"))
 
     def talk(self):
-        minor, body = self.startup()
+        """The start-up, then messages until the session ends."""
+        self.greet(*self.startup())
+        skipping = False  # past an error in the extended protocol, up to its Sync
+        while True:
+            kind, body = self.next_message()
+            if kind == b"S":
+                skipping = False
+                self.put(READY)
+            elif kind == b"H" or skipping and kind in b"PBEDCFQdcfp":
+                continue
+            elif kind in EXTENDED:
+                skipping = kind != b"F"
+                refusal = error("0A000", "only simple queries are spoken, not the extended protocol")
+                self.put(refusal + (b"" if skipping else READY))
+            else:
+                self.simple(kind, body)
+
+    def greet(self, minor, body):
+        """Answers the start-up message, and hands out the key for cancelling."""
         if self.full:
             raise Ended("too-many", self.TOO_MANY)
         words = body.split(b"\0")
@@ -103,31 +123,20 @@
             + message(b"K", pack("!II", self.pid, secret))
             + READY
         )
-        skipping = False
-        while True:
-            kind, body = self.next_message()
-            if kind == b"X":
-                raise Ended("client-terminated")
-            elif kind == b"S":
-                skipping = False
-                self.put(READY)
-            elif kind == b"H" or skipping and kind in b"PBEDCFQdcfp":
-                continue
-            elif kind == b"Q":
-                # Who sends many commands at once and goes wants none of those left.
-                if self.queries and self.has_gone():
-                    raise Ended("client-closed")
-                self.query(body)
-            elif kind in EXTENDED:
-                skipping = kind != b"F"
-                self.put(
-                    error("0A000", "only simple queries are spoken, not the extended protocol")
-                    + (b"" if skipping else READY)
-                )
-            elif kind in b"dcfp":
-                raise Ended("message-out-of-place", error("08P01", "message out of place", b"FATAL"))
-            else:
-                raise Ended("message-unknown", error("08P01", "unknown message type", b"FATAL"))
+
+    def simple(self, kind, body):
+        """A message that is not of the extended protocol."""
+        if kind == b"X":
+            raise Ended("client-terminated")
+        if kind == b"Q":
+            # Who sends many commands at once and goes wants none of those left.
+            if self.queries and self.has_gone():
+                raise Ended("client-closed")
+            self.query(body)
+        elif kind in b"dcfp":
+            raise Ended("message-out-of-place", error("08P01", "message out of place", b"FATAL"))
+        else:
+            raise Ended("message-unknown", error("08P01", "unknown message type", b"FATAL"))
 
     def next_message(self):
         self.claim(NOBODY)
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -41,6 +41,8 @@
 
 
 class Unusable(Exception):
+    """A statement that cannot be read, with the SQLSTATE that its client is told."""
+
     def __init__(self, sqlstate, text):
         super().__init__(text)
         self.sqlstate, self.text = sqlstate, text
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -19,6 +19,8 @@
 
 
 class Part(NamedTuple):
+    """The node's figures."""
+
     remember: int | None  # None: as long as the settings' longest time-out and advice together
     connections: bool = True  # whether new connections are let in at a pace while the core strains
 
@@ -140,6 +142,8 @@
 
 
 class At(shape.Part):
+    """The watch for retry storms in one dispatcher."""
+
     name = "storms"
 
     def build(self, service, found):
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -36,6 +36,8 @@
 
 
 class Connection(lines.Connection):
+    """One connection to an engine by TDS, with a thread of its own."""
+
     READS = 0  # its own thread does
     RUNS_WHOLE = True  # [MS-TDS] 2.2.1.3: a batch is whole with the packet that has the end-of-message bit
 
--- a/wickvane/net/tds/part.py
+++ b/wickvane/net/tds/part.py
@@ -33,6 +33,8 @@
 
 
 class Tds(NamedTuple):
+    """The node's figures."""
+
     listen: tuple | None
     connections: int
     idle: int
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -39,6 +39,8 @@
 
 
 class Session(Front):
+    """One client connection by TDS."""
+
     TOO_MANY = frame(RESULT, failed(errors.TOO_MANY, "too many clients", 20))
     peek_s = 0.08  # an attention comes on the connection of its query, which nobody reads meanwhile
     door = None  # what the parts document says of this listener: set by its class of sessions
--- a/wickvane/net/tds/tokens.py
+++ b/wickvane/net/tds/tokens.py
@@ -29,6 +29,8 @@
 
 
 class Column:
+    """A column of a result, as COLMETADATA describes it."""
+
     __slots__ = ("name", "info", "flags")
 
     def __init__(self, name, info, flags):
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -46,6 +46,8 @@
 
 
 class Peers:
+    """The socket, thread and files of one member."""
+
     def __init__(self, part, name, configured, seed, log, counters):
         if not 1 <= len(name) <= 64:
             raise ConfigError("peers: the configuration's name: expected 1 to 64 characters", 2)
--- a/wickvane/peers/tool.py
+++ b/wickvane/peers/tool.py
@@ -17,6 +17,8 @@
 
 
 class Wrong(Exception):
+    """Why a call cannot be answered; code: the exit status."""
+
     def __init__(self, text, code):
         super().__init__(text)
         self.code = code
--- a/wickvane/policy/store.py
+++ b/wickvane/policy/store.py
@@ -16,6 +16,8 @@
 
 
 class Record(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """What a voter has on disk."""
+
     mark: str
     term: int
     voted: str | None
--- a/wickvane/rehearsal/baselines.py
+++ b/wickvane/rehearsal/baselines.py
@@ -72,11 +72,15 @@
 
 
 class Chance(Plain):
+    """Any engine that fits, by chance."""
+
     def chosen(self, fit):
         return self.chance.choice(fit)
 
 
 class Turn(Plain):
+    """One engine after another."""
+
     def chosen(self, fit):
         self.turn += 1
         return fit[self.turn % len(fit)]
@@ -91,6 +95,8 @@
 
 
 class Two(Plain):
+    """The emptier of two that are drawn by chance."""
+
     def chosen(self, fit):
         return min(self.chance.choice(fit), self.chance.choice(fit), key=self.out.__getitem__)
 
--- a/wickvane/rehearsal/demo.py
+++ b/wickvane/rehearsal/demo.py
@@ -52,6 +52,8 @@
 
 
 class Demo:
+    """Engines, dispatchers and load of a demo, and what its screen shows."""
+
     def __init__(self, script, seed, folder, fleet=1):
         self.script, self.folder, self.said = script, folder, []
         self.log = logs.logger(os.path.join(folder, "demo.log"), "demo")
--- a/wickvane/rehearsal/experiment.py
+++ b/wickvane/rehearsal/experiment.py
@@ -29,6 +29,8 @@
 
 
 class Cell(NamedTuple):
+    """One run of an experiment: a case, a variant and a seed."""
+
     key: str
     script: str
     case: str
@@ -40,6 +42,8 @@
 
 
 class Experiment(NamedTuple):
+    """A plan, spread out into its cells."""
+
     name: str
     variants: tuple
     cells: tuple
--- a/wickvane/rehearsal/model.py
+++ b/wickvane/rehearsal/model.py
@@ -74,6 +74,8 @@
 
 
 class Engine:
+    """A modelled engine: cores that are shared, memory that is waited for, tables that are warm."""
+
     def __init__(self, kind, started=None):
         """started: when a fresh process came up; None for one that is warm."""
         self.kind, self.started, self.now, self.fallen = kind, started, 0.0, False
--- a/wickvane/rehearsal/script.py
+++ b/wickvane/rehearsal/script.py
@@ -40,6 +40,8 @@
 
 
 class Fleet(NamedTuple):
+    """Engines of one kind."""
+
     kind: str
     count: int
     figures: dict  # of model.Kind
@@ -47,6 +49,8 @@
 
 
 class Group(NamedTuple):
+    """A resource group of the script."""
+
     name: str
     effect: str
     work: float  # milliseconds of one thread, mean
@@ -64,6 +68,8 @@
 
 
 class Clients(NamedTuple):
+    """Clients that ask alike."""
+
     name: str
     group: int
     tenant: int
@@ -81,6 +87,8 @@
 
 
 class Trouble(NamedTuple):
+    """A fault, when it begins and how long it lasts."""
+
     kind: str
     at: int
     length: int
@@ -89,6 +97,8 @@
 
 
 class Expectation(NamedTuple):
+    """A figure that a run has to reach."""
+
     what: str
     figure: float
     after: int
--- a/wickvane/shares/charges.py
+++ b/wickvane/shares/charges.py
@@ -15,6 +15,8 @@
 
 
 class Charges(Latest):
+    """Work that each dispatcher gave each tenant, as it goes round."""
+
     def __init__(self, most=4096):
         super().__init__(most)
         self.works, self.new = {}, {}  # life: {tenant: work}; tenant: what was not taken yet
--- a/wickvane/shares/part.py
+++ b/wickvane/shares/part.py
@@ -11,6 +11,8 @@
 
 
 class Part(NamedTuple):
+    """The node's figures."""
+
     every: int  # between two pages of counts, in tenths of a millisecond
     heeds: frozenset  # what decisions go by: others, charges, opinions
     lends: bool  # whether parts of budgets are lent and borrowed
--- a/wickvane/wirehost/__main__.py
+++ b/wickvane/wirehost/__main__.py
@@ -1,3 +1,5 @@
+"""`python -m wickvane.wirehost`: the adapter as a program, on standard input and output."""
+
 import sys
 
 from wickvane.wirehost.host import serve
