A flow record's figures, and reading a bounded file, stand once each

Need: ipfix.py and netflow9.py listed the same sixteen figures of a flow; logins and keys read their files with the same lines and had an error of their own each.

Change: ipfix.flow_figures serves both codecs; wickvane/files.py has read_bounded and FileError. Two bare figures of the flow record are named constants.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wickvane.files import FileError
 from wickvane.peers import standing as sd
 from wickvane.peers import wire
 from wickvane.peers.detector import LEAST, MOST, Detector
@@ -711,9 +712,9 @@
     path = tmp_path / "key"
     for text in (b"", b"short\n", b"a" * 65, b"k" * 20 + b"\n" + b"l" * 20 + b"\n" + b"m" * 20, b"x" * 5000):
         path.write_bytes(text)
-        with pytest.raises(wire.Unusable):
+        with pytest.raises(FileError):
             wire.read_keys(path)
-    with pytest.raises(wire.Unusable, match="cannot be read"):
+    with pytest.raises(FileError, match="cannot be read"):
         wire.read_keys(tmp_path / "none")
     path.write_bytes(b"k" * 20 + b"\n\n" + b"l" * 20 + b"\n")
     assert wire.read_keys(path) == [b"k" * 20, b"l" * 20]
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -40,6 +40,7 @@
 from wickvane import interface as i
 from wickvane import parts
 from wickvane.errors import ConfigError
+from wickvane.files import FileError
 from wickvane.net.lines import connection as lines
 from wickvane.net.service import Service
 from wickvane.net.tds import errors, logins, packets
@@ -658,7 +659,7 @@
     assert all(book.check("ann", "secret") == logins.GOOD for _ in range(100))
     assert time.perf_counter() - began < 0.5  # known again without the dear check
     path.write_text("ann\n")
-    with pytest.raises(logins.Unusable, match="line 1"):
+    with pytest.raises(FileError, match="line 1"):
         logins.read(str(path))
 
 
--- a/wickvane/flows/ipfix.py
+++ b/wickvane/flows/ipfix.py
@@ -203,12 +203,14 @@
     return groups[record.key[0]], tenants[record.key[1]], engine
 
 
-def flow_record(record, names):
-    """(kind, bytes) of an accounts.Record. names: resource groups, tenants and engines as Generation.name()
-    encodes them, and that, for engines not yet among them."""
+TCP, INITIATOR_TO_RESPONDER = 6, 1  # protocolIdentifier, biflowDirection (RFC 5103)
+
+
+def flow_figures(record):
+    """(kind, figures) of an accounts.Record, in the order of elements.FLOW; names follow them."""
     connection = record.connection
     kind = "flow4" if len(connection.source) == 4 else "flow6"
-    return kind, FLOW_FIELDS[kind].pack(
+    return kind, (
         record.id,
         record.part,
         connection.side,
@@ -216,8 +218,8 @@
         record.began // 10,
         record.ended // 10,
         record.flows,
-        6,
-        1,
+        TCP,
+        INITIATOR_TO_RESPONDER,
         connection.source_port,
         connection.target_port,
         *record.counts,
@@ -225,7 +227,14 @@
         record.state_last,
         connection.source,
         connection.target,
-    ) + b"".join(names_of(record, names))
+    )
+
+
+def flow_record(record, names):
+    """(kind, bytes) of an accounts.Record. names: resource groups, tenants and engines as Generation.name()
+    encodes them, and that, for engines not yet among them."""
+    kind, figures = flow_figures(record)
+    return kind, FLOW_FIELDS[kind].pack(*figures) + b"".join(names_of(record, names))
 
 
 def plain_record(record, names):
@@ -239,8 +248,8 @@
         record.began // 10,
         record.ended // 10,
         record.flows,
-        6,
-        1,
+        TCP,
+        INITIATOR_TO_RESPONDER,
         connection.source_port,
         connection.target_port,
         forward + reverse,
--- a/wickvane/flows/netflow9.py
+++ b/wickvane/flows/netflow9.py
@@ -9,7 +9,7 @@
 
 from wickvane.errors import ProtocolError
 from wickvane.flows.elements import ELEMENTS, FORMS, OWN, REVERSE_BIT, REVERSE_PEN, SHAPES, VARIABLE, fixed
-from wickvane.flows.ipfix import SET_HEAD, Packer, Reader, Shape, fields_of, names_of
+from wickvane.flows.ipfix import SET_HEAD, Packer, Reader, Shape, fields_of, flow_figures, names_of
 
 VERSION, HEAD = 9, struct.Struct("!HHIIII")
 TEMPLATES, OPTIONS, FIRST_DATA = 0, 1, 256
@@ -66,27 +66,8 @@
 
     def flow(self, record, names):
         """As ipfix.flow_record()."""
-        connection = record.connection
-        kind = "flow4" if len(connection.source) == 4 else "flow6"
-        return kind, self.fields[kind].pack(
-            record.id,
-            record.part,
-            connection.side,
-            record.reason,
-            record.began // 10,
-            record.ended // 10,
-            record.flows,
-            6,
-            1,
-            connection.source_port,
-            connection.target_port,
-            *record.counts,
-            record.state,
-            record.state_last,
-            connection.source,
-            connection.target,
-            *names_of(record, names),
-        )
+        kind, figures = flow_figures(record)
+        return kind, self.fields[kind].pack(*figures, *names_of(record, names))
 
     def options(self, kind, *values):
         return struct.pack("!I", 0) + self.fields[kind].pack(*values)
--- a/wickvane/net/tds/logins.py
+++ b/wickvane/net/tds/logins.py
@@ -8,33 +8,24 @@
 from hashlib import blake2b
 from threading import Lock
 
+from wickvane.files import FileError, read_bounded
+
 KNOWN_MOST, WAITING_MOST, FILE_MOST, USERS_MOST = 1024, 8, 1 << 20, 10_000
 GOOD, WRONG, BUSY = range(3)
 
 
-class Unusable(Exception):
-    """A file of logins that cannot be used."""
-
-
 def read(path):
-    """{user: hash} from lines "user:hash"; Unusable names the line."""
-    try:
-        with open(path, "rb") as file:
-            data = file.read(FILE_MOST + 1)
-    except OSError as error:
-        raise Unusable(f"{path} cannot be read: {error.strerror}") from None
-    if len(data) > FILE_MOST:
-        raise Unusable(f"{path} is longer than {FILE_MOST} bytes")
+    """{user: hash} from lines "user:hash"; FileError names the line."""
     found = {}
-    for n, line in enumerate(data.decode("utf-8", "replace").splitlines(), 1):
+    for n, line in enumerate(read_bounded(path, FILE_MOST).decode("utf-8", "replace").splitlines(), 1):
         if not line.strip() or line.startswith("#"):
             continue
         user, colon, hash = line.strip().partition(":")
         if not colon or not user or not hash.startswith("$argon2") or user in found:
-            raise Unusable(f"{path}: line {n}: expected a user, a colon and an argon2 hash, each user once")
+            raise FileError(f"{path}: line {n}: expected a user, a colon and an argon2 hash, each user once")
         found[user] = hash
     if not found or len(found) > USERS_MOST:
-        raise Unusable(f"{path}: expected 1 to {USERS_MOST} users")
+        raise FileError(f"{path}: expected 1 to {USERS_MOST} users")
     return found
 
 
--- a/wickvane/net/tds/part.py
+++ b/wickvane/net/tds/part.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from wickvane import parts
+from wickvane.files import FileError
 from wickvane.net import shape
 from wickvane.net.tds import logins
 
@@ -70,7 +71,7 @@
     if path:
         try:
             users = logins.read(path)
-        except logins.Unusable as error:
+        except FileError as error:
             raise node.wrong(str(error), path, "logins") from None
     elif listen and not ipaddress.ip_address(listen[0]).is_loopback:
         raise node.wrong("a file of logins where others than this machine can connect")
--- a/wickvane/peers/part.py
+++ b/wickvane/peers/part.py
@@ -79,11 +79,12 @@
         for field in Part._fields:
             if field not in self.CHANGES and getattr(terms, field) != getattr(self.terms, field):
                 raise parts.Unusable(f"peers: {field}: another value needs a restart")
-        from wickvane.peers.wire import Unusable, read_keys
+        from wickvane.files import FileError
+        from wickvane.peers.wire import read_keys
 
         try:
             return read_keys(terms.key_file)
-        except Unusable as error:
+        except FileError as error:
             raise parts.Unusable(f"peers: key-file: {error}") from None
 
     def change(self, terms, ready):
--- a/wickvane/peers/shell.py
+++ b/wickvane/peers/shell.py
@@ -16,6 +16,7 @@
 import orjson
 
 from wickvane.errors import ConfigError
+from wickvane.files import FileError
 from wickvane.net import clock
 from wickvane.peers import wire
 from wickvane.peers.protocol import Node
@@ -54,7 +55,7 @@
         self.part, self.log, self.counters, self.lock = part, log, counters, threading.Lock()
         try:
             self.codec = wire.Codec(part.cluster, wire.read_keys(part.key_file))
-        except wire.Unusable as error:
+        except FileError as error:
             raise ConfigError(f"the parts document: peers: key-file: {error}", 2) from None
         self.stamps = stamps_of(part)
         self.events, self.lines, self.unsaid = deque(maxlen=EVENTS_HELD), 0, 0
@@ -242,7 +243,7 @@
             if path == self.part.key_file:
                 try:
                     self.codec.keys = wire.read_keys(path)
-                except wire.Unusable as error:
+                except FileError as error:
                     # Half written, say: the keys at work stay, and the next change is read again.
                     self.counters.add("peers-key-unusable")
                     self.log.line("peers-key-unusable", why=str(error))
--- a/wickvane/peers/wire.py
+++ b/wickvane/peers/wire.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wickvane.files import FileError, read_bounded
 from wickvane.peers.protocol import DATAGRAM
 
 VERSION, MAC = 1, 16
@@ -49,23 +50,15 @@
         self.reason = reason
 
 
-class Unusable(Exception):
-    """A file of keys that cannot be used."""
-
-
 def read_keys(path):
-    """The keys of a file, the one that signs first; Unusable."""
-    try:
-        with open(path, "rb") as file:
-            data = file.read(FILE_MOST + 1)
-    except OSError as error:
-        raise Unusable(f"{path} cannot be read: {error.strerror}") from None
+    """The keys of a file, the one that signs first; FileError."""
+    data = read_bounded(path, FILE_MOST)
     keys = [line.strip() for line in data.splitlines() if line.strip()]
-    if not 1 <= len(keys) <= 2 or len(data) > FILE_MOST:
-        raise Unusable(f"{path}: expected one or two lines with a key each")
+    if not 1 <= len(keys) <= 2:
+        raise FileError(f"{path}: expected one or two lines with a key each")
     for key in keys:
         if not KEY_LEAST <= len(key) <= KEY_MOST:
-            raise Unusable(f"{path}: expected keys of {KEY_LEAST} to {KEY_MOST} octets")
+            raise FileError(f"{path}: expected keys of {KEY_LEAST} to {KEY_MOST} octets")
     return keys
 
 
