--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Settings of other deployments, and ones that cannot be used: served, or refused by name."""
 
 import copy
+import json
 import math
 import os
 import subprocess
@@ -9,6 +10,7 @@
 import orjson
 import pytest
 from bench_free import SETTINGS, Gateways, found, i
+from test_rehearsal import ROOT
 
 from wickvane.door import Book
 from wickvane.settings import SettingsError
@@ -137,3 +139,18 @@
 def test_classes_and_tenants_may_have_names_in_any_script():
     book = Book(changed(("classes", 0, "name"), "запрос") | {"accounts": [{"name": "Ærø", "share": 1.0}]})
     assert list(book.groups.index)[0] == "запрос" and list(book.tenants.index) == ["Ærø"]
+
+
+def test_the_configuration_in_the_readme_can_be_served(started, tmp_path):
+    """As written there, but for its ports, which may be in use."""
+    with open(os.path.join(ROOT, "README.md")) as readme:
+        text = readme.read()
+    begin = text.index('    {"name": "n3"')
+    told = json.loads(text[begin : text.index("\n\n", begin)])
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    command = [sys.executable, "-m", "wickvane", "check", f"--config={path}"]
+    checked = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert checked.stdout == f"wickvane: {path} can be served\n" and checked.returncode == 0
+    process = started(**{name: value for name, value in told.items() if name != "listen"})
+    assert next(line for line in process.stdout if b'"event":"ready"' in line)
