--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -193,7 +193,7 @@
 
 
 def test_nothing_begins_for_a_client_that_left_between_decision_and_write(no_looks, monkeypatch):
-    gate = Gate(monkeypatch, Link, "candidates", lambda link, sub, now: sub.ticket.id == b"%016x" % 1)
+    gate = Gate(monkeypatch, Link, "candidates", lambda link, sub, now: sub.pending.id == b"%016x" % 1)
     engine = Engine()
     dispatcher = Dispatcher(engine)
     witness, leaver = Client(dispatcher), Client(dispatcher)
@@ -405,7 +405,7 @@
         monkeypatch,
         engine_connection.Connection,
         "come_up",
-        lambda connection, sock: held and connection.link.lane.name != held[0],
+        lambda connection, sock: held and connection.link.queue.name != held[0],
     )
     brief = settings(dial_timeout_ms=20_000.0)
     brief["classes"][1]["repeat_window_ms"] = 400.0
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -13,7 +13,7 @@
 from wickvane.errors import ProtocolError
 from wickvane.net import coordinator
 from wickvane.net.decider import Decider
-from wickvane.net.exchange import Exchange, PendingQuery, Submission
+from wickvane.net.exchange import Attempt, Exchange, PendingQuery
 from wickvane.net.lines import connection as lines
 from wickvane.net.lines import links as link
 from wickvane.net.lines.connection import Connection
@@ -247,7 +247,7 @@
     links = link.Links(exchange, limits, 8, clock, clock, Counts(), threads=threads)
     keeper = link.Link(EngineQueue("e", ("127.0.0.1", 0), 0), links)
     ticket = PendingQuery(clock.now(), **READER.read(statement().encode()))
-    submission = Submission(ticket, 0, 0, keeper.lane, clock.now(), ticket.limit)
+    submission = Attempt(ticket, 0, 0, keeper.queue, clock.now(), ticket.limit)
     keeper.ask(submission)
     return keeper, submission, exchange.inbox
 
@@ -291,7 +291,7 @@
     place, theirs = on_a_pair(keeper)
     texts = [b"%d" % n * 30_000 for n in range(8)]
     for line in texts:
-        assert place.put("line", line, submission.ticket)
+        assert place.put("line", line, submission.pending)
     assert place.rest and submission.written
     Thread(target=keeper.links.run, daemon=True).start()
     got = theirs.recv(65_536)
@@ -306,7 +306,7 @@
     place, theirs = on_a_pair(keeper)
     theirs.close()
     ticket = PendingQuery(submission.at, **READER.read(statement(n=2).encode()))
-    other = Submission(ticket, 0, 0, keeper.lane, submission.at, ticket.limit)
+    other = Attempt(ticket, 0, 0, keeper.queue, submission.at, ticket.limit)
     assert not place.put("ask", other) and not other.over
     assert [item[:3] for item in inbox.take(0)] == [("ended", submission, i.NOT_SENT)]
     keeper.ask(other)
@@ -316,7 +316,7 @@
 def test_long_limits_of_queries_that_have_ended_do_not_pile_up(monkeypatch):
     keeper, submission, _ = line_of_one(monkeypatch)
     for _ in range(5000):
-        ended = Submission(submission.ticket, 0, 0, keeper.lane, submission.at, submission.until + 1)
+        ended = Attempt(submission.pending, 0, 0, keeper.queue, submission.at, submission.until + 1)
         keeper.links.later(ended.until, ended)
         ended.over = True
         keeper.links.look(submission.at)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -391,7 +391,7 @@
         text = statement(f"SELECT 1 FROM sales_{len(answers) % 7}.t", n=len(answers) + 1, team="all")
         answers.append(sqlstate(client.ask(text)))
     assert len(answers) > 15 and answers.count(None) >= 0.9 * len(answers)
-    until(lambda: "e5" in served.service.decider.lanes)  # the one that started in place of the crashed one
+    until(lambda: "e5" in served.service.decider.queues)  # the one that started in place of the crashed one
     assert served.service.counters.shown().get("faults", 0) == 0
     served.end()
 
--- a/tests/test_tds.py
+++ b/tests/test_tds.py
@@ -358,7 +358,7 @@
     place, (ours, theirs) = TdsConnection(keeper), socket.socketpair()
     ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
     place.sock, place.up, keeper.connections[:] = ours, True, [place]
-    sub.ticket.body = b"UPDATE sales_1.t SET a='" + b"x" * 50_000 + b"'"
+    sub.pending.body = b"UPDATE sales_1.t SET a='" + b"x" * 50_000 + b"'"
     assert place.put("ask", sub) and place.rest
     Thread(target=keeper.links.run, daemon=True).start()
     return place, theirs, sub, inbox
@@ -416,7 +416,7 @@
         place.fail("peer-closed")
         reader.join()
         ending = only_ending(inbox, sub)
-        has_whole = got[0] >= 2 * len(sub.ticket.body)  # two octets a character, and a head
+        has_whole = got[0] >= 2 * len(sub.pending.body)  # two octets a character, and a head
         assert ending == i.RESET or not has_whole
         seen.add((ending, has_whole))
         theirs.close()
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -5,7 +5,7 @@
 from heapq import heappop, heappush
 
 from wickvane import interface as i
-from wickvane.net.exchange import DEFERRED, KILLED, Submission
+from wickvane.net.exchange import DEFERRED, KILLED, Attempt
 from wickvane.net.queues import EngineQueue
 from wickvane.scheduler import Scheduler
 
@@ -23,7 +23,7 @@
     def __init__(self, exchange, book, seed, clock, log, counters, accounts=None, speaks=None):
         self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
         self.gateway = Scheduler(seed, book.deployment)
-        self.lanes, self.alarms, self.events = {}, [], []
+        self.queues, self.alarms, self.events = {}, [], []
         self.now, self.longest, self.faults = clock.now(), 0, 0
         self.lag, self.lag_at, self.held, self.accounts = 0, self.now, [], accounts
         self.speaks = speaks or {}  # by kind: what connections to engines of that kind are made by
@@ -57,9 +57,9 @@
         # The module is told a time at which all that it hears of had happened.
         began = self.now = max(self.now, self.clock.now())
         # Which thread woke first says nothing of which query came first: the sockets' own stamps do.
-        taken = sorted((item[1] for item in items if item[0] == "taken"), key=lambda ticket: ticket.arrived)
-        for ticket in self.in_turn(taken, began):
-            self.taken(ticket)
+        taken = sorted((item[1] for item in items if item[0] == "taken"), key=lambda pending: pending.arrived)
+        for pending in self.in_turn(taken, began):
+            self.taken(pending)
         for kind, *rest in items:
             if kind != "taken":
                 getattr(self, self.READERS[kind])(*rest)
@@ -72,8 +72,8 @@
         over = [self.book.queries.names[q] for q in self.book.over if not self.book.open[q]]
         for name in self.book.settle():
             self.close(name)
-        for ticket in over:
-            self.exchange.forget(ticket)
+        for pending in over:
+            self.exchange.forget(pending)
         self.counters.add("rounds")
         self.longest = max(self.longest, self.clock.now() - began)
 
@@ -101,99 +101,99 @@
         """Holds back what has a key for as long as queries lately took to be read: under more load than the
         core bears, one that came before it may not have been."""
         faded = self.lag - (now - self.lag_at) // LAG_FADES
-        self.lag = max([faded] + [now - ticket.arrived for ticket in taken])
+        self.lag = max([faded] + [now - pending.arrived for pending in taken])
         self.lag_at = now
-        for ticket in taken:
-            if ticket.key is None or self.lag <= KEY_APART and not self.held:
-                yield ticket
+        for pending in taken:
+            if pending.key is None or self.lag <= KEY_APART and not self.held:
+                yield pending
             else:
-                self.held.append(ticket)
-        self.held.sort(key=lambda ticket: ticket.arrived)
+                self.held.append(pending)
+        self.held.sort(key=lambda pending: pending.arrived)
         while self.held and now >= self.held[0].arrived + self.lag - KEY_APART:
-            ticket = self.held.pop(0)
-            if ticket.answer is None:
-                yield ticket
+            pending = self.held.pop(0)
+            if pending.answer is None:
+                yield pending
             else:
-                self.exchange.forget(ticket)
+                self.exchange.forget(pending)
         if self.held:
             self.alarm(0, max(now + 1, self.held[0].arrived + self.lag - KEY_APART))
 
-    def taken(self, ticket, again=False):
-        ticket.q = self.book.take(ticket)
-        ticket.stages["taken"] = self.now
+    def taken(self, pending, again=False):
+        pending.q = self.book.take(pending)
+        pending.stages["taken"] = self.now
         self.events.append(
             i.Taken(
-                ticket.q,
-                ticket.rg,
-                ticket.tenant,
-                ticket.cost,
-                ticket.memory,
-                ticket.coord,
-                ticket.key,
-                max(0, ticket.limit - self.now),
+                pending.q,
+                pending.rg,
+                pending.tenant,
+                pending.cost,
+                pending.memory,
+                pending.coord,
+                pending.key,
+                max(0, pending.limit - self.now),
                 again,
             )
         )
 
-    def ended(self, submission, ending, elapsed, complete):
-        ticket = submission.ticket
-        self.book.ended(ticket.q, submission.lane.name)
+    def ended(self, attempt, ending, elapsed, complete):
+        pending = attempt.pending
+        self.book.ended(pending.q, attempt.queue.name)
         self.events.append(
             i.Ended(
-                ticket.q,
-                submission.number,
-                submission.engine,
+                pending.q,
+                attempt.number,
+                attempt.engine,
                 ending,
                 elapsed,
                 complete,
-                submission.work,
-                submission.memory,
+                attempt.work,
+                attempt.memory,
                 None,
             )
         )
         if complete:
-            self.book.over.add(ticket.q)
+            self.book.over.add(pending.q)
         self.counters.add(f"ending-{ENDINGS[ending]}")
 
-    def left(self, ticket):
-        if ticket.q >= 0 and ticket.q in self.book.open and self.book.queries.names[ticket.q] is ticket:
-            self.events.append(i.Left(ticket.q))
-            self.book.over.add(ticket.q)
+    def left(self, pending):
+        if pending.q >= 0 and pending.q in self.book.open and self.book.queries.names[pending.q] is pending:
+            self.events.append(i.Left(pending.q))
+            self.book.over.add(pending.q)
 
     def listed(self, whole, entries):
         if whole:
             gone = list(self.book.unlisted({entry[0] for entry in entries}))
             self.events.extend(gone)
             for event in gone:
-                self.change_lane(event.rank.decode(), i.GONE, None, 0)
+                self.change_queue(event.rank.decode(), i.GONE, None, 0)
         for name, address, state, zone, kind, cell, started, weight in entries:
             event = self.book.list_engine(name, state, zone, kind, cell, started, weight)
             if event:
                 self.events.append(event)
-                self.change_lane(name, state, address, event.started, self.speaks.get(kind))
+                self.change_queue(name, state, address, event.started, self.speaks.get(kind))
 
-    def change_lane(self, name, state, address, started, speaks=None):
-        lane = self.lanes.get(name)
+    def change_queue(self, name, state, address, started, speaks=None):
+        queue = self.queues.get(name)
         if self.accounts is not None:
             self.accounts.engine_state(name, state)
         if state != i.READY:
-            if lane:
-                lane.put(("drain",), always=True)
-                lane.gone = state == i.GONE
-        elif lane is None or lane.gone or lane.address != address:
+            if queue:
+                queue.put(("drain",), always=True)
+                queue.gone = state == i.GONE
+        elif queue is None or queue.gone or queue.address != address:
             # Another process must not be reached over the connections of the one before it at that name or
             # address: where its machine has vanished, they stay open and silent.
-            if lane:
-                lane.put(("close",), always=True)
-            self.lanes[name] = EngineQueue(name, address, started, speaks, self.exchange.calls)
-        elif started and lane.started != started:
-            lane.started = started
-            lane.put(("restarted", started), always=True)
+            if queue:
+                queue.put(("close",), always=True)
+            self.queues[name] = EngineQueue(name, address, started, speaks, self.exchange.calls)
+        elif started and queue.started != started:
+            queue.started = started
+            queue.put(("restarted", started), always=True)
 
     def close(self, name):
-        lane = self.lanes.pop(name, None)
-        if lane:
-            lane.put(("close",), always=True)
+        queue = self.queues.pop(name, None)
+        if queue:
+            queue.put(("close",), always=True)
 
     def stop(self, left):
         self.events.append(i.Stopping(left))
@@ -204,38 +204,38 @@
     # What was decided
 
     def submit(self, q, engine, wait, start_by):
-        ticket, name = self.book.queries.names[q], self.book.engines.names[engine]
-        until = min(ticket.limit, self.now + wait) if wait else ticket.limit
-        lane = self.lanes.get(name)
-        ticket.submission = Submission(ticket, ticket.count, engine, lane, self.now, until, start_by)
-        ticket.count += 1
+        pending, name = self.book.queries.names[q], self.book.engines.names[engine]
+        until = min(pending.limit, self.now + wait) if wait else pending.limit
+        queue = self.queues.get(name)
+        pending.attempt = Attempt(pending, pending.count, engine, queue, self.now, until, start_by)
+        pending.count += 1
         self.book.submitted(q, name)
-        ticket.stages.setdefault("submitted", self.now)
+        pending.stages.setdefault("submitted", self.now)
         self.counters.add("submissions")
-        if lane is None or not lane.put(("ask", ticket.submission)):
-            self.exchange.end(ticket.submission, i.NOT_SENT)
+        if queue is None or not queue.put(("ask", pending.attempt)):
+            self.exchange.end(pending.attempt, i.NOT_SENT)
 
     def defer(self, q, stay_away):
-        ticket = self.book.queries.names[q]
-        ticket.away = stay_away  # ahead of the answer, which its session may send at once
-        self.exchange.settle(ticket, DEFERRED)
+        pending = self.book.queries.names[q]
+        pending.away = stay_away  # ahead of the answer, which its session may send at once
+        self.exchange.settle(pending, DEFERRED)
         self.book.over.add(q)
 
     def kill(self, q):
         self.exchange.settle(self.book.queries.names[q], KILLED)
         self.book.over.add(q)
 
-    def cancel(self, q, submission):
-        sub = self.book.queries.names[q].submission
-        if sub is not None and sub.number == submission and not sub.over and sub.lane:
-            sub.lane.put(("quit", sub), always=True)
+    def cancel(self, q, number):
+        attempt = self.book.queries.names[q].attempt
+        if attempt is not None and attempt.number == number and not attempt.over and attempt.queue:
+            attempt.queue.put(("quit", attempt), always=True)
 
     def terms(self, q, priority, grant):
-        ticket = self.book.queries.names[q]
-        ticket.urgency = priority
-        sub = ticket.submission
-        if sub is not None and not sub.over and sub.lane:
-            sub.lane.put(("terms", sub))
+        pending = self.book.queries.names[q]
+        pending.urgency = priority
+        attempt = pending.attempt
+        if attempt is not None and not attempt.over and attempt.queue:
+            attempt.queue.put(("terms", attempt))
 
     def alarm(self, token, at):
         heappush(self.alarms, (at, token))
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -36,7 +36,7 @@
         "q",
         "count",
         "urgency",
-        "submission",
+        "attempt",
         "asked_on",
         "answer",
         "pages",
@@ -52,7 +52,7 @@
         for name, value in read.items():
             setattr(self, name, value)
         self.arrived, self.limit = arrived, arrived + limit
-        self.q, self.count, self.urgency, self.submission, self.asked_on = -1, 0, -1, None, []
+        self.q, self.count, self.urgency, self.attempt, self.asked_on = -1, 0, -1, None, []
         self.answer, self.pages, self.stages, self.why = None, None, {}, ""
         self.away, self.source = 0, None
         self.client = None  # its session, which tells whether the client is still connected
@@ -60,14 +60,14 @@
         self.ready.acquire()
 
 
-class Submission:
+class Attempt:
     """One attempt. start_by: when its first byte has to be on its way, or it is not sent any more."""
 
     __slots__ = (
-        "ticket",
+        "pending",
         "number",
         "engine",
-        "lane",
+        "queue",
         "at",
         "until",
         "start_by",
@@ -79,8 +79,8 @@
         "memory",
     )
 
-    def __init__(self, ticket, number, engine, lane, at, until, start_by=None):
-        self.ticket, self.number, self.engine, self.lane = ticket, number, engine, lane
+    def __init__(self, pending, number, engine, queue, at, until, start_by=None):
+        self.pending, self.number, self.engine, self.queue = pending, number, engine, queue
         self.at, self.until, self.over, self.written = at, until, False, False
         self.start_by = until if start_by is None else min(until, start_by)
         self.pages, self.told, self.work, self.memory = None, 0, 0, 0
@@ -98,17 +98,17 @@
 
     # Clients
 
-    def take(self, ticket):
+    def take(self, pending):
         with self.lock:
             if self.closed:
                 raise RequestRejected(STOPS, "the dispatcher stops; it may be sent again")
-            if ticket.id in self.open:
+            if pending.id in self.open:
                 # Not of class 53: that would tell that trying again is harmless, and the open one may run.
                 raise RequestRejected("55000", "a query with this txn is open")
-            self.open.add(ticket.id)
-        if not self.inbox.put(("taken", ticket)):
+            self.open.add(pending.id)
+        if not self.inbox.put(("taken", pending)):
             with self.lock:
-                self.open.discard(ticket.id)
+                self.open.discard(pending.id)
             raise RequestRejected("53000", "too much is waiting to be decided on")
         self.counters.add("taken")
 
@@ -117,21 +117,21 @@
         with self.lock:
             self.closed = True
 
-    def may_start(self, submission):
+    def may_start(self, attempt):
         """Whether an attempt may still begin, asked right before its first byte is written. What was true
         when it was decided may not be any more: it waited for a connection, or its client has gone."""
-        ticket = submission.ticket
-        if ticket.answer is not None or self.clock.now() >= submission.start_by:
+        pending = attempt.pending
+        if pending.answer is not None or self.clock.now() >= attempt.start_by:
             return False
-        if ticket.client is not None and ticket.client.has_gone():
+        if pending.client is not None and pending.client.has_gone():
             self.counters.add("clients-gone-before-an-attempt")
-            self.leave(ticket)
+            self.leave(pending)
             return False
         return True
 
-    def leave(self, ticket, answer=LEFT):
-        if self.settle(ticket, answer):
-            self.inbox.put(("left", ticket), always=True)
+    def leave(self, pending, answer=LEFT):
+        if self.settle(pending, answer):
+            self.inbox.put(("left", pending), always=True)
 
     def cancel_key(self, session, secret):
         with self.lock:
@@ -147,52 +147,52 @@
     def cancel(self, pid, secret):
         with self.lock:
             known, session = self.cancels.get(pid, (None, None))
-            ticket = session.ticket if known == secret and session else None
-        if ticket is not None:
-            self.leave(ticket)
-        return ticket is not None
+            pending = session.pending if known == secret and session else None
+        if pending is not None:
+            self.leave(pending)
+        return pending is not None
 
     # Answers: the first one stands.
 
-    def settle(self, ticket, answer, pages=None):
+    def settle(self, pending, answer, pages=None):
         with self.lock:
-            if ticket.answer is not None:
+            if pending.answer is not None:
                 return False
-            ticket.answer, ticket.pages = answer, pages
-        ticket.ready.release()
+            pending.answer, pending.pages = answer, pages
+        pending.ready.release()
         return True
 
-    def forget(self, ticket):
+    def forget(self, pending):
         with self.lock:
-            self.open.discard(ticket.id)
+            self.open.discard(pending.id)
 
     # Engines
 
-    def begin(self, submission, pipe):
+    def begin(self, attempt, pipe):
         """The result is too long to be gathered: from here on it is the client's, and there is no other
         try."""
-        ticket = submission.ticket
+        pending = attempt.pending
         with self.lock:
-            if submission.over or ticket.answer is not None:
+            if attempt.over or pending.answer is not None:
                 return False
-            ticket.answer, ticket.pages = FINISHED, pipe
-        ticket.ready.release()
+            pending.answer, pending.pages = FINISHED, pipe
+        pending.ready.release()
         return True
 
-    def end(self, submission, ending, elapsed=None, pages=None):
-        """A submission's one ending; a whole result goes to the client if none has gone there."""
-        ticket = submission.ticket
+    def end(self, attempt, ending, elapsed=None, pages=None):
+        """A attempt's one ending; a whole result goes to the client if none has gone there."""
+        pending = attempt.pending
         with self.lock:
-            if submission.over:
+            if attempt.over:
                 return
-            submission.over, submission.pages = True, None
-            complete = ticket.answer is not None
+            attempt.over, attempt.pages = True, None
+            complete = pending.answer is not None
             if ending == i.FINISHED and not complete:
-                ticket.answer, ticket.pages, complete = FINISHED, pages, True
+                pending.answer, pending.pages, complete = FINISHED, pages, True
             else:
                 pages = None
         if elapsed is None:
-            elapsed = self.clock.now() - submission.at
-        self.inbox.put(("ended", submission, ending, elapsed, complete), always=True)
+            elapsed = self.clock.now() - attempt.at
+        self.inbox.put(("ended", attempt, ending, elapsed, complete), always=True)
         if pages is not None:
-            ticket.ready.release()
+            pending.ready.release()
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -2,7 +2,7 @@
 answer.
 
 A protocol is a subclass: talk() reads its messages and calls query() with a statement's text; the methods
-under "What a protocol says" put answers into its words. It waits on its own socket and its own ticket,
+under "What a protocol says" put answers into its words. It waits on its own socket and its own pending,
 nothing else.
 """
 
@@ -50,7 +50,7 @@
         self.exchange, self.reader, self.clock = service.exchange, service.reader, service.clock
         self.log, self.counters, self.stopping = service.log, service.counters, service.stopping
         self.stop_descriptor = service.stop_descriptor
-        self.buffer, self.ticket, self.pid, self.queries, self.idle = bytearray(), None, 0, 0, True
+        self.buffer, self.pending, self.pid, self.queries, self.idle = bytearray(), None, 0, 0, True
         self.since, self.sent_away, self.first_by = service.clock.now(), False, time.monotonic() + FIRST_S
         # Octets that came, those of them whose group is known by now, and those that went.
         self.accounts, self.account = service.accounts, None
@@ -73,7 +73,7 @@
         except Exception as failure:  # no thread dies unseen, and no trace of ours reaches a client
             detail = f"{type(failure).__name__}: {failure}"
             last = self.internal_error()
-        if self.ticket:
+        if self.pending:
             self.leave()
         if self.pid:
             self.exchange.drop_key(self.pid)
@@ -210,14 +210,14 @@
         places for than the comment ahead of the statement."""
         try:
             self.queries += 1
-            ticket = ex.PendingQuery(arrived, **self.reader.read(text, **marks))
-            ticket.source, ticket.client = self.peer, self
-            self.claim((ticket.rg, ticket.tenant))
-            self.ticket = ticket
+            pending = ex.PendingQuery(arrived, **self.reader.read(text, **marks))
+            pending.source, pending.client = self.peer, self
+            self.claim((pending.rg, pending.tenant))
+            self.pending = pending
             try:
-                self.exchange.take(ticket)
+                self.exchange.take(pending)
             except ex.RequestRejected as refused:
-                self.ticket = None
+                self.pending = None
                 raise Unusable(refused.sqlstate, refused.text) from None
         except Unusable as unusable:
             self.counters.add("statements-unusable")
@@ -225,8 +225,8 @@
             self.sock.settimeout(WRITE_S)
             self.put(self.unusable(unusable))
             return
-        self.wait(ticket)
-        self.answer(ticket)
+        self.wait(pending)
+        self.answer(pending)
 
     def arrived(self):
         """When the last byte came, by the machine's own account: this thread may have woken long after."""
@@ -237,15 +237,15 @@
         except (OSError, ValueError):
             return now
 
-    def wait(self, ticket):
-        due = ticket.limit + OVERDUE
+    def wait(self, pending):
+        due = pending.limit + OVERDUE
         look_s = self.peek_s or PEEK_S
-        while not ticket.ready.acquire(timeout=max(0.001, min(look_s, (due - self.clock.now()) / 10_000))):
+        while not pending.ready.acquire(timeout=max(0.001, min(look_s, (due - self.clock.now()) / 10_000))):
             if self.vanished():
-                self.exchange.leave(ticket)
+                self.exchange.leave(pending)
             elif self.clock.now() >= due:
                 self.counters.add("overdue")
-                self.exchange.leave(ticket, ex.KILLED)
+                self.exchange.leave(pending, ex.KILLED)
 
     def has_gone(self):
         """Whether the client has closed or reset its connection, also behind what it sent before. From any
@@ -257,35 +257,35 @@
         except (OSError, ValueError):
             return True  # its session has closed it
 
-    def answer(self, ticket):
-        kind, storm = ticket.answer, self.exchange.storm
+    def answer(self, pending):
+        kind, storm = pending.answer, self.exchange.storm
         if storm and storm != self.warned:
             # Once a storm and connection, and with an answer: nobody reads before one.
             self.warned = storm
             self.warn()
             self.counters.add("storm-notices")
-        if isinstance(ticket.pages, ResultStream):
-            self.stream(ticket, ticket.pages)
+        if isinstance(pending.pages, ResultStream):
+            self.stream(pending, pending.pages)
             return
         try:
-            kind, data, messages = self.answered(ticket, kind)
+            kind, data, messages = self.answered(pending, kind)
         finally:
-            ticket.pages = None
+            pending.pages = None
         try:
             self.sock.settimeout(WRITE_S)
-            self.put(data, (ticket.rg, ticket.tenant), messages, ANSWERS[kind])
+            self.put(data, (pending.rg, pending.tenant), messages, ANSWERS[kind])
         except OSError:
             kind = ex.LEFT
-            self.count_left(ticket)
+            self.count_left(pending)
             raise
         finally:
-            self.ticket = None
-            self.done(ticket, kind, len(data))
+            self.pending = None
+            self.done(pending, kind, len(data))
 
-    def stream(self, ticket, pipe):
+    def stream(self, pending, pipe):
         """A long result as it comes; where it breaks off, the client is told so, and that is its final
         answer."""
-        kind, size, key, form = ex.KILLED, 0, (ticket.rg, ticket.tenant), self.streaming(ticket)
+        kind, size, key, form = ex.KILLED, 0, (pending.rg, pending.tenant), self.streaming(pending)
         self.sock.settimeout(WRITE_S)
         try:
             while (chunk := pipe.take(STREAM_S)) is not None:
@@ -303,49 +303,49 @@
             self.put(form.broken() if pipe.broken else form.end(), key, 1, ANSWERS[kind])
         except (OSError, Ended, ValueError):
             kind = ex.LEFT
-            self.count_left(ticket)
+            self.count_left(pending)
             raise
         finally:
             pipe.close()
-            ticket.pages, self.ticket = None, None
-            self.done(ticket, kind, size)
+            pending.pages, self.pending = None, None
+            self.done(pending, kind, size)
 
     def leave(self):
-        ticket, self.ticket = self.ticket, None
-        self.exchange.leave(ticket)
-        self.count_left(ticket)
-        self.done(ticket, ex.LEFT, 0)
+        pending, self.pending = self.pending, None
+        self.exchange.leave(pending)
+        self.count_left(pending)
+        self.done(pending, ex.LEFT, 0)
 
-    def count_left(self, ticket):
+    def count_left(self, pending):
         if self.account is not None:
             self.accounts.count(
-                self.account, (ticket.rg, ticket.tenant), self.clock.now(), REVERSE, 0, 0, ANSWERS[ex.LEFT]
+                self.account, (pending.rg, pending.tenant), self.clock.now(), REVERSE, 0, 0, ANSWERS[ex.LEFT]
             )
 
     @staticmethod
-    def advice(ticket):
+    def advice(pending):
         """How long a client whose query is deferred is told to stay away, in milliseconds; 0: not told."""
-        return -(-ticket.away // 10)
+        return -(-pending.away // 10)
 
-    def done(self, ticket, kind, size):
+    def done(self, pending, kind, size):
         self.counters.add(kind)
-        if kind == ex.DEFERRED and ticket.away:
+        if kind == ex.DEFERRED and pending.away:
             self.counters.add("advised")
-            self.counters.add("advised-ms", self.advice(ticket))
+            self.counters.add("advised-ms", self.advice(pending))
         self.counters.add("bytes-answered", size)
-        now, begin, last = self.clock.now(), ticket.arrived, ticket.submission
+        now, begin, last = self.clock.now(), pending.arrived, pending.attempt
         self.log.line(
             "query",
-            txn=ticket.id,
-            rg=ticket.verb,
+            txn=pending.id,
+            rg=pending.verb,
             answer=kind,
-            submissions=ticket.count,
-            engine=last.lane.name if last and last.lane else None,
-            coord=ticket.coord,
-            cost=ticket.cost / 10,
+            submissions=pending.count,
+            engine=last.queue.name if last and last.queue else None,
+            coord=pending.coord,
+            cost=pending.cost / 10,
             took=(now - begin) / 10,
-            limit=(ticket.limit - begin) / 10,
-            **{stage: (at - begin) / 10 for stage, at in ticket.stages.items()},
+            limit=(pending.limit - begin) / 10,
+            **{stage: (at - begin) / 10 for stage, at in pending.stages.items()},
         )
 
     # What a protocol says
@@ -359,7 +359,7 @@
     def unusable(self, unusable):
         raise NotImplementedError
 
-    def streaming(self, ticket):
+    def streaming(self, pending):
         """What makes bytes of a long result's tokens: more(tokens), end(), broken()."""
         raise NotImplementedError
 
@@ -367,7 +367,7 @@
         """What was read from the socket, less what encryption there is."""
         return data
 
-    def answered(self, ticket, kind):
+    def answered(self, pending, kind):
         """(final answer, its bytes, its messages): a result that cannot be put into words is killed."""
         raise NotImplementedError
 
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -1,4 +1,4 @@
-"""A connection to an engine: the requests on it, and each submission's one ending.
+"""A connection to an engine: the requests on it, and each attempt's one ending.
 
 The keeper (links.py) hands in orders and tells when there is something to read, or room for what the engine
 did not take at once; nothing it calls here waits.
@@ -154,15 +154,15 @@
         except Exception as error:  # a fault of ours must not leave its submissions without an ending
             self.fail("fault", f"{type(error).__name__}: {error}")
 
-    def takes(self, sub, now):
+    def takes(self, attempt, now):
         with self.lock:
             return (
                 not self.dead
                 and not self.retired
                 and len(self.open) < self.link.streams
-                and sub.ticket.id not in self.open
-                and sub.ticket.id not in self.past
-                and self not in sub.ticket.asked_on
+                and attempt.pending.id not in self.open
+                and attempt.pending.id not in self.past
+                and self not in attempt.pending.asked_on
                 and (self.open or now - self.used < self.link.idle_time)
             )
 
@@ -173,16 +173,16 @@
             if self.dead:
                 return False
             if order[0] == "ask":
-                self.open[order[1].ticket.id] = order[1]
-                order[1].ticket.asked_on.append(self)
+                self.open[order[1].pending.id] = order[1]
+                order[1].pending.asked_on.append(self)
                 self.used = self.link.clock.now()
             self.outbox.append(order)
             failure, dropped = self.flush() if self.up and not self.rest else (None, ())
             unsent = failure and order[0] == "ask" and not order[1].written
             if unsent:
-                del self.open[order[1].ticket.id]
-        for sub, ending in dropped:
-            self.drop(sub, ending)
+                del self.open[order[1].pending.id]
+        for attempt, ending in dropped:
+            self.drop(attempt, ending)
         if failure:
             self.fail("reset", failure.strerror)
         return not unsent
@@ -205,12 +205,12 @@
                 sent = self.send(data)
             except OSError as failure:
                 return failure, dropped
-            ticket, what = more[-1] if kind == "line" else more[0].ticket, 0
+            pending, what = more[-1] if kind == "line" else more[0].pending, 0
             if kind == "ask":
                 more[0].written = True
                 self.asked += 1
                 what = FURTHER if more[0].number else FIRST
-            key = ticket.rg, ticket.tenant
+            key = pending.rg, pending.tenant
             self.count_sent(key, sent, 1, what)
             # Not before a QUIT is written: the module may submit anew as soon as it hears of the end.
             over = tuple(more) if kind == "quit" else None
@@ -237,8 +237,8 @@
             failure, dropped = (None, []) if self.rest else self.flush()
         if over and sent == len(data):
             self.drop(*over)
-        for sub, ending in dropped:
-            self.drop(sub, ending)
+        for attempt, ending in dropped:
+            self.drop(attempt, ending)
         if failure:
             raise failure
         if not self.rest:
@@ -262,72 +262,72 @@
         except BlockingIOError:
             return 0
 
-    def fields(self, sub):
+    def fields(self, attempt):
         """What an engine is told of a query beside its id and statement, as it leaves; None for one that does
         not any more."""
-        if sub.over or self.open.get(sub.ticket.id) is not sub:
+        if attempt.over or self.open.get(attempt.pending.id) is not attempt:
             return None
-        ticket, now = sub.ticket, self.link.clock.now()
-        ticket.stages.setdefault("asked", now)
-        token = b",uniq=" + ticket.token if ticket.token else b""
-        urgency = b",urgency=%d" % ticket.urgency if ticket.urgency >= 0 else b""
-        return b"queue=%b,budget=%d%b%b" % (ticket.verb, max(1, (sub.until - now) // 10), token, urgency)
+        pending, now = attempt.pending, self.link.clock.now()
+        pending.stages.setdefault("asked", now)
+        token = b",uniq=" + pending.token if pending.token else b""
+        urgency = b",urgency=%d" % pending.urgency if pending.urgency >= 0 else b""
+        return b"queue=%b,budget=%d%b%b" % (pending.verb, max(1, (attempt.until - now) // 10), token, urgency)
 
-    def ask(self, sub):
+    def ask(self, attempt):
         self.check_idle_close()
-        fields, ticket = self.fields(sub), sub.ticket
-        return fields and b"ASK %b %b %d\r\n%b\r\n" % (ticket.id, fields, len(ticket.body), ticket.body)
+        fields, pending = self.fields(attempt), attempt.pending
+        return fields and b"ASK %b %b %d\r\n%b\r\n" % (pending.id, fields, len(pending.body), pending.body)
 
-    def quit(self, sub, ending):
-        if sub.over or self.open.get(sub.ticket.id) is not sub:
+    def quit(self, attempt, ending):
+        if attempt.over or self.open.get(attempt.pending.id) is not attempt:
             return None
-        return (b"FREE %b\r\n" if sub.pages else b"QUIT %b\r\n") % sub.ticket.id
+        return (b"FREE %b\r\n" if attempt.pages else b"QUIT %b\r\n") % attempt.pending.id
 
-    def terms(self, sub):
-        if sub.over or not sub.written or self.open.get(sub.ticket.id) is not sub:
+    def terms(self, attempt):
+        if attempt.over or not attempt.written or self.open.get(attempt.pending.id) is not attempt:
             return None
-        return b"PRIO %b %d\r\n" % (sub.ticket.id, sub.ticket.urgency)
+        return b"PRIO %b %d\r\n" % (attempt.pending.id, attempt.pending.urgency)
 
-    def line(self, data, ticket):
+    def line(self, data, pending):
         return data
 
     FORMS = {"ask": ask, "quit": quit, "terms": terms, "line": line}
 
-    def give_up(self, sub, ending, at_once):
+    def give_up(self, attempt, ending, at_once):
         """What is not written yet is taken back, which proves that it never ran."""
         with self.lock:
-            if self.dead or self.open.get(sub.ticket.id) is not sub:
+            if self.dead or self.open.get(attempt.pending.id) is not attempt:
                 return
-            unwritten = not sub.written
+            unwritten = not attempt.written
             if unwritten:
-                del self.open[sub.ticket.id]
+                del self.open[attempt.pending.id]
         if unwritten:
-            self.link.exchange.end(sub, i.NOT_SENT)
+            self.link.exchange.end(attempt, i.NOT_SENT)
         else:
-            self.call_off(sub, ending, at_once)
+            self.call_off(attempt, ending, at_once)
 
-    def call_off(self, sub, ending, at_once):
+    def call_off(self, attempt, ending, at_once):
         """What is out is given up, by the protocol's own words."""
         if at_once:
-            data = (b"FREE %b\r\n" if sub.pages else b"QUIT %b\r\n") % sub.ticket.id
-            self.drop(sub, ending)
-            self.put("line", data, sub.ticket)
+            data = (b"FREE %b\r\n" if attempt.pages else b"QUIT %b\r\n") % attempt.pending.id
+            self.drop(attempt, ending)
+            self.put("line", data, attempt.pending)
         else:
-            self.put("quit", sub, ending)
+            self.put("quit", attempt, ending)
 
-    def drop(self, sub, ending, pages=None):
+    def drop(self, attempt, ending, pages=None):
         with self.lock:
-            if self.open.get(sub.ticket.id) is not sub:
+            if self.open.get(attempt.pending.id) is not attempt:
                 return
-            del self.open[sub.ticket.id]
-            self.past[sub.ticket.id] = True
+            del self.open[attempt.pending.id]
+            self.past[attempt.pending.id] = True
             # Whatever is still to come of it, or never will, is no concern of the next one.
             self.retired = self.retired or ending in (i.NO_ANSWER, i.CANCELLED)
             if len(self.past) > PAST_MOST:
                 del self.past[next(iter(self.past))]
             self.used, idles = self.link.clock.now(), not self.open
-        elapsed = sub.told - sub.at if sub.told else None
-        self.link.exchange.end(sub, ending, elapsed, pages)
+        elapsed = attempt.told - attempt.at if attempt.told else None
+        self.link.exchange.end(attempt, ending, elapsed, pages)
         if idles:
             self.link.links.call(self)
 
@@ -378,8 +378,8 @@
         with self.lock:
             self.sock, self.up, dead = sock, True, self.dead
             failure, dropped = (None, ()) if dead else self.flush()
-        for sub, ending in dropped:
-            self.drop(sub, ending)
+        for attempt, ending in dropped:
+            self.drop(attempt, ending)
         if failure:
             raise failure
         return not dead
@@ -410,7 +410,7 @@
         if code:
             raise OSError(code, os.strerror(code))
         if self.accounts is not None:
-            self.account = self.accounts.engine(self.sock, self.link.lane.name)
+            self.account = self.accounts.engine(self.sock, self.link.queue.name)
         if self.come_up(self.sock):
             self.link.links.watch(self, self.READS)
 
@@ -434,55 +434,57 @@
     def answer(self, txn, word, fields, body, size):
         """One whole answer of the engine."""
         with self.lock:
-            sub = self.open.get(txn)
-        self.claim((sub.ticket.rg, sub.ticket.tenant) if sub else NOBODY, size)
-        if sub is None or not sub.written or sub.pages and word == b"HIT":
+            attempt = self.open.get(txn)
+        self.claim((attempt.pending.rg, attempt.pending.tenant) if attempt else NOBODY, size)
+        if attempt is None or not attempt.written or attempt.pages and word == b"HIT":
             # A second copy, what crossed our giving up, or what was never asked here: it can be told from all
             # else, so it costs nobody anything.
             self.link.counters.add("answers-surplus")
             return
         if word == b"HIT":
-            self.first_page(sub, txn, fields, body)
-        elif word == b"PART" and sub.pages is not None:
-            self.further_page(sub, txn, fields, body)
+            self.first_page(attempt, txn, fields, body)
+        elif word == b"PART" and attempt.pages is not None:
+            self.further_page(attempt, txn, fields, body)
         elif word == b"FAULT":
-            self.drop(sub, i.ERROR)
-        elif word in REFUSALS and sub.pages is None:
-            self.drop(sub, REFUSALS[word])
+            self.drop(attempt, i.ERROR)
+        elif word in REFUSALS and attempt.pages is None:
+            self.drop(attempt, REFUSALS[word])
         else:
             raise ProtocolError("an answer that does not fit what was asked")
 
-    def first_page(self, sub, txn, fields, body):
+    def first_page(self, attempt, txn, fields, body):
         """A result begins; its further pages are asked for."""
         sheets = page_number(fields.get(b"sheets", b"1"))
         if not sheets or not is_page(body):
             raise ProtocolError("a result has no page that can be read")
-        sub.told = self.link.clock.now()
-        sub.work = int(figure(fields.get(b"toil", b"0"), 1e9) * 10)
-        sub.memory = figure(fields.get(b"room", b"0"), 1e9)
-        sub.pages = [body] + [None] * (sheets - 1)
-        sub.ticket.stages["hit"] = sub.told
+        attempt.told = self.link.clock.now()
+        attempt.work = int(figure(fields.get(b"toil", b"0"), 1e9) * 10)
+        attempt.memory = figure(fields.get(b"room", b"0"), 1e9)
+        attempt.pages = [body] + [None] * (sheets - 1)
+        attempt.pending.stages["hit"] = attempt.told
         if sheets > 1:
-            self.put("line", b"".join(b"NEXT %b %d\r\n" % (txn, n) for n in range(1, sheets)), sub.ticket)
+            self.put(
+                "line", b"".join(b"NEXT %b %d\r\n" % (txn, n) for n in range(1, sheets)), attempt.pending
+            )
             self.link.links.call(self)
         else:
-            self.drop(sub, i.FINISHED, sub.pages)
+            self.drop(attempt, i.FINISHED, attempt.pages)
 
-    def further_page(self, sub, txn, fields, body):
+    def further_page(self, attempt, txn, fields, body):
         """A page that was asked for; with the last one the result is whole."""
         n = page_number(fields.get(b"sheet", b""))
-        if not 0 < n < len(sub.pages) or not is_page(body):
+        if not 0 < n < len(attempt.pages) or not is_page(body):
             raise ProtocolError("a page is out of range or cannot be read")
-        if sub.pages[n] is not None:
+        if attempt.pages[n] is not None:
             self.link.counters.add("answers-surplus")
             return
-        sub.pages[n] = body
-        if None in sub.pages:
+        attempt.pages[n] = body
+        if None in attempt.pages:
             return
-        if sum(map(len, sub.pages)) > RESULT_MOST:
+        if sum(map(len, attempt.pages)) > RESULT_MOST:
             raise ProtocolError("a result is too long")
-        self.drop(sub, i.FINISHED, sub.pages)
-        self.put("line", b"FREE %b\r\n" % txn, sub.ticket)
+        self.drop(attempt, i.FINISHED, attempt.pages)
+        self.put("line", b"FREE %b\r\n" % txn, attempt.pending)
 
     # The end
 
@@ -513,7 +515,7 @@
             return "connect-timeout", "timed out"
         if self.midway and now - self.midway > STALL_TIME:
             return "malformed", "an answer stopped midway"
-        if any(sub.told and now - sub.told > PAGE_TIME for sub in list(self.open.values())):
+        if any(attempt.told and now - attempt.told > PAGE_TIME for attempt in list(self.open.values())):
             return "page-missing", None
         return None
 
@@ -524,7 +526,7 @@
             # TDS has a thread that reads; both have the keeper write.
             self.link.links.watch(self, self.READS | WRITES)
             return now + LOOK
-        if self.midway or any(sub.told for sub in list(self.open.values())):
+        if self.midway or any(attempt.told for attempt in list(self.open.values())):
             return now + LOOK
         return now + self.link.idle_time
 
@@ -546,13 +548,13 @@
                 except OSError:
                     pass
         link, unwritten = self.link, i.NOT_SENT if self.up or reason in OUR_DOING else i.NO_CONNECTION
-        for sub in subs:
-            link.exchange.end(sub, lost if sub is half else i.RESET if sub.written else unwritten)
+        for attempt in subs:
+            link.exchange.end(attempt, lost if attempt is half else i.RESET if attempt.written else unwritten)
         link.ended(self)
         link.counters.add(f"engine-connections-ended-{reason}")
         link.log.line(
             "engine-connection-ended",
-            engine=link.lane.name,
+            engine=link.queue.name,
             reason=reason,
             detail=detail,
             asked=self.asked,
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -1,4 +1,4 @@
-"""The keeper: one thread for all engines. It takes orders from the lanes, watches the connections, keeps the
+"""The keeper: one thread for all engines. It takes orders from the queues, watches the connections, keeps the
 waits, and ends what ran out of time or idles.
 
 Threads that mostly sleep cost a machine its process ids long before they cost memory: with one an engine and
@@ -13,7 +13,7 @@
 from threading import Event, Lock
 
 from wickvane import interface as i
-from wickvane.net.exchange import Submission
+from wickvane.net.exchange import Attempt
 from wickvane.net.lines.connection import WRITES, Connection
 from wickvane.net.queues import EngineQueue
 from wickvane.settings import kept_open
@@ -26,27 +26,27 @@
 
 
 class Link:
-    """One engine process: its lane and its connections."""
+    """One engine process: its queue and its connections."""
 
-    def __init__(self, lane, links):
-        self.lane, self.links, lane.link = lane, links, self
+    def __init__(self, queue, links):
+        self.queue, self.links, queue.link = queue, links, self
         self.exchange, self.clock, self.log = links.exchange, links.clock, links.log
         self.counters, self.streams, self.connect_s = links.counters, links.streams, links.connect_s
-        self.idle_time, self.address = links.idle_time, lane.address
+        self.idle_time, self.address = links.idle_time, queue.address
         self.lock, self.connections, self.closing = Lock(), [], False
 
-    def ask(self, sub):
+    def ask(self, attempt):
         now = self.clock.now()
-        if sub.over:
+        if attempt.over:
             return
         # Decided before a standstill, what it counted on may be another's by now: links.stale.
-        if now >= sub.until or sub.ticket.answer is not None or now - sub.at >= self.links.stale:
-            self.exchange.end(sub, i.NOT_SENT)
+        if now >= attempt.until or attempt.pending.answer is not None or now - attempt.at >= self.links.stale:
+            self.exchange.end(attempt, i.NOT_SENT)
             return
         # One that died meanwhile proves that nothing ran.
-        place = next((c for c in self.candidates(sub, now) if c.put("ask", sub)), None)
+        place = next((c for c in self.candidates(attempt, now) if c.put("ask", attempt)), None)
         if place is None:
-            self.exchange.end(sub, i.NOT_SENT)
+            self.exchange.end(attempt, i.NOT_SENT)
             return
         self.links.in_use(place)
         if not place.started:
@@ -54,53 +54,53 @@
             # Not before the order is in: one refused at once would end it as never sent, and the module would
             # not hear that the engine is down.
             place.start()
-        self.links.later(sub.until, sub)
+        self.links.later(attempt.until, attempt)
 
-    def candidates(self, sub, now):
+    def candidates(self, attempt, now):
         """The connections that may carry an attempt, best first. What one that is spoilt or reset takes along
         is kept small: one query on each while there are descriptors for it, then where fewest are."""
         with self.lock:
             connections = list(self.connections)
         for connection in connections:
-            if not connection.open and connection.takes(sub, now):
+            if not connection.open and connection.takes(attempt, now):
                 yield connection
         if self.links.may_open():
             yield self.open_connection()
             return
-        yield from sorted((c for c in connections if c.takes(sub, now)), key=lambda c: len(c.open))
+        yield from sorted((c for c in connections if c.takes(attempt, now)), key=lambda c: len(c.open))
 
     def open_connection(self):
         """A connection that is not dialled yet."""
-        connection = self.lane.speaks.connection(self) if self.lane.speaks else Connection(self)
+        connection = self.queue.speaks.connection(self) if self.queue.speaks else Connection(self)
         with self.lock:
             self.connections.append(connection)
         self.links.opened(connection)
         self.counters.add("engine-connections")
         return connection
 
-    def find(self, sub):
+    def find(self, attempt):
         with self.lock:
             connections = list(self.connections)
-        return next((c for c in connections if c.open.get(sub.ticket.id) is sub), None)
+        return next((c for c in connections if c.open.get(attempt.pending.id) is attempt), None)
 
-    def quit(self, sub, ending=i.CANCELLED, at_once=False):
-        place = self.find(sub)
+    def quit(self, attempt, ending=i.CANCELLED, at_once=False):
+        place = self.find(attempt)
         if place:
-            place.give_up(sub, ending, at_once)
+            place.give_up(attempt, ending, at_once)
 
-    def terms(self, sub):
-        place = self.find(sub)
+    def terms(self, attempt):
+        place = self.find(attempt)
         if place:
-            place.put("terms", sub)
+            place.put("terms", attempt)
 
     def drain(self):
         """What is still in line would go out after the engine's grace if a write stalls: it is taken back."""
         with self.lock:
             connections = list(self.connections)
         for place in connections:
-            for sub in list(place.open.values()):
-                if not sub.written:
-                    place.give_up(sub, i.NOT_SENT, True)
+            for attempt in list(place.open.values()):
+                if not attempt.written:
+                    place.give_up(attempt, i.NOT_SENT, True)
 
     def restarted(self, started):
         # What was connected before the engine's start leads to a process that is no more.
@@ -193,9 +193,9 @@
                 self.look_at(caller)
         self.look(self.clock.now())
 
-    def take_orders(self, lane):
-        link = lane.link or Link(lane, self)
-        for kind, *rest in lane.take(0):
+    def take_orders(self, queue):
+        link = queue.link or Link(queue, self)
+        for kind, *rest in queue.take(0):
             try:
                 link.ORDERS[kind](link, *rest)
             except Exception as error:  # one order's fault ends no other's
@@ -207,7 +207,7 @@
     # Times
 
     def later(self, at, what):
-        """what: a submission whose wait ends then, or a connection to look at."""
+        """what: a attempt whose wait ends then, or a connection to look at."""
         self.count += 1
         heappush(self.waits, (at, self.count, what))
 
@@ -215,12 +215,12 @@
         """Ends what ran out of time, and looks at the connections whose time it is."""
         while self.waits and (self.waits[0][0] <= now or over(self.waits[0][2])):
             what = heappop(self.waits)[2]
-            if not isinstance(what, Submission):
+            if not isinstance(what, Attempt):
                 what.look_at = None
                 self.look_at(what, now)
             elif not what.over:
                 # At the client's own limit nothing can follow, and the answer is due now.
-                what.lane.link.quit(what, i.NO_ANSWER, what.until >= what.ticket.limit)
+                what.queue.link.quit(what, i.NO_ANSWER, what.until >= what.pending.limit)
         if len(self.waits) > self.most_waits:
             # Long limits of queries that ended long ago would pile up behind one that is still out.
             self.waits = [wait for wait in self.waits if not over(wait[2])]
@@ -312,4 +312,4 @@
 
 
 def over(what):
-    return what.over if isinstance(what, Submission) else what.dead
+    return what.over if isinstance(what, Attempt) else what.dead
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -189,12 +189,12 @@
         except OSError:
             return True
 
-    def answered(self, ticket, kind):
+    def answered(self, pending, kind):
         if kind == ex.FINISHED:
             try:
-                if not ticket.pages or not isinstance(ticket.pages[0], bytes):
-                    return kind, *self.of_tokens(ticket)
-                data, messages = result(ticket.pages, ticket.tag)
+                if not pending.pages or not isinstance(pending.pages[0], bytes):
+                    return kind, *self.of_tokens(pending)
+                data, messages = result(pending.pages, pending.tag)
                 return kind, data + READY, messages + 1
             except ValueError:
                 kind, data = ex.KILLED, error("XX000", "the engine's result cannot be read") + READY
@@ -206,7 +206,7 @@
                     error(
                         "53000",
                         "deferred: no engine has room in time; it may be sent again",
-                        away=self.advice(ticket),
+                        away=self.advice(pending),
                     )
                     + READY
                 )
@@ -216,15 +216,15 @@
             data = error("57014", "canceling statement due to user request") + READY
         return kind, data, 2
 
-    def of_tokens(self, ticket):
+    def of_tokens(self, pending):
         """The whole result of an engine that speaks TDS."""
         from wickvane.net.tds.results import Rows
 
         rows = Rows()
-        return rows.of(ticket.pages) + rows.end(ticket.tag) + READY, rows.count + 3
+        return rows.of(pending.pages) + rows.end(pending.tag) + READY, rows.count + 3
 
-    def streaming(self, ticket):
-        return RowStream(ticket.tag)
+    def streaming(self, pending):
+        return RowStream(pending.tag)
 
 
 class RowStream:
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -204,7 +204,7 @@
         self.of, self.encoded = book.deployment.groups, {name: name.encode() for name in book.groups.index}
 
     def read(self, text, defaults=None):
-        """A ticket's fields; `defaults` stand in for the comment where there is none."""
+        """A pending's fields; `defaults` stand in for the comment where there is none."""
         inside, body = split(text)
         if inside is None and defaults is None:
             raise Unusable("42601", "the statement has no comment with fields ahead of it")
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -102,33 +102,33 @@
             self.look_at = self.now + LOOK
             self.alarm(0, self.look_at)
 
-    def mark(self, ticket):
-        return mark_of(ticket.tenant, ticket.token, ticket.key, ticket.body)
+    def mark(self, pending):
+        return mark_of(pending.tenant, pending.token, pending.key, pending.body)
 
-    def taken(self, ticket, again=False):
-        mark = self.mark(ticket)
-        again = self.storm.taken(self.now, mark, ticket.source, ticket.cost)
-        super().taken(ticket, again)
+    def taken(self, pending, again=False):
+        mark = self.mark(pending)
+        again = self.storm.taken(self.now, mark, pending.source, pending.cost)
+        super().taken(pending, again)
         if again:
             self.counters.add("repeats")
             until = self.told.pop(mark, None)
             if until is not None:
                 self.counters.add("advice-heeded" if self.now >= until else "advice-ignored")
 
-    def ended(self, submission, ending, elapsed, complete):
-        super().ended(submission, ending, elapsed, complete)
+    def ended(self, attempt, ending, elapsed, complete):
+        super().ended(attempt, ending, elapsed, complete)
         if ending == i.FINISHED:
-            ticket = submission.ticket
-            group = self.book.deployment.groups[ticket.rg]
-            target = ticket.arrived + group.promise + group.stretch * ticket.cost / group.threads
-            work = submission.work or elapsed * group.threads
+            pending = attempt.pending
+            group = self.book.deployment.groups[pending.rg]
+            target = pending.arrived + group.promise + group.stretch * pending.cost / group.threads
+            work = attempt.work or elapsed * group.threads
             self.storm.finished(self.now, self.now > target, work)
-            if ticket.cost:
-                self.storm.engine(self.now, submission.lane.name, elapsed, ticket.cost / group.threads)
+            if pending.cost:
+                self.storm.engine(self.now, attempt.queue.name, elapsed, pending.cost / group.threads)
 
     def defer(self, q, stay_away):
-        ticket = self.book.queries.names[q]
-        mark = self.mark(ticket)
+        pending = self.book.queries.names[q]
+        mark = self.mark(pending)
         self.storm.deferred(self.now, mark)
         if stay_away:
             self.told[mark] = self.now + stay_away
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -1,7 +1,7 @@
 """One connection to an engine that speaks TDS: a login, then a query at a time, given up by attention.
 
 It stands where a connection of the line protocol does: the keeper hands in orders, a thread of its own
-dials, logs in and reads (a stream waits for its client, which the keeper must not), and each submission gets
+dials, logs in and reads (a stream waits for its client, which the keeper must not), and each attempt gets
 its one ending. What proves that nothing ran:
 
     refused, not up in time, login refused, routed elsewhere    no connection   proven
@@ -43,13 +43,13 @@
 
     def __init__(self, link):
         super().__init__(link)
-        self.engines = link.lane.speaks
+        self.engines = link.queue.speaks
         self.size, self.stream, self.assembler = packets.SIZE, None, packets.Assembler(MESSAGE_MOST, RECEIVED)
         # busy: a batch is out whose end has not come; attending: when its attention must be acknowledged.
-        self.busy, self.attending, self.submission = False, 0, None
+        self.busy, self.attending, self.attempt = False, 0, None
         self.result, self.gathered, self.pipe, self.error = Tokens(), 0, None, None
 
-    def takes(self, sub, now):
+    def takes(self, attempt, now):
         with self.lock:
             return (
                 not self.dead
@@ -61,47 +61,47 @@
 
     # Orders
 
-    def ask(self, sub):
-        fields, ticket = self.fields(sub), sub.ticket
+    def ask(self, attempt):
+        fields, pending = self.fields(attempt), attempt.pending
         if not fields:
             return None
-        text = (b"/* id=%b,%b */ %b" % (ticket.id, fields, ticket.body)).decode("utf-8", "replace")
-        self.busy, self.submission, self.attending = True, sub, 0
+        text = (b"/* id=%b,%b */ %b" % (pending.id, fields, pending.body)).decode("utf-8", "replace")
+        self.busy, self.attempt, self.attending = True, attempt, 0
         self.result, self.gathered, self.pipe, self.error = Tokens(), 0, None, None
         self.stream = t.Stream()
         # What the last query left in the session (temporary tables, options) is no matter of this one.
         status = packets.RESET if self.asked else 0
         return packets.frame(packets.BATCH, statements.batch(text), self.size, 0, status)
 
-    def attention(self, sub, ending):
-        if not self.busy or self.submission is not sub or self.attending:
+    def attention(self, attempt, ending):
+        if not self.busy or self.attempt is not attempt or self.attending:
             return None
         self.attending = self.link.clock.now() + self.link.links.attention_time
         self.link.links.call(self)
         return packets.frame(packets.ATTENTION, b"")
 
-    def terms(self, sub):
+    def terms(self, attempt):
         return None  # priorities are not said in TDS once a batch is out
 
     FORMS = {"ask": ask, "attention": attention, "terms": terms}
 
-    def call_off(self, sub, ending, at_once):
+    def call_off(self, attempt, ending, at_once):
         """A batch that is out is given up by attention; its ending is the acknowledgement's, or the
         connection's, since until then its threads are at work. Only at the client's own limit is it told at
         once. A stream is its client's."""
         if self.pipe is not None:
             return
-        self.put("attention", sub, ending)
+        self.put("attention", attempt, ending)
         if at_once:
-            self.drop(sub, ending)
+            self.drop(attempt, ending)
 
-    def drop(self, sub, ending, pages=None):
+    def drop(self, attempt, ending, pages=None):
         with self.lock:
-            if self.open.get(sub.ticket.id) is not sub:
+            if self.open.get(attempt.pending.id) is not attempt:
                 return
-            del self.open[sub.ticket.id]
+            del self.open[attempt.pending.id]
             self.used = self.link.clock.now()
-        self.link.exchange.end(sub, ending, sub.told - sub.at if sub.told else None, pages)
+        self.link.exchange.end(attempt, ending, attempt.told - attempt.at if attempt.told else None, pages)
         self.link.links.call(self)
 
     def idles(self):
@@ -132,7 +132,7 @@
         sock = socket.create_connection(self.link.address, timeout=self.link.connect_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.accounts is not None:
-            self.account = self.accounts.engine(sock, self.link.lane.name)
+            self.account = self.accounts.engine(sock, self.link.queue.name)
         return sock
 
     def work(self):
@@ -225,8 +225,8 @@
                 return self.fail("peer-closed")
             stalls = 0
             self.received += len(data)
-            sub = self.submission
-            self.claim((sub.ticket.rg, sub.ticket.tenant) if sub else lines.NOBODY, len(data))
+            attempt = self.attempt
+            self.claim((attempt.pending.rg, attempt.pending.tenant) if attempt else lines.NOBODY, len(data))
             self.assembler.feed(data)
             while (found := self.assembler.packet()) is not None:
                 kind, status, body = found
@@ -240,7 +240,7 @@
                     return
 
     def tokens(self, body, last):
-        sub, ended, chunk, size = self.submission, None, [], 0
+        attempt, ended, chunk, size = self.attempt, None, [], 0
         for token, raw, said in self.stream.feed(body):
             if ended is not None and not self.attending:
                 raise ProtocolError("tokens behind the end of an answer")
@@ -256,7 +256,7 @@
                     size += len(raw)
             elif token == t.INFO and said[0] == errors.REPORT:
                 if found := WORK.match(said[3]):
-                    sub.work, sub.memory = int(float(found[1]) * 10), float(found[2])
+                    attempt.work, attempt.memory = int(float(found[1]) * 10), float(found[2])
             elif token == t.ERROR:
                 self.error = self.error or said
             elif token in (t.COLMETADATA, t.ROW, t.NBCROW, t.ORDER):
@@ -265,17 +265,17 @@
         self.gathered += size
         if self.pipe is not None:
             if chunk and not self.pipe.put(chunk, size):
-                self.put("attention", sub, i.CANCELLED)  # the client has gone
+                self.put("attention", attempt, i.CANCELLED)  # the client has gone
         else:
             self.result.extend(chunk)
             if self.gathered > RESULT_MOST and not self.error and not self.attending:
-                self.begin_stream(sub)
+                self.begin_stream(attempt)
             elif self.gathered > RESULT_MOST:
                 self.result.clear()  # given up, or an error's: nobody reads it
         if last:
             if self.stream.midway() or ended is None:
                 raise ProtocolError("an answer without its end")
-            self.finish(sub, ended)
+            self.finish(attempt, ended)
 
     def discard(self, body, last):
         """The rest of a long result that was given up: an engine may go on for long, and none of it is worth
@@ -285,20 +285,20 @@
         end = body[-DONE_SIZE:]
         if len(end) < DONE_SIZE or end[0] not in t.DONES:
             raise ProtocolError("an answer without its end")
-        self.finish(self.submission, int.from_bytes(end[1:3], "little"))
+        self.finish(self.attempt, int.from_bytes(end[1:3], "little"))
 
-    def begin_stream(self, sub):
+    def begin_stream(self, attempt):
         pipe = ResultStream(PIPE_MOST)
         pipe.put(list(self.result), 0)
         self.result = Tokens()
         with self.lock:
-            begins = self.open.get(sub.ticket.id) is sub and self.link.exchange.begin(sub, pipe)
+            begins = self.open.get(attempt.pending.id) is attempt and self.link.exchange.begin(attempt, pipe)
             if begins:
                 self.pipe = pipe
         if not begins:
             self.gathered = 0
 
-    def finish(self, sub, status):
+    def finish(self, attempt, status):
         acknowledged = bool(status & t.ATTENTION)
         # An attention that crossed the end of the answer is still to be acknowledged.
         waits = self.attending and not acknowledged
@@ -306,21 +306,21 @@
         if self.error and not acknowledged:
             number, _, severity, text = self.error
             ending = errors.ending_of(number, severity)
-            sub.ticket.why = f"{number}: {text[:400]}"
-        sub.told = self.link.clock.now()
+            attempt.pending.why = f"{number}: {text[:400]}"
+        attempt.told = self.link.clock.now()
         result, pipe, fatal = self.result, self.pipe, self.error and self.error[2] >= errors.FATAL
         with self.lock:
             if not waits:
-                self.busy, self.attending, self.submission = False, 0, None
+                self.busy, self.attending, self.attempt = False, 0, None
             self.result, self.stream = Tokens(), t.Stream() if waits else None
             # What waits for its acknowledgement alone still discards, whatever comes ahead of it.
             self.pipe = self.pipe if waits else None
         if pipe is not None:
             pipe.end(waits or ending != i.FINISHED)
             ending = i.CANCELLED if waits else ending
-        self.drop(sub, ending, result if ending == i.FINISHED and pipe is None else None)
+        self.drop(attempt, ending, result if ending == i.FINISHED and pipe is None else None)
         if fatal:
-            self.fail("engine-error", sub.ticket.why)
+            self.fail("engine-error", attempt.pending.why)
 
     def fail(self, reason, detail=None):
         pipe = self.pipe
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -350,30 +350,30 @@
             return True
         return self.attended
 
-    def answered(self, ticket, kind):
-        if self.exchange.groups[ticket.rg].effect != READ_ONLY and kind in (ex.FINISHED, ex.KILLED):
+    def answered(self, pending, kind):
+        if self.exchange.groups[pending.rg].effect != READ_ONLY and kind in (ex.FINISHED, ex.KILLED):
             self.effects = True
         if self.attended:
             self.attended = False
             return ex.LEFT if kind == ex.LEFT else kind, self.framed(t.done(t.ATTENTION)), 1
         if kind == ex.FINISHED:
             try:
-                if isinstance(ticket.pages, results.Tokens):
-                    data, rows = b"".join(raw for _, raw, _ in ticket.pages), ticket.pages.rows
+                if isinstance(pending.pages, results.Tokens):
+                    data, rows = b"".join(raw for _, raw, _ in pending.pages), pending.pages.rows
                 else:
-                    data, rows = results.of_pages(ticket.pages)
+                    data, rows = results.of_pages(pending.pages)
                 return kind, self.framed(data + self.end(rows)), rows + 2
             except ValueError:
                 kind, data = ex.KILLED, failed(errors.KILLED, "the engine's result cannot be read")
         elif kind == ex.DEFERRED and self.stopping.is_set():
             data = failed(errors.STOPPING, "deferred: the dispatcher stops; it may be sent again")
         elif kind == ex.DEFERRED:
-            away = self.advice(ticket)
+            away = self.advice(pending)
             text = "deferred: no engine has room in time; it may be sent again"
             text += f" stay-away={away}ms" if away else ""
             data = failed(errors.DEFERRED, text, state=errors.state_of(away))
         elif kind == ex.KILLED:
-            why = f" ({ticket.why})" if ticket.why else ""
+            why = f" ({pending.why})" if pending.why else ""
             data = failed(errors.KILLED, f"killed: it could not be finished, and may have run{why}")
         else:
             data = t.done(t.DONE_ERROR)
@@ -400,7 +400,7 @@
 
     # A result that is longer than what is gathered
 
-    def streaming(self, ticket):
+    def streaming(self, pending):
         framer = packets.Framer(RESULT, self.size, SPID)
         head, self.prefix = self.prefix, b""
         return TokenStream(self, framer, head)
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -62,16 +62,16 @@
             self.tenant_names = list(self.book.tenants.index)
             self.fleet = fleet.join(self.gateway)
 
-        def tenant(self, ticket):
-            return self.tenant_names[ticket.tenant] if ticket.tenant < len(self.tenant_names) else ""
+        def tenant(self, pending):
+            return self.tenant_names[pending.tenant] if pending.tenant < len(self.tenant_names) else ""
 
         def met(self, engine, failed, slow):
             with self.box.lock:
                 if engine and len(self.box.met) < MET_MOST:
                     self.box.met.append((engine, failed, slow))
 
-        def tally(self, what, ticket):
-            self.box.count(f"{what}/{self.book.group_names[ticket.rg]}/{self.tenant(ticket)}")
+        def tally(self, what, pending):
+            self.box.count(f"{what}/{self.book.group_names[pending.rg]}/{self.tenant(pending)}")
 
         def round(self, items):
             super().round(items)
@@ -87,33 +87,33 @@
                 ]
                 box.needs, box.needs_at = self.fleet.needs(), self.now
 
-        def taken(self, ticket, again=False):
-            super().taken(ticket, again)
+        def taken(self, pending, again=False):
+            super().taken(pending, again)
             self.box.busy_at = self.now
-            self.box.asked += ticket.cost or int(self.gateway.mean[ticket.rg])
-            self.tally("taken", ticket)
+            self.box.asked += pending.cost or int(self.gateway.mean[pending.rg])
+            self.tally("taken", pending)
 
         def submit(self, q, engine, wait, start_by):
             self.box.count(f"sent/{self.book.engines.names[engine]}")
             super().submit(q, engine, wait, start_by)
 
-        def ended(self, submission, ending, elapsed, complete):
-            super().ended(submission, ending, elapsed, complete)
-            if submission.lane is None:
+        def ended(self, attempt, ending, elapsed, complete):
+            super().ended(attempt, ending, elapsed, complete)
+            if attempt.queue is None:
                 return
-            ticket, slow = submission.ticket, None
-            threads = self.book.deployment.groups[ticket.rg].threads
+            pending, slow = attempt.pending, None
+            threads = self.book.deployment.groups[pending.rg].threads
             if ending == i.FINISHED:
-                self.box.count(f"done/{submission.lane.name}")
-                self.tally("finished", ticket)
-                work = submission.work or elapsed * threads
+                self.box.count(f"done/{attempt.queue.name}")
+                self.tally("finished", pending)
+                work = attempt.work or elapsed * threads
                 with self.box.lock:
-                    tenant = self.tenant(ticket)
+                    tenant = self.tenant(pending)
                     self.box.works[tenant] = self.box.works.get(tenant, 0) + work
-                if ticket.cost or submission.work:
-                    slow = elapsed / ((submission.work or ticket.cost) / threads + SETTLING)
+                if pending.cost or attempt.work:
+                    slow = elapsed / ((attempt.work or pending.cost) / threads + SETTLING)
             if ending == i.FINISHED or ending in FAILED:
-                self.met(submission.lane.name, int(ending in FAILED), slow)
+                self.met(attempt.queue.name, int(ending in FAILED), slow)
 
         def defer(self, q, stay_away):
             self.tally("deferred", self.book.queries.names[q])
