The registry of ids and the checked configuration have types and names of their own

Need: door.py held a Book; understood() gave a tuple of six that each caller unpacked by position, and Service.__init__ made everything in one go.

Change: id_registry.py with IdRegistry; parse_config() gives a Config whose fields are named and explained; the service makes its workers and its follower of the list in steps of their own. Behaviour and texts as they were.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -166,10 +166,12 @@
     from wickvane.control import fleet as fl
     from wickvane.control.placement import Placement
     from wickvane.control.resources import Make
-    from wickvane.door import Book
+    from wickvane.id_registry import IdRegistry
 
-    book, make = Book(SETTINGS), Make()
-    placement = Placement(book.deployment, book.group_names, range(tables + 1), 10, list(book.kinds.index))
+    registry, make = IdRegistry(SETTINGS), Make()
+    placement = Placement(
+        registry.deployment, registry.group_names, range(tables + 1), 10, list(registry.kinds.index)
+    )
     rows = [(f"e{n}", ("127.0.0.1", 10_000 + n), 0, "dc", "old", 0, 0, 1.0) for n in range(engines)]
     fleet, _ = fl.changed(fl.Fleet(), 0, 1, True, rows, fl.Floor())
     began = time.process_time()
--- a/tests/test_damping.py
+++ b/tests/test_damping.py
@@ -191,7 +191,7 @@
     return next(
         (
             ticket
-            for ticket in list(served.service.decider.book.queries.of)
+            for ticket in list(served.service.decider.registry.queries.of)
             if ticket.verb == b"load" or ticket.verb == "load"
         ),
         None,
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -9,8 +9,8 @@
 import pytest
 from bench_free import SETTINGS, entry, event, hit, i, rows, sse, statement
 
-from wickvane.door import Book
 from wickvane.errors import ProtocolError
+from wickvane.id_registry import IdRegistry
 from wickvane.net import coordinator
 from wickvane.net.decider import Decider
 from wickvane.net.exchange import Attempt, Exchange, PendingQuery
@@ -23,7 +23,7 @@
 from wickvane.net.threads import Threads
 from wickvane.settings import settings_of
 
-READER = Reader(Book(SETTINGS))
+READER = Reader(IdRegistry(SETTINGS))
 
 
 @pytest.mark.parametrize(
@@ -209,7 +209,7 @@
 
 def decider_with_one_engine():
     clock = Clock()
-    decider = Decider(Exchange(clock, Counts()), Book(SETTINGS), 1, clock, clock, Counts())
+    decider = Decider(Exchange(clock, Counts()), IdRegistry(SETTINGS), 1, clock, clock, Counts())
     decider.round([("listed", True, [("e", ("127.0.0.1", 1), i.READY, "dc", "old", 0, 0, 1.0)])])
     return decider
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,7 +12,7 @@
 from bench_free import SETTINGS, Gateways, found, i
 from test_rehearsal import ROOT
 
-from wickvane.door import Book
+from wickvane.id_registry import IdRegistry
 from wickvane.settings import SettingsError
 
 FULL = copy.deepcopy(SETTINGS) | {
@@ -88,7 +88,7 @@
     for value in ODD:
         settings = changed(path, value)
         try:
-            deployment = Book(settings).deployment
+            deployment = IdRegistry(settings).deployment
         except SettingsError as error:
             # The name of the setting, or of the object or list that it stands in.
             assert str(path[0]) in error.path and error.expected
@@ -131,14 +131,16 @@
 
 def test_lists_shorter_than_the_classes_and_zeroes_stand_for_the_usual():
     settings = changed(("family_info", "class_threads"), [0, 4])
-    assert [group.threads for group in Book(settings).deployment.groups] == [1, 4, 1]
-    assert Book(changed(("family_info", "size_cores"), [0])).deployment.cores == [1]
-    assert Book(changed(("accounts",), [])).deployment.tenants == []
+    assert [group.threads for group in IdRegistry(settings).deployment.groups] == [1, 4, 1]
+    assert IdRegistry(changed(("family_info", "size_cores"), [0])).deployment.cores == [1]
+    assert IdRegistry(changed(("accounts",), [])).deployment.tenants == []
 
 
 def test_classes_and_tenants_may_have_names_in_any_script():
-    book = Book(changed(("classes", 0, "name"), "запрос") | {"accounts": [{"name": "Ærø", "share": 1.0}]})
-    assert list(book.groups.index)[0] == "запрос" and list(book.tenants.index) == ["Ærø"]
+    registry = IdRegistry(
+        changed(("classes", 0, "name"), "запрос") | {"accounts": [{"name": "Ærø", "share": 1.0}]}
+    )
+    assert list(registry.groups.index)[0] == "запрос" and list(registry.tenants.index) == ["Ærø"]
 
 
 def test_the_configuration_in_the_readme_can_be_served(started, tmp_path):
--- a/wickvane/control/server.py
+++ b/wickvane/control/server.py
@@ -372,43 +372,44 @@
     """part: what the parts document has under control; found: the configuration."""
 
     def __init__(self, found, part, log_to=1, members=None):
-        from wickvane.net.service import understood
+        from wickvane.net.service import parse_config
 
-        book, _, _, _, self.followed, self.known = understood(found, (), members)
+        config = parse_config(found, (), members)
+        registry, self.followed, self.known = config.registry, config.coordinator, config.known
         self.members_part, self.members = members, None
         self.part, self.clock, self.counters = part, Clock(), Counters()
         self.log, self.name = Log(log_to, self.clock), found.get("name") or "control"
         grace = int(found["settings"].get("obligations", {}).get("stop_sending_within_ms", 2000) * 10)
-        placement = self.placed(book, part)
+        placement = self.placed(registry, part)
         self.hub = Hub(placement, Make(), grace, part.nodes, part.floor, part.ttl, part.epoch)
         if members:
             self.hub.catalog.parted = members.terms.overrides
-            self.members = self.membership(book, members)
+            self.members = self.membership(registry, members)
         self.streams = Streams(self)
         self.seed, self.loop, self.saving, self.saved_at = found.get("seed", 0), None, None, 0.0
         self.ticker, self.ready = None, threading.Event()
 
     @staticmethod
-    def placed(book, part):
+    def placed(registry, part):
         return Placement(
-            book.deployment,
-            book.group_names,
+            registry.deployment,
+            registry.group_names,
             range(part.tables + 1),
             part.proxies,
-            list(book.kinds.index),
-            list(book.zones.index),
+            list(registry.kinds.index),
+            list(registry.zones.index),
         )
 
     # The list
 
-    def membership(self, book, part):
+    def membership(self, registry, part):
         """The list from watched files, where the parts document has it."""
         from wickvane.members.checks import facts_of
         from wickvane.members.source import Source
 
         return Source(
             part,
-            facts_of(book),
+            facts_of(registry),
             self.listed,
             self.clock,
             self.log,
@@ -561,10 +562,11 @@
         """A changed configuration and document, whole or not at all: table groups, resource groups, nodes,
         the floor and the coordinator."""
         from wickvane import parts
-        from wickvane.net.service import configuration, understood
+        from wickvane.net.service import configuration, parse_config
 
         try:
-            book, _, _, _, followed, (_, events) = understood(configuration(path), (), self.members_part)
+            config = parse_config(configuration(path), (), self.members_part)
+            registry, followed, (_, events) = config.registry, config.coordinator, config.known
             document = parts.read(parts_path)
             part = document.get("control")
             if document.get("members") != self.members_part:
@@ -574,7 +576,7 @@
                 raise parts.Unusable(
                     "control: listen, epoch, tls, snapshot, stall and time-to-live need a restart"
                 )
-            placement = self.placed(book, part)
+            placement = self.placed(registry, part)
         except Exception as error:
             self.counters.add("configurations-unusable")
             self.log.line("configuration-unusable", why=str(error))
--- a/wickvane/flows/part.py
+++ b/wickvane/flows/part.py
@@ -151,15 +151,15 @@
     def build(self, service, found):
         from wickvane.flows.export import Exporter, Unusable
 
-        book = service.book
+        registry = service.registry
         try:
             self.exporter = Exporter(
                 self.terms,
                 service.clock,
                 service.log,
                 service.counters,
-                book.group_names,
-                book.tenants.index,
+                registry.group_names,
+                registry.tenants.index,
                 service.seed,
             )
         except Unusable as error:
--- a/wickvane/door.py
+++ b/wickvane/id_registry.py
@@ -40,7 +40,7 @@
         self.free.append(n)
 
 
-class Book:
+class IdRegistry:
     """Which query and which engine an index stands for, and when it may stand for another."""
 
     def __init__(self, params, fronts=()):
--- a/wickvane/members/checks.py
+++ b/wickvane/members/checks.py
@@ -28,10 +28,10 @@
         return self.cores.get(kind, self.default_cores)
 
 
-def facts_of(book):
-    """From a wickvane.door.Book, before any list was read into it."""
-    site = book.deployment
-    kinds, zones = list(book.kinds.index), list(book.zones.index)
+def facts_of(registry):
+    """From a wickvane.id_registry.IdRegistry, before any list was read into it."""
+    site = registry.deployment
+    kinds, zones = list(registry.kinds.index), list(registry.zones.index)
 
     def named(allowed, names):
         return None if allowed is None else frozenset(names[n] for n in allowed if n < len(names))
@@ -41,7 +41,7 @@
         frozenset(zones) or None,
         tuple(
             (name, named(group.zones, zones), named(group.kinds, kinds))
-            for name, group in zip(book.group_names, site.groups)
+            for name, group in zip(registry.group_names, site.groups)
         ),
         site.cold_from,
         site.cold_time,
--- a/wickvane/members/part.py
+++ b/wickvane/members/part.py
@@ -87,10 +87,10 @@
         from wickvane.members.checks import facts_of
         from wickvane.members.source import Source
 
-        gateway, sent = service.decider.gateway, service.book.sent
+        gateway, sent = service.decider.gateway, service.registry.sent
         self.source = Source(
             self.terms,
-            facts_of(service.book),
+            facts_of(service.registry),
             service.listed,
             service.clock,
             service.log,
--- a/wickvane/members/tool.py
+++ b/wickvane/members/tool.py
@@ -170,11 +170,11 @@
     config = os.environ.get("LB_CONFIG") if config == "$LB_CONFIG" else config
     if not config:
         return ANY
-    from wickvane.door import Book
+    from wickvane.id_registry import IdRegistry
     from wickvane.net.service import configuration
 
     try:
-        return checks.facts_of(Book(configuration(config)["settings"]))
+        return checks.facts_of(IdRegistry(configuration(config)["settings"]))
     except ConfigError as error:
         raise Wrong(str(error)) from None
     except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -20,9 +20,13 @@
 class Decider:
     """Also the writer that the module is handed: what it decides becomes an answer or an order."""
 
-    def __init__(self, exchange, book, seed, clock, log, counters, accounts=None, speaks=None):
-        self.exchange, self.book, self.clock, self.log, self.counters = exchange, book, clock, log, counters
-        self.gateway = Scheduler(seed, book.deployment)
+    def __init__(self, exchange, registry, seed, clock, log, counters, accounts=None, speaks=None):
+        self.exchange = exchange
+        self.registry = registry
+        self.clock = clock
+        self.log = log
+        self.counters = counters
+        self.gateway = Scheduler(seed, registry.deployment)
         self.queues, self.alarms, self.events = {}, [], []
         self.now, self.longest, self.faults = clock.now(), 0, 0
         self.lag, self.lag_at, self.held, self.accounts = 0, self.now, [], accounts
@@ -69,8 +73,8 @@
         if not events:
             return
         self.decide(iter(events))
-        over = [self.book.queries.names[q] for q in self.book.over if not self.book.open[q]]
-        for name in self.book.settle():
+        over = [self.registry.queries.names[q] for q in self.registry.over if not self.registry.open[q]]
+        for name in self.registry.settle():
             self.close(name)
         for pending in over:
             self.exchange.forget(pending)
@@ -119,7 +123,7 @@
             self.alarm(0, max(now + 1, self.held[0].arrived + self.lag - KEY_APART))
 
     def taken(self, pending, again=False):
-        pending.q = self.book.take(pending)
+        pending.q = self.registry.take(pending)
         pending.stages["taken"] = self.now
         self.events.append(
             i.Taken(
@@ -137,7 +141,7 @@
 
     def ended(self, attempt, ending, elapsed, complete):
         pending = attempt.pending
-        self.book.ended(pending.q, attempt.queue.name)
+        self.registry.ended(pending.q, attempt.queue.name)
         self.events.append(
             i.Ended(
                 pending.q,
@@ -152,22 +156,23 @@
             )
         )
         if complete:
-            self.book.over.add(pending.q)
+            self.registry.over.add(pending.q)
         self.counters.add(f"ending-{ENDINGS[ending]}")
 
     def left(self, pending):
-        if pending.q >= 0 and pending.q in self.book.open and self.book.queries.names[pending.q] is pending:
-            self.events.append(i.Left(pending.q))
-            self.book.over.add(pending.q)
+        registry, q = self.registry, pending.q
+        if q >= 0 and q in registry.open and registry.queries.names[q] is pending:
+            self.events.append(i.Left(q))
+            registry.over.add(q)
 
     def listed(self, whole, entries):
         if whole:
-            gone = list(self.book.unlisted({entry[0] for entry in entries}))
+            gone = list(self.registry.unlisted({entry[0] for entry in entries}))
             self.events.extend(gone)
             for event in gone:
                 self.change_queue(event.rank.decode(), i.GONE, None, 0)
         for name, address, state, zone, kind, cell, started, weight in entries:
-            event = self.book.list_engine(name, state, zone, kind, cell, started, weight)
+            event = self.registry.list_engine(name, state, zone, kind, cell, started, weight)
             if event:
                 self.events.append(event)
                 self.change_queue(name, state, address, event.started, self.speaks.get(kind))
@@ -204,34 +209,34 @@
     # What was decided
 
     def submit(self, q, engine, wait, start_by):
-        pending, name = self.book.queries.names[q], self.book.engines.names[engine]
+        pending, name = self.registry.queries.names[q], self.registry.engines.names[engine]
         until = min(pending.limit, self.now + wait) if wait else pending.limit
         queue = self.queues.get(name)
         pending.attempt = Attempt(pending, pending.count, engine, queue, self.now, until, start_by)
         pending.count += 1
-        self.book.submitted(q, name)
+        self.registry.submitted(q, name)
         pending.stages.setdefault("submitted", self.now)
         self.counters.add("submissions")
         if queue is None or not queue.put(("ask", pending.attempt)):
             self.exchange.end(pending.attempt, i.NOT_SENT)
 
     def defer(self, q, stay_away):
-        pending = self.book.queries.names[q]
+        pending = self.registry.queries.names[q]
         pending.away = stay_away  # ahead of the answer, which its session may send at once
         self.exchange.settle(pending, DEFERRED)
-        self.book.over.add(q)
+        self.registry.over.add(q)
 
     def kill(self, q):
-        self.exchange.settle(self.book.queries.names[q], KILLED)
-        self.book.over.add(q)
+        self.exchange.settle(self.registry.queries.names[q], KILLED)
+        self.registry.over.add(q)
 
     def cancel(self, q, number):
-        attempt = self.book.queries.names[q].attempt
+        attempt = self.registry.queries.names[q].attempt
         if attempt is not None and attempt.number == number and not attempt.over and attempt.queue:
             attempt.queue.put(("quit", attempt), always=True)
 
     def terms(self, q, priority, grant):
-        pending = self.book.queries.names[q]
+        pending = self.registry.queries.names[q]
         pending.urgency = priority
         attempt = pending.attempt
         if attempt is not None and not attempt.over and attempt.queue:
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -10,11 +10,12 @@
 import time
 import traceback
 from hashlib import blake2b
+from typing import NamedTuple
 
 import orjson
 
-from wickvane.door import Book
 from wickvane.errors import ConfigError, ProtocolError
+from wickvane.id_registry import IdRegistry
 from wickvane.net.clock import Clock
 from wickvane.net.coordinator import Coordinator, address_of, read_known
 from wickvane.net.counters import Counters
@@ -55,18 +56,31 @@
     return found
 
 
-def understood(found, fronts=(), members=None):
-    """The parts of a configuration in the form that is worked with; ConfigError where one cannot be used.
-    members: that part, with which no coordinator is needed unless it overrides what one lists."""
+class Config(NamedTuple):
+    """A configuration, checked and in the form that is worked with."""
+
+    registry: IdRegistry  # of its settings, which are in registry.deployment
+    engine_limits: Section  # the settings' limits
+    listen: tuple[str, int]
+    sockets: int  # descriptors that may be held
+    coordinator: tuple[str, int] | None
+    known: tuple[int, list]  # the number of the last known event of the list, and the events
+
+
+def parse_config(found, fronts=(), members=None):
+    """The Config of raw JSON; ConfigError where something in it cannot be used.
+
+    members: that extension's part, with which no coordinator is needed unless it overrides what one lists.
+    """
     try:
         settings, limits = found["settings"], Section(found.get("limits") or {}, "limits")
         alone = members is not None and not members.terms.overrides
         coordinator = None if alone else address_of(found["coordinator"])
-        book = Book(settings, fronts)
+        registry = IdRegistry(settings, fronts)
         if members is not None:
-            book.deployment = book.deployment._replace(weighs=True)
-        return (
-            book,
+            registry.deployment = registry.deployment._replace(weighs=True)
+        return Config(
+            registry,
             settings_of(settings).section("limits"),
             address_of(found["listen"]),
             limits.count("sockets", SOCKETS),
@@ -131,49 +145,56 @@
         self.parts = at_work(parts)
         for part in self.parts:
             part.prepare(self, found)
-        self.book, limits, self.address, sockets, coordinator, known = understood(
-            found, self.fronts, self.lister and self.lister.terms
-        )
+        config = parse_config(found, self.fronts, self.lister and self.lister.terms)
+        self.registry, self.address = config.registry, config.listen
         self.name, self.seed, self.fixed = found.get("name") or "", found.get("seed", 0), fixed(found)
-        self.reader = Reader(self.book)
+        self.reader = Reader(self.registry)
         self.exchange = Exchange(self.clock, self.counters)
-        self.exchange.groups = self.book.deployment.groups
+        self.exchange.groups = self.registry.deployment.groups
         for part in self.parts:
             part.build(self, found)
         try:
-            self.decider = self.deciding(
-                self.exchange,
-                self.book,
-                self.seed,
-                self.clock,
-                self.log,
-                self.counters,
-                self.accounts,
-                self.speaks,
-            )
-            # One third for engines; what is left, less a few for the rest, for clients, who are promised one.
-            self.links = Links(
-                self.exchange,
-                limits,
-                max(8, sockets // 3),
-                self.clock,
-                self.log,
-                self.counters,
-                self.accounts,
-                self.threads,
-            )
-            self.most_clients = max(8, sockets - sockets // 3 - SPARE - OTHERS)
+            self.make_workers(config)
             for part in self.parts:
                 part.join(self, found)
         except (TypeError, ValueError, AttributeError) as error:
             raise ConfigError(f"the configuration has a value of the wrong form: {error}", 2) from None
-        self.coordinator, self.known = None, known
-        if coordinator:
-            listed = self.lister.streamed if self.lister else self.listed
-            # With files, what is known is told once what was at work is.
-            self.coordinator = Coordinator(
-                coordinator, (0, []) if self.lister else known, listed, self.seed, self.log, self.counters
-            )
+        self.known, self.coordinator = config.known, self.follow(config)
+
+    def make_workers(self, config):
+        """The decider and the engines' connections, which own what their threads work on."""
+        self.decider = self.deciding(
+            self.exchange,
+            self.registry,
+            self.seed,
+            self.clock,
+            self.log,
+            self.counters,
+            self.accounts,
+            self.speaks,
+        )
+        # One third for engines; what is left, less a few for the rest, for clients, who are promised one.
+        for_engines = config.sockets // 3
+        self.links = Links(
+            self.exchange,
+            config.engine_limits,
+            max(8, for_engines),
+            self.clock,
+            self.log,
+            self.counters,
+            self.accounts,
+            self.threads,
+        )
+        self.most_clients = max(8, config.sockets - for_engines - SPARE - OTHERS)
+
+    def follow(self, config):
+        """The Coordinator, if there is one to follow."""
+        if not config.coordinator:
+            return None
+        listed = self.lister.streamed if self.lister else self.listed
+        # With files, what is known is told once what was at work is.
+        known = (0, []) if self.lister else config.known
+        return Coordinator(config.coordinator, known, listed, self.seed, self.log, self.counters)
 
     def listed(self, number, whole, entries, back=()):
         self.exchange.inbox.put(("listed", whole, entries), always=True)
@@ -260,7 +281,7 @@
         changes = []
         try:
             found = configuration(path)
-            *_, coordinator, (_, events) = understood(found, (), self.lister and self.lister.terms)
+            config = parse_config(found, (), self.lister and self.lister.terms)
             kept = [part for part, mark in fixed(found).items() if mark != self.fixed[part]]
             if parts_path:
                 changes = self.changed(parts_path)
@@ -271,11 +292,12 @@
         for part, terms, ready in changes:
             part.change(terms, ready)
         if self.coordinator:
-            self.coordinator.move(coordinator, events)
+            _, events = config.known
+            self.coordinator.move(config.coordinator, events)
         self.counters.add("configurations-taken")
         self.log.line(
             "configuration-taken",
-            coordinator=coordinator and f"{coordinator[0]}:{coordinator[1]}",
+            coordinator=":".join(map(str, config.coordinator)) if config.coordinator else None,
             needs_restart=kept,
         )
         return True
@@ -315,7 +337,7 @@
 
     def stop(self):
         began = time.monotonic()
-        longest = max((group.timeout for group in self.book.deployment.groups), default=0)
+        longest = max((group.timeout for group in self.registry.deployment.groups), default=0)
         left = min(longest, TIMEOUT_MOST) + KILL_AFTER
         self.exchange.inbox.put(("stop", left), always=True)
         self.log.line("stopping")
--- a/wickvane/net/shape.py
+++ b/wickvane/net/shape.py
@@ -22,7 +22,7 @@
         """Before the configuration `found` is understood: which fronts, which list of engines."""
 
     def build(self, service, found):
-        """The configuration is understood (service.book); decider and links are not made yet."""
+        """The configuration is understood (service.registry); decider and links are not made yet."""
 
     def join(self, service, found):
         """Decider and links are made."""
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -197,11 +197,14 @@
 class Reader:
     """Reads statements against the groups and tenants that the settings name."""
 
-    def __init__(self, book, front=0):
-        """front: which of the book's; its resource groups are told apart from those of others."""
-        self.groups, self.tenants = book.groups.index, book.tenants.index
+    def __init__(self, registry, front=0):
+        """front: which of the registry's; its resource groups are told apart from those of others."""
+        self.groups, self.tenants = registry.groups.index, registry.tenants.index
         self.first = front * len(self.groups)
-        self.of, self.encoded = book.deployment.groups, {name: name.encode() for name in book.groups.index}
+        self.of, self.encoded = (
+            registry.deployment.groups,
+            {name: name.encode() for name in registry.groups.index},
+        )
 
     def read(self, text, defaults=None):
         """A pending's fields; `defaults` stand in for the comment where there is none."""
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -69,7 +69,7 @@
     gate = None
 
     def watch(self, part, limits, seed):
-        site = self.book.deployment
+        site = self.registry.deployment
         remember = part.remember or site.longest_advice + max((g.timeout for g in site.groups), default=0)
         now = self.clock.now()
         self.storm = Storm(now, site.extra_share, remember)
@@ -119,7 +119,7 @@
         super().ended(attempt, ending, elapsed, complete)
         if ending == i.FINISHED:
             pending = attempt.pending
-            group = self.book.deployment.groups[pending.rg]
+            group = self.registry.deployment.groups[pending.rg]
             target = pending.arrived + group.promise + group.stretch * pending.cost / group.threads
             work = attempt.work or elapsed * group.threads
             self.storm.finished(self.now, self.now > target, work)
@@ -127,7 +127,7 @@
                 self.storm.engine(self.now, attempt.queue.name, elapsed, pending.cost / group.threads)
 
     def defer(self, q, stay_away):
-        pending = self.book.queries.names[q]
+        pending = self.registry.queries.names[q]
         mark = self.mark(pending)
         self.storm.deferred(self.now, mark)
         if stay_away:
--- a/wickvane/net/tds/fronts.py
+++ b/wickvane/net/tds/fronts.py
@@ -64,7 +64,7 @@
 def session(service, opened):
     """The class of sessions for the TDS listener: their groups are those of the second front. opened: its
     door."""
-    reader = Reader(service.book, TDS)
+    reader = Reader(service.registry, TDS)
 
     class TdsSession(Session):
         door = opened
--- a/wickvane/peers/part.py
+++ b/wickvane/peers/part.py
@@ -62,7 +62,7 @@
         self.peers = Peers(
             self.terms,
             service.name,
-            service.book.deployment.gateways,
+            service.registry.deployment.gateways,
             service.seed,
             service.log,
             service.counters,
--- a/wickvane/policy/tool.py
+++ b/wickvane/policy/tool.py
@@ -8,8 +8,8 @@
 import orjson
 
 from wickvane import parts
-from wickvane.door import Book
 from wickvane.errors import ConfigError
+from wickvane.id_registry import IdRegistry
 from wickvane.net.service import configuration
 from wickvane.policy import document
 from wickvane.policy.course import digest_of
@@ -20,10 +20,10 @@
     try:
         if not path:
             raise ConfigError("no configuration: name one with --config or in LB_CONFIG", 2)
-        book = Book(configuration(path)["settings"])
+        registry = IdRegistry(configuration(path)["settings"])
         text = read(asked["FILE"][0])
-        groups, tenants = book.group_names, list(book.tenants.index)
-        found = document.read(text, groups, tenants, book.deployment)
+        groups, tenants = registry.group_names, list(registry.tenants.index)
+        found = document.read(text, groups, tenants, registry.deployment)
     except (ConfigError, parts.Unusable) as error:
         print(f"wickvane: {error}", file=sys.stderr)
         return 2
@@ -31,7 +31,7 @@
         print(f"wickvane: the configuration lacks, or does not know, {error}", file=sys.stderr)
         return 2
     rows = document.differences(
-        book.deployment, document.applied(found, book.deployment, groups, tenants), groups, tenants
+        registry.deployment, document.applied(found, registry.deployment, groups, tenants), groups, tenants
     )
     if asked["--json"]:
         print(
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -59,7 +59,7 @@
         def __init__(self, *words):
             super().__init__(*words)
             self.box, self.looked, self.told_parts, self.asides = Box(), 0, 0, []
-            self.tenant_names = list(self.book.tenants.index)
+            self.tenant_names = list(self.registry.tenants.index)
             self.fleet = fleet.join(self.gateway)
 
         def tenant(self, pending):
@@ -71,11 +71,11 @@
                     self.box.met.append((engine, failed, slow))
 
         def tally(self, what, pending):
-            self.box.count(f"{what}/{self.book.group_names[pending.rg]}/{self.tenant(pending)}")
+            self.box.count(f"{what}/{self.registry.group_names[pending.rg]}/{self.tenant(pending)}")
 
         def round(self, items):
             super().round(items)
-            names, gateway, box = self.book.engines.names, self.gateway, self.box
+            names, gateway, box = self.registry.engines.names, self.gateway, self.box
             box.levels = {names[e]: n for e, n in enumerate(gateway.engines.in_flight) if n > 0 and names[e]}
             box.taken = self.told_parts  # the module has them: whatever it decides from here on goes by them
             if self.now - self.looked >= LOOK:
@@ -94,7 +94,7 @@
             self.tally("taken", pending)
 
         def submit(self, q, engine, wait, start_by):
-            self.box.count(f"sent/{self.book.engines.names[engine]}")
+            self.box.count(f"sent/{self.registry.engines.names[engine]}")
             super().submit(q, engine, wait, start_by)
 
         def ended(self, attempt, ending, elapsed, complete):
@@ -102,7 +102,7 @@
             if attempt.queue is None:
                 return
             pending, slow = attempt.pending, None
-            threads = self.book.deployment.groups[pending.rg].threads
+            threads = self.registry.deployment.groups[pending.rg].threads
             if ending == i.FINISHED:
                 self.box.count(f"done/{attempt.queue.name}")
                 self.tally("finished", pending)
@@ -116,17 +116,17 @@
                 self.met(attempt.queue.name, int(ending in FAILED), slow)
 
         def defer(self, q, stay_away):
-            self.tally("deferred", self.book.queries.names[q])
+            self.tally("deferred", self.registry.queries.names[q])
             super().defer(q, stay_away)
 
         def kill(self, q):
-            self.tally("killed", self.book.queries.names[q])
+            self.tally("killed", self.registry.queries.names[q])
             super().kill(q)
 
         def others(self, totals, age, at):
             late = age + max(0, self.now - at)
-            for name, e in self.book.engines.of.items():
-                if name in self.book.listed:
+            for name, e in self.registry.engines.of.items():
+                if name in self.registry.listed:
                     self.events.append(i.InFlightElsewhere(e, totals.get(name, 0), late))
 
         def parted(self, number, figures):
@@ -141,8 +141,8 @@
         def judged(self, found, at):
             late = max(0, self.now - at)
             for name, (bad, slow, age) in found.items():
-                if name in self.book.listed:
-                    self.events.append(i.Judged(self.book.engines.of[name], bad, slow, age + late))
+                if name in self.registry.listed:
+                    self.events.append(i.Judged(self.registry.engines.of[name], bad, slow, age + late))
 
         READERS = base.READERS | {name: name for name in ("others", "parted", "charged", "judged")}
 
--- a/wickvane/shares/part.py
+++ b/wickvane/shares/part.py
@@ -61,7 +61,7 @@
 
         box, clock = service.decider.box, service.clock
         out = Out(service.exchange.inbox, clock, box, self.terms.heeds, peers.told)
-        lent = budgets(service.book.deployment) if self.terms.lends else ()
+        lent = budgets(service.registry.deployment) if self.terms.lends else ()
         if lent:
             service.links.stale = FENCE
         self.peers = peers
--- a/wickvane/wirehost/host.py
+++ b/wickvane/wirehost/host.py
@@ -3,7 +3,7 @@
 import json
 
 from wickvane import interface as i
-from wickvane.door import Book
+from wickvane.id_registry import IdRegistry
 from wickvane.scheduler import Scheduler
 from wickvane.settings import tenths
 
@@ -24,9 +24,9 @@
     """One gateway's ids and its module. It is also the writer that the module is handed."""
 
     def __init__(self, seed, params):
-        self.book = Book(params)
+        self.registry = IdRegistry(params)
         self.events, self.actions = [], []
-        self.gateway = Scheduler(seed, self.book.deployment)
+        self.gateway = Scheduler(seed, self.registry.deployment)
 
     # Events
 
@@ -39,9 +39,9 @@
         tenant = item.get("client_group")
         self.events.append(
             i.Taken(
-                self.book.take(item["id"]),
-                self.book.groups.index[item["profile"]],
-                self.book.tenants(tenant) if tenant else 0,
+                self.registry.take(item["id"]),
+                self.registry.groups.index[item["profile"]],
+                self.registry.tenants(tenant) if tenant else 0,
                 tenths(item.get("expected_ms")),
                 item.get("ram_mb") or 0,
                 item.get("source_set") or 0,
@@ -51,16 +51,16 @@
         )
 
     def verdict(self, item, lists):
-        q, node = self.book.queries.of.get(item["id"]), item["node"]
-        if q is None or node not in self.book.engines.of:
+        q, node = self.registry.queries.of.get(item["id"]), item["node"]
+        if q is None or node not in self.registry.engines.of:
             return
-        self.book.ended(q, node)
+        self.registry.ended(q, node)
         stats = int(item.get("stats") or 0)
         self.events.append(
             i.Ended(
                 q,
                 item["attempt"],
-                self.book.engines.of[node],
+                self.registry.engines.of[node],
                 ENDINGS[item["result"]],
                 tenths(item.get("delay_seen_ms")),
                 bool(item.get("complete")),
@@ -70,19 +70,19 @@
             )
         )
         if item.get("complete"):
-            self.book.over.add(q)
+            self.registry.over.add(q)
 
     def aborted(self, item, lists):
-        q = self.book.queries.of.get(item["id"])
+        q = self.registry.queries.of.get(item["id"])
         if q is not None:
             self.events.append(i.Left(q))
-            self.book.over.add(q)
+            self.registry.over.add(q)
 
     def due(self, item, lists):
         self.events.append(i.Due(item["token"]))
 
     def update_of(self, item, lists):
-        q, e = self.book.queries.of.get(item["id"]), self.book.engines.of.get(item["node"])
+        q, e = self.registry.queries.of.get(item["id"]), self.registry.engines.of.get(item["node"])
         if q is not None and e is not None:
             amount = item.get("amount") or 0
             self.events.append(i.Progressed(q, item["attempt"], e, item["what"], amount))
@@ -93,9 +93,9 @@
             return
         entries = lists[item["table"]]
         if item["mode"] != "changes":
-            self.events.extend(self.book.unlisted({entry["node"] for entry in entries}))
+            self.events.extend(self.registry.unlisted({entry["node"] for entry in entries}))
         for entry in entries:
-            event = self.book.list_engine(
+            event = self.registry.list_engine(
                 entry["node"],
                 STATES[entry["phase"]],
                 entry.get("failure_domain"),
@@ -126,29 +126,29 @@
                 at = at.tb_next
             text = f"{type(error).__name__}: {error} (line {at.tb_lineno})"
             return [{"type": "panic", "note_text": text}]
-        self.book.settle()
+        self.registry.settle()
         return self.actions
 
     # Decisions
 
     def name(self, q):
-        return self.book.queries.names[q]
+        return self.registry.queries.names[q]
 
     def act(self, kind, **fields):
         self.actions.append({"type": kind, **fields})
 
     def submit(self, q, engine, wait, start_by):  # on the wire a decision acts at once
-        node = self.book.engines.names[engine]
-        self.book.submitted(q, node)
+        node = self.registry.engines.names[engine]
+        self.registry.submitted(q, node)
         self.act("hand_off", id=self.name(q), node=node, max_wait_ms=wait / 10)
 
     def defer(self, q, stay_away):
         self.act("push_back", id=self.name(q), hold_off_ms=stay_away / 10)
-        self.book.over.add(q)
+        self.registry.over.add(q)
 
     def kill(self, q):
         self.act("abort", id=self.name(q))
-        self.book.over.add(q)
+        self.registry.over.add(q)
 
     def cancel(self, q, submission):
         self.act("recall", id=self.name(q), attempt=submission)
