--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -19,6 +19,7 @@
 
 
 def address_of(text):
+    """(host, port) of "host:port"; ValueError where it is none."""
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 < int(port) < 65_536:
         raise ValueError(text)
@@ -26,6 +27,7 @@
 
 
 def read_entry(entry):
+    """An engine's entry in the form that the registry takes."""
     try:
         name, state = entry["name"], STATES[entry["status"]]
         if not isinstance(name, str) or not 0 < len(name) <= 256:
@@ -62,12 +64,14 @@
         self.recv, self.buffer, self.chunked, self.left = recv, bytearray(), False, 0
 
     def more(self):
+        """Reads on; EOFError at the end."""
         data = self.recv(65_536)
         if not data:
             raise EOFError
         self.buffer += data
 
     def raw(self, most):
+        """The next line as it came, without its end."""
         while (end := self.buffer.find(b"\n")) < 0:
             if len(self.buffer) > most:
                 raise ProtocolError("a line is too long")
@@ -77,6 +81,7 @@
         return line
 
     def head(self):
+        """Reads the head of a response; ProtocolError where it is not 200."""
         status, total, fields = self.raw(HEAD_MOST), 0, {}
         while line := self.raw(HEAD_MOST):
             total += len(line)
@@ -92,6 +97,7 @@
         self.chunked = fields.get(b"transfer-encoding") == b"chunked"
 
     def body(self):
+        """The lines of the body, one after another, up to EOFError."""
         text = bytearray()
         while True:
             if self.chunked:
@@ -139,6 +145,7 @@
         self.last = max(self.last, index)
 
     def tell(self, event):
+        """Hands an event on, unless it was told before."""
         number, whole, entries = event
         with self.lock:
             if number <= self.last:
@@ -159,6 +166,7 @@
             self.hang_up()
 
     def hang_up(self):
+        """Ends the connection that is open, from another thread."""
         self.hurry.set()
         if self.sock:
             try:
@@ -167,10 +175,12 @@
                 pass
 
     def stop(self):
+        """Ends the thread."""
         self.stopping = True
         self.hang_up()
 
     def run(self):
+        """The thread: connects again and again, until it is stopped."""
         while not self.stopping:
             reason, detail, began = "closed", None, time.monotonic()
             try:
@@ -196,6 +206,7 @@
                 self.pause = min(PAUSE_MOST, self.pause * 2)
 
     def follow(self):
+        """One connection, until it ends or falls silent."""
         self.hurry.clear()
         address = self.address
         with socket.create_connection(address, timeout=CONNECT_S) as sock:
@@ -223,6 +234,7 @@
                         raise ProtocolError("an event is too long")
 
     def event(self, data):
+        """One event of the stream; ProtocolError where it cannot be read or does not follow."""
         try:
             event = read_event(orjson.loads(data))
         except orjson.JSONDecodeError:
--- a/wickvane/net/counters.py
+++ b/wickvane/net/counters.py
@@ -18,6 +18,7 @@
         self.lock, self.counts = Lock(), Counter()
 
     def add(self, name, n=1):
+        """Adds to one count."""
         with self.lock:
             self.counts[name] += n
 
@@ -28,5 +29,6 @@
             self.counts[f"{side}-octets-out"] += sent
 
     def shown(self):
+        """All counts by name, in order."""
         with self.lock:
             return dict(sorted(self.counts.items()))
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -33,6 +33,7 @@
         self.speaks = speaks or {}  # by kind: what connections to engines of that kind are made by
 
     def run(self):
+        """The thread: waits for something to decide on, for good."""
         while True:
             now = self.clock.now()
             until = min(self.alarms[0][0], now + LONGEST_WAIT) if self.alarms else now + LONGEST_WAIT
@@ -58,6 +59,7 @@
         return items
 
     def round(self, items):
+        """One round of the module for all that came in."""
         # The module is told a time at which all that it hears of had happened.
         began = self.now = max(self.now, self.clock.now())
         # Which thread woke first says nothing of which query came first: the sockets' own stamps do.
@@ -123,6 +125,7 @@
             self.alarm(0, max(now + 1, self.held[0].arrived + self.lag - KEY_APART))
 
     def taken(self, pending, again=False):
+        """A query of a client."""
         pending.q = self.registry.take(pending)
         pending.stages["taken"] = self.now
         self.events.append(
@@ -140,6 +143,7 @@
         )
 
     def ended(self, attempt, ending, elapsed, complete):
+        """The ending of an attempt."""
         pending = attempt.pending
         self.registry.ended(pending.q, attempt.queue.name)
         self.events.append(
@@ -160,12 +164,14 @@
         self.counters.add(f"ending-{ENDINGS[ending]}")
 
     def left(self, pending):
+        """A client that has gone."""
         registry, q = self.registry, pending.q
         if q >= 0 and q in registry.open and registry.queries.names[q] is pending:
             self.events.append(i.Left(q))
             registry.over.add(q)
 
     def listed(self, whole, entries):
+        """A change of the engine list, or all of it."""
         if whole:
             gone = list(self.registry.unlisted({entry[0] for entry in entries}))
             self.events.extend(gone)
@@ -178,6 +184,7 @@
                 self.change_queue(name, state, address, event.started, self.speaks.get(kind))
 
     def change_queue(self, name, state, address, started, speaks=None):
+        """Opens, drains or replaces the queue of an engine."""
         queue = self.queues.get(name)
         if self.accounts is not None:
             self.accounts.engine_state(name, state)
@@ -196,11 +203,13 @@
             queue.put(("restarted", started), always=True)
 
     def close(self, name):
+        """The queue of an engine that is forgotten."""
         queue = self.queues.pop(name, None)
         if queue:
             queue.put(("close",), always=True)
 
     def stop(self, left):
+        """The process may be ended in so long."""
         self.events.append(i.Stopping(left))
 
     # By name, so that who lays more over a decider is asked.
@@ -209,6 +218,7 @@
     # What was decided
 
     def submit(self, q, engine, wait, start_by):
+        """Writer: an attempt of a query."""
         pending, name = self.registry.queries.names[q], self.registry.engines.names[engine]
         until = min(pending.limit, self.now + wait) if wait else pending.limit
         queue = self.queues.get(name)
@@ -221,21 +231,25 @@
             self.exchange.end(pending.attempt, i.NOT_SENT)
 
     def defer(self, q, stay_away):
+        """Writer: a query is refused, and may be sent again."""
         pending = self.registry.queries.names[q]
         pending.away = stay_away  # ahead of the answer, which its session may send at once
         self.exchange.settle(pending, DEFERRED)
         self.registry.over.add(q)
 
     def kill(self, q):
+        """Writer: a query has failed."""
         self.exchange.settle(self.registry.queries.names[q], KILLED)
         self.registry.over.add(q)
 
     def cancel(self, q, number):
+        """Writer: an attempt is given up, if it is the one that is out."""
         attempt = self.registry.queries.names[q].attempt
         if attempt is not None and attempt.number == number and not attempt.over and attempt.queue:
             attempt.queue.put(("quit", attempt), always=True)
 
     def terms(self, q, priority, grant):
+        """Writer: a query's priority, which an attempt that is out is told too."""
         pending = self.registry.queries.names[q]
         pending.urgency = priority
         attempt = pending.attempt
@@ -243,12 +257,15 @@
             attempt.queue.put(("terms", attempt))
 
     def alarm(self, token, at):
+        """Writer: a round is wanted at a time."""
         heappush(self.alarms, (at, token))
 
     def watch_list(self, on):
+        """Writer: the stream is always followed."""
         pass  # the stream is always followed
 
     def note(self, text):
+        """Writer: a line for the log."""
         self.log.line("note", text=text)
 
 
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -99,6 +99,7 @@
     # Clients
 
     def take(self, pending):
+        """A session's query, for the decider; RequestRejected where it is not taken."""
         with self.lock:
             if self.closed:
                 raise RequestRejected(STOPS, "the dispatcher stops; it may be sent again")
@@ -130,10 +131,12 @@
         return True
 
     def leave(self, pending, answer=LEFT):
+        """The client has gone: nothing is owed, and the decider hears of it."""
         if self.settle(pending, answer):
             self.inbox.put(("left", pending), always=True)
 
     def cancel_key(self, session, secret):
+        """A new process id under which a session's query can be cancelled with this secret."""
         with self.lock:
             self.next_pid += 1
             pid = self.next_pid & 0x7FFFFFFF
@@ -141,10 +144,12 @@
         return pid
 
     def drop_key(self, pid):
+        """The session of this process id has ended."""
         with self.lock:
             self.cancels.pop(pid, None)
 
     def cancel(self, pid, secret):
+        """Takes back the query of a session, by its key; whether there was one."""
         with self.lock:
             known, session = self.cancels.get(pid, (None, None))
             pending = session.pending if known == secret and session else None
@@ -155,6 +160,7 @@
     # Answers: the first one stands.
 
     def settle(self, pending, answer, pages=None):
+        """Gives a query its answer; False where it has one already."""
         with self.lock:
             if pending.answer is not None:
                 return False
@@ -163,6 +169,7 @@
         return True
 
     def forget(self, pending):
+        """The query's id may be used again."""
         with self.lock:
             self.open.discard(pending.id)
 
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -57,6 +57,7 @@
         self.received = self.claimed = self.sent = self.warned = 0
 
     def run(self):
+        """The session's thread, from the first byte to the close."""
         reason, last, detail = "fault", b"", None
         began = self.clock.now()
         try:
@@ -96,6 +97,7 @@
         )
 
     def farewell(self, last):
+        """The last words, then reads what still comes, so that no unread byte resets them."""
         try:
             self.sock.settimeout(1.0)
             self.put(last)
@@ -159,6 +161,7 @@
     # Reading
 
     def want(self, n, until):
+        """Reads until so many bytes are there; raises past `until`."""
         if not self.queries:
             until = min(until, self.first_by)
         while len(self.buffer) < n:
@@ -178,6 +181,7 @@
                 raise TimeoutError
 
     def cut(self, n):
+        """The first bytes of what was read."""
         data = bytes(self.buffer[:n])
         del self.buffer[:n]
         return data
@@ -238,6 +242,7 @@
             return now
 
     def wait(self, pending):
+        """Until the query has an answer, its client has gone, or its time is long over."""
         due = pending.limit + OVERDUE
         look_s = self.peek_s or PEEK_S
         while not pending.ready.acquire(timeout=max(0.001, min(look_s, (due - self.clock.now()) / 10_000))):
@@ -258,6 +263,7 @@
             return True  # its session has closed it
 
     def answer(self, pending):
+        """Writes the answer in the protocol's words."""
         kind, storm = pending.answer, self.exchange.storm
         if storm and storm != self.warned:
             # Once a storm and connection, and with an answer: nobody reads before one.
@@ -311,12 +317,14 @@
             self.done(pending, kind, size)
 
     def leave(self):
+        """The connection ended with a query open."""
         pending, self.pending = self.pending, None
         self.exchange.leave(pending)
         self.count_left(pending)
         self.done(pending, ex.LEFT, 0)
 
     def count_left(self, pending):
+        """Tells the flow accounts of a query whose client left."""
         if self.account is not None:
             self.accounts.count(
                 self.account, (pending.rg, pending.tenant), self.clock.now(), REVERSE, 0, 0, ANSWERS[ex.LEFT]
@@ -328,6 +336,7 @@
         return -(-pending.away // 10)
 
     def done(self, pending, kind, size):
+        """Counts a query that has its final answer, and logs it."""
         self.counters.add(kind)
         if kind == ex.DEFERRED and pending.away:
             self.counters.add("advised")
@@ -351,12 +360,15 @@
     # What a protocol says
 
     def talk(self):
+        """The protocol's part of run()."""
         raise NotImplementedError
 
     def internal_error(self):
+        """What a client is told of a fault of this program."""
         raise NotImplementedError
 
     def unusable(self, unusable):
+        """What a client is told of a statement that cannot be read."""
         raise NotImplementedError
 
     def streaming(self, pending):
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -32,12 +32,14 @@
 
 
 def figure(value, most):
+    """A number from 0 to `most`; ProtocolError."""
     if not NUMBER.match(value) or float(value) > most:
         raise ProtocolError("a figure is no number, or out of range")
     return float(value)
 
 
 def page_number(value):
+    """A page's number; ProtocolError."""
     if not value.isdigit() or len(value) > 3 or int(value) > PAGES_MOST:
         raise ProtocolError("a page's number cannot be, or is out of range")
     return int(value)
@@ -74,6 +76,7 @@
 
 
 def is_number(family, host):
+    """Whether a host is an address, and no name to look up."""
     try:
         return bool(socket.inet_pton(family, host))
     except OSError:
@@ -128,16 +131,19 @@
             self.link.counters.add_octets("engine", self.received, self.sent)
 
     def count_sent(self, key, octets, messages, what=0):
+        """Counts octets that went out, for whom they were."""
         self.sent += octets
         if self.account is not None:
             self.accounts.count(self.account, key, self.link.clock.now(), FORWARD, octets, messages, what)
 
     def claim(self, key, octets):
+        """Counts octets that came in, for whom they were."""
         self.claimed += octets
         if octets and self.account is not None:
             self.accounts.count(self.account, key, self.link.clock.now(), REVERSE, octets, 1)
 
     def guard(self, work):
+        """Does some work; whatever it raises ends this connection alone."""
         try:
             work()
         except ProtocolError as error:
@@ -155,6 +161,7 @@
             self.fail("fault", f"{type(error).__name__}: {error}")
 
     def takes(self, attempt, now):
+        """Whether an attempt may go out here."""
         with self.lock:
             return (
                 not self.dead
@@ -257,6 +264,7 @@
             raise ConnectionResetError(errno.ECONNRESET, "closed by the engine while idle")
 
     def send(self, data):
+        """How many bytes the engine took at once."""
         try:
             return self.sock.send(data, socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -274,21 +282,25 @@
         return b"queue=%b,budget=%d%b%b" % (pending.verb, max(1, (attempt.until - now) // 10), token, urgency)
 
     def ask(self, attempt):
+        """The bytes of an attempt; None where it does not leave any more."""
         self.check_idle_close()
         fields, pending = self.fields(attempt), attempt.pending
         return fields and b"ASK %b %b %d\r\n%b\r\n" % (pending.id, fields, len(pending.body), pending.body)
 
     def quit(self, attempt, ending):
+        """The bytes that give an attempt up."""
         if attempt.over or self.open.get(attempt.pending.id) is not attempt:
             return None
         return (b"FREE %b\r\n" if attempt.pages else b"QUIT %b\r\n") % attempt.pending.id
 
     def terms(self, attempt):
+        """The bytes of a new priority."""
         if attempt.over or not attempt.written or self.open.get(attempt.pending.id) is not attempt:
             return None
         return b"PRIO %b %d\r\n" % (attempt.pending.id, attempt.pending.urgency)
 
     def line(self, data, pending):
+        """Bytes that are ready as they are."""
         return data
 
     FORMS = {"ask": ask, "quit": quit, "terms": terms, "line": line}
@@ -316,6 +328,7 @@
             self.put("quit", attempt, ending)
 
     def drop(self, attempt, ending, pages=None):
+        """The one end of an attempt on this connection."""
         with self.lock:
             if self.open.get(attempt.pending.id) is not attempt:
                 return
@@ -334,6 +347,7 @@
     # Reading
 
     def dial(self):
+        """Begins to connect; a name is looked up by a thread of its own."""
         host = self.link.address[0]
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         if not is_number(family, host):
@@ -344,6 +358,7 @@
         self.connect(family, self.link.address)
 
     def look_up(self):
+        """That thread: finds the address, and calls."""
         try:
             host, port = self.link.address
             self.found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
@@ -352,6 +367,7 @@
         self.link.links.call(self)
 
     def connect(self, family, address):
+        """Begins to connect to an address, without waiting."""
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError as error:
@@ -505,6 +521,7 @@
         return self.due(now)
 
     def idles(self):
+        """Whether it lives with nothing open."""
         return not self.dead and not self.open
 
     def overdue(self, now):
@@ -520,6 +537,7 @@
         return None
 
     def due(self, now):
+        """When something of it has to be looked at next."""
         if not self.up:
             return self.made + int(self.link.connect_s * 10_000)
         if self.rest:
@@ -531,6 +549,7 @@
         return now + self.link.idle_time
 
     def fail(self, reason, detail=None):
+        """Ends the connection, and each attempt on it with what is proven."""
         with self.lock:
             if self.dead:
                 return
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -36,6 +36,7 @@
         self.lock, self.connections, self.closing = Lock(), [], False
 
     def ask(self, attempt):
+        """Sends an attempt over the best connection that takes it."""
         now = self.clock.now()
         if attempt.over:
             return
@@ -79,16 +80,19 @@
         return connection
 
     def find(self, attempt):
+        """The connection that an attempt is open on."""
         with self.lock:
             connections = list(self.connections)
         return next((c for c in connections if c.open.get(attempt.pending.id) is attempt), None)
 
     def quit(self, attempt, ending=i.CANCELLED, at_once=False):
+        """Gives an attempt up."""
         place = self.find(attempt)
         if place:
             place.give_up(attempt, ending, at_once)
 
     def terms(self, attempt):
+        """Tells the engine an attempt's new priority."""
         place = self.find(attempt)
         if place:
             place.put("terms", attempt)
@@ -103,6 +107,7 @@
                     place.give_up(attempt, i.NOT_SENT, True)
 
     def restarted(self, started):
+        """Another process is there since: older connections lead nowhere."""
         # What was connected before the engine's start leads to a process that is no more.
         with self.lock:
             connections = [c for c in self.connections if c.made < started]
@@ -110,6 +115,7 @@
             place.fail("engine-restarted")
 
     def close(self):
+        """The engine has gone; connections end once nothing is open on them."""
         self.closing = True
         with self.lock:
             connections = list(self.connections)
@@ -126,6 +132,7 @@
     }
 
     def ended(self, place):
+        """A connection has closed."""
         with self.lock:
             if place in self.connections:
                 self.connections.remove(place)
@@ -156,6 +163,7 @@
     # The thread
 
     def run(self):
+        """The thread, until it is stopped."""
         while not self.stopping:
             self.round(self.events())
         for place in list(self.watched.values()):
@@ -163,6 +171,7 @@
         self.ended.set()
 
     def events(self):
+        """What the poll found, waited for until something is due."""
         wait = LONGEST_S
         if self.waits:
             wait = min(wait, max(0, self.waits[0][0] - self.clock.now()) / 10_000)
@@ -173,6 +182,7 @@
             self.bell.asleep = False
 
     def round(self, events):
+        """Sees to descriptors, to orders, and to what is due."""
         for descriptor, what in events:
             if descriptor == self.bell.heard:
                 self.bell.hear()
@@ -194,6 +204,7 @@
         self.look(self.clock.now())
 
     def take_orders(self, queue):
+        """All orders that wait for one engine."""
         link = queue.link or Link(queue, self)
         for kind, *rest in queue.take(0):
             try:
@@ -236,6 +247,7 @@
             self.counters.add("faults")
 
     def see_to(self, place, now):
+        """Lets a connection look at its times, and notes when to look again."""
         at = place.look(now)
         if place.dead:
             self.idle.pop(place, None)
@@ -255,6 +267,7 @@
     # Descriptors
 
     def watch(self, place, what):
+        """From here on the poll tells of these events of a connection."""
         descriptor = place.sock.fileno()
         if self.watched.get(descriptor) is place:
             self.poll.modify(descriptor, what)
@@ -263,6 +276,7 @@
             self.poll.register(descriptor, what)
 
     def unwatch(self, place, descriptor):
+        """From here on it tells of none."""
         if self.watched.get(descriptor) is place:
             del self.watched[descriptor]
             try:
@@ -271,9 +285,11 @@
                 pass  # closed, which took it out
 
     def in_use(self, place):
+        """Something is open on a connection that idled."""
         self.idle.pop(place, None)
 
     def now_idle(self, place):
+        """A connection idles; past the bound the one that idled longest is ended."""
         if place in self.idle:
             return
         self.idle[place] = None
@@ -289,14 +305,17 @@
         return False
 
     def may_open(self):
+        """Whether a descriptor is left for another connection, made room for if need be."""
         # Connections kept for what may come to some engines must not keep others from being reached.
         return len(self.all) < self.most or self.make_room()
 
     def opened(self, place):
+        """A connection holds a descriptor."""
         with self.lock:
             self.all[place] = None
 
     def closed(self, place):
+        """A connection holds none any more."""
         with self.lock:
             self.all.pop(place, None)
 
@@ -312,4 +331,5 @@
 
 
 def over(what):
+    """Whether an attempt has ended, or a connection is dead."""
     return what.over if isinstance(what, Attempt) else what.dead
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -27,6 +27,7 @@
         self.gate, self.lingering = gate, deque()
 
     def run(self):
+        """The thread: accepts until it is closed."""
         while not self.closed:
             try:
                 sock, peer = self.sock.accept()
@@ -79,6 +80,7 @@
         return None
 
     def is_urgent(self, sock):
+        """Whether what a connection sent first is let in at once, such as a cancel."""
         try:
             return self.session.is_urgent(sock.recv(PEEK, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
@@ -100,6 +102,7 @@
         self.gate.told(peer, away)
 
     def refuse(self, sock, peer, reason="too-many"):
+        """Tells a connection why it is not taken, and closes it."""
         try:
             sock.settimeout(0)
             sock.sendall(self.session.TOO_MANY)
@@ -110,6 +113,7 @@
         self.service.log.line("client-connection-ended", peer=peer, reason=reason, queries=0)
 
     def serve(self, session):
+        """A session's thread."""
         try:
             session.run()
         finally:
@@ -131,5 +135,6 @@
         self.sock.close()
 
     def open_sessions(self):
+        """How many sessions have not ended."""
         with self.lock:
             return len(self.sessions)
--- a/wickvane/net/log.py
+++ b/wickvane/net/log.py
@@ -18,12 +18,14 @@
         self.lines, self.dropped, self.writer = SimpleQueue(), 0, False
 
     def line(self, event, **fields):
+        """One event, from any thread; at the bound it is dropped and counted."""
         if self.lines.qsize() >= LINES_HELD:
             self.dropped += 1
             return
         self.lines.put((self.clock.now(), event, fields))
 
     def run(self):
+        """The thread: writes until the log is closed."""
         self.writer = True
         while True:
             first = self.lines.get()
@@ -57,6 +59,7 @@
         return last
 
     def write(self, data):
+        """Writes it all, however often the pipe takes only a part."""
         try:
             while data:
                 data = data[os.write(self.descriptor, data) :]
@@ -64,8 +67,10 @@
             self.dropped += 1  # nobody reads the log any more; queries go on without it
 
     def close(self):
+        """What came before is still written."""
         self.lines.put(None)
 
 
 def shown(value):
+    """The JSON form of what has none."""
     return value.decode("utf-8", "replace") if isinstance(value, bytes) else str(value)
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -17,6 +17,7 @@
 
 
 def message(kind, body=b""):
+    """A message of the protocol: kind, length, body."""
     return kind + pack("!I", 4 + len(body)) + body
 
 
@@ -61,6 +62,7 @@
         return len(first) >= 8 and unpack_from("!I", first, 4)[0] == CANCEL
 
     def startup(self):
+        """(minor version, body) of the start-up message, past requests for encryption."""
         for _ in range(3):
             self.want(8, self.first_by)
             length, code = unpack_from("!II", self.buffer)
@@ -139,6 +141,7 @@
             raise Ended("message-unknown", error("08P01", "unknown message type", b"FATAL"))
 
     def next_message(self):
+        """(kind, body) of the next message, read within its time."""
         self.claim(NOBODY)
         self.idle = not self.buffer
         try:
@@ -160,6 +163,7 @@
     # Queries
 
     def query(self, body):
+        """One simple query, from its text to the last byte of its answer."""
         if not body.endswith(b"\0") or body.find(b"\0") != len(body) - 1:
             raise Ended("message-malformed", error("08P01", "invalid string in message", b"FATAL"))
         if is_empty(body[:-1]):
@@ -169,16 +173,20 @@
         self.ask(body[:-1], self.arrived())
 
     def warn(self):
+        """As Front."""
         self.sock.settimeout(WRITE_S)
         self.put(error("01000", STORM_TEXT, b"WARNING", kind=b"N", told=b"Dretry-storm=%d\0" % self.warned))
 
     def unusable(self, unusable):
+        """As Front."""
         return error(unusable.sqlstate, unusable.text) + READY
 
     def internal_error(self):
+        """As Front."""
         return error("XX000", "internal error", b"FATAL")
 
     def vanished(self):
+        """As Front."""
         if self.buffer:
             return self.has_gone()  # commands that wait behind the query hide an end of the connection
         try:
@@ -190,6 +198,7 @@
             return True
 
     def answered(self, pending, kind):
+        """As Front."""
         if kind == ex.FINISHED:
             try:
                 if not pending.pages or not isinstance(pending.pages[0], bytes):
@@ -224,6 +233,7 @@
         return rows.of(pending.pages) + rows.end(pending.tag) + READY, rows.count + 3
 
     def streaming(self, pending):
+        """As Front."""
         return RowStream(pending.tag)
 
 
@@ -237,7 +247,9 @@
         self.more = self.rows.of
 
     def end(self):
+        """The words behind the last row."""
         return self.rows.end(self.tag) + READY
 
     def broken(self):
+        """The words where the result breaks off."""
         return error("58000", "killed: the result broke off; it may have run") + READY
--- a/wickvane/net/queues.py
+++ b/wickvane/net/queues.py
@@ -14,6 +14,7 @@
         self.items, self.most, self.more = deque(), most, Condition(Lock())
 
     def put(self, item, always=False):
+        """False at the bound, unless `always`."""
         with self.more:
             if len(self.items) >= self.most and not always:
                 return False
@@ -22,6 +23,7 @@
         return True
 
     def take(self, seconds):
+        """All that is held, waited for so long where nothing is."""
         with self.more:
             if not self.items and seconds > 0:
                 self.more.wait(seconds)
@@ -40,6 +42,7 @@
         self.asleep = False
 
     def ring(self):
+        """Wakes the thread that waits, if it does."""
         if self.asleep:
             self.asleep = False
             try:
@@ -48,6 +51,7 @@
                 pass  # full of rings that nobody heard yet
 
     def hear(self):
+        """Empties the pipe, so that the next ring is heard."""
         try:
             os.read(self.heard, 512)
         except BlockingIOError:
@@ -61,6 +65,7 @@
         self.items, self.bell = deque(), WakeupPipe()
 
     def put(self, item):
+        """Something to see to, from any thread."""
         self.items.append(item)
         self.bell.ring()
 
@@ -76,6 +81,7 @@
         self.gone = False  # the engine has left the list
 
     def put(self, item, always=False):
+        """As BoundedQueue, but calls where nothing was held."""
         with self.more:
             if len(self.items) >= self.most and not always:
                 return False
@@ -107,6 +113,7 @@
         return True
 
     def end(self, broken):
+        """Nothing more comes; broken: the result is not whole."""
         with self.more:
             self.ended, self.broken = True, broken
             self.more.notify_all()
@@ -124,6 +131,7 @@
             return None if self.ended else []
 
     def close(self):
+        """Nobody reads any more."""
         with self.more:
             self.closed = True
             self.chunks.clear()
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -46,6 +46,7 @@
 
 
 def configuration(path):
+    """The raw configuration of a file; ConfigError where it cannot be read."""
     try:
         with open(path, "rb") as file:
             found = orjson.loads(file.read())
@@ -197,9 +198,11 @@
         return Coordinator(config.coordinator, known, listed, self.seed, self.log, self.counters)
 
     def listed(self, number, whole, entries, back=()):
+        """A change of the engine list, from whoever tells it."""
         self.exchange.inbox.put(("listed", whole, entries), always=True)
 
     def start(self):
+        """Opens the listeners, and starts all threads."""
         one_arena()
         threading.stack_size(STACK)
         threading.excepthook = self.died
@@ -225,6 +228,7 @@
         self.log.line("ready", name=self.name, listen=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
 
     def listen(self, address, most, session):
+        """A listener whose connections have sessions of this class."""
         try:
             self.listeners.append(Listener(address, self, most, session, self.gate))
         except OSError as error:
@@ -248,6 +252,7 @@
         return self.threads.needed(guarded, name)
 
     def died(self, hook):
+        """A thread of one peer ended by an exception: counted and logged."""
         # One of the many threads of a single peer: its own guard should have met this.
         self.counters.add("faults")
         at = traceback.extract_tb(hook.exc_traceback)[-1]
@@ -255,6 +260,7 @@
         self.log.line("fault", error=error, where=f"{at.name}:{at.lineno}")
 
     def run(self, path=None, parts_path=None):
+        """The main thread: starts, waits for signals, and ends in order; the exit status."""
         # Before any thread starts, so that each inherits it and only this one is told.
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
         try:
@@ -317,6 +323,7 @@
             raise parts.Unusable(f"{parts_path}: {error}") from None
 
     def show_counters(self, why):
+        """A log line of all counters and of what the process holds."""
         with open("/proc/self/status", "rb") as status:
             memory = {
                 line.split(b":")[0].decode(): int(line.split()[1])
@@ -336,6 +343,7 @@
         )
 
     def stop(self):
+        """Ends in order: what was taken is answered, what comes is refused."""
         began = time.monotonic()
         longest = max((group.timeout for group in self.registry.deployment.groups), default=0)
         left = min(longest, TIMEOUT_MOST) + KILL_AFTER
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -85,6 +85,7 @@
 
 
 def fields(inside):
+    """The comment's fields, text by name; Unusable where they cannot be read."""
     found = {}
     for part in inside.decode("utf-8", "replace").split(","):
         name, equals, value = part.partition("=")
@@ -186,6 +187,7 @@
 
 
 def number(found, name, most):
+    """A field that is a number up to `most`; 0 where it is absent."""
     text = found.get(name)
     if text is None:
         return 0.0
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -26,6 +26,7 @@
 
 
 def read(node):
+    """The Part of a node."""
     return Part(
         node.value("remember", parts.duration("1s", "10m")), node.value("pace-connections", parts.flag, True)
     )
@@ -39,6 +40,7 @@
         self.lines = 0
 
     def felt(self, now, lag):
+        """Tells the pace how late reading is and how much the core was used."""
         with self.lock:
             turns, more, self.lines = self.pace.felt(now, lag, time.process_time()), self.lines, 0
         if more > LINES_A_STEP:
@@ -46,6 +48,7 @@
         return turns
 
     def lets_in(self, is_urgent, sock):
+        """Whether a connection is let in now."""
         with self.lock:
             urgent = self.pace.rate is not None and is_urgent(sock)
             found = self.pace.lets_in(self.clock.now(), urgent)
@@ -58,6 +61,7 @@
             return -(-self.pace.stay_away(self.clock.now()) // 10)
 
     def told(self, peer, away):
+        """A connection was turned away: logged, within a bound."""
         self.lines += 1
         if self.lines <= LINES_A_STEP:
             self.log.line("client-connection-ended", peer=peer, reason="too-fast", queries=0, stay_away=away)
@@ -69,6 +73,7 @@
     gate = None
 
     def watch(self, part, limits, seed):
+        """Begins to watch; the gate, where connections are paced."""
         site = self.registry.deployment
         remember = part.remember or site.longest_advice + max((g.timeout for g in site.groups), default=0)
         now = self.clock.now()
@@ -83,6 +88,7 @@
         return self.gate
 
     def round(self, items):
+        """As Decider; then looks for storms that begin, deepen or end."""
         super().round(items)
         for event, fields in self.storm.look(self.now):
             self.log.line(f"storm-{event}", **fields)
@@ -103,9 +109,11 @@
             self.alarm(0, self.look_at)
 
     def mark(self, pending):
+        """By what a repeat of this query is known."""
         return mark_of(pending.tenant, pending.token, pending.key, pending.body)
 
     def taken(self, pending, again=False):
+        """As Decider; counts it, and tells the module where it is a repeat."""
         mark = self.mark(pending)
         again = self.storm.taken(self.now, mark, pending.source, pending.cost)
         super().taken(pending, again)
@@ -116,6 +124,7 @@
                 self.counters.add("advice-heeded" if self.now >= until else "advice-ignored")
 
     def ended(self, attempt, ending, elapsed, complete):
+        """As Decider; counts an answer in time."""
         super().ended(attempt, ending, elapsed, complete)
         if ending == i.FINISHED:
             pending = attempt.pending
@@ -127,6 +136,7 @@
                 self.storm.engine(self.now, attempt.queue.name, elapsed, pending.cost / group.threads)
 
     def defer(self, q, stay_away):
+        """As Decider; notes until when the client was told to stay away."""
         pending = self.registry.queries.names[q]
         mark = self.mark(pending)
         self.storm.deferred(self.now, mark)
@@ -137,6 +147,7 @@
         super().defer(q, stay_away)
 
     def close(self, name):
+        """As Decider; the watch forgets the engine."""
         super().close(name)
         self.storm.gone(name)
 
@@ -147,7 +158,9 @@
     name = "storms"
 
     def build(self, service, found):
+        """The decider is one that watches."""
         service.deciding = Watching
 
     def join(self, service, found):
+        """Listeners pass new connections through the gate."""
         service.gate = service.decider.watch(self.terms, found.get("limits") or {}, service.seed)
--- a/wickvane/net/threads.py
+++ b/wickvane/net/threads.py
@@ -50,5 +50,6 @@
             pause = min(PAUSE_MOST, 2 * pause)
 
     def refused(self, name, error):
+        """The machine gave no thread: counted and logged."""
         self.counters.add("threads-refused")
         self.log.line("thread-refused", reason="no-thread", thread=name, detail=str(error))
