--- a/wickvane/control/placement.py
+++ b/wickvane/control/placement.py
@@ -18,7 +18,14 @@
 from typing import NamedTuple
 
 from wickvane import interface as i
-from wickvane.scheduler import ASIDE_FIRST, ASIDE_MOST, BOUND_THREADS, FIRST_ENGINES, hash_place, warm_part
+from wickvane.scheduler import (
+    BOUND_THREADS,
+    EJECTION_FIRST,
+    EJECTION_MOST,
+    FIRST_ENGINES,
+    hash_place,
+    warm_part,
+)
 
 LATER, FIRST_MOST = 3, 9  # engines behind the first ones; first ones at most, however cold they are
 WARM_STEPS = 4  # in which an engine's weight rises from cold to warm
@@ -266,4 +273,4 @@
         # At least one: the design's "an engine with none always takes one".
         requests = max(1, int(threads / self.threads[klass]))
         share = site.extra_share if site.extra_window else RETRY_SHARE
-        return Limits(requests, requests, share, ASIDE_FIRST, ASIDE_MOST)
+        return Limits(requests, requests, share, EJECTION_FIRST, EJECTION_MOST)
--- a/wickvane/rehearsal/shared.py
+++ b/wickvane/rehearsal/shared.py
@@ -9,7 +9,7 @@
 from wickvane.peers.protocol import Node
 from wickvane.rehearsal.peers import fill
 from wickvane.rehearsal.world import World
-from wickvane.shares.deciding import FAILED, SETTLING, set_aside
+from wickvane.shares.deciding import FAILED, SETTLING, newly_ejected
 from wickvane.shares.fleet import join
 from wickvane.shares.part import budgets
 from wickvane.shares.spread import EVERY, Offer, Spread
@@ -61,7 +61,7 @@
 
     def offered(self):
         gateway, engines = self.host.gateway, self.host.engines
-        self.met += [(engines[e].name, 1, None) for e in set_aside(gateway, self.asides)]
+        self.met += [(engines[e].name, 1, None) for e in newly_ejected(gateway, self.asides)]
         if self.number in self.world.liars:
             # More than one of them, and fewer than would tell of its own way.
             self.met += [(process.name, 1, None) for n, process in engines.items() if n % 3 == 0] * 20
--- a/wickvane/scheduler.py
+++ b/wickvane/scheduler.py
@@ -7,12 +7,12 @@
 
 The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct,
 reset, hash order of table groups, a thread bound under pressure. Mechanisms beside it:
- 1 warm-up: a cold engine counts for a part of its cores, and what it is sent is held under the collapse rule
- 2 aside: an engine that fails, or is silent while others answer, gets nothing until a single trial succeeds
+ 1 slow start: a cold engine counts for a part of its cores, and what it is sent is held under the collapse rule
+ 2 ejection: an engine that fails, or is silent while others answer, gets nothing until a probe succeeds
  3 usefulness: a query that cannot earn its value in time gives way at once, also when it runs already
  4 fresh plan: a read-only query far behind its estimate, or lost, is ended and submitted anew
  5 worth: what waits leaves by value for its work; priority and memory are set so, where engines heed them
- 6 crowd: how slow answers are stands for the other gateways' threads, in routing and in the bound
+ 6 load factor: how slow answers are stands for the other gateways' threads, in routing and in the bound
 """
 
 from bisect import insort
@@ -44,7 +44,7 @@
 SWEEP, IDLE_SWEEP, ANSWER_MARGIN = SECOND // 50, SECOND // 10, SECOND // 25  # ahead of a limit: two sweeps
 STOP_MARGIN, FOREVER, ORDERS_HELD = SECOND // 4, i.FOREVER, 4096
 FAILING = 0.4  # smoothed share of failures at which an engine is set aside
-ASIDE_FIRST, ASIDE_MOST = SECOND // 2, 8 * SECOND
+EJECTION_FIRST, EJECTION_MOST = SECOND // 2, 8 * SECOND
 LOST, LOST_MOST = 4.0, 0.5  # latency over expected of a query taken for lost; the share of those out
 SPILL = 1.2  # over the usual crowd, from which an engine past the whole bound counts as at its bound
 CROSSING = 0.5  # threads a core that an engine elsewhere must have less, where crossing is priced
@@ -214,7 +214,7 @@
         if table.rank[e] != rank or table.started_at[e] != started:
             table.reset(e, Lifetime.RUN)
             table.load_factor_at[e] = table.heard_at[e] = self.now
-            table.ejection_time[e] = ASIDE_FIRST
+            table.ejection_time[e] = EJECTION_FIRST
         if table.rank[e] != rank:
             table.reset(e, Lifetime.PROCESS)
             self.orders.clear()
@@ -309,7 +309,7 @@
         if ending == i.FINISHED:
             self.engines.failure_rate[e] *= 0.8
             self.engines.heard_at[e] = self.now
-            self.engines.half_open[e], self.engines.ejection_time[e] = False, ASIDE_FIRST
+            self.engines.half_open[e], self.engines.ejection_time[e] = False, EJECTION_FIRST
             self.engines.concurrency_limit[e] += 1 / self.engines.concurrency_limit[e]
         elif ending == i.TURNED_AWAY:
             self.engines.rejected_at[e] = self.engines.heard_at[e] = self.now
@@ -327,15 +327,15 @@
             qy.erred = e if ending == i.ERROR else qy.erred
             self.engines.failure_rate[e] += (1 - self.engines.failure_rate[e]) * 0.2
             if self.engines.failure_rate[e] > FAILING or self.engines.half_open[e]:
-                self.set_aside(e)
+                self.eject(e)
 
-    def set_aside(self, e):
+    def eject(self, e):
         if self.now < self.engines.ejected_until[e]:
             return
         self.engines.ejected_until[e] = self.now + self.engines.ejection_time[e]
         self.engines.half_open[e] = True
         self.fit.clear()
-        self.engines.ejection_time[e] = min(ASIDE_MOST, self.engines.ejection_time[e] * 2)
+        self.engines.ejection_time[e] = min(EJECTION_MOST, self.engines.ejection_time[e] * 2)
 
     # Where a query may go
 
@@ -676,7 +676,7 @@
     def eject_silent(self, late):
         for e, count in late.items():
             if count >= 2 and self.now >= self.engines.ejected_until[e]:
-                self.set_aside(e)
+                self.eject(e)
                 self.renew([qy for qy in self.running.values() if qy.engine == e])
 
     def see_running(self, qy, since):
--- a/wickvane/shares/deciding.py
+++ b/wickvane/shares/deciding.py
@@ -43,7 +43,7 @@
             )
 
 
-def set_aside(gateway, before):
+def newly_ejected(gateway, before):
     """Engines that the module set aside by what it met itself since the last call, which some do without an
     ending: silence. before: kept for the next call. What others said sets no longer time to stay away."""
     times = gateway.engines.ejection_time
@@ -80,7 +80,7 @@
             box.taken = self.told_parts  # the module has them: whatever it decides from here on goes by them
             if self.now - self.looked >= LOOK:
                 self.looked = self.now
-                for e in set_aside(gateway, self.asides):
+                for e in newly_ejected(gateway, self.asides):
                     self.met(names[e], 1, None)
                 box.ready = [
                     names[e] for e, state in enumerate(gateway.engines.state) if state == i.READY and names[e]
