--- a/wickvane/scheduler.py
+++ b/wickvane/scheduler.py
@@ -7,7 +7,7 @@
 
 The design (docs/design.md): queues by tenant, deficit round robin metered in cost, charge then correct,
 reset, hash order of table groups, a thread bound under pressure. Mechanisms beside it:
- 1 slow start: a cold engine counts for a part of its cores, and what it is sent is held under the collapse rule
+ 1 slow start: a cold engine counts for a part of its cores; what it is sent stays under the collapse rule
  2 ejection: an engine that fails, or is silent while others answer, gets nothing until a probe succeeds
  3 usefulness: a query that cannot earn its value in time gives way at once, also when it runs already
  4 fresh plan: a read-only query far behind its estimate, or lost, is ended and submitted anew
