--- a/benchmarks/storm_sockets.py
+++ b/benchmarks/storm_sockets.py
@@ -19,11 +19,11 @@
 
 from benchmarks import conclude
 from wickvane.rehearsal import script as scripts
+from wickvane.rehearsal.host import ENDINGS
 from wickvane.rehearsal.load import Load
 from wickvane.rehearsal.rules import Seen
 from wickvane.rehearsal.script import SECOND
 from wickvane.rehearsal.sockets import Connection, Serving
-from wickvane.rehearsal.world import ENDINGS
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BEFORE = "657321d"  # the last landing before retry storms were looked for or told of
--- a/wickvane/rehearsal/cells.py
+++ b/wickvane/rehearsal/cells.py
@@ -16,7 +16,7 @@
 
 from wickvane import interface as i
 from wickvane import parts, scheduler
-from wickvane.rehearsal import baselines, draws, experiment, model, rules, world
+from wickvane.rehearsal import baselines, draws, experiment, faults, host, model, outcome, rules, world
 from wickvane.rehearsal import script as scripts
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -65,7 +65,7 @@
 @lru_cache
 def source_of(variant):
     """What a cell's outcome follows from besides its script and seed."""
-    played_by = model, world, draws, rules, scripts, experiment
+    played_by = model, world, host, faults, outcome, draws, rules, scripts, experiment
     return experiment.key_of(module_text(variant), *map(text_of, played_by))
 
 
--- a/wickvane/rehearsal/experiment.py
+++ b/wickvane/rehearsal/experiment.py
@@ -164,7 +164,7 @@
 
 
 def figures(outcome):
-    """One cell's figures, from an Outcome of wickvane.rehearsal.world."""
+    """One cell's figures, from a wickvane.rehearsal.outcome.Outcome."""
     world, counts = outcome.world, outcome.counts
     answers = sum(counts[word] for word in ("finished", "deferred", "killed")) or 1
     worked = [process.worked for process in world.processes if process.started is None]
