--- a/wickvane/id_registry.py
+++ b/wickvane/id_registry.py
@@ -13,6 +13,7 @@
             self(name)
 
     def __call__(self, name):
+        """The name's index, which is new with the name."""
         return self.index.setdefault(name, len(self.index))
 
 
@@ -23,6 +24,7 @@
         self.of, self.names, self.free = {}, [], []
 
     def add(self, name):
+        """The index of a name, a free one where it is new."""
         if name in self.of:
             return self.of[name]
         if self.free:
@@ -35,6 +37,7 @@
         return n
 
     def drop(self, name):
+        """Frees a name's index."""
         n = self.of.pop(name)
         self.names[n] = None
         self.free.append(n)
@@ -69,15 +72,18 @@
         self.sent, self.listed = {}, {}
 
     def take(self, name):
+        """The index of a query that is new."""
         q = self.queries.add(name)
         self.open[q] = 0
         return q
 
     def submitted(self, q, name):
+        """An attempt of a query is out at an engine."""
         self.open[q] += 1
         self.sent[name] += 1
 
     def ended(self, q, name):
+        """It is out no more."""
         self.open[q] -= 1
         self.sent[name] -= 1
 
--- a/wickvane/interface.py
+++ b/wickvane/interface.py
@@ -231,19 +231,27 @@
 class Writer(Protocol):
     """Takes the scheduler's decisions; queries and engines by their indices."""
 
-    # wait 0: until the client gives up. It must not begin at start_by or later, whatever holds it up.
-    def submit(self, q: int, engine: int, wait: int, start_by: int) -> None: ...
+    def submit(self, q: int, engine: int, wait: int, start_by: int) -> None:
+        """An attempt. wait: how long at most, 0 for until the client gives up. It must not begin at start_by
+        or later, whatever holds it up."""
 
-    def defer(self, q: int, stay_away: int) -> None: ...
+    def defer(self, q: int, stay_away: int) -> None:
+        """A final answer: refused, trying again is harmless; stay_away: how long the client is told to."""
 
-    def kill(self, q: int) -> None: ...
+    def kill(self, q: int) -> None:
+        """A final answer: failed."""
 
-    def cancel(self, q: int, submission: int) -> None: ...
+    def cancel(self, q: int, attempt: int) -> None:
+        """An attempt is given up; its ending is still told."""
 
-    def terms(self, q: int, priority: int, grant: float) -> None: ...
+    def terms(self, q: int, priority: int, grant: float) -> None:
+        """A query's priority, and its memory grant in MB (0: none), also for an attempt that is out."""
 
-    def alarm(self, token: int, at: int) -> None: ...
+    def alarm(self, token: int, at: int) -> None:
+        """A round is wanted at a time; Due brings the token back."""
 
-    def watch_list(self, on: bool) -> None: ...
+    def watch_list(self, on: bool) -> None:
+        """Whether changes of the engine list are wanted, where they have to be asked for."""
 
-    def note(self, text: str) -> None: ...
+    def note(self, text: str) -> None:
+        """A line for whoever reads logs."""
--- a/wickvane/parts.py
+++ b/wickvane/parts.py
@@ -39,12 +39,14 @@
         self.asked, self.asked_properties = set(), set()
 
     def wrong(self, expected, value=None, name=None):
+        """What is wrong, with its line and path in the document, to be raised."""
         path = f"{self.path} > {name}" if name else self.path
         said = "" if value is None else f" {shown(value)}"
         line = line_of(self.text, name or self.node.name, value)
         return Unusable(f"{line}{path}{said}: expected {expected}")
 
     def children(self, name):
+        """All children of this name."""
         self.asked.add(name)
         return [
             Node(child, f"{self.path} > {name}", self.text)
@@ -53,6 +55,7 @@
         ]
 
     def child(self, name):
+        """The one child of this name, or None."""
         found = self.children(name)
         if len(found) > 1:
             raise self.wrong("it once only", name=name)
@@ -65,6 +68,7 @@
         return self.read(kind, self.node.args[0], name)
 
     def read(self, kind, value, name=None):
+        """A value as this kind reads it; Unusable says what was expected."""
         value = getattr(value, "value", value)  # a value that bears a type annotation
         try:
             return kind(value)
@@ -83,12 +87,14 @@
         return found
 
     def property(self, name, kind, default=None):
+        """A property of the node, or the default."""
         self.asked_properties.add(name)
         if name not in self.node.properties:
             return default
         return self.read(kind, self.node.properties[name], name)
 
     def done(self):
+        """Refuses whatever was not asked for."""
         for child in self.node.children:
             if child.name not in self.asked:
                 known = ", ".join(sorted(self.asked)) or "no node in it"
@@ -106,14 +112,18 @@
         self.expected, self.read = expected, read
 
     def __call__(self, value):
+        """The value as it is read; ValueError or TypeError where it is not of this kind."""
         return self.read(value)
 
 
 def refuse():
+    """How a Kind says that a value is not of it."""
     raise ValueError
 
 
 def whole(low, high):
+    """A whole number from `low` to `high`."""
+
     def read(value):
         good = isinstance(value, int) and not isinstance(value, bool) and low <= value <= high
         return value if good else refuse()
@@ -154,6 +164,7 @@
 
 
 def share(low, high):
+    """A number from `low` to `high`."""
     return Kind(
         f"a number from {low} to {high}",
         lambda value: (
@@ -168,6 +179,7 @@
 
 
 def word(*choices):
+    """One of these words."""
     return Kind(
         " or ".join(f'"{choice}"' for choice in choices),
         lambda value: value if value in choices else refuse(),
@@ -175,14 +187,17 @@
 
 
 def read_flag(value):
+    """Reads #true or #false."""
     return value if isinstance(value, bool) else refuse()
 
 
 def read_name(value):
+    """Reads a name of up to 64 characters."""
     return value if isinstance(value, str) and re.fullmatch(r"[\w.:-]{1,64}", value) else refuse()
 
 
 def read_path(value):
+    """Reads a path."""
     return value if isinstance(value, str) and 0 < len(value) <= 4096 and "\0" not in value else refuse()
 
 
@@ -207,6 +222,7 @@
 
 
 def shown(value):
+    """A value as it would stand in the document, cut where it is long."""
     if value is True or value is False or value is None:
         return {True: "#true", False: "#false", None: "#null"}[value]
     text = f'"{value}"' if isinstance(value, str) else str(value)
--- a/wickvane/settings.py
+++ b/wickvane/settings.py
@@ -46,12 +46,15 @@
         self.values, self.path = values, path
 
     def at(self, name):
+        """The full path of a setting, for messages."""
         return f"{self.path}.{name}" if self.path else name
 
     def has(self, name):
+        """Whether a setting is there and not null."""
         return self.values.get(name) is not None
 
     def needed(self, name):
+        """A setting that has to be there."""
         if not self.has(name):
             raise SettingsError(self.at(name), self.values.get(name), "a value")
         return self.values[name]
@@ -65,15 +68,19 @@
         return self.figure(name, default, most) or default
 
     def ms(self, name, default=0.0):
+        """A time in milliseconds."""
         return self.number(name, default, MS_MOST)
 
     def count(self, name, default):
+        """A whole number; the default where it is 0 or absent."""
         return int(self.number(name, default, COUNT_MOST)) or default
 
     def flag(self, name):
+        """Whether a setting is set."""
         return bool(self.values.get(name))
 
     def text(self, name):
+        """A setting that is a name."""
         value = self.needed(name)
         if not isinstance(value, str) or not value:
             raise SettingsError(self.at(name), value, "a name")
@@ -111,6 +118,7 @@
         ]
 
     def figures(self, name):
+        """A list of numbers."""
         return [
             checked_number(value or 0.0, f"{self.at(name)}[{n}]", FIGURE_MOST)
             for n, value in enumerate(self.items(name))
@@ -133,6 +141,7 @@
 
 
 def checked_number(value, path, most):
+    """The value, if it is a finite number from 0 to `most`; else SettingsError."""
     usable = isinstance(value, (int, float)) and not isinstance(value, bool)
     if not usable or not math.isfinite(value) or not 0 <= value <= most:
         raise SettingsError(path, value, f"a number from 0 to {most:g}")
--- a/wickvane/storm.py
+++ b/wickvane/storm.py
@@ -58,6 +58,7 @@
         self.new, self.old, self.count = self.made(), self.made(), 0
 
     def add(self, now, mark):
+        """From now on this mark is known."""
         self.turn(now)
         # A full filter takes strangers for known ones: it is swapped ahead of its time.
         if self.count >= MARKS:
@@ -67,10 +68,12 @@
         self.count += 1
 
     def has(self, now, mark):
+        """Whether this mark was added within the time."""
         self.turn(now)
         return mark in self.new or mark in self.old
 
     def turn(self, now):
+        """Lets go of what is too old."""
         if now < self.swap_at:
             return
         if now >= self.swap_at + self.remember and self.swap_at:
@@ -131,14 +134,17 @@
         return again
 
     def deferred(self, now, mark):
+        """A query was deferred."""
         self.steps[-1].deferred += 1
         self.known.add(now, mark)
 
     def finished(self, now, late, work):
+        """A query was answered with its result."""
         step = self.steps[-1]
         step.finished, step.late, step.done = step.finished + 1, step.late + late, step.done + work
 
     def connected(self, now):
+        """A client connected."""
         self.steps[-1].connected += 1
 
     def engine(self, now, name, elapsed, expected):
@@ -149,6 +155,7 @@
         self.heard[name] = now
 
     def gone(self, name):
+        """An engine has left."""
         for table in (self.best, self.recent, self.heard):
             table.pop(name, None)
 
@@ -211,6 +218,7 @@
         return found
 
     def judged(self, figures):
+        """What the figures look like by themselves."""
         if figures["taken"] < LEAST:
             return CALM
         pressed = figures["offered"] > figures["done"] and (
@@ -228,9 +236,11 @@
         return GROWTH if pressed else CALM
 
     def learn(self, figures):
+        """Lets the usual share of repeats follow."""
         self.usual_repeats += USUAL * (figures["repeats"] - self.usual_repeats)
 
     def turns(self, now, state, figures):
+        """The events of a change of state."""
         found = []
         if self.state != CALM:
             found.append(("ends", self.told(now, figures) | {"kind": self.state}))
@@ -242,6 +252,7 @@
         return found
 
     def told(self, now, figures):
+        """An event's fields."""
         return {
             "kind": self.state,
             "for": (now - self.since) / SECOND,
