--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -165,6 +165,25 @@
     assert engine.next("ASK")[1][0] == b"%016x" % 3
 
 
+def test_a_query_whose_key_s_turn_would_come_too_late_is_refused_at_once_and_those_ahead_of_it_wait():
+    """Of three seconds each, at most five fit into three quarters of twenty seconds."""
+    engine = Engine(silent)
+    dispatcher = Dispatcher(engine)
+    clients = [Client(dispatcher) for _ in range(6)]
+    for n, client in enumerate(clients, 1):
+        keyed = dict(verb="load", item="7f3a", unique=f"u{n}", cpu=3000, limit=20_000)
+        client.send(statement(n=n, **keyed))
+        counted(dispatcher, "taken", n)
+    assert sqlstate(clients[5].until_ready()) == "53000"
+    assert dispatcher.service.counters.shown()["deferred"] == 1
+    *_, conn = engine.next("ASK")
+    for n in range(1, 6):
+        conn.sendall(hit(b"%016x" % n))
+        assert rows(clients[n - 1].until_ready())
+        if n < 5:
+            *_, conn = engine.next("ASK")
+
+
 def test_nothing_begins_for_a_client_that_left_while_its_connection_was_opened(no_looks, monkeypatch):
     gate = Gate(monkeypatch, engine_connection.Connection, "come_up")
     engine = Engine()
