--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+import tomllib
 
 import orjson
 import pytest
@@ -156,3 +157,15 @@
     assert checked.stdout == f"wickvane: {path} can be served\n" and checked.returncode == 0
     process = started(**{name: value for name, value in told.items() if name != "listen"})
     assert next(line for line in process.stdout if b'"event":"ready"' in line)
+
+
+def test_every_package_of_the_program_is_installed():
+    """One that is not listed is missed by `pip install .` alone: its command fails there with a traceback."""
+    with open(os.path.join(ROOT, "pyproject.toml"), "rb") as file:
+        listed = tomllib.load(file)["tool"]["setuptools"]["packages"]
+    found = [
+        os.path.relpath(folder, ROOT).replace(os.sep, ".")
+        for folder, _, files in os.walk(os.path.join(ROOT, "wickvane"))
+        if any(name.endswith(".py") for name in files)
+    ]
+    assert sorted(listed) == sorted(found)
