One error for a query that is not taken; words that a rename spoilt are mended

Need, from a second reading: statement.Unusable was RequestRejected over again, and the session turned one into the other to catch it twice. The decider listed the endings' words beside the enumeration that has them. A rename had made argon2's "one lane" into "one queue", and "a attempt" and "its own pending" of sentences.

Change: statements raise RequestRejected, caught once; Front.unusable is rejected. The words of endings come from interface.Ending (compared: the same eight). No text, code or counter that anybody sees is another.

The tests on processes were not run again.

--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -9,7 +9,7 @@
 import pytest
 from bench_free import SETTINGS, entry, event, hit, i, rows, sse, statement
 
-from wickvane.errors import ProtocolError
+from wickvane.errors import ProtocolError, RequestRejected
 from wickvane.id_registry import IdRegistry
 from wickvane.net import coordinator
 from wickvane.net.decider import Decider
@@ -19,7 +19,7 @@
 from wickvane.net.lines.connection import Connection
 from wickvane.net.postgres.rows import result
 from wickvane.net.queues import EngineQueue
-from wickvane.net.statement import Reader, Unusable, is_empty, plain_group, split, table_group
+from wickvane.net.statement import Reader, is_empty, plain_group, split, table_group
 from wickvane.net.threads import Threads
 from wickvane.settings import settings_of
 
@@ -119,7 +119,7 @@
         answer = bytearray(garbage(chance, hit(b"ab")))
         for n, (work, wrong) in enumerate(
             (
-                (lambda text=text: (is_empty(text), READER.read(text)), Unusable),
+                (lambda text=text: (is_empty(text), READER.read(text)), RequestRejected),
                 (lambda answer=answer: lines.parse(answer), ProtocolError),
                 (lambda news=news: follow([news]), ProtocolError),
             )
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -80,7 +80,7 @@
 from docopt import DocoptExit, docopt
 
 from wickvane import __version__
-from wickvane.errors import ConfigError
+from wickvane.errors import ConfigError, RequestRejected
 
 # Commands that stand alone, and the modules whose main() takes docopt's words; imported only where asked for.
 COMMANDS = {
@@ -169,12 +169,10 @@
 
 
 def explain(reader, text):
-    from wickvane.net.statement import Unusable
-
     try:
         for name, value in reader.read(text).items():
             print(f"{name}: {value.decode('utf-8', 'replace') if isinstance(value, bytes) else value}")
-    except Unusable as error:
+    except RequestRejected as error:
         print(f"wickvane: {error.sqlstate}: {error.text}", file=sys.stderr)
         return 1
     return 0
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -269,4 +269,5 @@
         self.log.line("note", text=text)
 
 
-ENDINGS = ("finished", "error", "no-answer", "reset", "cancelled", "turned-away", "no-connection", "not-sent")
+# Of counters: finished, no-answer, turned-away and so on.
+ENDINGS = tuple(ending.name.lower().replace("_", "-") for ending in i.Ending)
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -187,7 +187,7 @@
         return True
 
     def end(self, attempt, ending, elapsed=None, pages=None):
-        """A attempt's one ending; a whole result goes to the client if none has gone there."""
+        """An attempt's one ending; a whole result goes to the client if none has gone there."""
         pending = attempt.pending
         with self.lock:
             if attempt.over:
--- a/wickvane/net/front.py
+++ b/wickvane/net/front.py
@@ -2,7 +2,7 @@
 answer.
 
 A protocol is a subclass: talk() reads its messages and calls query() with a statement's text; the methods
-under "What a protocol says" put answers into its words. It waits on its own socket and its own pending,
+under "What a protocol says" put answers into its words. It waits on its own socket and its own pending query,
 nothing else.
 """
 
@@ -11,10 +11,10 @@
 import time
 from struct import unpack_from
 
+from wickvane.errors import RequestRejected
 from wickvane.net import exchange as ex
 from wickvane.net.counters import ANSWERS, FORWARD, NOBODY, REVERSE
 from wickvane.net.queues import ResultStream
-from wickvane.net.statement import Unusable
 
 # Who connects is owed a word or a close within three seconds, so all up to the first whole query has less;
 # who has asked once and stays would hold descriptors for good.
@@ -218,16 +218,13 @@
             pending.source, pending.client = self.peer, self
             self.claim((pending.rg, pending.tenant))
             self.pending = pending
-            try:
-                self.exchange.take(pending)
-            except ex.RequestRejected as refused:
-                self.pending = None
-                raise Unusable(refused.sqlstate, refused.text) from None
-        except Unusable as unusable:
+            self.exchange.take(pending)
+        except RequestRejected as rejected:
+            self.pending = None
             self.counters.add("statements-unusable")
-            self.log.line("statement-unusable", peer=self.peer, sqlstate=unusable.sqlstate, why=unusable.text)
+            self.log.line("statement-unusable", peer=self.peer, sqlstate=rejected.sqlstate, why=rejected.text)
             self.sock.settimeout(WRITE_S)
-            self.put(self.unusable(unusable))
+            self.put(self.rejected(rejected))
             return
         self.wait(pending)
         self.answer(pending)
@@ -367,8 +364,8 @@
         """What a client is told of a fault of this program."""
         raise NotImplementedError
 
-    def unusable(self, unusable):
-        """What a client is told of a statement that cannot be read."""
+    def rejected(self, rejected):
+        """What a client is told of a query that is not taken."""
         raise NotImplementedError
 
     def streaming(self, pending):
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -218,7 +218,7 @@
     # Times
 
     def later(self, at, what):
-        """what: a attempt whose wait ends then, or a connection to look at."""
+        """what: an attempt whose wait ends then, or a connection to look at."""
         self.count += 1
         heappush(self.waits, (at, self.count, what))
 
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -177,9 +177,9 @@
         self.sock.settimeout(WRITE_S)
         self.put(error("01000", STORM_TEXT, b"WARNING", kind=b"N", told=b"Dretry-storm=%d\0" % self.warned))
 
-    def unusable(self, unusable):
+    def rejected(self, rejected):
         """As Front."""
-        return error(unusable.sqlstate, unusable.text) + READY
+        return error(rejected.sqlstate, rejected.text) + READY
 
     def internal_error(self):
         """As Front."""
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -2,6 +2,7 @@
 
 import re
 
+from wickvane.errors import RequestRejected
 from wickvane.interface import TOKENED
 from wickvane.settings import tenths
 
@@ -40,14 +41,6 @@
 }
 
 
-class Unusable(Exception):
-    """A statement that cannot be read, with the SQLSTATE that its client is told."""
-
-    def __init__(self, sqlstate, text):
-        super().__init__(text)
-        self.sqlstate, self.text = sqlstate, text
-
-
 def comment_end(text, at):
     """Where the comment that opens at `at` ends; comments nest."""
     depth = 0
@@ -55,7 +48,7 @@
         depth += 1 if edge[0] == b"/*" else -1
         if not depth:
             return edge.end()
-    raise Unusable("42601", "unterminated comment")
+    raise RequestRejected("42601", "unterminated comment")
 
 
 def split(text):
@@ -85,13 +78,13 @@
 
 
 def fields(inside):
-    """The comment's fields, text by name; Unusable where they cannot be read."""
+    """The comment's fields, text by name; RequestRejected where they cannot be read."""
     found = {}
     for part in inside.decode("utf-8", "replace").split(","):
         name, equals, value = part.partition("=")
         name, value = name.strip(), value.strip()
         if not equals or not name or name in found or len(value) > FIELD_MOST:
-            raise Unusable("42601", "the comment's fields cannot be read")
+            raise RequestRejected("42601", "the comment's fields cannot be read")
         found[name] = value
     return found
 
@@ -192,7 +185,7 @@
     if text is None:
         return 0.0
     if not NUMBER.match(text) or float(text) > most:
-        raise Unusable("22023", f"{name} is not a number that can be used")
+        raise RequestRejected("22023", f"{name} is not a number that can be used")
     return float(text)
 
 
@@ -209,32 +202,32 @@
         )
 
     def read(self, text, defaults=None):
-        """A pending's fields; `defaults` stand in for the comment where there is none."""
+        """A statement's fields; `defaults` stand in for the comment where there is none."""
         inside, body = split(text)
         if inside is None and defaults is None:
-            raise Unusable("42601", "the statement has no comment with fields ahead of it")
+            raise RequestRejected("42601", "the statement has no comment with fields ahead of it")
         found = fields(inside) if inside is not None else defaults
         rg = self.groups.get(found.get("verb"))
         if rg is None:
-            raise Unusable("22023", "verb names no resource group")
+            raise RequestRejected("22023", "verb names no resource group")
         txn = found.get("txn", "")
         if not TXN.match(txn):
-            raise Unusable("22023", "txn is not 16 hex digits")
+            raise RequestRejected("22023", "txn is not 16 hex digits")
         limit = tenths(number(found, "limit", LIMIT_MOST))
         if not limit:
-            raise Unusable("22023", "limit is missing or no time")
+            raise RequestRejected("22023", "limit is missing or no time")
         tenant = self.tenants.get(found["team"]) if "team" in found else 0
         if tenant is None:
-            raise Unusable("22023", "team names no tenant")
+            raise RequestRejected("22023", "team names no tenant")
         token, key = found.get("unique"), found.get("item")
         if not token and self.of[rg].effect == TOKENED:
-            raise Unusable("22023", "unique is missing, and this resource group needs it")
+            raise RequestRejected("22023", "unique is missing, and this resource group needs it")
         if not key and self.of[rg].ordered:
-            raise Unusable("22023", "item is missing, and this resource group needs it")
+            raise RequestRejected("22023", "item is missing, and this resource group needs it")
         if token and not re.fullmatch(r"[\w.:+/-]{1,128}", token, re.A):
-            raise Unusable("22023", "unique cannot be passed on")
+            raise RequestRejected("22023", "unique cannot be passed on")
         if not body.strip():
-            raise Unusable("42601", "the comment stands ahead of nothing")
+            raise RequestRejected("42601", "the comment stands ahead of nothing")
         start = FIRST_WORD.match(body)
         first = start[1].lower() if start else next((w for kind, w in words(body) if kind == "word"), b"")
         return {
--- a/wickvane/net/tds/errors.py
+++ b/wickvane/net/tds/errors.py
@@ -27,5 +27,5 @@
 
 
 def ending_of(number, severity):
-    """How a attempt ended by an ERROR of a batch; docs/tds.md has it as a table."""
+    """How an attempt ended by an ERROR of a batch; docs/tds.md has it as a table."""
     return i.TURNED_AWAY if number in TURNED_AWAY else i.ERROR
--- a/wickvane/net/tds/logins.py
+++ b/wickvane/net/tds/logins.py
@@ -30,7 +30,7 @@
 
 
 def made(password):
-    """A hash to put into the file; 8 MiB and one queue, since a storm of logins is checked one by one."""
+    """A hash to put into the file; 8 MiB and one lane, since a storm of logins is checked one by one."""
     from argon2 import PasswordHasher
 
     return PasswordHasher(time_cost=3, memory_cost=8192, parallelism=1).hash(password)
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -320,9 +320,9 @@
     def internal_error(self):
         return frame(RESULT, failed(errors.INTERNAL, "internal error", 20))
 
-    def unusable(self, unusable):
-        number = errors.STOPPING if unusable.sqlstate == ex.STOPS else errors.UNUSABLE
-        return self.framed(failed(number, f"{unusable.sqlstate}: {unusable.text}"))
+    def rejected(self, rejected):
+        number = errors.STOPPING if rejected.sqlstate == ex.STOPS else errors.UNUSABLE
+        return self.framed(failed(number, f"{rejected.sqlstate}: {rejected.text}"))
 
     def framed(self, body):
         data, self.prefix = frame(RESULT, self.prefix + body, self.size, SPID), b""
