A retry with an idempotency key stays in the zone or cell of its first engine

Cause: Query.ran_on kept the index of the engine whose attempt may have run. IdRegistry gives the index of an engine that left the list and has no attempt in flight to the next one that joins, and Placement compared the zone or cell that the index had by then. An entry that changed during the attempt (a Gone entry without a zone, or one with another cell) moved the binding too, so keeping the index busy would not have been enough.

Change: EngineIdentity (wire id, zone and cell) is recorded when an attempt is sent, and the retry is bound to what was recorded.

--- a/tests/scheduling/rules_model.py
+++ b/tests/scheduling/rules_model.py
@@ -56,7 +56,7 @@
 class AttemptRecord:
     """An attempt; it has no ending while it is in flight."""
 
-    engine: int
+    entry: ListEntry  # of its engine when it was sent
     sent_at: int
     ended_at: int | None = None
     ending: Ending | None = None
@@ -82,6 +82,7 @@
         self.history: list[list[AttemptRecord]] = []  # by query
         self.arrivals: list[Arrival] = []
         self.entries: dict[int, ListEntry] = {}
+        self.generations = [0] * ENGINE_COUNT  # by index: the number of engines that had it before
         self.retries: list[int] = []
         self.slow_start_attempts: list[SlowStartAttempt] = []
 
@@ -92,9 +93,17 @@
 
     def list_engine(self, engine: int, state: EngineState, started: int) -> None:
         """Adds or replaces an engine's entry in the endpoint list."""
-        entry = ListEntry(state, engine % 2, engine // 2 % 2, engine % 3, started)
+        generation = self.generations[engine]
+        location = engine + generation
+        entry = ListEntry(state, location % 2, engine // 2 % 2, location % 3, started)
         self.entries[engine] = entry
-        self.engine(engine, *entry)
+        self.engine(engine, *entry, name=f"{engine}-{generation}" if generation else None)
+
+    def replace_engine(self, engine: int) -> None:
+        """Adds another engine, in another zone and cell, under the index of an engine that has gone."""
+        self.generations[engine] += 1
+        self.slow_start_attempts = [one for one in self.slow_start_attempts if one.engine != engine]
+        self.list_engine(engine, EngineState.READY, self.now)
 
     def arrive(self, rng: Random) -> None:
         """Adds a generated query."""
@@ -134,7 +143,7 @@
             self.check_retry_budget()
         self.check_slow_start(arrival, engine)
         self.check_idempotency_window(query, resource_group, start_by)
-        self.history[query].append(AttemptRecord(engine, self.now))
+        self.history[query].append(AttemptRecord(self.entries[engine], self.now))
         super().start_attempt(query, engine, max_wait, start_by)
 
     def check_engine(self, resource_group: ResourceGroup, engine: int) -> None:
@@ -150,7 +159,7 @@
         for attempt in self.may_have_run(query):
             self.check(resource_group.effect != Effect.MUTATING, "2 mutating")
             if resource_group.effect == Effect.IDEMPOTENCY_KEY:
-                earlier = self.entries[attempt.engine]
+                earlier = attempt.entry
                 same = [True, earlier.zone == entry.zone, earlier.cell == entry.cell]
                 in_window = self.now < attempt.sent_at + resource_group.idempotency_window
                 self.check(same[resource_group.key_scope] and in_window, "2 idempotency key")
@@ -283,6 +292,9 @@
         model.list_engine(engine, EngineState.GONE, 0)
         for query in [query for query, at in model.out.items() if at == engine]:
             model.finish(query, Ending.RESET, rng)
+    if model.entries[engine].state == EngineState.GONE and engine not in model.out.values():
+        if rng.random() < 0.5:
+            model.replace_engine(engine)
 
 
 def end_attempts(model: Model, rng: Random) -> None:
--- a/tests/scheduling/test_retries.py
+++ b/tests/scheduling/test_retries.py
@@ -1,8 +1,9 @@
 """Retries, replanning, the retry budget, and the order and quarantine of keys."""
 
+import pytest
 from bench_free import Gateways, group, site
 
-from wickvane.events import Effect, Ending, EngineState, TimerFired
+from wickvane.events import Effect, Ending, EngineState, KeyScope, TimerFired
 
 
 def test_a_read_only_query_lost_on_one_engine_is_moved_and_a_mutating_one_is_not():
@@ -129,3 +130,58 @@
     for _ in range(300):
         dispatcher.end(dispatcher.take(), after=1000)
     assert len(dispatcher.scheduler.retries.budget.arrivals) < 100
+
+
+def keyed_dispatcher(key_scope: KeyScope) -> Gateways:
+    """Returns a dispatcher whose queries have idempotency keys, with two engines in different scopes."""
+    keyed = group(
+        effect=Effect.IDEMPOTENCY_KEY,
+        key_scope=key_scope,
+        latency_objective=60_000,
+        late_priority_weight=0.5,
+    )
+    dispatcher = Gateways(site([keyed]))
+    dispatcher.engine(0, zone=1, cell=1)
+    dispatcher.engine(1, zone=2, cell=2)
+    return dispatcher
+
+
+def lose_engine(dispatcher: Gateways, query: int) -> int:
+    """Ends a query's attempt because its engine crashes and leaves the list; returns the engine's scope.
+
+    As in a change of the list, the entry of an engine that has gone need not name its zone and cell.
+    """
+    engine = dispatcher.out[query]
+    scope = engine + 1
+    dispatcher.end(query, ending=Ending.RESET)
+    dispatcher.engine(engine, state=EngineState.GONE, zone=9, cell=0)
+    return scope
+
+
+@pytest.mark.parametrize("key_scope", [KeyScope.SAME_ZONE, KeyScope.SAME_CELL])
+def test_a_retry_with_a_key_stays_in_its_scope_after_another_engine_took_over_the_index(key_scope):
+    # Guards against a second effect: the retry went to the zone or cell of the newcomer, which knew no key.
+    dispatcher = keyed_dispatcher(key_scope)
+    query = dispatcher.take()
+    index = dispatcher.out[query]
+    scope = lose_engine(dispatcher, query)
+    other_scope = 3 - scope
+    dispatcher.engine(index, zone=other_scope, cell=other_scope, started=dispatcher.now, name="newcomer")
+    dispatcher.let_pass(dispatcher.now + 10_000)
+    assert len(dispatcher.sent[query]) == 1 and query not in dispatcher.final
+    dispatcher.engine(2, zone=scope, cell=scope, started=dispatcher.now - 200_000)
+    dispatcher.let_pass(dispatcher.now + 1_000)
+    assert [engine for _, engine in dispatcher.sent[query]] == [index, 2]
+
+
+@pytest.mark.parametrize("key_scope", [KeyScope.SAME_ZONE, KeyScope.SAME_CELL])
+def test_a_retry_with_a_key_is_bound_to_the_scope_that_its_engine_had_when_the_attempt_was_sent(key_scope):
+    # Guards against a second effect: an entry that changed during the attempt moved the retry elsewhere.
+    dispatcher = keyed_dispatcher(key_scope)
+    query = dispatcher.take()
+    first = dispatcher.out[query]
+    other = 1 - first
+    dispatcher.engine(first, state=EngineState.GONE, zone=other + 1, cell=other + 1)
+    dispatcher.end(query, ending=Ending.RESET)
+    dispatcher.let_pass(dispatcher.now + 10_000)
+    assert len(dispatcher.sent[query]) == 1
--- a/tests/scheduling/test_rules.py
+++ b/tests/scheduling/test_rules.py
@@ -8,6 +8,7 @@
 from scheduling.rules_model import RuleBrokenError, play
 from wickvane.events import TimerFired
 from wickvane.scheduling.outlier_ejection import OutlierEjection
+from wickvane.scheduling.placement import Placement
 from wickvane.scheduling.retries import KeyOrder, RetryBudget, RetryPolicy
 from wickvane.scheduling.scheduler import Scheduler
 from wickvane.scheduling.slow_start import SlowStart
@@ -52,6 +53,11 @@
         "may_retry",
         lambda self, query, now: query.attempts < 5 and now < query.deadline,
     ),
+    "2 idempotency key": (
+        Placement,
+        "_knows_key",
+        lambda self, query, engine: self.engines.zone[engine] == self.engines.zone[query.ran_on.index],
+    ),
     "2 rejection": (
         Scheduler,
         "_give_up",
--- a/wickvane/scheduling/engine_table.py
+++ b/wickvane/scheduling/engine_table.py
@@ -34,6 +34,19 @@
     initial: Callable[[], Any]
 
 
+class EngineIdentity(NamedTuple):
+    """An engine as it was listed when an attempt was sent to it.
+
+    The index is valid while the attempt is in flight. Once the engine has left the list, another engine may
+    take over its index.
+    """
+
+    index: int
+    wire_id: bytes
+    zone: int
+    cell: int
+
+
 def constant(value: Any) -> Callable[[], Any]:
     """Returns a factory for an immutable initial value."""
     return lambda: value
@@ -86,6 +99,10 @@
         ready = EngineState.READY
         return [engine for engine, state in enumerate(self.state) if state == ready]
 
+    def identity(self, engine: int) -> EngineIdentity:
+        """Returns the identity of the engine that has this index now."""
+        return EngineIdentity(engine, self.wire_id[engine], self.zone[engine], self.cell[engine])
+
     def grow(self, size: int) -> None:
         """Extends every column to at least `size` engines."""
         for column in COLUMNS:
--- a/wickvane/scheduling/placement.py
+++ b/wickvane/scheduling/placement.py
@@ -122,9 +122,9 @@
         return has_key and query.ran_at is not None
 
     def _knows_key(self, query: Query, engine: int) -> bool:
-        same_zone = self.groups[query.resource_group].key_scope == KeyScope.SAME_ZONE
-        scope = self.engines.zone if same_zone else self.engines.cell
-        return scope[engine] == scope[query.ran_on]
+        if self.groups[query.resource_group].key_scope == KeyScope.SAME_ZONE:
+            return self.engines.zone[engine] == query.ran_on.zone
+        return self.engines.cell[engine] == query.ran_on.cell
 
     def _has_capacity(self, query: Query, engine: int, now: int) -> bool:
         fraction = self._slow_start.capacity_fraction(engine, now)
@@ -181,6 +181,7 @@
         """Records an attempt that starts on the query's engine."""
         engine = query.engine
         group = self.groups[query.resource_group]
+        query.sent_to = self.engines.identity(engine)
         self.engines.last_used_at[engine] = now
         self._limits.add_in_flight(engine, group.threads)
         if group.is_bulk_load:
--- a/wickvane/scheduling/query.py
+++ b/wickvane/scheduling/query.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from wickvane.scheduling.engine_table import EngineIdentity
+
 
 @dataclass(slots=True, eq=False)
 class Query:
@@ -21,12 +23,15 @@
     answered: bool = False  # whether it has its final answer
     in_flight: bool = False
     attempts: int = 0
-    engine: int = -1  # of the last attempt
+    engine: int = -1  # of the last attempt; another engine may have this index once the attempt has ended
+    sent_to: EngineIdentity | None = (
+        None  # the engine of the last attempt, as it was when the attempt started
+    )
     sent_at: int = 0  # when the last attempt started
     fraction_done: float = 0.0  # reported progress of the running attempt; 0 if none was reported
     overdue_counted: bool = False  # whether the running attempt already counts in the median latency
     ran_at: int | None = None  # when the first attempt that may have run started; None if none ran
-    ran_on: int = -1  # the engine of that attempt
+    ran_on: EngineIdentity | None = None  # the engine of that attempt
     failed_on: int | None = None  # the first engine that answered with an error; -1 if a second one did too
     replanned: bool = False  # whether an attempt was cancelled because it was slow
     priority: int = -1  # as last sent to the engine
--- a/wickvane/scheduling/scheduler.py
+++ b/wickvane/scheduling/scheduler.py
@@ -193,7 +193,7 @@
             self.limits.attempt_rejected(event.engine, self._now)
         elif event.ending < Ending.REJECTED and query.ran_at is None:
             query.ran_at = query.sent_at
-            query.ran_on = event.engine
+            query.ran_on = query.sent_to
         self.keys.attempt_ended(query, event.ending, self._now)
         query.answered = query.answered or event.complete or event.ending == Ending.FINISHED
         if query.answered:
