An engine that takes over a freed index no longer passes for the former engine

Callers would see: a query that waits until its deadline although an engine may run it, or a third attempt of a statement that fails on every engine.

The failure that the second error takes back was also taken from whichever engine had the index.

Change: both compare the EngineIdentity that was recorded at the send.

--- a/wickvane/scheduling/engine_table.py
+++ b/wickvane/scheduling/engine_table.py
@@ -103,6 +103,10 @@
         """Returns the identity of the engine that has this index now."""
         return EngineIdentity(engine, self.wire_id[engine], self.zone[engine], self.cell[engine])
 
+    def is_listed_as(self, identity: EngineIdentity) -> bool:
+        """Returns whether the identity's index still belongs to the same engine."""
+        return self.wire_id[identity.index] == identity.wire_id
+
     def grow(self, size: int) -> None:
         """Extends every column to at least `size` engines."""
         for column in COLUMNS:
--- a/wickvane/scheduling/outlier_ejection.py
+++ b/wickvane/scheduling/outlier_ejection.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 from wickvane.events import Ending, ResourceGroup
-from wickvane.scheduling.engine_table import EngineTable
+from wickvane.scheduling.engine_table import EngineIdentity, EngineTable
 from wickvane.scheduling.query import Query
 from wickvane.units import TICKS_PER_SECOND
 
@@ -15,7 +15,6 @@
 INITIAL_EJECTION_TICKS = TICKS_PER_SECOND // 2
 MAX_EJECTION_TICKS = 8 * TICKS_PER_SECOND
 MIN_OVERDUE_ATTEMPTS = 2  # on an engine without contact before it is ejected
-FAILED_TWICE = -1  # value of Query.failed_on once a second engine has answered with an error
 
 
 class OutlierEjection:
@@ -69,20 +68,28 @@
             table.ejection_time[engine] = INITIAL_EJECTION_TICKS
         elif ending == Ending.REJECTED:
             table.last_contact_at[engine] = now
-        elif ending == Ending.ERROR and query.failed_on is not None and query.failed_on != engine:
+        elif ending == Ending.ERROR and self._failed_elsewhere(query):
             # Errors from two engines are caused by the query: the first engine's failure is undone, and no
             # third engine is tried.
-            rate = table.failure_rate[query.failed_on]
-            table.failure_rate[query.failed_on] = max(0.0, (rate - FAILURE_GAIN) / (1 - FAILURE_GAIN))
-            query.failed_on = FAILED_TWICE
+            self._undo_failure(query.failed_on)
+            query.failed_twice = True
         elif ending in (Ending.ERROR, Ending.RESET, Ending.NO_CONNECTION) or (
             ending == Ending.NO_ANSWER and table.last_contact_at[engine] < query.sent_at
         ):
-            query.failed_on = engine if ending == Ending.ERROR else query.failed_on
+            query.failed_on = query.sent_to if ending == Ending.ERROR else query.failed_on
             table.failure_rate[engine] += (1 - table.failure_rate[engine]) * FAILURE_GAIN
             if table.failure_rate[engine] > FAILURE_THRESHOLD or table.half_open[engine]:
                 self._eject(engine, now)
 
+    def _failed_elsewhere(self, query: Query) -> bool:
+        """Returns whether an engine other than that of the last attempt answered the query with an error."""
+        return query.failed_on is not None and query.failed_on.wire_id != query.sent_to.wire_id
+
+    def _undo_failure(self, failed_on: EngineIdentity) -> None:
+        if self.engines.is_listed_as(failed_on):
+            rate = self.engines.failure_rate[failed_on.index]
+            self.engines.failure_rate[failed_on.index] = max(0.0, (rate - FAILURE_GAIN) / (1 - FAILURE_GAIN))
+
     def eject_silent(self, overdue: Mapping[int, int], now: int) -> list[int]:
         """Ejects engines with MIN_OVERDUE_ATTEMPTS overdue attempts, and returns them.
 
--- a/wickvane/scheduling/placement.py
+++ b/wickvane/scheduling/placement.py
@@ -95,7 +95,7 @@
         """Returns the first engines of the order that have capacity, and the number of engines examined."""
         found: list[int] = []
         examined = 0
-        excluded = query.engine if query.attempts and len(usable) > 1 else NO_ENGINE
+        excluded = self._last_engine(query) if query.attempts and len(usable) > 1 else NO_ENGINE
         is_bound = self._is_bound_to_key_scope(query)
         for engine in self.order_of(query.table_group):
             if engine not in usable or engine == excluded:
@@ -112,6 +112,10 @@
                 found.append(engine)
         return found, examined
 
+    def _last_engine(self, query: Query) -> int:
+        """Returns the engine of the last attempt, or NO_ENGINE if another engine took over its index."""
+        return query.engine if self.engines.is_listed_as(query.sent_to) else NO_ENGINE
+
     def _limit(self, engine: int, now: int) -> float:
         return self._limits.limit(engine, self._slow_start.capacity_fraction(engine, now))
 
--- a/wickvane/scheduling/query.py
+++ b/wickvane/scheduling/query.py
@@ -32,6 +32,7 @@
     overdue_counted: bool = False  # whether the running attempt already counts in the median latency
     ran_at: int | None = None  # when the first attempt that may have run started; None if none ran
     ran_on: EngineIdentity | None = None  # the engine of that attempt
-    failed_on: int | None = None  # the first engine that answered with an error; -1 if a second one did too
+    failed_on: EngineIdentity | None = None  # the first engine that answered with an error
+    failed_twice: bool = False  # whether a second engine answered with an error too
     replanned: bool = False  # whether an attempt was cancelled because it was slow
     priority: int = -1  # as last sent to the engine
--- a/wickvane/scheduling/retries.py
+++ b/wickvane/scheduling/retries.py
@@ -5,7 +5,6 @@
 from wickvane.events import FOREVER, Deployment, Effect, Ending, KeyScope
 from wickvane.scheduling.concurrency import LoadTracker
 from wickvane.scheduling.deadlines import Deadlines
-from wickvane.scheduling.outlier_ejection import FAILED_TWICE
 from wickvane.scheduling.query import Query
 from wickvane.units import TICKS_PER_SECOND
 
@@ -131,11 +130,7 @@
     def may_retry(self, query: Query, now: int) -> bool:
         """Returns whether another attempt is harmless and in time; ignores the retry budget."""
         is_harmless = query.ran_at is None or self.groups[query.resource_group].effect != Effect.MUTATING
-        if (
-            not is_harmless
-            or query.failed_on == FAILED_TWICE
-            or query.attempts >= self.deployment.max_attempts
-        ):
+        if not is_harmless or query.failed_twice or query.attempts >= self.deployment.max_attempts:
             return False
         return now < min(self.start_by(query), self._deadlines.latest_start(query))
 
