--- a/wickvane/events.py
+++ b/wickvane/events.py
@@ -79,6 +79,24 @@
     key: int | None
     time_left: int  # until the client's timeout
     is_retry: bool = False  # of a query that this dispatcher rejected lately; False if that is not tracked
+    arrived_at: int | None = None  # when its last octet arrived; None: queries arrive in the order of events
+    is_blocked: bool = False  # it must not start before the QueryUnblocked event
+
+
+class QueryUnblocked(NamedTuple):
+    """All earlier queries of the query's client session are answered."""
+
+    query: int
+
+
+class InputRead(NamedTuple):
+    """Events have been given for all input that arrived until this time, whichever thread reads it.
+
+    If such events are given at all, decisions that depend on earlier input wait for them.
+    """
+
+    until: int
+    took: int  # ticks from then until it was read
 
 
 class AttemptEnded(NamedTuple):
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -9,16 +9,20 @@
 import select
 import socket
 import time
+from struct import error as StructError
 from struct import unpack_from
+from threading import Lock
 
 from wickvane.errors import RequestRejected
 from wickvane.net import exchange as ex
 from wickvane.net.counters import ANSWERS, FORWARD, NOBODY, REVERSE
+from wickvane.net.input_tracker import InputReader
 from wickvane.net.queues import ResultStream
 
 # A new connection must get an answer or a close within 3 s, so the time up to its first whole query has a
 # lower limit. Without the idle timeout, clients that stay connected would hold descriptors forever.
 FIRST_QUERY_TIMEOUT_S, IDLE_TIMEOUT_S, MESSAGE_TIMEOUT_S, WRITE_TIMEOUT_S = 2.5, 5.0, 2.0, 5.0
+LAST_WRITE_TIMEOUT_S = 1.0
 RECEIVE_SIZE = 8_192  # octets per recv(): the buffer is allocated in each of many threads
 # How soon a disconnect during a query in flight is noticed; each check costs a thread wakeup. The exchange
 # checks again right before each attempt, so that no attempt starts for a client that has disconnected.
@@ -31,6 +35,13 @@
 OVERDUE_TICKS = 300
 STORM_TEXT = "a retry storm lasts: try again only after the time that a deferral tells, one try at a time"
 LAST_DATA_RECV_OFFSET = 52  # of tcpi_last_data_recv in struct tcp_info: milliseconds since data last arrived
+MAX_CLOCK_GAP_TICKS = 20  # between two readings of the clock; more if the process was suspended between them
+MAX_CLOCK_READINGS = 8
+
+
+def poll_until(poll, until):
+    """Waits for an event of the poll, or `until` (time.monotonic()); returns the events."""
+    return poll.poll(max(0, until - time.monotonic()) * 1000)
 
 
 class Ended(Exception):
@@ -43,13 +54,15 @@
         self.reason, self.last, self.detail = reason, last, detail
 
 
-class ClientSession:
+class ClientSession(InputReader):
     """One client's connection, served by a thread of its own.
 
     full: whether the connection limit has been reached; idle: whether the session waits for a message
-    and can be evicted."""
+    and can be evicted. The session is busy, as an InputReader, while its query is in flight and while the
+    client does not read what is sent."""
 
     idle_s = None  # the idle timeout, if it isn't IDLE_TIMEOUT_S
+    octets_ahead = 0  # received octets of messages that were read ahead of their turn
     check_interval_s = None  # between checks of the client during a query, if not CLIENT_CHECK_INTERVAL_S
 
     def __init__(self, sock, peer, service, full):
@@ -65,6 +78,12 @@
             time.monotonic() + FIRST_QUERY_TIMEOUT_S,
         )
         self.accounts, self.account = service.accounts, None
+        self.input, self.input_lock = service.exchange.input, Lock()  # input_lock: of is_busy and read-ahead
+        self.has_unread = False  # whether the last recv() left input in the kernel, or poll() showed some
+        self.input_poll, self.message_poll = select.poll(), select.poll()
+        self.input_poll.register(sock, select.POLLIN)
+        self.message_poll.register(sock, select.POLLIN)
+        self.message_poll.register(self.stop_descriptor, select.POLLIN)
         # Octets received, those of them already counted for a resource group and tenant, and octets sent; the
         # number of the last retry storm that the client was notified of.
         self.received = self.accounted = self.sent = self.storm_notified = 0
@@ -74,6 +93,7 @@
         reason, last, detail = "fault", b"", None
         began = self.clock.now()
         try:
+            self.sock.setblocking(False)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self.accounts is not None:
                 self.account = self.accounts.client(self.sock)
@@ -87,8 +107,11 @@
         except Exception as failure:  # the fault is logged, and the client gets no traceback
             detail = f"{type(failure).__name__}: {failure}"
             last = self.internal_error()
+        # What arrives from now on is not served: the watermark must not wait for it.
+        self.input.remove(self, self.sock.fileno())
         if self.pending:
             self.abandon_query()
+        self.abandon_queries_ahead()
         if self.pid:
             self.exchange.remove_cancel_key(self.pid)
         if last:
@@ -112,13 +135,11 @@
     def send_last_message(self, last):
         """Sends the last message, then discards input until the client closes or a limit is reached."""
         try:
-            self.sock.settimeout(1.0)
-            self.put(last)
+            self.put(last, timeout_s=LAST_WRITE_TIMEOUT_S)
             self.sock.shutdown(socket.SHUT_WR)
             # A close with unread input sends a reset, which can reach the client before the last message.
             until, limit = time.monotonic() + DISCARD_INPUT_S, self.received + MAX_DISCARDED_OCTETS
-            while (left := until - time.monotonic()) > 0 and self.received < limit:
-                self.sock.settimeout(left)
+            while self.received < limit and poll_until(self.input_poll, until):
                 data = self.sock.recv(65_536)
                 if not data:
                     break
@@ -142,20 +163,21 @@
             except OSError:
                 pass
 
-    def put(self, data, key=NOBODY, messages=1, answer_index=0):
-        """Sends all data within the socket's timeout, and counts each octet that the kernel accepted.
+    def put(self, data, key=NOBODY, messages=1, answer_index=0, timeout_s=None):
+        """Sends all data within `timeout_s`, by default WRITE_TIMEOUT_S; raises TimeoutError.
+
+        Each octet that the kernel accepted is counted.
 
         key: the resource group and tenant that the data is counted for; answer_index: one of the values of
         counters.ANSWERS, counted if all data is sent; 0 for none."""
-        sent, until = 0, None
+        sent = 0
         try:
-            while True:
-                sent += self.sock.send(data[sent:] if sent else data)
-                if sent == len(data):
-                    return
-                if until is None:
-                    until = time.monotonic() + self.sock.gettimeout()
-                self.sock.settimeout(max(0.001, until - time.monotonic()))
+            sent = self.send_available(data)
+            until = None
+            while sent < len(data):
+                until = until or time.monotonic() + (timeout_s or WRITE_TIMEOUT_S)
+                self.await_output(until)
+                sent += self.send_available(data[sent:])
         finally:
             self.sent += sent
             if self.account is not None and sent:
@@ -171,35 +193,105 @@
 
     def account_received(self, key):
         """Counts the octets consumed so far and not counted yet for this resource group and tenant."""
-        octets = self.received - len(self.buffer) - self.accounted
+        octets = self.received - len(self.buffer) - self.octets_ahead - self.accounted
         if octets and self.account is not None:
             self.accounted += octets
             self.accounts.count(self.account, key, self.clock.now(), FORWARD, octets, 1)
 
+    def send_available(self, data):
+        """Sends as much as the kernel accepts now; returns the number of octets."""
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    def await_output(self, until):
+        """Waits until the client has read some of what was sent; raises TimeoutError."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLOUT)
+        becomes_busy = not self.is_busy
+        if becomes_busy:
+            self.begin_busy()
+        try:
+            if not poll_until(poll, until):
+                raise TimeoutError
+        finally:
+            if becomes_busy:
+                self.end_busy()
+
     # Reading
 
     def fill_buffer(self, n, until):
         """Reads until the buffer holds n octets.
 
-        Raises TimeoutError past `until` (time.monotonic()), and Ended if the client closes the connection."""
+        Raises TimeoutError if the octets had not arrived at `until` (time.monotonic()), and Ended if the
+        client closes the connection."""
         if not self.queries:
             until = min(until, self.first_query_deadline)
         while len(self.buffer) < n:
-            self.sock.settimeout(max(0.001, until - time.monotonic()))
-            data = self.sock.recv(RECEIVE_SIZE)
-            if not data:
-                raise Ended(
-                    "made-room"
-                    if self.is_evicted
-                    else "client-closed-midway"
-                    if self.buffer
-                    else "client-closed"
-                )
-            self.received += len(data)
-            self.buffer += self.decrypt(data)
+            self.receive(until)
             if len(self.buffer) < n and time.monotonic() > until:
                 raise TimeoutError
 
+    def receive(self, until):
+        """Waits for input and appends it to the buffer; raises TimeoutError and Ended as fill_buffer()."""
+        if not self.has_unread and not self.await_input(self.input_poll, until):
+            raise TimeoutError
+        data = self.receive_available()
+        if data is None:
+            return
+        if not data:
+            raise Ended(
+                "made-room" if self.is_evicted else "client-closed-midway" if self.buffer else "client-closed"
+            )
+        self.received += len(data)
+        self.buffer += self.decrypt(data)
+
+    def receive_available(self):
+        """Returns received octets without waiting, none at the end of the input, or None if there are none.
+
+        A read that is shorter than requested has emptied the kernel's buffer."""
+        read_at = self.clock.now()
+        try:
+            data = self.sock.recv(RECEIVE_SIZE)
+        except BlockingIOError:
+            data = None
+        self.has_unread = data is not None and len(data) == RECEIVE_SIZE
+        if not self.has_unread:
+            self.drained_at = read_at
+        return data
+
+    def await_input(self, poll, until):
+        """Waits for one of the poll's descriptors, or `until`; returns whether the client has sent something.
+
+        Everything that was read so far must have been submitted."""
+        self.input.deactivate(self)
+        try:
+            ready = poll_until(poll, until)
+        finally:
+            self.input.activate(self)
+        self.has_unread = bool(ready) and (len(ready) > 1 or ready[0][0] != self.stop_descriptor)
+        return self.has_unread
+
+    def begin_busy(self):
+        """From now on the decider's thread may read ahead for the session, see InputReader."""
+        with self.input_lock:
+            self.submit_ahead()
+            self.is_busy = True
+        self.input.deactivate(self)
+
+    def end_busy(self):
+        """The session reads its own input again."""
+        self.input.activate(self)
+        with self.input_lock:
+            self.is_busy = False
+
+    def submit_ahead(self):
+        """Submits the queries in the buffer whose order matters to other sessions; none in this class."""
+
+    def abandon_queries_ahead(self):
+        """Abandons the queries that were submitted ahead of their turn."""
+
     def take(self, n):
         """Removes the first n octets from the buffer and returns them."""
         data = bytes(self.buffer[:n])
@@ -215,52 +307,63 @@
         until = time.monotonic() + (self.idle_s or IDLE_TIMEOUT_S)
         if not self.queries:
             until = min(until, self.first_query_deadline)
-        readable = self.await_input(until)
-        if not readable:
+        if not self.await_input(self.message_poll, until):
             raise stop if self.stopping.is_set() else Ended("idle")
         self.fill_buffer(1, until)
         self.is_evicted = False  # a message arrived during the eviction
 
-    def await_input(self, until):
-        """Waits for input, `until` or a shutdown of the dispatcher; returns whether there is input."""
-        poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        poll.register(self.stop_descriptor, select.POLLIN)
-        ready = dict(poll.poll(max(0, until - time.monotonic()) * 1000))
-        return self.sock.fileno() in ready
-
     # Queries
 
-    def serve_query(self, text, arrived, **reader_options):
+    def serve_query(self, text, arrived, pending=None, **reader_options):
         """Runs a statement and sends its one answer.
 
-        arrived: in ticks; reader_options: for Reader.read(), from protocols that can supply the fields of a
-        query without a statement comment."""
+        arrived: in ticks; pending: the query, if it was read ahead; reader_options: for Reader.read(), from
+        protocols that can supply the fields of a query without a statement comment."""
         try:
             self.queries += 1
-            pending = ex.PendingQuery(arrived, **self.reader.read(text, **reader_options))
-            pending.client_address, pending.session = self.peer, self
+            pending = pending or self.read_query(text, arrived, **reader_options)
             self.account_received((pending.resource_group, pending.tenant))
             self.pending = pending
-            self.exchange.submit(pending)
+            self.begin_query(pending)
         except RequestRejected as rejected:
             self.pending = None
             self.counters.add("statements-unusable")
             self.log.line("statement-unusable", peer=self.peer, sqlstate=rejected.sqlstate, why=rejected.text)
-            self.sock.settimeout(WRITE_TIMEOUT_S)
             self.put(self.encode_rejection(rejected))
             return
-        self.await_answer(pending)
-        self.send_answer(pending)
+        self.begin_busy()
+        try:
+            self.await_answer(pending)
+            self.send_answer(pending)
+        finally:
+            self.end_busy()
+
+    def read_query(self, text, arrived, **reader_options):
+        """Returns the query of a statement; raises RequestRejected."""
+        pending = ex.PendingQuery(arrived, **self.reader.read(text, **reader_options))
+        pending.client_address, pending.session = self.peer, self
+        return pending
+
+    def begin_query(self, pending):
+        """Submits a query whose turn in the session has come; raises RequestRejected."""
+        if pending.is_submitted:
+            self.exchange.unblock(pending)
+            return
+        self.exchange.submit(pending)
 
     def arrival_time(self):
         """Returns when the kernel received the last byte, in ticks; this thread may have woken long after."""
         now = self.clock.now()
-        try:
-            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + 4)
-            return now - 10 * min(60_000, unpack_from("I", info, LAST_DATA_RECV_OFFSET)[0])
-        except (OSError, ValueError):
-            return now
+        for _ in range(MAX_CLOCK_READINGS):
+            try:
+                info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + 4)
+                age = unpack_from("I", info, LAST_DATA_RECV_OFFSET)[0]
+            except (OSError, ValueError, StructError):
+                return now
+            before, now = now, self.clock.now()
+            if now - before <= MAX_CLOCK_GAP_TICKS:
+                break  # else the process may have been suspended between the two readings
+        return before - 10 * min(60_000, age)
 
     def await_answer(self, pending):
         """Waits for the query's answer; abandons the query if its client does or if it is overdue."""
@@ -302,7 +405,6 @@
         finally:
             pending.result = None
         try:
-            self.sock.settimeout(WRITE_TIMEOUT_S)
             self.put(data, (pending.resource_group, pending.tenant), messages, ANSWERS[kind])
         except OSError:
             kind = ex.CLIENT_GONE
@@ -320,18 +422,15 @@
             (pending.resource_group, pending.tenant),
             self.result_writer(pending),
         )
-        self.sock.settimeout(WRITE_TIMEOUT_S)
         try:
             while (chunk := result.take(STREAM_CHECK_INTERVAL_S)) is not None:
                 if chunk:
                     data = writer.more(chunk)
                     size += len(data)
                     if data:
-                        self.sock.settimeout(WRITE_TIMEOUT_S)
                         self.put(data, key, len(chunk))
                 elif self.has_abandoned_query():
                     raise Ended("client-closed")
-            self.sock.settimeout(WRITE_TIMEOUT_S)
             if not result.broken:
                 kind = ex.FINISHED
             self.put(writer.broken() if result.broken else writer.end(), key, 1, ANSWERS[kind])
--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -1,6 +1,7 @@
 """The endpoint list from the configuration and from the coordinator's stream of server-sent events."""
 
 import math
+import select
 import socket
 import time
 from random import Random
@@ -10,6 +11,7 @@
 
 from wickvane.errors import ProtocolError
 from wickvane.events import EngineState
+from wickvane.net.input_tracker import InputReader, UntrackedInput
 
 STATES = {"Ready": EngineState.READY, "Terminating": EngineState.DRAINING, "Gone": EngineState.GONE}
 MAX_LINE_SIZE, MAX_EVENT_SIZE, MAX_HEAD_SIZE = 1 << 20, 1 << 21, 16_384
@@ -135,14 +137,16 @@
     return int(known.get("index") or 0), [read_event(event) for event in known.get("updates") or ()]
 
 
-class Coordinator:
+class Coordinator(InputReader):
     """Subscribes to the coordinator's endpoint list, and reconnects with backoff and jitter.
 
     known: what read_known() returns. on_event(index, is_complete, entries) is called for each event, in the
-    order of their indices, from any thread. last: index of the last event.
+    order of their indices, from any thread. last: index of the last event. input_tracker: knows when
+    everything that the coordinator has sent is delivered; None if no decision depends on it.
     """
 
-    def __init__(self, address, known, on_event, seed, log, counters):
+    def __init__(self, address, known, on_event, seed, log, counters, input_tracker=None):
+        self.input = input_tracker or UntrackedInput()
         self.address, self.on_event, self.log, self.counters = address, on_event, log, counters
         self.sock, self.stopping, self.lock, self.reconnect_now = None, False, Lock(), Event()
         self.random, self.last, self.backoff_s = Random(f"{seed}/coordinator"), 0, MIN_BACKOFF_S
@@ -225,25 +229,45 @@
             self.sock = sock
             if address != self.address:
                 return  # the address was changed while the connection was being opened
-            sock.settimeout(READ_TIMEOUT_S)
             sock.sendall(
                 b"GET /v2/stream HTTP/1.1\r\nHost: %b:%d\r\nAccept: text/event-stream\r\n"
                 b"Cache-Control: no-cache\r\nLast-Event-ID: %d\r\n\r\n"
                 % (address[0].encode(), address[1], self.last)
             )
-            reader = LineReader(sock.recv)
-            reader.read_head()
-            data, size = [], 0
-            for line in reader.body_lines():
-                if not line:
-                    if data:
-                        self.handle_event(b"\n".join(data))
-                        data, size = [], 0
-                elif line.startswith(b"data:"):
-                    data.append(line[5:].removeprefix(b" "))
-                    size += len(line)
-                    if size > MAX_EVENT_SIZE:
-                        raise ProtocolError("an event is too long")
+            sock.setblocking(False)
+            self.input.add(self, sock.fileno())
+            try:
+                self.read_events(LineReader(lambda size: self.receive(sock, size)))
+            finally:
+                self.input.remove(self, sock.fileno())
+
+    def receive(self, sock, size):
+        """Waits for octets and returns them, none at the end; raises TimeoutError and OSError.
+
+        Everything that was received so far must have been delivered."""
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        self.input.deactivate(self)
+        ready = poll.poll(READ_TIMEOUT_S * 1000)
+        self.input.activate(self)
+        if not ready:
+            raise TimeoutError
+        return sock.recv(size)
+
+    def read_events(self, reader):
+        """Delivers the events of a response until it ends; raises the errors of subscribe()."""
+        reader.read_head()
+        data, size = [], 0
+        for line in reader.body_lines():
+            if not line:
+                if data:
+                    self.handle_event(b"\n".join(data))
+                    data, size = [], 0
+            elif line.startswith(b"data:"):
+                data.append(line[5:].removeprefix(b" "))
+                size += len(line)
+                if size > MAX_EVENT_SIZE:
+                    raise ProtocolError("an event is too long")
 
     def handle_event(self, data):
         """Delivers an event of the stream; raises ProtocolError if it is invalid or the first after a gap."""
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -9,23 +9,19 @@
     ClientGone,
     Ending,
     EngineState,
+    InputRead,
     QueryArrived,
+    QueryUnblocked,
     ShutdownStarted,
     TimerFired,
 )
 from wickvane.net.exchange import FAILED, REJECTED, Attempt
 from wickvane.net.queues import EngineQueue
+from wickvane.scheduling.input_watermark import MAX_UNREAD_AGE_TICKS
 from wickvane.scheduling.scheduler import Scheduler
 
-# Times are in ticks (tenths of a millisecond) unless the name ends in _S.
+# Times are in ticks (tenths of a millisecond).
 MAX_WAIT = 10_000  # for messages
-# Above STANDSTILL_LAG, the process may have been suspended: waits for messages that other threads have yet to
-# put into the inbox.
-STANDSTILL_LAG, SETTLE_S, MAX_SETTLE_WAITS = 250, 0.01, 6
-# Clients send queries with the same key at least this far apart. If the sessions' threads read queries with a
-# larger lag, a query may reach the inbox before an earlier one with the same key.
-# The read lag decays by one tick per READ_LAG_DECAY_TIME.
-MIN_KEY_INTERVAL, READ_LAG_DECAY_TIME = 500, 2
 # Rounds at shorter intervals cost more CPU time than messages gain by not waiting.
 MIN_ROUND_INTERVAL = 15
 MAX_CONSECUTIVE_FAULTS = 50
@@ -47,7 +43,10 @@
         self.scheduler = Scheduler(seed, registry.deployment)
         self.queues, self.timers, self.events = {}, [], []
         self.now, self.longest_round, self.consecutive_faults = clock.now(), 0, 0
-        self.read_lag, self.read_lag_at, self.delayed, self.accounts = 0, self.now, [], accounts
+        # read_until: the watermark that the scheduler was told; ordered_until: the one for which queries with
+        # a key wait; read_lag: the maximum time from the arrival of a query until it was taken in this round.
+        self.read_until, self.ordered_until, self.read_lag = 0, 0, 0
+        self.accounts = accounts
         self.protocols = protocols or {}  # by engine type: makes the connections to engines of that type
 
     def run(self):
@@ -60,44 +59,23 @@
             if pause > 0:
                 time.sleep(pause / 10_000)
                 messages.extend(self.exchange.inbox.take(0))
-            self.round(self.collect_late(messages))
+            self.round(messages)
             if self.observer is not None:
                 self.observer.round_finished(self.now)
 
-    def collect_late(self, messages):
-        """Waits for further messages if the process seems to have been suspended; returns all messages.
-
-        After a suspension, the threads that read what arrived meanwhile wake in any order. A round without
-        all of their messages could reverse the order of queries with the same key, and could count
-        attempts as failed whose answers have arrived.
-        """
-        now = self.clock.now()
-        lag = max((now - message[1].arrived_at for message in messages if message[0] == "taken"), default=0)
-        if self.timers:
-            lag = max(lag, now - self.timers[0][0])
-        for _ in range(MAX_SETTLE_WAITS if lag > STANDSTILL_LAG else 0):
-            more = self.exchange.inbox.take(SETTLE_S)
-            if not more:
-                break
-            messages.extend(more)
-        return messages
-
     def round(self, messages):
         """Runs one round of the scheduler for these messages and for the timers that are due."""
+        read_until = self.find_watermark(messages)
         # Every event of a round happened at or before the round's time.
-        began = self.now = max(self.now, self.clock.now())
-        # Sessions' threads wake in any order, so queries are sorted by the times at which they were read.
-        taken = sorted(
-            (message[1] for message in messages if message[0] == "taken"),
-            key=lambda pending: pending.arrived_at,
-        )
-        for pending in self.in_arrival_order(taken, began):
-            self.taken(pending)
+        began = self.now = max(self.now, read_until, self.clock.now())
+        self.read_lag = 0
         for kind, *fields in messages:
-            if kind != "taken":
-                getattr(self, self.HANDLERS[kind])(*fields)
+            getattr(self, self.HANDLERS[kind])(*fields)
         while self.timers and self.timers[0][0] <= self.now:
             self.events.append(TimerFired(heappop(self.timers)[1]))
+        if read_until > self.read_until and (self.events or self.ordered_until > self.read_until):
+            self.events.append(InputRead(read_until, self.exchange.input.took))
+            self.read_until = read_until
         events, self.events = self.events, []
         if not events:
             return
@@ -114,6 +92,19 @@
         self.counters.add("rounds")
         self.longest_round = max(self.longest_round, self.clock.now() - began)
 
+    def find_watermark(self, messages):
+        """Returns the watermark, and adds all messages that were submitted before it.
+
+        It is found anew if a query waits for it, or before it is so old that decisions would wait for it.
+        """
+        tracker = self.exchange.input
+        is_awaited = self.ordered_until > self.read_until
+        is_old = self.clock.now() - tracker.watermark > MAX_UNREAD_AGE_TICKS // 2
+        if is_awaited or is_old or any(has_key(message) for message in messages):
+            tracker.advance()
+            messages.extend(self.exchange.inbox.take(0))
+        return tracker.watermark
+
     def decide(self, events):
         """Passes events to the scheduler; an event that raises an exception must not affect other queries.
 
@@ -139,31 +130,14 @@
 
     # Messages from the inbox
 
-    def in_arrival_order(self, taken, now):
-        """Yields the queries that may be taken now; a query with a key is delayed by the recent read lag.
-
-        If the CPU is overloaded, an earlier query with the same key may not have been read yet.
-        """
-        decayed_lag = self.read_lag - (now - self.read_lag_at) // READ_LAG_DECAY_TIME
-        self.read_lag = max([decayed_lag] + [now - pending.arrived_at for pending in taken])
-        self.read_lag_at = now
-        for pending in taken:
-            if pending.key is None or self.read_lag <= MIN_KEY_INTERVAL and not self.delayed:
-                yield pending
-            else:
-                self.delayed.append(pending)
-        self.delayed.sort(key=lambda pending: pending.arrived_at)
-        while self.delayed and now >= self.delayed[0].arrived_at + self.read_lag - MIN_KEY_INTERVAL:
-            pending = self.delayed.pop(0)
-            if pending.answer is None:
-                yield pending
-            else:
-                self.exchange.release_id(pending)
-        if self.delayed:
-            self.set_timer(0, max(now + 1, self.delayed[0].arrived_at + self.read_lag - MIN_KEY_INTERVAL))
-
     def taken(self, pending, again=False):
         """Handles a new query of a client. again: whether it repeats an earlier one."""
+        if pending.answer is not None:
+            self.exchange.release_id(pending)  # cancelled before it was taken
+            return
+        self.read_lag = max(self.read_lag, pending.read_lag + self.now - pending.submitted_at)
+        # The kernel tells the arrival in milliseconds. What was not read at the last watermark came later.
+        arrived_at = max(pending.arrived_at, self.read_until + 1)
         pending.index = self.registry.add_query(pending)
         pending.stage_times["taken"] = self.now
         self.events.append(
@@ -177,11 +151,22 @@
                 pending.key,
                 max(0, pending.deadline - self.now),
                 again,
+                arrived_at,
+                pending.is_blocked,
             )
         )
+        if pending.key is not None:
+            self.ordered_until = max(self.ordered_until, arrived_at)
+            if arrived_at > self.exchange.input.watermark:
+                self.set_timer(0, self.now + 1)  # it was read after the watermark was found
         if self.observer is not None:
             self.observer.query_accepted(self.now, pending)
 
+    def unblocked(self, pending):
+        """Handles that a session has answered all queries before one that was submitted ahead."""
+        if pending.index >= 0:
+            self.events.append(QueryUnblocked(pending.index))
+
     def ended(self, attempt, ending, elapsed, complete):
         """Handles the end of an attempt. complete: whether the query has its answer."""
         pending = attempt.pending
@@ -259,7 +244,7 @@
         self.events.append(ShutdownStarted(time_left))
 
     # Method names by kind of message; looked up with getattr, so that a subclass may override the methods.
-    HANDLERS = {kind: kind for kind in ("ended", "left", "listed", "stop", OBSERVED)}
+    HANDLERS = {kind: kind for kind in ("taken", "unblocked", "ended", "left", "listed", "stop", OBSERVED)}
 
     # Decisions: the methods of wickvane.events.Writer
 
@@ -322,6 +307,11 @@
         self.log.line("note", text=text)
 
 
+def has_key(message):
+    """Whether a message is a query whose order of arrival matters."""
+    return message[0] == "taken" and message[1].key is not None
+
+
 # The names of endings in counters.
 ENDINGS = {
     Ending.FINISHED: "finished",
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -9,6 +9,7 @@
 
 from wickvane.errors import RequestRejected
 from wickvane.events import Ending
+from wickvane.net.input_tracker import InputTracker
 from wickvane.net.queues import BoundedQueue, ReadyQueue
 
 FINISHED, REJECTED, FAILED, CLIENT_GONE = "finished", "deferred", "killed", "left"
@@ -23,7 +24,10 @@
     IdRegistry, -1 until the decider has taken the query; priority: sent to engines, -1 for none; attempt: the
     last one; tried_connections: those on which an attempt was sent; result: the pages or the stream of the
     answer; stage_times: when each stage in the log line was reached, in ticks; error_text: of the engine's
-    error; retry_after: sent to the client, in ticks; answer_ready: held until the query has its answer.
+    error; retry_after: sent to the client, in ticks; answer_ready: held until the query has its answer;
+    is_submitted: whether the decider was told of it; is_blocked: whether it was submitted while an earlier
+    query of its session was in flight; read_lag: ticks from its arrival until it was read, None if it was
+    submitted as soon as it was read; submitted_at: in ticks.
     """
 
     __slots__ = (
@@ -53,6 +57,10 @@
         "retry_after",
         "client_address",
         "session",
+        "is_submitted",
+        "is_blocked",
+        "read_lag",
+        "submitted_at",
     )
 
     def __init__(self, arrived_at, limit, **fields):
@@ -69,6 +77,8 @@
         self.answer, self.result, self.stage_times, self.error_text = None, None, {}, ""
         self.retry_after, self.client_address = 0, None
         self.session = None  # knows whether the client is still connected
+        self.is_submitted, self.is_blocked = False, False
+        self.read_lag, self.submitted_at = None, arrived_at
         self.answer_ready = Lock()
         self.answer_ready.acquire()
 
@@ -106,11 +116,15 @@
 
 
 class Exchange:
-    """Passes queries and attempts between sessions, the decider and the engines' thread."""
+    """Passes queries and attempts between sessions, the decider and the engines' thread.
+
+    input: knows what has been read by the threads that submit queries and other messages.
+    """
 
     def __init__(self, clock, counters):
         self.clock, self.counters, self.lock = clock, counters, Lock()
         self.inbox, self.ready_queue = BoundedQueue(MAX_INBOX_SIZE), ReadyQueue()
+        self.input = InputTracker(clock, counters, self.inbox.wake)
         self.cancel_keys, self.open_ids, self.next_pid, self.resource_groups = {}, set(), 0, []
         self.storm_number = 0  # of the current retry storm; 0: there is none
         self.closed = False
@@ -126,12 +140,25 @@
                 # Not of class 53, which says that a retry is harmless: the open query may be running.
                 raise RequestRejected("55000", "a query with this txn is open")
             self.open_ids.add(pending.id)
+        pending.submitted_at = self.clock.now()
+        if pending.read_lag is None:
+            pending.read_lag = pending.submitted_at - pending.arrived_at
         if not self.inbox.put(("taken", pending)):
             with self.lock:
                 self.open_ids.discard(pending.id)
             raise RequestRejected("53000", "too much is waiting to be decided on")
+        pending.is_submitted = True
         self.counters.add("taken")
 
+    def submit_blocked(self, pending):
+        """As submit, for a query that must not run before its session has answered all earlier queries."""
+        pending.is_blocked = True
+        self.submit(pending)
+
+    def unblock(self, pending):
+        """Tells the decider that the session has answered all queries before a blocked one."""
+        self.inbox.put(("unblocked", pending), always=True)
+
     def close(self):
         """Rejects all further queries, with an error which says that they may be sent again."""
         with self.lock:
--- a/wickvane/net/lines/links.py
+++ b/wickvane/net/lines/links.py
@@ -17,6 +17,7 @@
 
 from wickvane.events import FOREVER, Ending
 from wickvane.net.exchange import Attempt
+from wickvane.net.input_tracker import InputReader
 from wickvane.net.lines.connection import WRITE_EVENTS, Connection
 from wickvane.net.queues import EngineQueue
 from wickvane.settings import idle_connection_timeout
@@ -156,7 +157,7 @@
         self.io_loop.remove_connection(connection)
 
 
-class IoLoop:
+class IoLoop(InputReader):
     """The I/O loop, with the connections of all pools and the bound of their descriptors.
 
     limits: that section of the settings. max_descriptors: for engine connections. threads: starts the threads
@@ -184,13 +185,21 @@
         self.ready_queue, self.wakeup_pipe = exchange.ready_queue, exchange.ready_queue.wakeup_pipe
         self.epoll = select.epoll()
         self.epoll.register(self.wakeup_pipe.read_end, select.EPOLLIN)
+        self.input = exchange.input
 
     # The thread
 
     def run(self):
         """The thread: runs until stop() is called."""
+        self.input.add(self, self.epoll.fileno())
         while not self.stopping:
-            self.run_once(self.poll_events())
+            polled_at = self.clock.now()
+            self.input.deactivate(self)
+            events = self.poll_events()
+            self.input.activate(self)
+            self.run_once(events)
+            self.drained_at = polled_at
+        self.input.remove(self, self.epoll.fileno())
         for connection in list(self.watched.values()):
             connection.release()
         self.finished.set()
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -4,14 +4,21 @@
 import socket
 import time
 from collections import deque
+from contextlib import contextmanager
 from threading import Lock
 
+from wickvane.net.input_tracker import InputReader
+
 BACKLOG = 256
 # Connections beyond the maximum: for the error that rejects a connection, and for cancel requests, which are
 # most needed when the dispatcher is full.
 SPARE = 16
 # A session younger than NEW_SESSION_TIME (ticks) may be about to send its first query.
 MAX_EVICTION_ROUNDS, POLL_INTERVAL_S, NEW_SESSION_TIME = 10, 0.005, 2_500
+MAX_POLL_S, ACCEPT_RETRY_S = (
+    1.0,
+    0.05,
+)  # the longest wait for a connection, and the pause after a failed accept
 BACKLOG_DRAIN_S = 0.5  # for connections in the listen backlog while the dispatcher shuts down
 # Rejected connections that are kept open for a while: closing one before its client's data has arrived resets
 # the connection, and the client may lose the error.
@@ -19,9 +26,11 @@
 PEEK_SIZE = 8
 
 
-class Listener:
+class Listener(InputReader):
     """Accepts client connections, and starts a session with its own thread for each."""
 
+    accepts_connections = True
+
     def __init__(self, address, service, max_sessions, session, gate=None):
         """Opens the listening socket; raises OSError.
 
@@ -30,38 +39,72 @@
         """
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.create_server(address, family=family, backlog=BACKLOG)
+        self.sock.setblocking(False)
+        self.input = service.exchange.input
         self.service, self.max_sessions, self.session = service, max_sessions, session
         self.lock, self.sessions, self.closed = Lock(), set(), False
         self.gate, self.lingering = gate, deque()
 
     def run(self):
         """The thread: accepts connections until the listener is closed."""
+        poll, descriptor = select.poll(), self.sock.fileno()
+        poll.register(descriptor, select.POLLIN)
+        self.input.add(self, descriptor)
         while not self.closed:
+            self.input.deactivate(self)
+            poll.poll(MAX_POLL_S * 1000)
+            self.input.activate(self)
             try:
-                sock, peer = self.sock.accept()
+                self.accept_all()
             except OSError as failure:
                 if self.closed:
-                    return
-                # Possibly out of descriptors: a later accept may succeed. The pause avoids a busy loop.
+                    break
                 self.service.log.line("accept-failed", detail=failure.strerror)
-                self.service.stopping.wait(0.05)
-                continue
+                with self.unable_to_accept():
+                    self.service.stopping.wait(ACCEPT_RETRY_S)
+        self.input.remove(self, descriptor)
+
+    @contextmanager
+    def unable_to_accept(self):
+        """The watermark does not wait for connections that cannot be accepted, for want of descriptors."""
+        self.is_busy = True
+        self.input.deactivate(self)
+        try:
+            yield
+        finally:
+            self.input.activate(self)
+            self.is_busy = False
+
+    def accept_all(self):
+        """Accepts the connections that wait; raises OSError."""
+        while True:
+            began = self.service.clock.now()
+            try:
+                sock, peer = self.sock.accept()
+            except BlockingIOError:
+                self.drained_at = began
+                return
             self.service.counters.add("client-connections")
-            peer = f"{peer[0]}:{peer[1]}"
-            if self.gate is not None and not self.gate.admits(self.is_urgent, sock):
-                self.reject_paced(sock, peer)
-                continue
-            full = self.make_room()
-            if full is None:
-                self.reject(sock, peer)
-                continue
-            session = self.session(sock, peer, self.service, full)
+            self.admit(sock, f"{peer[0]}:{peer[1]}")
+
+    def admit(self, sock, peer):
+        """Starts the session of an accepted connection, or rejects it."""
+        if self.gate is not None and not self.gate.admits(self.is_urgent, sock):
+            self.reject_paced(sock, peer)
+            return
+        full = self.make_room()
+        if full is None:
+            self.reject(sock, peer)
+            return
+        session = self.session(sock, peer, self.service, full)
+        with self.lock:
+            self.sessions.add(session)
+        self.input.add(session, sock.fileno())
+        if not self.service.threads.try_start(self.serve, "session", session):
             with self.lock:
-                self.sessions.add(session)
-            if not self.service.threads.try_start(self.serve, "session", session):
-                with self.lock:
-                    self.sessions.discard(session)
-                self.reject(sock, peer, "no-thread")
+                self.sessions.discard(session)
+            self.input.remove(session, sock.fileno())
+            self.reject(sock, peer, "no-thread")
 
     def make_room(self):
         """Closes an idle session if the maximum is reached.
@@ -88,7 +131,8 @@
                 leaving += 1
             if open_count < self.max_sessions + SPARE:
                 return open_count - leaving >= self.max_sessions
-            time.sleep(POLL_INTERVAL_S)  # the threads of the closed sessions are about to end
+            with self.unable_to_accept():
+                time.sleep(POLL_INTERVAL_S)  # the threads of the closed sessions are about to end
         return None
 
     def is_urgent(self, sock):
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -3,15 +3,20 @@
 import secrets
 import socket
 import time
+from collections import deque
 from struct import pack, unpack, unpack_from
+from typing import NamedTuple
 
+from wickvane.errors import RequestRejected
 from wickvane.net import exchange as ex
-from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, WRITE_TIMEOUT_S, ClientSession, Ended
+from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, ClientSession, Ended
 from wickvane.net.counters import NOBODY
 from wickvane.net.postgres.rows import result
 from wickvane.net.statement import is_empty
 
 MAX_STARTUP_SIZE, MAX_MESSAGE_SIZE = 8_192, 65_536
+HEADER_SIZE = 5  # of a message: its type and its length
+MAX_OCTETS_AHEAD = 65_536  # of queries that are read while an earlier one of their session is in flight
 # Codes in place of the protocol version in a startup packet.
 PROTOCOL_VERSION, CANCEL_REQUEST, SSL_REQUEST, GSSENC_REQUEST = 196_608, 80_877_102, 80_877_103, 80_877_104
 EXTENDED_QUERY_TYPES = b"PBEDCHF"
@@ -55,11 +60,30 @@
 )
 
 
+class ClientMessage(NamedTuple):
+    """A message of a client.
+
+    arrived_at, in ticks, and pending are set for a query that was read while an earlier query of its session
+    was in flight; pending is None if its statement cannot be used.
+    """
+
+    kind: bytes
+    body: bytes
+    arrived_at: int | None = None
+    pending: ex.PendingQuery | None = None
+
+
 class Session(ClientSession):
-    """One client connection by version 3.0 of the PostgreSQL protocol."""
+    """One client connection by version 3.0 of the PostgreSQL protocol.
+
+    messages_ahead: queries that were read ahead of their turn; octets_ahead: their size."""
 
     TOO_MANY = error_response("53300", "too many clients", b"FATAL")
 
+    def __init__(self, sock, peer, service, full):
+        super().__init__(sock, peer, service, full)
+        self.messages_ahead, self.octets_ahead = deque(), 0
+
     @staticmethod
     def too_fast(retry_after_ms):
         """Returns the answer to a connection above the maximum connection rate."""
@@ -101,7 +125,8 @@
         self.answer_startup(*self.read_startup())
         skipping = False  # after an error in the extended protocol, until the client's Sync
         while True:
-            kind, body = self.next_message()
+            message = self.next_message()
+            kind = message.kind
             if kind == b"S":
                 skipping = False
                 self.put(READY_FOR_QUERY)
@@ -112,7 +137,7 @@
                 refusal = error_response("0A000", "only simple queries are spoken, not the extended protocol")
                 self.put(refusal + (b"" if skipping else READY_FOR_QUERY))
             else:
-                self.serve_message(kind, body)
+                self.serve_message(message)
 
     def answer_startup(self, minor, body):
         """Answers the startup message; the answer carries the backend key data for CancelRequests."""
@@ -139,22 +164,27 @@
             + READY_FOR_QUERY
         )
 
-    def serve_message(self, kind, body):
+    def serve_message(self, message):
         """Serves a message that isn't part of the extended protocol."""
+        kind = message.kind
         if kind == b"X":
             raise Ended("client-terminated")
         if kind == b"Q":
             # A client that has sent several queries at once and disconnected needs none of the rest.
-            if self.queries and self.has_disconnected():
+            if message.arrived_at is not None and self.has_disconnected():
                 raise Ended("client-closed")
-            self.serve_simple_query(body)
+            self.serve_simple_query(message)
         elif kind in b"dcfp":
             raise Ended("message-out-of-place", error_response("08P01", "message out of place", b"FATAL"))
         else:
             raise Ended("message-unknown", error_response("08P01", "unknown message type", b"FATAL"))
 
     def next_message(self):
-        """Reads the next message within its time limits and returns its type and body."""
+        """Reads the next message within its time limits and returns it."""
+        if self.messages_ahead:
+            message = self.messages_ahead.popleft()
+            self.octets_ahead -= HEADER_SIZE + len(message.body)
+            return message
         self.account_received(NOBODY)
         self.idle = not self.buffer
         try:
@@ -163,7 +193,7 @@
         finally:
             self.idle = False
         until = time.monotonic() + MESSAGE_TIMEOUT_S
-        self.fill_buffer(5, until)
+        self.fill_buffer(HEADER_SIZE, until)
         length = unpack_from("!I", self.buffer, 1)[0]
         if length < 4:
             raise Ended("message-malformed", error_response("08P01", "invalid message length", b"FATAL"))
@@ -171,23 +201,90 @@
             raise Ended("message-too-long", error_response("54000", "the message is too long", b"FATAL"))
         self.fill_buffer(1 + length, until)
         data = self.take(1 + length)
-        return data[:1], data[5:]
+        return ClientMessage(data[:1], data[HEADER_SIZE:])
+
+    # Reading ahead: the queries that follow the one in flight take their places in the order of arrival.
+
+    def submit_ahead(self):
+        """As ClientSession. Messages other than queries, and what follows them, wait in the buffer."""
+        if not self.buffer:
+            return
+        arrived_at = self.arrival_time()
+        while self.buffer[:1] == b"Q" and len(self.buffer) >= HEADER_SIZE:
+            length = unpack_from("!I", self.buffer, 1)[0]
+            if not 4 < length <= MAX_MESSAGE_SIZE or len(self.buffer) <= length:
+                break
+            body = self.take(1 + length)[HEADER_SIZE:]
+            self.octets_ahead += 1 + length
+            self.messages_ahead.append(
+                ClientMessage(b"Q", body, arrived_at, self.query_ahead(body, arrived_at))
+            )
+
+    def query_ahead(self, body, arrived_at):
+        """Returns the query of a statement, or None if it cannot be used; submits it if it has a key."""
+        try:
+            if not is_query_text(body):
+                return None
+            pending = self.read_query(body[:-1], arrived_at)
+            pending.read_lag = self.clock.now() - arrived_at
+            if pending.key is not None:
+                self.exchange.submit_blocked(pending)
+            return pending
+        except RequestRejected:
+            return None  # it is rejected when its turn comes
+
+    def read_ahead(self):
+        """As InputReader; reads no more than MAX_OCTETS_AHEAD, and nothing that ends the session."""
+        with self.input_lock:
+            if not self.is_busy:
+                return False
+            try:
+                self.receive_ahead()
+            except OSError:
+                pass  # the session's own thread ends it
+            return True
+
+    def receive_ahead(self):
+        """Moves what has arrived into the buffer, and submits the queries in it."""
+        if not self.buffer and self.sock.recv(1, socket.MSG_PEEK) in (b"", b"X"):
+            return
+        while self.octets_ahead + len(self.buffer) < MAX_OCTETS_AHEAD:
+            data = self.receive_available()
+            if not data:
+                break
+            self.received += len(data)
+            self.buffer += data
+            self.submit_ahead()
+            if not self.has_unread:
+                break
+        else:
+            self.counters.add("read-ahead-full")
+
+    def abandon_queries_ahead(self):
+        """As ClientSession."""
+        for message in self.messages_ahead:
+            if message.pending is not None and message.pending.is_submitted:
+                self.exchange.abandon(message.pending)
+                self.account_client_gone(message.pending)
+                self.record_answer(message.pending, ex.CLIENT_GONE, 0)
+        self.messages_ahead.clear()
+        self.octets_ahead = 0
 
     # Queries
 
-    def serve_simple_query(self, body):
-        """Serves one simple query; body: of its message, with the terminating zero byte."""
+    def serve_simple_query(self, message):
+        """Serves one simple query; the body of its message has a terminating zero byte."""
+        body = message.body
         if not body.endswith(b"\0") or body.find(b"\0") != len(body) - 1:
             raise Ended("message-malformed", error_response("08P01", "invalid string in message", b"FATAL"))
         if is_empty(body[:-1]):
-            self.sock.settimeout(WRITE_TIMEOUT_S)
             self.put(EMPTY_QUERY_RESPONSE)
             return
-        self.serve_query(body[:-1], self.arrival_time())
+        arrived_at = message.arrived_at or self.arrival_time()
+        self.serve_query(body[:-1], arrived_at, message.pending)
 
     def add_storm_notice(self):
         """As ClientSession."""
-        self.sock.settimeout(WRITE_TIMEOUT_S)
         self.put(
             error_response(
                 "01000",
@@ -208,10 +305,9 @@
 
     def has_abandoned_query(self):
         """As ClientSession."""
-        if self.buffer:
+        if self.buffer or self.messages_ahead:
             return self.has_disconnected()  # MSG_PEEK would show the next command, not the end
         try:
-            self.sock.settimeout(0)
             return self.sock.recv(1, socket.MSG_PEEK) in (b"", b"X") or self.has_disconnected()
         except BlockingIOError:
             return False
@@ -267,6 +363,11 @@
         return RowStreamWriter(pending.tag)
 
 
+def is_query_text(body):
+    """Whether the body of a simple query is a text that is not empty."""
+    return body.find(b"\0") == len(body) - 1 and not is_empty(body[:-1])
+
+
 class RowStreamWriter:
     """Encodes a streamed result, given as TDS tokens, as rows of text."""
 
--- a/wickvane/net/queues.py
+++ b/wickvane/net/queues.py
@@ -12,6 +12,7 @@
 
     def __init__(self, max_size):
         self.items, self.max_size, self.not_empty = deque(), max_size, Condition(Lock())
+        self.is_woken = False  # whether take() shall return although there are no items
 
     def put(self, item, always=False):
         """Appends an item. Returns False, without appending, if the queue is full and not `always`."""
@@ -22,11 +23,18 @@
             self.not_empty.notify()
         return True
 
+    def wake(self):
+        """Ends the wait of the present or next take()."""
+        with self.not_empty:
+            self.is_woken = True
+            self.not_empty.notify()
+
     def take(self, seconds):
-        """Removes and returns all items; waits up to this number of seconds if there are none."""
+        """Removes and returns all items; if there are none, waits for one, wake() or `seconds`."""
         with self.not_empty:
-            if not self.items and seconds > 0:
+            if not self.items and not self.is_woken and seconds > 0:
                 self.not_empty.wait(seconds)
+            self.is_woken = False
             items, self.items = self.items, deque()
         return items
 
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -215,7 +215,15 @@
         on_event = self.lister.streamed if self.lister else self.listed
         # A lister delivers the configuration's events itself, after the list that it has recovered.
         known = (0, []) if self.lister else config.known
-        return Coordinator(config.coordinator, known, on_event, self.seed, self.log, self.counters)
+        return Coordinator(
+            config.coordinator,
+            known,
+            on_event,
+            self.seed,
+            self.log,
+            self.counters,
+            self.exchange.input,
+        )
 
     def listed(self, index, is_complete, entries, readmitted=()):
         """Passes an event of the endpoint list to the decider, from any thread."""
--- a/wickvane/net/tds/handshake.py
+++ b/wickvane/net/tds/handshake.py
@@ -118,7 +118,13 @@
         raise _rejected_login(
             "login-failed", errors.LOGIN_FAILED, "only logins by user and password are accepted"
         )
-    match session.listener.authenticator.check(login.user, login.password):
+    # The check waits for those of other logins and takes long; no request is sent before its result.
+    session.begin_busy()
+    try:
+        result = session.listener.authenticator.check(login.user, login.password)
+    finally:
+        session.end_busy()
+    match result:
         case LoginCheck.BUSY:
             raise _rejected_login("login-busy", errors.LOGIN_BUSY, "too many logins at once; try again")
         case LoginCheck.REJECTED:
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -12,7 +12,6 @@
     MESSAGE_TIMEOUT_S,
     RECEIVE_SIZE,
     STORM_TEXT,
-    WRITE_TIMEOUT_S,
     ClientSession,
     Ended,
 )
@@ -121,9 +120,10 @@
         """See ClientSession; decrypts received octets if TLS is on."""
         return data if self.tls is None else self.tls.decrypt(data)
 
-    def put(self, data: bytes, key=NOBODY, messages: int = 1, what: int = 0) -> None:
+    def put(self, data: bytes, key=NOBODY, messages=1, answer_index=0, timeout_s=None) -> None:
         """See ClientSession; encrypts the data if TLS is on."""
-        super().put(data if self.tls is None else self.tls.encrypt(data), key, messages, what)
+        encrypted = data if self.tls is None else self.tls.encrypt(data)
+        super().put(encrypted, key, messages, answer_index, timeout_s)
 
     def start_tls(self, tls: TlsLayer) -> None:
         """Uses TLS for all further octets, including those received but not read yet."""
@@ -142,7 +142,6 @@
         return message
 
     def _reply(self, body: bytes) -> None:
-        self.sock.settimeout(WRITE_TIMEOUT_S)
         self.put(self._answer_packets(body))
 
     def _answer_packets(self, body: bytes) -> bytes:
@@ -173,7 +172,6 @@
         # Connection pools connect in advance: a logged-in client has no deadline for its first query.
         self.first_query_deadline = NO_DEADLINE
         self._change_state(SessionEvent.LOGIN_ACCEPTED)
-        self.sock.settimeout(WRITE_TIMEOUT_S)
         self.put(login_answer(login, self.database))
 
     def eviction_rank(self, fresh: int) -> int:
@@ -276,7 +274,6 @@
 
     def has_abandoned_query(self) -> bool:
         """See ClientSession; reads what arrived during the query, such as an ATTENTION or a close."""
-        self.sock.settimeout(0)
         try:
             data = self.sock.recv(RECEIVE_SIZE)
         except BlockingIOError:
--- a/wickvane/scheduling/query.py
+++ b/wickvane/scheduling/query.py
@@ -16,6 +16,8 @@
     key: int | None  # queries with the same key run one at a time, in order; None if the group is not ordered
     cost: float  # estimated work, summed over all threads
     estimated_memory: float  # in MB; 0 if there is no estimate
+    arrived_at: int  # the order of arrival counts among queries with the same key
+    is_blocked: bool  # whether an earlier query of its client session has no answer yet
     deadline: int = 0  # when it must have its final answer at the latest
     objective_at: int = 0  # the latency objective: when it should have its answer
     queue_until: int = 0  # until when it may wait in the queue
--- a/wickvane/scheduling/retries.py
+++ b/wickvane/scheduling/retries.py
@@ -1,10 +1,13 @@
 """Rules for retries: when they are allowed, retry budget, replanning, order and quarantine of keys."""
 
+from bisect import bisect_right
 from collections import deque
+from operator import attrgetter
 
 from wickvane.events import FOREVER, Deployment, Effect, Ending, KeyScope
 from wickvane.scheduling.concurrency import LoadTracker
 from wickvane.scheduling.deadlines import Deadlines
+from wickvane.scheduling.input_watermark import InputWatermark
 from wickvane.scheduling.query import Query
 from wickvane.units import TICKS_PER_SECOND
 
@@ -56,19 +59,25 @@
     After an attempt ended without proof that it no longer runs, its key is quarantined.
     """
 
-    def __init__(self, quarantine: int, load: LoadTracker) -> None:
-        self.queues: dict[int, deque[Query]] = {}
+    def __init__(self, quarantine: int, load: LoadTracker, watermark: InputWatermark) -> None:
+        self.queues: dict[int, list[Query]] = {}
+        self._watermark = watermark
         self._quarantine = quarantine
         self._quarantined_until: dict[int, int] = {}
         self._load = load
 
     def add(self, query: Query) -> float:
-        """Queues a query behind those of its key; returns their total run time in ticks."""
+        """Queues a query behind those of its key that arrived earlier; returns their total run time in ticks.
+
+        A query that arrived earlier than one that has been sent was read too late for its place.
+        """
         if query.key is None:
             return 0
-        queue = self.queues.setdefault(query.key, deque())
-        time_ahead = sum(self._load.expected_run_time(ahead) for ahead in queue)
-        queue.append(query)
+        queue = self.queues.setdefault(query.key, [])
+        first = 1 if queue and queue[0].attempts else 0
+        place = bisect_right(queue, query.arrived_at, first, key=attrgetter("arrived_at"))
+        time_ahead = sum(self._load.expected_run_time(ahead) for ahead in queue[:place])
+        queue.insert(place, query)
         return time_ahead
 
     def remove(self, query: Query) -> None:
@@ -82,7 +91,8 @@
         """Returns whether the query's key allows an attempt to start."""
         if query.key is None:
             return True
-        return self.queues[query.key][0] is query and now >= self._quarantined_until.get(query.key, 0)
+        is_first = self.queues[query.key][0] is query and self._watermark.has_passed(query.arrived_at)
+        return is_first and now >= self._quarantined_until.get(query.key, 0)
 
     def attempt_ended(self, query: Query, ending: Ending, now: int) -> None:
         """Quarantines the key if the attempt may still run."""
@@ -102,7 +112,7 @@
             return []
         turn_at: float = head.deadline + self._quarantine
         too_late = []
-        for query in list(self.queues[head.key])[1:]:
+        for query in self.queues[head.key][1:]:
             if deadlines.turn_is_too_late(query, turn_at, now):
                 too_late.append(query)
             else:
--- a/wickvane/scheduling/scheduler.py
+++ b/wickvane/scheduling/scheduler.py
@@ -17,8 +17,10 @@
     Ending,
     EndpointListLost,
     EngineUpdated,
+    InputRead,
     Progress,
     QueryArrived,
+    QueryUnblocked,
     ShutdownStarted,
     TimerFired,
     Writer,
@@ -29,6 +31,7 @@
 from wickvane.scheduling.estimates import TermsPolicy, WorkEstimates
 from wickvane.scheduling.fair_queue import FairQueue
 from wickvane.scheduling.fleet_hook import FleetHook
+from wickvane.scheduling.input_watermark import InputWatermark
 from wickvane.scheduling.outlier_ejection import OutlierEjection
 from wickvane.scheduling.placement import NO_ENGINE, Placement
 from wickvane.scheduling.query import Query
@@ -66,13 +69,15 @@
         self.fair_queue = FairQueue([share for share, _ in deployment.tenants], self.estimates)
         self.deadlines = Deadlines(deployment, self.load)
         self.retries = RetryPolicy(deployment, self.deadlines, self.load)
-        self.keys = KeyOrder(deployment.key_quarantine, self.load)
+        self.input = InputWatermark()
+        self.keys = KeyOrder(deployment.key_quarantine, self.load, self.input)
         self.retry_after = RetryAfter(deployment.max_retry_after, rng)
         self.terms = TermsPolicy(deployment, self.estimates)
         self.fleet: FleetHook | None = None
         self._queries: dict[int, Query] = {}  # that have no final answer, or have an attempt in flight
         self._running: dict[int, Query] = {}  # that have an attempt in flight
         self._retrying: deque[Query] = deque()  # queries that wait for a retry
+        self._blocked: dict[int, Query] = {}  # queries that wait for earlier ones of their client sessions
         self._poll_at = 0 if deployment.subscribes_to_endpoints else None
         self._next_sweep = 0
         self._timer_at: int | None = None
@@ -87,6 +92,8 @@
             EngineUpdated: self._update_engine,
             EndpointListLost: self._schedule_poll,
             ShutdownStarted: self._start_shutdown,
+            InputRead: self._advance_input,
+            QueryUnblocked: self._unblock_query,
         }
 
     def join_fleet(self, fleet: FleetHook) -> None:
@@ -105,10 +112,12 @@
         if self.fleet is not None:
             self.fleet.before_decisions(now)
         self._poll_endpoints()
+        is_current = self.input.is_current(now)
         if now >= self._next_sweep:
-            self._sweep()
-        self._release_queries()
-        self._release_retries()
+            self._sweep(is_current)
+        if is_current:
+            self._release_queries()
+            self._release_retries()
         self._set_timer()
 
     def _handle(self, event: tuple) -> None:
@@ -122,16 +131,38 @@
         self.fair_queue.add_tenants_up_to(event.tenant)
         key = event.key if self.groups[event.group].ordered else None
         cost = self.estimates.estimate(event)
-        query = Query(event.query, event.group, event.tenant, event.table_group, key, cost, event.memory)
+        arrived_at = self._now if event.arrived_at is None else event.arrived_at
+        query = Query(
+            event.query,
+            event.group,
+            event.tenant,
+            event.table_group,
+            key,
+            cost,
+            event.memory,
+            arrived_at,
+            event.is_blocked,
+        )
         is_in_time = self.deadlines.set_on_arrival(query, event.time_left, event.is_retry, self._now)
         self._queries[query.index] = query
         self.retries.budget.record_arrival(self._now)
         turn_at = self._now + self.keys.add(query)
         if not is_in_time or self.deadlines.turn_is_too_late(query, turn_at, self._now):
             self._give_up(query)
+        elif query.is_blocked:
+            self._blocked[query.index] = query
         else:
             self.fair_queue.add(query)
 
+    def _unblock_query(self, event: QueryUnblocked) -> None:
+        query = self._blocked.pop(event.query, None)
+        if query is not None:
+            query.is_blocked = False
+            self.fair_queue.add(query)
+
+    def _advance_input(self, event: InputRead) -> None:
+        self.input.advance(event.until, event.took)
+
     def _drop_query(self, event: ClientGone) -> None:
         query = self._queries.get(event.query)
         if query is not None and not query.answered:
@@ -159,6 +190,7 @@
     def _forget(self, query: Query) -> None:
         self.keys.remove(query)
         self._queries.pop(query.index, None)
+        self._blocked.pop(query.index, None)
 
     def _start_attempt(self, query: Query, engine: int) -> None:
         query.engine = engine
@@ -258,7 +290,7 @@
             self.deadlines.limit_to_shutdown(query)
 
     def _set_timer(self) -> None:
-        waiting = self.fair_queue.active or self._retrying
+        waiting = self.fair_queue.active or self._retrying or self._blocked
         if not waiting and not self._running and not self._poll_at:
             return
         # A timer that was set while no query waited is too late for one that waits now, and may expire after
@@ -270,24 +302,33 @@
             self._timer_at = at
             self._writer.set_timer(ROUND_TIMER, at)
 
-    def _sweep(self) -> None:
-        """Checks all waiting and running queries."""
+    def _sweep(self, is_current: bool) -> None:
+        """Checks all waiting and running queries.
+
+        is_current: whether the answers that have arrived are known, so that silence can be judged.
+        """
         self._next_sweep = self._now + SWEEP_INTERVAL_TICKS
         self.ejection.invalidate()
         self.retries.budget.is_available(self._now)  # drops old entries even if no query is retried
-        for query in self.fair_queue.expired(self._now):
+        for query in self.fair_queue.expired(self._now) + self._expired_blocked():
             self._give_up(query)
         self.keys.end_quarantines(self._now)
+        self._check_running(is_current)
+
+    def _check_running(self, is_current: bool) -> None:
+        """Gives up running queries at their deadlines; replans lost ones and ejects silent engines."""
         lost = []
         overdue: Counter[int] = Counter()
         for query in list(self._running.values()):
-            if self.load.observe_running(query, self._now):
+            if is_current and self.load.observe_running(query, self._now):
                 self.limits.decrease(self._now)
             if query.answered:
                 continue
             if self.deadlines.must_answer_now(query, self._now):
                 self._give_up(query)
                 continue
+            if not is_current:
+                continue
             if self._is_overdue(query):
                 overdue[query.engine] += 1
             if self.retries.is_lost(query, self._now):
@@ -297,6 +338,9 @@
         for engine in self.ejection.eject_silent(overdue, self._now):
             self._replan([query for query in self._running.values() if query.engine == engine])
 
+    def _expired_blocked(self) -> list[Query]:
+        return [query for query in self._blocked.values() if self._now >= query.queue_until]
+
     def _is_overdue(self, query: Query) -> bool:
         """Returns whether an attempt is overdue on an engine without contact since the attempt started.
 
