A CancelRequest that is read before its query cancels the query

If the request was read first, the session had no query yet, and the request was dropped.

Change: the session keeps the request's time of arrival, and the next query that it reads is answered as cancelled if it arrived before. Times within 10 ms of each other are not compared, since the kernel counts in jiffies: a query that was sent after the request is not touched.

Evidence: the new test forces that order; it failed on (the query was sent and killed) and passes.

--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -198,6 +198,27 @@
     assert answers == ["57P03"] * 3 and took_s < killed_after_s
 
 
+def test_a_query_that_was_cancelled_before_its_session_read_it_is_not_sent(monkeypatch):
+    # Guards against an attempt long after the CancelRequest, which a paused process read before the query.
+    held = HeldEngine()
+    dispatcher = Dispatcher(held.engine)
+    client = Client(dispatcher)
+    session = session_of(dispatcher, client)
+    gate = Gate(monkeypatch, ClientSession, "receive_available", lambda reader: reader is session)
+    client.send(statement(n=1, verb="change", limit=20_000))
+    assert gate.reached.wait(PATIENCE)
+    time.sleep(KEY_INTERVAL_S)
+    client.cancel()
+    gate.opened.set()
+    assert sqlstate(client.until_ready()) == "57014"
+    assert held.engine.came.empty()
+    client.send(statement(n=2, verb="change", limit=20_000))
+    number, request = held.next_id()
+    assert number == 2  # a query that is sent after the request is not cancelled
+    held.release(request)
+    assert rows(client.until_ready())
+
+
 def test_a_query_is_not_sent_while_a_cancel_request_waits_to_be_read(monkeypatch):
     # Guards against the same if the process reads the query first.
     held = HeldEngine()
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -35,6 +35,7 @@
 OVERDUE_TICKS = 300
 STORM_TEXT = "a retry storm lasts: try again only after the time that a deferral tells, one try at a time"
 LAST_DATA_RECV_OFFSET = 52  # of tcpi_last_data_recv in struct tcp_info: milliseconds since data last arrived
+MAX_JIFFY_TICKS = 100  # the error of a time of arrival, which the kernel counts in jiffies
 MAX_CLOCK_GAP_TICKS = 20  # between two readings of the clock; more if the process was suspended between them
 MAX_CLOCK_READINGS = 8
 
@@ -84,6 +85,7 @@
         self.input_poll.register(sock, select.POLLIN)
         self.message_poll.register(sock, select.POLLIN)
         self.message_poll.register(self.stop_descriptor, select.POLLIN)
+        self.cancelled_until = 0  # queries that arrived until then were cancelled before they were read
         # Octets received, those of them already counted for a resource group and tenant, and octets sent; the
         # number of the last retry storm that the client was notified of.
         self.received = self.accounted = self.sent = self.storm_notified = 0
@@ -349,6 +351,10 @@
         if pending.is_submitted:
             self.exchange.unblock(pending)
             return
+        # A query that the client sent after the request must not be taken for the one it cancelled.
+        if pending.arrived_at <= self.cancelled_until - MAX_JIFFY_TICKS:
+            self.exchange.set_answer(pending, ex.CLIENT_GONE)
+        self.cancelled_until = 0
         self.exchange.submit(pending)
 
     def arrival_time(self):
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -200,11 +200,18 @@
         with self.lock:
             self.cancel_keys.pop(pid, None)
 
-    def cancel(self, pid, secret):
-        """Cancels the query of the session with this cancel key. Returns whether there was one."""
+    def cancel(self, pid, secret, arrived_at):
+        """Cancels the query of the session with this cancel key. Returns whether there was one.
+
+        arrived_at: when the request arrived, in ticks; a query that arrived earlier may not have been read.
+        """
         with self.lock:
             known_secret, session = self.cancel_keys.get(pid, (None, None))
-            pending = session.pending if known_secret == secret and session else None
+            if known_secret != secret or session is None:
+                return False
+            pending = session.pending
+            if pending is None:
+                session.cancelled_until = arrived_at
         if pending is not None:
             self.abandon(pending)
         return pending is not None
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -111,7 +111,7 @@
             if code == CANCEL_REQUEST:
                 if len(body) != 8:
                     raise Ended("startup-unreadable")
-                known = self.exchange.cancel(*unpack("!II", body))
+                known = self.exchange.cancel(*unpack("!II", body), self.arrival_time())
                 raise Ended("cancel-request" if known else "cancel-request-for-nothing")
             if code >> 16 != 3:
                 raise Ended(
