The rest of a long message that has arrived is read, however late the session wakes

Cause: the time limit of a message was held against the clock before the socket was read, so the pause counted against the client although the rest of its message lay in the socket's buffer.

Change: the limit is held against what has not arrived. Past it, the session reads what there is once more, and gives up only if that is not enough.

Evidence: the new test holds the session's thread before it reads the rest, past the limit; it failed on (connection reset) and passes.

--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -236,3 +236,22 @@
         gate.opened.set()
         assert sqlstate(client.until_ready()) == "57014"
     assert held.engine.came.empty()
+
+
+def test_a_long_statement_that_arrived_in_time_is_served_after_a_pause_in_the_middle_of_it(monkeypatch):
+    # Guards against a connection that is reset although the rest of its message has long arrived.
+    monkeypatch.setattr("wickvane.net.postgres.session.MESSAGE_TIMEOUT_S", 0.05)
+    dispatcher = Dispatcher(Engine())
+    client = Client(dispatcher)
+    session = session_of(dispatcher, client)
+    message = query_message(statement("SELECT 1 FROM sales_17.orders -- " + "x" * 36_000, n=1))
+    gate = Gate(
+        monkeypatch, ClientSession, "receive_available", lambda reader: reader is session and reader.buffer
+    )
+    client.sock.sendall(message[:1000])
+    until(lambda: len(session.buffer) == 1000)
+    client.sock.sendall(message[1000:])
+    assert gate.reached.wait(PATIENCE)
+    time.sleep(0.1)  # the message's time limit passes before the rest is read
+    gate.opened.set()
+    assert rows(client.until_ready())
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -231,8 +231,10 @@
         if not self.queries:
             until = min(until, self.first_query_deadline)
         while len(self.buffer) < n:
+            is_late = time.monotonic() > until
             self.receive(until)
-            if len(self.buffer) < n and time.monotonic() > until:
+            # After a pause of the process, the rest may have arrived in time.
+            if is_late and len(self.buffer) < n and not self.has_unread:
                 raise TimeoutError
 
     def receive(self, until):
