A blocked query that was answered unblocks no other query with its index

Cause: a query that is submitted ahead and given up at its deadline loses its index, which the next query may get; the message that its turn in its session had come then named the other one. The decider now checks, as for a client that has gone, that the index still is the query's.

Evidence: the new test fails on the commit before and passes.

--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -281,6 +281,30 @@
     assert old.attempt_count == 1 and load.attempt_count == 1
 
 
+def test_a_query_that_was_answered_while_it_was_blocked_unblocks_no_other():
+    # Guards against a blocked query that starts out of turn because it got the index of an answered one.
+    decider = decider_with_one_engine()
+    queries = []
+    for n in range(2):
+        pending = PendingQuery(
+            StoppedClock().now(), **READER.read(statement(n=n, verb="load", item="k", unique="u").encode())
+        )
+        decider.exchange.submit_blocked(pending)
+        decider.round(decider.exchange.inbox.take(0))
+        queries.append(pending)
+        if n == 0:
+            decider.exchange.abandon(pending)
+            decider.round(decider.exchange.inbox.take(0))
+    assert queries[0].index == queries[1].index
+    decider.exchange.unblock(queries[0])
+    decider.exchange.input.clock.time += 10
+    decider.round(decider.exchange.inbox.take(0))
+    assert queries[1].attempt_count == 0
+    decider.exchange.unblock(queries[1])
+    decider.round(decider.exchange.inbox.take(0))
+    assert queries[1].attempt_count == 1
+
+
 def link_with_one_attempt(monkeypatch, up=False):
     """A link whose connection has not been established, an attempt that waits on it, and the inbox."""
     monkeypatch.setattr(Connection, "start", lambda self: None)
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -164,7 +164,7 @@
 
     def unblocked(self, pending):
         """Handles that a session has answered all queries before one that was submitted ahead."""
-        if pending.index >= 0:
+        if self.is_open(pending):
             self.events.append(QueryUnblocked(pending.index))
 
     def ended(self, attempt, ending, elapsed, complete):
@@ -192,10 +192,15 @@
 
     def left(self, pending):
         """Handles a query that was answered by its session or whose client has gone."""
-        registry, query = self.registry, pending.index
-        if query >= 0 and query in registry.open_attempts and registry.queries.names[query] is pending:
-            self.events.append(ClientGone(query))
-            registry.answered_queries.add(query)
+        if self.is_open(pending):
+            self.events.append(ClientGone(pending.index))
+            self.registry.answered_queries.add(pending.index)
+
+    def is_open(self, pending):
+        """Whether a query was taken and still has its index, which is given to others once it is answered."""
+        query = pending.index
+        is_in_use = query >= 0 and query in self.registry.open_attempts
+        return is_in_use and self.registry.queries.names[query] is pending
 
     def listed(self, is_complete, entries):
         """Handles a change of the endpoint list, or the complete list."""
