A pause of the process does not count as the time that a reader did not read

Cause: a reader that has not read for two seconds no longer holds the watermark, by the clock. If the process is suspended for two seconds just then, no thread could read, and queries might start before an earlier one with their key is known. Time between two checks now counts as 50 ms at most.

--- a/wickvane/net/input_tracker.py
+++ b/wickvane/net/input_tracker.py
@@ -15,6 +15,9 @@
 from threading import Lock
 
 MAX_READ_WAIT_TICKS = 20_000  # after which a reader that has not read its input no longer holds the watermark
+MAX_COUNTED_GAP_TICKS = (
+    500  # between two checks; a longer one is a pause of the process, when no reader could read
+)
 
 
 class InputReader:
@@ -68,6 +71,10 @@
         # The readers that must read for the watermark to advance to `target`, and those for which it has
         # waited in vain. Readers remove themselves from `awaited`; only the decider's thread replaces it.
         self.awaited, self.target, self.late = set(), 0, set()
+        self.waited, self.checked_at = (
+            0,
+            0,
+        )  # ticks for which the target was waited for; time of the last check
 
     # Called by readers, from any thread
 
@@ -116,6 +123,8 @@
         What has been submitted must be collected after this call.
         """
         now = self.clock.now()
+        self.waited += min(now - self.checked_at, MAX_COUNTED_GAP_TICKS)
+        self.checked_at = now
         ready = self.find_ready()
         # Copied after the poll: a reader is active before it takes input away from the poll.
         unread = ready | self.active
@@ -126,7 +135,7 @@
         if self.target > self.watermark:
             self.update_awaited(ready, now)
         if self.target <= self.watermark:
-            self.target, self.awaited = now, unread - self.late
+            self.target, self.awaited, self.waited = now, unread - self.late, 0
             # Readers that became inactive before they were awaited have not removed themselves.
             self.update_awaited(ready, now)
         return self.watermark
@@ -145,7 +154,7 @@
         for reader in self.awaited.copy():
             if reader not in self.active and (reader not in ready or reader.drained_at >= self.target):
                 self.awaited.discard(reader)
-        if self.awaited and now - self.target > MAX_READ_WAIT_TICKS:
+        if self.awaited and self.waited > MAX_READ_WAIT_TICKS:
             self.counters.add("input-read-late", len(self.awaited))
             self.late |= self.awaited
             self.awaited = set()
