--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -284,7 +284,7 @@
 
 
 def test_a_query_that_crosses_the_shutdown_on_an_idle_connection_causes_no_reset(monkeypatch, shut_down):
-    monkeypatch.setattr("wickvane.net.client_session.DISCARD_INPUT_S", PATIENCE)
+    monkeypatch.setattr("wickvane.net.client_connection.DISCARD_INPUT_S", PATIENCE)
     engine = Engine()
     dispatcher = Dispatcher(engine)
     idle_client = Client(dispatcher)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -172,7 +172,7 @@
 
 
 def test_a_client_that_does_not_read_is_disconnected_and_delays_no_other(monkeypatch):
-    monkeypatch.setattr("wickvane.net.client_session.WRITE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr("wickvane.net.client_connection.WRITE_TIMEOUT_S", 0.3)
     page = b"a\tb\t" + b"c" * 5900 + b"\n"
 
     def answers(txn, words):
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -9,7 +9,8 @@
 
 from wickvane.errors import RequestRejected
 from wickvane.net import exchange as ex
-from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, ClientSession, Ended
+from wickvane.net.client_connection import Ended
+from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, ClientSession
 from wickvane.net.counters import NOBODY
 from wickvane.net.postgres.rows import result
 from wickvane.net.statement import is_empty
--- a/wickvane/net/tds/handshake.py
+++ b/wickvane/net/tds/handshake.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wickvane.errors import ProtocolError
-from wickvane.net.client_session import Ended
+from wickvane.net.client_connection import Ended
 from wickvane.net.tds import errors, login7, packets, prelogin, tokens
 from wickvane.net.tds.answers import SPID, error_answer, fatal_error_packets, result_packets
 from wickvane.net.tds.authentication import LoginCheck
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -8,13 +8,8 @@
 from wickvane.errors import ProtocolError, RequestRejected
 from wickvane.events import Effect
 from wickvane.net import exchange as ex
-from wickvane.net.client_session import (
-    MESSAGE_TIMEOUT_S,
-    RECEIVE_SIZE,
-    STORM_TEXT,
-    ClientSession,
-    Ended,
-)
+from wickvane.net.client_connection import RECEIVE_SIZE, Ended
+from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, ClientSession
 from wickvane.net.counters import NOBODY
 from wickvane.net.statement import Reader
 from wickvane.net.tds import errors, packets, results, tokens
