Ages within a jiffy do not decide the order of queries; a test spaces its loads

Cause: it sends loads of one key a millisecond apart. The kernel tells the age of the last data in jiffies, so a query that was read at once may seem a jiffy older than one that was submitted before it, and take its place.

Change: an age of 10 ms or less counts as none, so that the times of reading decide; longer ages, after a pause, count as before. The test sends its loads 60 ms apart, as the protocol's clients do.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -161,6 +161,7 @@
     for n, client in enumerate(clients, 1):
         client.send(statement(verb="load", n=n, item="7f3a", unique=f"u{n}", cpu=3000, limit=20_000))
         await_count(dispatcher, "taken", n)
+        time.sleep(KEY_INTERVAL_S)
     *_, conn = engine.next("ASK")
     disconnect(clients[1])
     conn.sendall(hit(b"%016x" % 1))
--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -16,6 +16,7 @@
 DISCARD_INPUT_S, MAX_DISCARDED_OCTETS = 0.25, 1 << 20
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 LAST_DATA_RECV_OFFSET = 52  # of tcpi_last_data_recv in struct tcp_info: milliseconds since data last arrived
+MAX_JIFFY_TICKS = 100  # the error of a time of arrival, which the kernel counts in jiffies
 MAX_CLOCK_GAP_TICKS = 20  # between two readings of the clock; more if the process was suspended between them
 MAX_CLOCK_READINGS = 8
 
@@ -196,7 +197,9 @@
             before, now = now, self.clock.now()
             if now - before <= MAX_CLOCK_GAP_TICKS:
                 break  # else the process may have been suspended between the two readings
-        return before - 10 * min(60_000, age)
+        age_ticks = 10 * min(60_000, age)
+        # An age of a jiffy may be none at all; then the times of reading tell the order better.
+        return before if age_ticks <= MAX_JIFFY_TICKS else before - age_ticks
 
     def has_disconnected(self):
         """Whether the client has closed or reset its connection, even if unread input precedes the close.
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -12,7 +12,7 @@
 
 from wickvane.errors import RequestRejected
 from wickvane.net import exchange as ex
-from wickvane.net.client_connection import ClientConnection, Ended
+from wickvane.net.client_connection import MAX_JIFFY_TICKS, ClientConnection, Ended
 from wickvane.net.counters import ANSWERS, NOBODY, REVERSE
 from wickvane.net.queues import ResultStream
 
@@ -26,7 +26,6 @@
 # This long after a query's deadline, its session answers it: the decider's thread is stuck or has lost it.
 OVERDUE_TICKS = 300
 STORM_TEXT = "a retry storm lasts: try again only after the time that a deferral tells, one try at a time"
-MAX_JIFFY_TICKS = 100  # the error of a time of arrival, which the kernel counts in jiffies
 
 
 class ClientSession(ClientConnection):
