No query starts before the first watermark of a new process

Callers would see: just after a dispatcher has started, a load runs ahead of an earlier one of its key that has not been read yet.

Until all input of the start was read, nothing was held.

Change: the decider's first event tells a watermark of zero.

--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -272,6 +272,22 @@
     assert [query.attempt_count for query in (earliest, first[1], later, first[0])] == [1, 0, 0, 0]
 
 
+def test_no_query_starts_before_the_first_watermark_of_a_new_process():
+    # Guards against loads out of order while a dispatcher that has just started still reads its first input.
+    clock = StoppedClock()
+    decider = Decider(Exchange(clock, NullCounters()), IdRegistry(SETTINGS), 1, clock, clock, NullCounters())
+    reader = PipeReader(decider)
+    reader.peer.send(b"an earlier load")
+    decider.round([("listed", True, [("e", ("127.0.0.1", 1), EngineState.READY, "dc", "old", 0, 0, 1.0)])])
+    load = submit(decider, 1, 0, verb="load", item="k", unique="u")
+    decider.round(decider.exchange.inbox.take(0))
+    assert load.index >= 0 and load.attempt_count == 0
+    reader.read()
+    decider.exchange.input.deactivate(reader)
+    decider.round([])
+    assert load.attempt_count == 1
+
+
 def test_a_query_without_a_key_is_not_held_up_by_the_age_of_another():
     # Guards against loads that wait as long as another client's pipelined queries have waited (review/2).
     decider = decider_with_one_engine()
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -41,7 +41,8 @@
         self.log = log
         self.counters = counters
         self.scheduler = Scheduler(seed, registry.deployment)
-        self.queues, self.timers, self.events = {}, [], []
+        # The scheduler waits for a watermark from its first round on.
+        self.queues, self.timers, self.events = {}, [], [InputRead(0, 0)]
         self.now, self.longest_round, self.consecutive_faults = clock.now(), 0, 0
         # read_until: the watermark that the scheduler was told; ordered_until: the one for which queries with
         # a key wait; read_lag: the maximum time from the arrival of a query until it was taken in this round.
