Nothing is read ahead for a session that has ended

Callers would see: a load waits up to twenty seconds behind a load of its key whose client has left.

Cause: a session that ends is marked busy, and the decider, which has just seen input on its connection, then reads ahead for it. A query that it submits after the session has abandoned its queries is nobody's: it stays blocked, with its place in the order of its key, until its deadline.

Change: an ended session says so under the lock under which it is read ahead, before it abandons what was submitted.

--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -26,6 +26,7 @@
 
 from wickvane.net.client_session import ClientSession
 from wickvane.net.listener import Listener
+from wickvane.net.postgres.session import Session
 from wickvane.scheduling.input_watermark import MAX_UNREAD_AGE_TICKS
 from wickvane.units import TICKS_PER_SECOND
 
@@ -208,6 +209,23 @@
     assert answers == ["57P03"] * 3 and took_s < killed_after_s
 
 
+def test_nothing_is_read_ahead_for_a_session_that_has_ended(monkeypatch):
+    # Guards against a load of a client that has left, which would hold its key until its deadline.
+    held = HeldEngine(free=[2])
+    dispatcher = Dispatcher(held.engine)
+    leaving, other = Client(dispatcher), Client(dispatcher)
+    session = session_of(dispatcher, leaving)
+    gate = Gate(monkeypatch, Session, "abandon_queries_ahead", lambda one: one is session)
+    leaving.send(b"no message", kind=b"z")
+    assert gate.reached.wait(PATIENCE)
+    leaving.send(load(1))
+    assert session.input_poll.poll(PATIENCE * 1000)
+    assert session.read_ahead()  # as by a decider that has seen input just before the session ended
+    assert "taken" not in dispatcher.service.counters.shown()
+    gate.opened.set()
+    assert rows(other.ask(load(2)))
+
+
 def test_a_query_that_was_cancelled_before_its_session_read_it_is_not_sent(monkeypatch):
     # Guards against an attempt long after the CancelRequest, which a paused process read before the query.
     held = HeldEngine()
--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -53,6 +53,7 @@
         self.input, self.input_lock = service.exchange.input, Lock()  # input_lock: of is_busy and read-ahead
         self.buffer, self.queries, self.is_evicted = bytearray(), 0, False
         self.received = self.accounted = self.sent = 0
+        self.has_ended = False  # whether nothing that arrives is served any more
         self.has_unread = False  # whether the last recv() left input in the kernel, or poll() showed some
         self.input_poll = select.poll()
         self.input_poll.register(sock, select.POLLIN)
@@ -234,6 +235,12 @@
         with self.input_lock:
             self.is_busy = False
 
+    def end_reading(self):
+        """Nothing is read for the session any more, by its own thread or ahead by the decider's."""
+        with self.input_lock:
+            self.is_busy = self.has_ended = True
+        self.input.remove(self, self.sock.fileno())
+
     # Implemented by subclasses
 
     def submit_ahead(self):
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -71,9 +71,7 @@
         except Exception as failure:  # the fault is logged, and the client gets no traceback
             detail = f"{type(failure).__name__}: {failure}"
             last = self.internal_error()
-        # What has not been served is discarded: the watermark must not wait for it.
-        self.input.remove(self, self.sock.fileno())
-        self.is_busy = True
+        self.end_reading()
         if self.pending:
             self.abandon_query()
         self.abandon_queries_ahead()
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -239,6 +239,8 @@
         with self.input_lock:
             if not self.is_busy:
                 return False
+            if self.has_ended:
+                return True
             try:
                 self.receive_ahead()
             except OSError:
