Times of arrival on one connection never go back

Callers would see: two loads of one key that a client sends at once wait for each other until their deadlines, and are rejected although engines are idle.

Cause: the kernel tells the age of the last data in jiffies, and it is asked once for each message. The second load could seem to have arrived before the first, and got the place before it in the order of the key; there it waited for its turn in the session, and the first one for its key.

Change: a connection's times of arrival do not go back. With that, the order in which queries are taken is one total order that each session's order is part of, so that no circle of waits can arise, also over several keys.

--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -158,6 +158,19 @@
     assert rows(other.until_ready())
 
 
+def test_loads_that_a_client_sends_at_once_run_in_order_although_the_kernels_times_err(monkeypatch):
+    # Guards against two loads that wait for each other, one for its key and one for its turn.
+    held = HeldEngine(free=[1, 2])
+    dispatcher = Dispatcher(held.engine)
+    client = Client(dispatcher)
+    now, errors = dispatcher.service.clock.now(), iter(range(0, 1000, 10))
+    # Each time that the kernel is asked, the last octet seems to have arrived a millisecond earlier.
+    monkeypatch.setattr(ClientSession, "kernel_arrival_time", lambda session: now - next(errors))
+    client.sock.sendall(query_message(load(1)) + query_message(load(2)))
+    assert rows(client.until_ready()) and rows(client.until_ready())
+    assert [held.next_id()[0] for _ in range(2)] == [1, 2]
+
+
 def pipeline(dispatcher, held):
     """Returns a client that sent 24 queries at once; the second runs, and is as old as PIPELINE_AGE_S."""
     client = Client(dispatcher)
--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -53,6 +53,7 @@
         self.input, self.input_lock = service.exchange.input, Lock()  # input_lock: of is_busy and read-ahead
         self.buffer, self.queries, self.is_evicted = bytearray(), 0, False
         self.received = self.accounted = self.sent = 0
+        self.last_arrival = 0  # in ticks
         self.has_ended = False  # whether nothing that arrives is served any more
         self.has_unread = False  # whether the last recv() left input in the kernel, or poll() showed some
         self.input_poll = select.poll()
@@ -187,7 +188,15 @@
         return self.has_unread
 
     def arrival_time(self):
-        """Returns when the kernel received the last byte, in ticks; this thread may have woken long after."""
+        """Returns when the last octet arrived, in ticks, but never an earlier time than before.
+
+        The kernel's times err by a jiffy. If they put a query before one that its client sent earlier on this
+        connection, each would wait for the other: one for its key, one for its turn."""
+        self.last_arrival = max(self.last_arrival, self.kernel_arrival_time())
+        return self.last_arrival
+
+    def kernel_arrival_time(self):
+        """Returns when the kernel received the last octet, in ticks; the thread may have woken long after."""
         now = self.clock.now()
         for _ in range(MAX_CLOCK_READINGS):
             try:
