Tests of the order of arrival set the times of arrival, and no sleep decides them

They slept for the interval of a protocol client, for two seconds, or until a time limit had passed. Now the age of what is read is given by the test, the time limit is zero, and what waits in the kernel is asked for. The two tests that shared nine lines share a function. A request that cancels nothing has a test of its own, in place of the second half of another.

--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -6,11 +6,13 @@
 
 import socket
 import struct
+import sys
 import time
+from fcntl import ioctl
+from termios import FIONREAD
 
 import pytest
 from bench_free import (
-    KEY_INTERVAL_S,
     PATIENCE,
     STARTUP,
     Client,
@@ -27,10 +29,9 @@
 from wickvane.net.client_session import ClientSession
 from wickvane.net.listener import Listener
 from wickvane.net.postgres.session import Session
-from wickvane.scheduling.input_watermark import MAX_UNREAD_AGE_TICKS
-from wickvane.units import TICKS_PER_SECOND
+from wickvane.scheduling import input_watermark
 
-PIPELINE_AGE_S = 2.0  # how long the queries that a client sent at once have waited
+AGE_TICKS = 20_000  # how long ago the earlier query arrived, where that decides
 
 
 def load(n, key="7f3a", limit=20_000):
@@ -64,10 +65,20 @@
         return int(request[1][0], 16), request
 
 
+def pid_of(client):
+    """The process id in a client's cancel key."""
+    return struct.unpack("!I", client.key[:4])[0]
+
+
 def session_of(dispatcher, client):
     """The session that serves a client."""
-    (pid,) = struct.unpack("!I", client.key[:4])
-    return next(session for session in dispatcher.service.listeners[0].sessions if session.pid == pid)
+    sessions = dispatcher.service.listeners[0].sessions
+    return next(session for session in sessions if session.pid == pid_of(client))
+
+
+def await_unread(session, octets=1):
+    """Waits until so many octets wait in the kernel for a session."""
+    until(lambda: int.from_bytes(ioctl(session.sock, FIONREAD, bytes(4)), sys.byteorder) >= octets)
 
 
 def settled(dispatcher):
@@ -75,17 +86,18 @@
     until(lambda: not dispatcher.service.exchange.inbox.items)
 
 
-def test_a_load_on_a_connection_that_is_not_accepted_yet_runs_before_a_later_one_of_its_key(monkeypatch):
-    # Guards against loads of one key that run in the order in which threads wake after a pause (review/3).
-    held = HeldEngine()
-    dispatcher = Dispatcher(held.engine)
-    open_client = Client(dispatcher)
-    gate = Gate(monkeypatch, Listener, "make_room")
-    new_client = socket.create_connection(open_client.address)
-    new_client.sendall(STARTUP + query_message(load(1)))
-    assert gate.reached.wait(PATIENCE)
-    time.sleep(KEY_INTERVAL_S)
-    open_client.send(load(2))
+def set_ages(monkeypatch, ages, others=0):
+    """Sets how long ago, in ticks, input of these clients and of others has arrived when it is read."""
+    age_by_pid = {pid_of(client): age for client, age in ages.items()}
+    monkeypatch.setattr(
+        ClientSession,
+        "kernel_arrival_time",
+        lambda session: session.clock.now() - age_by_pid.get(session.pid, others),
+    )
+
+
+def assert_that_the_first_runs_first(held, dispatcher, gate, later_client):
+    """The second load has been sent; the first one is read once the gate opens, and runs first."""
     await_count(dispatcher, "taken", 1)
     settled(dispatcher)
     assert held.engine.came.empty()
@@ -98,7 +110,21 @@
     number, request = held.next_id()
     assert number == 2
     held.release(request)
-    assert rows(open_client.until_ready())
+    assert rows(later_client.until_ready())
+
+
+def test_a_load_on_a_connection_that_is_not_accepted_yet_runs_before_a_later_one_of_its_key(monkeypatch):
+    # Guards against loads of one key that run in the order in which threads wake after a pause (review/3).
+    held = HeldEngine()
+    dispatcher = Dispatcher(held.engine)
+    open_client = Client(dispatcher)
+    set_ages(monkeypatch, {open_client: 0}, others=AGE_TICKS)
+    gate = Gate(monkeypatch, Listener, "make_room")
+    new_client = socket.create_connection(open_client.address)
+    new_client.sendall(STARTUP + query_message(load(1)))
+    assert gate.reached.wait(PATIENCE)
+    open_client.send(load(2))
+    assert_that_the_first_runs_first(held, dispatcher, gate, open_client)
 
 
 def test_a_load_that_its_session_has_not_read_yet_runs_before_a_later_one_of_its_key(monkeypatch):
@@ -106,32 +132,23 @@
     held = HeldEngine()
     dispatcher = Dispatcher(held.engine)
     first, second = Client(dispatcher), Client(dispatcher)
+    set_ages(monkeypatch, {first: AGE_TICKS})
     slow_session = session_of(dispatcher, first)
     gate = Gate(monkeypatch, ClientSession, "receive_available", lambda session: session is slow_session)
     first.send(load(1))
     assert gate.reached.wait(PATIENCE)
-    time.sleep(KEY_INTERVAL_S)
     second.send(load(2))
-    await_count(dispatcher, "taken", 1)
-    settled(dispatcher)
-    assert held.engine.came.empty()
-    gate.opened.set()
-    number, request = held.next_id()
-    assert number == 1
-    held.release(request)
-    number, request = held.next_id()
-    assert number == 2
-    held.release(request)
-    assert rows(first.until_ready()) and rows(second.until_ready())
+    assert_that_the_first_runs_first(held, dispatcher, gate, second)
+    assert rows(first.until_ready())
 
 
 @pytest.mark.parametrize("at_once", [True, False], ids=["sent at once", "sent while the slow query runs"])
-def test_a_load_behind_a_slow_query_of_its_session_runs_before_a_later_one_of_its_key(at_once):
+def test_a_load_behind_a_slow_query_of_its_session_runs_before_a_later_one_of_its_key(monkeypatch, at_once):
     # Guards against a load that lies behind a slow query and is overtaken on another session.
     held = HeldEngine()
     dispatcher = Dispatcher(held.engine)
     pipelining, other = Client(dispatcher), Client(dispatcher)
-    pipelining.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_ages(monkeypatch, {pipelining: AGE_TICKS // 10})
     messages = [query_message(statement(n=1, limit=20_000)), query_message(load(2))]
     if at_once:
         pipelining.sock.sendall(b"".join(messages))
@@ -141,7 +158,7 @@
     assert number == 1
     if not at_once:
         pipelining.sock.sendall(messages[1])
-        time.sleep(KEY_INTERVAL_S)
+        await_unread(session_of(dispatcher, pipelining))
     other.send(load(3))
     await_count(dispatcher, "taken", 3)
     settled(dispatcher)
@@ -171,26 +188,25 @@
     assert [held.next_id()[0] for _ in range(2)] == [1, 2]
 
 
-def pipeline(dispatcher, held):
-    """Returns a client that sent 24 queries at once; the second runs, and is as old as PIPELINE_AGE_S."""
+def pipeline(monkeypatch, dispatcher, held):
+    """One client sends 24 queries at once; returns once the second runs, which arrived AGE_TICKS ago."""
     client = Client(dispatcher)
+    set_ages(monkeypatch, {client: AGE_TICKS})
     statements = (statement(n=n, verb="change", limit=20_000) for n in range(1, 25))
     client.sock.sendall(b"".join(map(query_message, statements)))
     _, request = held.next_id()
-    time.sleep(PIPELINE_AGE_S)
     held.release(request)
     number, _ = held.next_id()
     assert number == 2
-    return client
 
 
-def test_loads_of_other_clients_do_not_wait_for_queries_that_one_client_sent_at_once():
+def test_loads_of_other_clients_do_not_wait_for_queries_that_one_client_sent_at_once(monkeypatch):
     # Guards against loads that are held back as long as another client's commands have waited (review/2).
     held = HeldEngine(free=[50])
     dispatcher = Dispatcher(held.engine)
     other = Client(dispatcher)
-    pipeline(dispatcher, held)
-    assert rows(other.ask(load(50, limit=int(PIPELINE_AGE_S * 400))))
+    pipeline(monkeypatch, dispatcher, held)
+    assert rows(other.ask(load(50, limit=AGE_TICKS // 10 * 4 // 10)))
 
 
 def test_loads_that_were_taken_are_answered_at_shutdown_while_one_client_pipelines(
@@ -204,7 +220,7 @@
     held = HeldEngine()
     dispatcher = Dispatcher(held.engine)
     clients = [Client(dispatcher) for _ in range(3)]
-    pipeline(dispatcher, held)
+    pipeline(monkeypatch, dispatcher, held)
     # The second load waits for its key, and the third for a connection that is not accepted yet.
     for n, client in enumerate(clients[:2], 51):
         client.send(load(n))
@@ -232,7 +248,7 @@
     leaving.send(b"no message", kind=b"z")
     assert gate.reached.wait(PATIENCE)
     leaving.send(load(1))
-    assert session.input_poll.poll(PATIENCE * 1000)
+    await_unread(session)
     assert session.read_ahead()  # as by a decider that has seen input just before the session ended
     assert "taken" not in dispatcher.service.counters.shown()
     gate.opened.set()
@@ -248,16 +264,22 @@
     gate = Gate(monkeypatch, ClientSession, "receive_available", lambda reader: reader is session)
     client.send(statement(n=1, verb="change", limit=20_000))
     assert gate.reached.wait(PATIENCE)
-    time.sleep(KEY_INTERVAL_S)
     client.cancel()
+    set_ages(monkeypatch, {client: AGE_TICKS})
     gate.opened.set()
     assert sqlstate(client.until_ready()) == "57014"
     assert held.engine.came.empty()
-    client.send(statement(n=2, verb="change", limit=20_000))
-    number, request = held.next_id()
-    assert number == 2  # a query that is sent after the request is not cancelled
-    held.release(request)
-    assert rows(client.until_ready())
+
+
+def test_a_request_that_finds_nothing_to_cancel_does_not_cancel_the_next_query():
+    # Guards against the same mark on a query that its client sent after the request.
+    held = HeldEngine(free=[1, 2])
+    dispatcher = Dispatcher(held.engine)
+    client = Client(dispatcher)
+    client.cancel()
+    assert rows(client.ask(statement(n=1, verb="change")))
+    client.cancel()
+    assert rows(client.ask(statement(n=2, verb="change")))
 
 
 def test_a_query_is_not_sent_while_a_cancel_request_waits_to_be_read(monkeypatch):
@@ -269,7 +291,9 @@
     with socket.create_connection(client.address) as cancelling:
         cancelling.sendall(struct.pack("!II", 16, 80_877_102) + client.key)
         assert gate.reached.wait(PATIENCE)
-        time.sleep(2 * MAX_UNREAD_AGE_TICKS / TICKS_PER_SECOND)
+        # Whatever was read last is too old.
+        monkeypatch.setattr(input_watermark, "MAX_UNREAD_AGE_TICKS", -1)
+        monkeypatch.setattr(input_watermark, "MAX_ROUND_TICKS", -1)
         client.send(statement(n=1, verb="change", limit=20_000))
         await_count(dispatcher, "taken", 1)
         settled(dispatcher)
@@ -281,18 +305,17 @@
 
 def test_a_long_statement_that_arrived_in_time_is_served_after_a_pause_in_the_middle_of_it(monkeypatch):
     # Guards against a connection that is reset although the rest of its message has long arrived.
-    monkeypatch.setattr("wickvane.net.postgres.session.MESSAGE_TIMEOUT_S", 0.05)
     dispatcher = Dispatcher(Engine())
     client = Client(dispatcher)
     session = session_of(dispatcher, client)
     message = query_message(statement("SELECT 1 FROM sales_17.orders -- " + "x" * 36_000, n=1))
+    monkeypatch.setattr("wickvane.net.postgres.session.MESSAGE_TIMEOUT_S", 0.0)
     gate = Gate(
-        monkeypatch, ClientSession, "receive_available", lambda reader: reader is session and reader.buffer
+        monkeypatch, ClientSession, "fill_buffer", lambda reader, n, until: reader is session and n > 1000
     )
     client.sock.sendall(message[:1000])
-    until(lambda: len(session.buffer) == 1000)
+    assert gate.reached.wait(PATIENCE)  # the message's time limit has passed when the rest is read
     client.sock.sendall(message[1000:])
-    assert gate.reached.wait(PATIENCE)
-    time.sleep(0.1)  # the message's time limit passes before the rest is read
+    await_unread(session, len(message) - 1000)
     gate.opened.set()
     assert rows(client.until_ready())
