What is read ahead is bounded in number, and stops at a query that cannot be submitted

Callers would see: (1) memory that grows, since 64 KB of empty queries are eleven thousand messages in memory, on each connection; (2) loads of one key that wait for each other until their deadlines, once one of them could not be submitted ahead while a later one of the same session could.

Cause of (2), found by the test of (1): a query that is refused when it is read ahead, because its id is open or a limit is reached, is submitted when its turn comes; by then later ones of its session had places before it.

Change: 256 messages are read ahead on a connection, and no query is submitted ahead while 4,000 are open. Queries without a key are not kept as such; what the session knows of the time of their reading goes with the message, so that one that waited in its session does not pass for late reading, by which new connections are paced. Nothing is read ahead behind a query that could not be submitted, until its turn has come.

--- a/tests/test_arrival_order.py
+++ b/tests/test_arrival_order.py
@@ -28,7 +28,7 @@
 
 from wickvane.net.client_session import ClientSession
 from wickvane.net.listener import Listener
-from wickvane.net.postgres.session import Session
+from wickvane.net.postgres.session import MAX_MESSAGES_AHEAD, Session
 from wickvane.scheduling import input_watermark
 
 AGE_TICKS = 20_000  # how long ago the earlier query arrived, where that decides
@@ -209,6 +209,22 @@
     assert rows(other.ask(load(50, limit=AGE_TICKS // 10 * 4 // 10)))
 
 
+def test_queries_that_wait_in_their_session_do_not_pass_for_late_reading(monkeypatch):
+    # Guards against connections that are paced, as under overload, because one client pipelines.
+    held = HeldEngine()
+    dispatcher = Dispatcher(held.engine)
+    client = Client(dispatcher)
+    clock = dispatcher.service.clock
+    read_at = clock.now()
+    client.sock.sendall(b"".join(query_message(statement(n=n, verb="change", limit=20_000)) for n in (1, 2)))
+    _, request = held.next_id()
+    monkeypatch.setattr(clock, "zero", clock.zero + AGE_TICKS)  # the first one runs for two seconds
+    held.release(request)
+    number, _ = held.next_id()
+    assert number == 2 and clock.now() - read_at > AGE_TICKS
+    assert dispatcher.service.decider.read_lag < AGE_TICKS // 2
+
+
 def test_loads_that_were_taken_are_answered_at_shutdown_while_one_client_pipelines(
     monkeypatch,
     shut_down,  # noqa: F811
@@ -319,3 +335,27 @@
     await_unread(session, len(message) - 1000)
     gate.opened.set()
     assert rows(client.until_ready())
+
+
+def test_what_is_read_ahead_is_bounded_and_the_rest_is_served_in_its_turn(monkeypatch):
+    # Guards against memory that grows with the queries that clients send at once.
+    monkeypatch.setattr("wickvane.net.exchange.MAX_OPEN_QUERIES", 20)
+    held = HeldEngine(free=range(2, 3000))
+    dispatcher = Dispatcher(held.engine)
+    client, other = Client(dispatcher), Client(dispatcher)
+    session = session_of(dispatcher, client)
+    client.sock.sendall(query_message(statement(n=1, verb="change", limit=20_000)))
+    _, request = held.next_id()
+    numbers, empty = range(2, 62), query_message("") * 5
+    client.sock.sendall(b"".join(query_message(load(n, key="own")) + empty for n in numbers))
+    await_unread(session, 8000)
+    assert rows(other.ask(load(2000)))
+    assert len(session.messages_ahead) <= MAX_MESSAGES_AHEAD
+    counts = dispatcher.service.counters.shown()
+    assert counts["taken"] <= 22 and counts["read-ahead-full"]
+    held.release(request)
+    assert rows(client.until_ready())
+    for _ in numbers:
+        assert rows(client.until_ready())
+        for _ in range(5):
+            assert client.until_ready()[0][0] == b"I"
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -132,14 +132,15 @@
 
     # Queries
 
-    def serve_query(self, text, arrived, pending=None, **reader_options):
+    def serve_query(self, text, arrived, pending=None, read_lag=None, **reader_options):
         """Runs a statement and sends its one answer.
 
-        arrived: in ticks; pending: the query, if it was read ahead; reader_options: for Reader.read(), from
-        protocols that can supply the fields of a query without a statement comment."""
+        arrived: in ticks; pending: the query, if it was submitted ahead; read_lag: ticks from its arrival
+        until it was read, if that was ahead of its turn; reader_options: for Reader.read(), from protocols
+        that can supply the fields of a query without a statement comment."""
         try:
             self.queries += 1
-            pending = pending or self.read_query(text, arrived, **reader_options)
+            pending = pending or self.read_query(text, arrived, read_lag, **reader_options)
             self.account_received((pending.resource_group, pending.tenant))
             self.pending = pending
             self.begin_query(pending)
@@ -156,10 +157,10 @@
         finally:
             self.end_busy()
 
-    def read_query(self, text, arrived, **reader_options):
+    def read_query(self, text, arrived, read_lag=None, **reader_options):
         """Returns the query of a statement; raises RequestRejected."""
         pending = ex.PendingQuery(arrived, **self.reader.read(text, **reader_options))
-        pending.client_address, pending.session = self.peer, self
+        pending.client_address, pending.session, pending.read_lag = self.peer, self, read_lag
         return pending
 
     def begin_query(self, pending):
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -14,6 +14,7 @@
 
 FINISHED, REJECTED, FAILED, CLIENT_GONE = "finished", "deferred", "killed", "left"
 MAX_INBOX_SIZE = 20_000
+MAX_OPEN_QUERIES = 4_000  # above which no query is submitted ahead of its turn in its session
 SHUTDOWN_SQLSTATE = "57P03"  # of queries that a dispatcher rejects while it shuts down
 
 
@@ -151,7 +152,12 @@
         self.counters.add("taken")
 
     def submit_blocked(self, pending):
-        """As submit, for a query that must not run before its session has answered all earlier queries."""
+        """As submit, for a query that must not run before its session has answered all earlier queries.
+
+        Beyond MAX_OPEN_QUERIES it is rejected, and may be submitted when its turn comes."""
+        if len(self.open_ids) >= MAX_OPEN_QUERIES:
+            self.counters.add("read-ahead-full")
+            raise RequestRejected("53000", "too many queries wait for earlier ones of their sessions")
         pending.is_blocked = True
         self.submit(pending)
 
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -17,7 +17,8 @@
 
 MAX_STARTUP_SIZE, MAX_MESSAGE_SIZE = 8_192, 65_536
 HEADER_SIZE = 5  # of a message: its type and its length
-MAX_OCTETS_AHEAD = 65_536  # of queries that are read while an earlier one of their session is in flight
+# Limits of what is read while an earlier query of the session is in flight.
+MAX_OCTETS_AHEAD, MAX_MESSAGES_AHEAD = 65_536, 256
 # Codes in place of the protocol version in a startup packet.
 PROTOCOL_VERSION, CANCEL_REQUEST, SSL_REQUEST, GSSENC_REQUEST = 196_608, 80_877_102, 80_877_103, 80_877_104
 EXTENDED_QUERY_TYPES = b"PBEDCHF"
@@ -64,26 +65,28 @@
 class ClientMessage(NamedTuple):
     """A message of a client.
 
-    arrived_at, in ticks, and pending are set for a query that was read while an earlier query of its session
-    was in flight; pending is None if its statement cannot be used.
+    arrived_at and read_lag, the ticks from then until it was read, are set for a query that was read while an
+    earlier query of its session was in flight; pending is set if it was submitted then, because it has a key.
     """
 
     kind: bytes
     body: bytes
     arrived_at: int | None = None
+    read_lag: int | None = None
     pending: ex.PendingQuery | None = None
 
 
 class Session(ClientSession):
     """One client connection by version 3.0 of the PostgreSQL protocol.
 
-    messages_ahead: queries that were read ahead of their turn; octets_ahead: their size."""
+    messages_ahead: queries that were read ahead of their turn; octets_ahead: their size; waits_to_submit:
+    whether the last of them could not be submitted ahead, so that none after it may be."""
 
     TOO_MANY = error_response("53300", "too many clients", b"FATAL")
 
     def __init__(self, sock, peer, service, full):
         super().__init__(sock, peer, service, full)
-        self.messages_ahead, self.octets_ahead = deque(), 0
+        self.messages_ahead, self.octets_ahead, self.waits_to_submit = deque(), 0, False
 
     @staticmethod
     def too_fast(retry_after_ms):
@@ -185,6 +188,7 @@
         if self.messages_ahead:
             message = self.messages_ahead.popleft()
             self.octets_ahead -= HEADER_SIZE + len(message.body)
+            self.waits_to_submit = self.waits_to_submit and bool(self.messages_ahead)
             return message
         self.account_received(NOBODY)
         self.idle = not self.buffer
@@ -211,31 +215,35 @@
         if not self.buffer:
             return
         arrived_at = self.arrival_time()
-        while self.buffer[:1] == b"Q" and len(self.buffer) >= HEADER_SIZE:
+        read_lag = self.clock.now() - arrived_at
+        while self.has_room_ahead() and self.buffer[:1] == b"Q":
+            if len(self.buffer) < HEADER_SIZE:
+                break
             length = unpack_from("!I", self.buffer, 1)[0]
             if not 4 < length <= MAX_MESSAGE_SIZE or len(self.buffer) <= length:
                 break
             body = self.take(1 + length)[HEADER_SIZE:]
             self.octets_ahead += 1 + length
-            self.messages_ahead.append(
-                ClientMessage(b"Q", body, arrived_at, self.query_ahead(body, arrived_at))
-            )
+            pending = self.query_ahead(body, arrived_at, read_lag)
+            self.messages_ahead.append(ClientMessage(b"Q", body, arrived_at, read_lag, pending))
 
-    def query_ahead(self, body, arrived_at):
-        """Returns the query of a statement, or None if it cannot be used; submits it if it has a key."""
+    def query_ahead(self, body, arrived_at, read_lag):
+        """Submits a query with a key and returns it; None for others and those that cannot be submitted."""
         try:
             if not is_query_text(body):
                 return None
-            pending = self.read_query(body[:-1], arrived_at)
-            pending.read_lag = self.clock.now() - arrived_at
-            if pending.key is not None:
-                self.exchange.submit_blocked(pending)
+            pending = self.read_query(body[:-1], arrived_at, read_lag)
+            if pending.key is None:
+                return None  # its place matters to no other session
+            self.exchange.submit_blocked(pending)
             return pending
         except RequestRejected:
-            return None  # it is rejected when its turn comes
+            # It is submitted or rejected when its turn comes. Later ones would get places before it.
+            self.waits_to_submit = True
+            return None
 
     def read_ahead(self):
-        """As InputReader; reads no more than MAX_OCTETS_AHEAD, and nothing that ends the session."""
+        """As InputReader; reads no more than the limits allow, and nothing that ends the session."""
         with self.input_lock:
             if not self.is_busy:
                 return False
@@ -251,7 +259,7 @@
         """Moves what has arrived into the buffer, and submits the queries in it."""
         if not self.buffer and self.sock.recv(1, socket.MSG_PEEK) in (b"", b"X"):
             return
-        while self.octets_ahead + len(self.buffer) < MAX_OCTETS_AHEAD:
+        while self.has_room_ahead() and len(self.buffer) < MAX_OCTETS_AHEAD:
             data = self.receive_available()
             if not data:
                 break
@@ -263,6 +271,11 @@
         else:
             self.counters.add("read-ahead-full")
 
+    def has_room_ahead(self):
+        """Whether more may be read while a query is in flight."""
+        has_room = self.octets_ahead < MAX_OCTETS_AHEAD and len(self.messages_ahead) < MAX_MESSAGES_AHEAD
+        return has_room and not self.waits_to_submit
+
     def abandon_queries_ahead(self):
         """As ClientSession."""
         for message in self.messages_ahead:
@@ -284,7 +297,7 @@
             self.put(EMPTY_QUERY_RESPONSE)
             return
         arrived_at = message.arrived_at or self.arrival_time()
-        self.serve_query(body[:-1], arrived_at, message.pending)
+        self.serve_query(body[:-1], arrived_at, message.pending, message.read_lag)
 
     def add_storm_notice(self):
         """As ClientSession."""
