The lag of reading by which connections are paced decays as it did before

Cause: took the decay away together with the delay of queries. What paces connections (storms) looks at the lag ten times a second and would see none between two late queries, so that pacing would begin later.

The two constants of the listener that the formatter had spread over four lines stand apart.

Run: 65 tests of pacing, storms, readers and the order of arrival pass.

--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -22,6 +22,7 @@
 
 # Times are in ticks (tenths of a millisecond).
 MAX_WAIT = 10_000  # for messages
+READ_LAG_DECAY_TIME = 2  # in which the read lag decays by one tick
 # Rounds at shorter intervals cost more CPU time than messages gain by not waiting.
 MIN_ROUND_INTERVAL = 15
 MAX_CONSECUTIVE_FAULTS = 50
@@ -45,8 +46,8 @@
         self.queues, self.timers, self.events = {}, [], [InputRead(0, 0)]
         self.now, self.longest_round, self.consecutive_faults = clock.now(), 0, 0
         # read_until: the watermark that the scheduler was told; ordered_until: the one for which queries with
-        # a key wait; read_lag: the maximum time from the arrival of a query until it was taken in this round.
-        self.read_until, self.ordered_until, self.read_lag = 0, 0, 0
+        # a key wait; read_lag: the maximum time from the arrival of a query until it was taken; it decays.
+        self.read_until, self.ordered_until, self.read_lag, self.read_lag_at = 0, 0, 0, self.now
         self.accounts = accounts
         self.protocols = protocols or {}  # by engine type: makes the connections to engines of that type
 
@@ -69,7 +70,8 @@
         read_until = self.find_watermark(messages)
         # Every event of a round happened at or before the round's time.
         began = self.now = max(self.now, read_until, self.clock.now())
-        self.read_lag = 0
+        self.read_lag = max(0, self.read_lag - (began - self.read_lag_at) // READ_LAG_DECAY_TIME)
+        self.read_lag_at = began
         for kind, *fields in messages:
             getattr(self, self.HANDLERS[kind])(*fields)
         while self.timers and self.timers[0][0] <= self.now:
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -15,10 +15,8 @@
 SPARE = 16
 # A session younger than NEW_SESSION_TIME (ticks) may be about to send its first query.
 MAX_EVICTION_ROUNDS, POLL_INTERVAL_S, NEW_SESSION_TIME = 10, 0.005, 2_500
-MAX_POLL_S, ACCEPT_RETRY_S = (
-    1.0,
-    0.05,
-)  # the longest wait for a connection, and the pause after a failed accept
+MAX_POLL_S = 1.0  # for a connection
+ACCEPT_RETRY_S = 0.05  # the pause after a failed accept, possibly for want of descriptors
 BACKLOG_DRAIN_S = 0.5  # for connections in the listen backlog while the dispatcher shuts down
 # Rejected connections that are kept open for a while: closing one before its client's data has arrived resets
 # the connection, and the client may lose the error.
