Tests get ports that neither clients nor other test processes get

Cause: a free port was one that the kernel had just given and taken back; until the dispatcher listened on it, a client's connection or another test process could get it. Now each test process has a range of its own below the range from which the kernel takes ports.

--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -1,5 +1,6 @@
 """Test helpers: a scheduler with recorded output, settings, and stand-ins for a dispatcher's peers."""
 
+import itertools
 import json
 import math
 import os
@@ -196,6 +197,9 @@
     },
     "obligations": {"stop_sending_within_ms": 2000.0, "key_rest_ms": 300.0},
 }
+PORTS_PER_PROCESS = 2_000
+FIRST_PORT = 10_000 + PORTS_PER_PROCESS * int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+PORTS = itertools.cycle(range(FIRST_PORT, FIRST_PORT + PORTS_PER_PROCESS))
 PATIENCE = 30  # seconds after which a wait fails the test; a passing test waits for less
 # Clients send queries of one key at least this far apart; the kernel tells times of arrival in milliseconds.
 KEY_INTERVAL_S = 0.06
@@ -392,8 +396,14 @@
 
 
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    """A port that no other test process and no client gets: each process has a range below the kernel's."""
+    for port in itertools.islice(PORTS, PORTS_PER_PROCESS):
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            pass  # in use by a program outside these tests
+    raise AssertionError("no port is left")
 
 
 STARTUP = struct.pack("!II", 30, 196_608) + b"user\0app\0database\0bi\0\0"
