--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -197,9 +197,8 @@
     },
     "obligations": {"stop_sending_within_ms": 2000.0, "key_rest_ms": 300.0},
 }
-PORTS_PER_PROCESS = 2_000
-FIRST_PORT = 10_000 + PORTS_PER_PROCESS * int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-PORTS = itertools.cycle(range(FIRST_PORT, FIRST_PORT + PORTS_PER_PROCESS))
+PORTS = range(10_000, 32_000)  # below those that the kernel gives to clients
+NEXT_PORTS = itertools.count(os.getpid() * 7919)  # far apart in processes that run at the same time
 PATIENCE = 30  # seconds after which a wait fails the test; a passing test waits for less
 # Clients send queries of one key at least this far apart; the kernel tells times of arrival in milliseconds.
 KEY_INTERVAL_S = 0.06
@@ -396,8 +395,9 @@
 
 
 def free_port():
-    """A port that no other test process and no client gets: each process has a range below the kernel's."""
-    for port in itertools.islice(PORTS, PORTS_PER_PROCESS):
+    """A port that no client gets, and hardly another test process before it is used."""
+    for number in itertools.islice(NEXT_PORTS, len(PORTS)):
+        port = PORTS[number % len(PORTS)]
         try:
             with socket.create_server(("127.0.0.1", port)):
                 return port
