--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Run once after `build` of the deploy file, with the package mirrors at hand: what the cases 6 to 10 need.
-# The stand-ins are Python files beside the cases. Programs with --parts (cases 6, 7 and 9) need the packages of
+# The stand-ins are Python files beside the cases. Programs with --parts (cases 6, 7 and 10) need the packages of
 # requirements-parts.txt, as the project's own pages say; nothing else is installed.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -450,7 +450,7 @@
         self.file = self.sock.makefile("rb")
         body = struct.pack("!I", 196_608) + b"user\0app\0database\0bi\0\0"
         self.sock.sendall(struct.pack("!I", 4 + len(body)) + body)
-        self._until_ready(Answer())
+        self.read_answer(Answer())
 
     def query(self, text):
         """Sends a statement and returns its answer."""
@@ -458,12 +458,13 @@
         body = text.encode() + b"\0"
         try:
             self.sock.sendall(b"Q" + struct.pack("!I", 4 + len(body)) + body)
-            self._until_ready(answer)
+            self.read_answer(answer)
         except OSError as error:
             answer.lost, answer.text = True, str(error)
         return answer
 
-    def _until_ready(self, answer):
+    def read_answer(self, answer):
+        """Reads one answer up to ReadyForQuery."""
         while True:
             head = self.file.read(5)
             if len(head) < 5:
