A TDS batch is rejected only if it is one statement and its answer shows no run

What callers saw: a mutating batch of two statements ran twice. Its second statement got no memory (ERROR 8645), and the whole batch went to another engine, though its first statement had run.

Cause: the number of the first ERROR was taken for the proof that nothing of the batch had run. Engines raise these numbers for a single statement.

Change: the attempt counts as rejected only if the batch surely is a single statement (batch_text.py) and no token of the answer shows a run. Statements need no separator and leave no trace under NOCOUNT, so neither the text nor the tokens alone would do.

--- a/wickvane/net/tds/batch_answer.py
+++ b/wickvane/net/tds/batch_answer.py
@@ -1,4 +1,7 @@
-"""Reads an engine's answer to one batch: result tokens, first error, load report and final DONE. No I/O."""
+"""Reads an engine's answer to one batch: result tokens, first error, load report and final DONE. No I/O.
+
+It also tells what the answer proves: whether any statement has run.
+"""
 
 import re
 from typing import NamedTuple
@@ -13,6 +16,12 @@
 LOAD_REPORT = re.compile(r"work=(\d{1,9}(?:\.\d{1,6})?) memory=(\d{1,9}(?:\.\d{1,6})?)\Z")
 REPORT_UNIT_WORK = 10  # work units of an attempt per unit of work in a load report
 RESULT_TOKENS = frozenset((tokens.COLMETADATA, tokens.ROW, tokens.NBCROW, tokens.ORDER))
+FAILED_STATUS = tokens.DONE_ERROR | tokens.DONE_SRVERROR
+# ENVCHANGE and INFO that an engine sends without running a statement, when it resets the session or rejects
+SESSION_CHANGES = frozenset(
+    (tokens.ENV_DATABASE, tokens.ENV_LANGUAGE, tokens.ENV_COLLATION, tokens.ENV_RESET_ACK)
+)
+SESSION_MESSAGES = frozenset((errors.DATABASE_CHANGED, errors.LANGUAGE_CHANGED, errors.STATEMENT_TERMINATED))
 
 
 class LoadReport(NamedTuple):
@@ -36,13 +45,15 @@
     """Reads the packets of an answer.
 
     result: the tokens gathered so far, if the answer is not streamed; size: total octets of all result
-    tokens; error: the first ERROR."""
+    tokens; error: the first ERROR; shows_a_run: whether a token proves that a statement of the
+    batch has run."""
 
     def __init__(self) -> None:
         self.result = GatheredTokens()
         self.size = 0
         self.error: ServerMessage | None = None
         self.load_report: LoadReport | None = None
+        self.shows_a_run = False
         self._reader = tokens.TokenStreamReader()
 
     def read_packet(self, body: bytes, attention_sent: bool) -> Chunk:
@@ -51,6 +62,7 @@
         Only the acknowledgement of an ATTENTION may follow the end of the answer."""
         result_tokens: list[Token] = []
         size = 0
+        size_of_dones = 0
         end_status: int | None = None
         for token in self._reader.feed(body):
             if end_status is not None and not attention_sent:
@@ -64,8 +76,12 @@
             elif _ends_answer(token):
                 end_status = self._status_at_end(token.content, end_status)
             else:
+                self._read_done(token.content)
                 result_tokens.append(token)
                 size += len(token.raw)
+                size_of_dones += len(token.raw)
+        if size > size_of_dones:
+            self.shows_a_run = True
         self.size += size
         return Chunk(result_tokens, size, end_status)
 
@@ -86,17 +102,50 @@
         """Returns the status of an acknowledgement, else that of the first DONE that ends the answer."""
         if done.status & tokens.DONE_ATTN:
             return done.status
+        self._read_done(done)
         if done.status & tokens.DONE_COUNT:
             self.result.rows = done.row_count
         return done.status if earlier is None else earlier
 
+    def _read_done(self, done: Done) -> None:
+        changed_rows = bool(done.status & tokens.DONE_COUNT) and done.row_count > 0
+        if changed_rows or not done.status & FAILED_STATUS:
+            self.shows_a_run = True
+
     def _read_message(self, token: Token) -> None:
-        if token.type == tokens.ERROR:
-            if self.error is None:
-                self.error = token.content
-        elif token.type == tokens.INFO and token.content.number == errors.LOAD_REPORT:
-            if found := LOAD_REPORT.match(token.content.text):
+        content = token.content
+        match token.type:
+            case tokens.ERROR:
+                self._read_error(content)
+            case tokens.INFO:
+                self._read_info(content)
+            case tokens.ENVCHANGE:
+                if content.type not in SESSION_CHANGES:
+                    self.shows_a_run = True
+            case _:
+                self.shows_a_run = True
+
+    def _read_error(self, error: ServerMessage) -> None:
+        if error.number not in errors.REJECTIONS:
+            self.shows_a_run = True
+        if self.error is None:
+            self.error = error
+
+    def _read_info(self, info: ServerMessage) -> None:
+        if info.number == errors.LOAD_REPORT:
+            if found := LOAD_REPORT.match(info.text):
                 self.load_report = LoadReport(int(float(found[1]) * REPORT_UNIT_WORK), float(found[2]))
+                if self.load_report.work > 0:
+                    self.shows_a_run = True
+        elif info.number not in SESSION_MESSAGES:
+            self.shows_a_run = True
+
+    def proves_nothing_ran(self) -> bool:
+        """Returns whether the answer is a rejection, and nothing in it shows that a statement has run.
+
+        That is a proof for a batch of one statement only: earlier ones need not leave a trace, as with
+        NOCOUNT ON."""
+        return self.error is not None and not self.shows_a_run
 
 
 def _ends_answer(token: Token) -> bool:
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -8,7 +8,8 @@
     connection refused or timed out, login rejected, routed elsewhere    no connection   proven
     cancelled or lost before the first packet was sent                   not sent        proven
     lost before the last byte of the batch was sent                      no connection   proven
-    ERROR with a number in errors.REJECTED_BEFORE_RUNNING                rejected        proven
+    ERROR in errors.REJECTIONS to a batch of one statement, and no
+    token that shows that it ran                                         rejected        proven
     any other ERROR, whatever its severity                               error           no
     reset, closed, malformed or incomplete after all of it was sent      reset           no
     ATTENTION acknowledged                                               cancelled       no
@@ -24,6 +25,7 @@
 from wickvane.net.queues import ResultStream
 from wickvane.net.tds import engine_login, errors, packets, tokens
 from wickvane.net.tds.batch_answer import BatchAnswer, Chunk, read_end_status
+from wickvane.net.tds.batch_text import is_single_statement
 from wickvane.net.tds.results import GatheredTokens
 from wickvane.net.tds.sql_batch import encode_sql_batch
 
@@ -337,9 +339,14 @@
             return Ending.CANCELLED
         if answer.error is None:
             return Ending.FINISHED
-        number, _, severity, text = answer.error
+        number, _, _, text = answer.error
         attempt.pending.error_text = f"{number}: {text[:MAX_LOGGED_ERROR_CHARACTERS]}"
-        return errors.attempt_ending(number, severity)
+        return self._ending_of_error(attempt, answer)
+
+    def _ending_of_error(self, attempt, answer: BatchAnswer) -> Ending:
+        text = attempt.pending.body.decode("utf-8", "replace")
+        is_rejected = answer.proves_nothing_ran() and is_single_statement(text)
+        return Ending.REJECTED if is_rejected else Ending.ERROR
 
     def fail(self, reason: str, detail: str | None = None) -> None:
         """See lines.Connection; also ends the stream of an incomplete result."""
--- a/wickvane/net/tds/errors.py
+++ b/wickvane/net/tds/errors.py
@@ -1,12 +1,10 @@
-"""Error numbers: those sent to clients, and those by which an engine proves that nothing of a batch has run.
+"""Error numbers: those sent to clients, and those by which an engine rejects a statement before it runs.
 
 Drivers and their retry layers treat 40501 and 40613 as transient errors, since the cloud service that uses
 this protocol sends them when it is busy or moves a database, and 4221 as a login to retry. Numbers from 50000
 are application-defined; drivers don't retry them automatically.
 """
 
-from wickvane.events import Ending
-
 # Sent to clients: transient errors
 DEFERRED = 40501
 STOPPING = 40613
@@ -24,9 +22,14 @@
 LOAD_REPORT = 50100
 RETRY_STORM = 50101
 
-# Errors that an engine raises before any statement of a batch runs: it is overloaded, or had no memory to
-# start. After any other error, whatever its severity, earlier statements of the batch may have run.
-REJECTED_BEFORE_RUNNING = frozenset(
+# INFO messages of engines about the session or a statement, which don't show that a statement has run
+DATABASE_CHANGED = 5701
+LANGUAGE_CHANGED = 5703
+STATEMENT_TERMINATED = 3621
+
+# Errors by which an overloaded engine rejects a statement before it runs, such as one for which it has no
+# memory. Earlier statements of the same batch may have run.
+REJECTIONS = frozenset(
     (8628, 8645, 8651, 10928, 10929, 17189, 17300, 17312, 17809, 17810, 40501, 49918, 49919, 49920)
 )
 MIN_FATAL_SEVERITY = 20  # the engine itself closes the connection after an error of this or a higher severity
@@ -45,8 +48,3 @@
         return NO_RETRY_AFTER_STATE
     units = -(-retry_after_ms // RETRY_AFTER_STATE_UNIT_MS)
     return min(MAX_STATE, RETRY_AFTER_STATE_BASE + units)
-
-
-def attempt_ending(number: int, severity: int) -> Ending:
-    """Returns how an ERROR ends the attempt of a batch; the table is in docs/tds.md."""
-    return Ending.REJECTED if number in REJECTED_BEFORE_RUNNING else Ending.ERROR
