A TDS answer that crosses an ATTENTION is a result only if all of it was kept

What callers saw: a finished answer without any row. The dispatcher had cancelled a slow look-up to send it elsewhere, and the engine's long answer crossed the ATTENTION.

Cause: nothing of a long answer is kept once the ATTENTION is sent, but its end, an ordinary DONE, counted as the end of a whole result.

Change: the answer knows whether a part was discarded; such an attempt ends as cancelled and the query goes to another engine. Related paths: an ATTENTION that cut a stream, a connection used while an acknowledgement was to come, a DONE in two packets, a DONE that tells of an error without an ERROR, and one that tells another number of rows.

--- a/wickvane/net/tds/batch_answer.py
+++ b/wickvane/net/tds/batch_answer.py
@@ -1,6 +1,6 @@
 """Reads an engine's answer to one batch: result tokens, first error, load report and final DONE. No I/O.
 
-It also tells what the answer proves: whether any statement has run.
+It also tells what the answer proves: whether the result is whole, and whether any statement has run.
 """
 
 import re
@@ -45,16 +45,19 @@
     """Reads the packets of an answer.
 
     result: the tokens gathered so far, if the answer is not streamed; size: total octets of all result
-    tokens; error: the first ERROR; shows_a_run: whether a token proves that a statement of the
-    batch has run."""
+    tokens; error: the first ERROR; is_incomplete: whether a part of the result was discarded, so that it must
+    not be a query's result; shows_a_run: whether a token proves that a statement of the batch has run."""
 
     def __init__(self) -> None:
         self.result = GatheredTokens()
         self.size = 0
         self.error: ServerMessage | None = None
         self.load_report: LoadReport | None = None
+        self.is_incomplete = False
         self.shows_a_run = False
+        self._row_count: int | None = None  # of the final DONE, if it tells one
         self._reader = tokens.TokenStreamReader()
+        self._last_octets = b""
 
     def read_packet(self, body: bytes, attention_sent: bool) -> Chunk:
         """Reads a packet's tokens; raises ProtocolError.
@@ -83,8 +86,26 @@
         if size > size_of_dones:
             self.shows_a_run = True
         self.size += size
+        self._keep_last_octets(body)
         return Chunk(result_tokens, size, end_status)
 
+    def skip_packet(self, body: bytes) -> None:
+        """Discards a packet whose tokens are not needed, except what read_end_status() needs."""
+        self.is_incomplete = True
+        self._keep_last_octets(body)
+
+    def read_end_status(self) -> int:
+        """Returns the status of the DONE that ends the last packet; raises ProtocolError."""
+        end = self._last_octets
+        if len(end) < DONE_SIZE or end[0] not in tokens.DONE_TOKENS:
+            raise ProtocolError("an answer has no final DONE")
+        return int.from_bytes(end[1:3], "little")
+
+    def discard_result(self) -> None:
+        """Discards the tokens gathered so far."""
+        self.is_incomplete = True
+        self.result.clear()
+
     def is_long(self) -> bool:
         """Returns whether the result is too long to be gathered."""
         return self.size > MAX_GATHERED_SIZE
@@ -93,17 +114,27 @@
         """Returns whether an incomplete token is buffered."""
         return self._reader.is_mid_token()
 
+    def has_all_rows(self) -> bool:
+        """Returns whether the last result set has as many rows as the final DONE tells, if it tells any."""
+        rows = self.result.rows_of_last_result()
+        return self._row_count is None or rows is None or rows == self._row_count
+
     def expect_acknowledgement(self) -> None:
         """Prepares to read the acknowledgement of an ATTENTION, which is a separate message."""
         self.result = GatheredTokens()
         self._reader = tokens.TokenStreamReader()
 
+    def _keep_last_octets(self, body: bytes) -> None:
+        is_enough = len(body) >= DONE_SIZE
+        self._last_octets = body[-DONE_SIZE:] if is_enough else (self._last_octets + body)[-DONE_SIZE:]
+
     def _status_at_end(self, done: Done, earlier: int | None) -> int:
         """Returns the status of an acknowledgement, else that of the first DONE that ends the answer."""
         if done.status & tokens.DONE_ATTN:
             return done.status
         self._read_done(done)
         if done.status & tokens.DONE_COUNT:
+            self._row_count = done.row_count
             self.result.rows = done.row_count
         return done.status if earlier is None else earlier
 
@@ -145,7 +176,7 @@
 
         That is a proof for a batch of one statement only: earlier ones need not leave a trace, as with
         NOCOUNT ON."""
-        return self.error is not None and not self.shows_a_run
+        return self.error is not None and not self.shows_a_run and not self.is_incomplete
 
 
 def _ends_answer(token: Token) -> bool:
@@ -153,11 +184,3 @@
     if status & tokens.DONE_ATTN:
         return True
     return not status & tokens.DONE_MORE and token.type != tokens.DONEINPROC
-
-
-def read_end_status(body: bytes) -> int:
-    """Returns the status of the DONE that ends a message's last packet; raises ProtocolError."""
-    end = body[-DONE_SIZE:]
-    if len(end) < DONE_SIZE or end[0] not in tokens.DONE_TOKENS:
-        raise ProtocolError("an answer has no final DONE")
-    return int.from_bytes(end[1:3], "little")
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -10,9 +10,11 @@
     lost before the last byte of the batch was sent                      no connection   proven
     ERROR in errors.REJECTIONS to a batch of one statement, and no
     token that shows that it ran                                         rejected        proven
-    any other ERROR, whatever its severity                               error           no
+    any other ERROR, or a final DONE that tells of one                   error           no
     reset, closed, malformed or incomplete after all of it was sent      reset           no
     ATTENTION acknowledged                                               cancelled       no
+    complete answer after an ATTENTION, of which a part was discarded
+    or not sent                                                          cancelled       no
 """
 
 import socket
@@ -24,9 +26,8 @@
 from wickvane.net.lines import connection as lines
 from wickvane.net.queues import ResultStream
 from wickvane.net.tds import engine_login, errors, packets, tokens
-from wickvane.net.tds.batch_answer import BatchAnswer, Chunk, read_end_status
+from wickvane.net.tds.batch_answer import FAILED_STATUS, BatchAnswer, Chunk
 from wickvane.net.tds.batch_text import is_single_statement
-from wickvane.net.tds.results import GatheredTokens
 from wickvane.net.tds.sql_batch import encode_sql_batch
 
 STREAM_BUFFER_SIZE = 256 << 10  # octets between the connection's thread and the client session's thread
@@ -81,8 +82,7 @@
             case BatchEvent.BATCH_ENCODED:
                 self.state = BatchState.RUNNING
             case BatchEvent.STREAM_STARTED:
-                if self.state is BatchState.RUNNING:
-                    self.state = BatchState.STREAMING
+                self.state = BatchState.STREAMING
             case BatchEvent.ATTENTION_ENCODED:
                 self.state = BatchState.ATTENTION_SENT
             case BatchEvent.ANSWER_COMPLETE:
@@ -118,9 +118,13 @@
         return packets.encode_packets(packets.SQL_BATCH, encode_sql_batch(text), self.packet_size, 0, status)
 
     def encode_attention(self, attempt, ending: Ending) -> bytes | None:
-        """Returns the ATTENTION that cancels an attempt; None if it is not running or already cancelled."""
+        """Returns the ATTENTION that cancels an attempt; None if it is not running or already cancelled.
+
+        A streamed result is cancelled only after its client has closed the stream."""
         if self.attempt is not attempt or self.state in (BatchState.IDLE, BatchState.ATTENTION_SENT):
             return None
+        if self.stream is not None and not self.stream.closed:
+            return None
         self._change_state(BatchEvent.ATTENTION_ENCODED)
         self.attention_deadline = self.pool.clock.now() + self.pool.io_loop.attention_timeout
         self.pool.io_loop.request_check(self)
@@ -137,19 +141,32 @@
 
         The attempt ends with the acknowledgement or with the connection, since the engine works on it until
         then. at_once: the attempt ends immediately, as required when the client's time limit has expired."""
-        if self.stream is not None:
-            return
         self.put("attention", attempt, ending)
         if at_once:
-            self.end_attempt(attempt, ending)
+            self._end_unless_streamed(attempt, ending)
+
+    def _end_unless_streamed(self, attempt, ending: Ending) -> None:
+        with self.lock:
+            is_open = self.open_attempts.get(attempt.pending.id) is attempt
+            if not is_open or self.stream is not None:
+                return
+            self._close_attempt(attempt)
+        self._report_ending(attempt, ending)
 
     def end_attempt(self, attempt, ending: Ending, pages=None) -> None:
         """Ends an attempt on this connection; does nothing if it has already ended."""
         with self.lock:
             if self.open_attempts.get(attempt.pending.id) is not attempt:
                 return
-            del self.open_attempts[attempt.pending.id]
-            self.last_used_at = self.pool.clock.now()
+            self._close_attempt(attempt)
+        self._report_ending(attempt, ending, pages)
+
+    def _close_attempt(self, attempt) -> None:
+        """Notes that an attempt is not open any more. The caller must hold the lock."""
+        del self.open_attempts[attempt.pending.id]
+        self.last_used_at = self.pool.clock.now()
+
+    def _report_ending(self, attempt, ending: Ending, pages=None) -> None:
         elapsed = attempt.answered_at - attempt.started_at if attempt.answered_at else None
         self.pool.exchange.end_attempt(attempt, ending, elapsed, pages)
         self.pool.io_loop.request_check(self)
@@ -267,8 +284,9 @@
         is_last = bool(packet.status & packets.STATUS_EOM)
         if self.attention_sent and (self.stream is not None or answer.is_long()):
             # An engine may continue a cancelled result for a long time; only the final DONE is read.
+            answer.skip_packet(packet.body)
             if is_last:
-                self._finish(read_end_status(packet.body))
+                self._finish(answer.read_end_status())
             return
         chunk = answer.read_packet(packet.body, self.attention_sent)
         if answer.load_report is not None:
@@ -287,45 +305,45 @@
                 self.put("attention", self.attempt, Ending.CANCELLED)  # the client has disconnected
             return
         answer.result.extend(chunk.tokens)
-        if answer.is_long():
-            if answer.error is None and not self.attention_sent:
-                self._start_stream(answer)
-            else:
-                answer.result.clear()  # the batch was cancelled or failed, so that the result is not needed
+        if answer.is_long() and not self._start_stream(answer):
+            answer.discard_result()  # the batch was cancelled or failed, so that the result is not needed
 
-    def _start_stream(self, answer: BatchAnswer) -> None:
+    def _start_stream(self, answer: BatchAnswer) -> bool:
+        """Streams the result, with what was gathered of it, if it is needed; returns whether it is."""
+        if answer.error is not None or answer.is_incomplete:
+            return False
         attempt = self.attempt
         stream = ResultStream(STREAM_BUFFER_SIZE)
         stream.put(list(answer.result), 0)
-        answer.result = GatheredTokens()
         with self.lock:
             is_open = self.open_attempts.get(attempt.pending.id) is attempt
-            started = is_open and self.pool.exchange.start_streaming(attempt, stream)
-            if started:
-                self.stream = stream
-                self._change_state(BatchEvent.STREAM_STARTED)
-        if not started:
-            answer.size = 0
+            if not is_open or self.state is not BatchState.RUNNING:
+                return False
+            if not self.pool.exchange.start_streaming(attempt, stream):
+                return False
+            self.stream = stream
+            self._change_state(BatchEvent.STREAM_STARTED)
+        answer.result.clear()
+        return True
 
     def _finish(self, status: int) -> None:
         """Processes the end of an answer; status: the status of its final DONE."""
         attempt = self.attempt
         answer = self.answer_reader
         stream = self.stream
-        acknowledged = bool(status & tokens.DONE_ATTN)
-        # The ATTENTION crossed the end of the answer and is acknowledged after it.
-        awaits_acknowledgement = self.attention_sent and not acknowledged
-        ending = self._ending(attempt, answer, acknowledged)
         attempt.answered_at = self.pool.clock.now()
-        result = answer.result
         with self.lock:
-            if awaits_acknowledgement:
-                answer.expect_acknowledgement()
-            else:
+            # The ATTENTION crossed the end of the answer and is acknowledged after it.
+            awaits_acknowledgement = self.attention_sent and not status & tokens.DONE_ATTN
+            if not awaits_acknowledgement:
                 self._change_state(BatchEvent.ANSWER_COMPLETE)
                 self.attempt = None
                 self.answer_reader = None
                 self.stream = None
+        ending = self._ending(attempt, answer, status, awaits_acknowledgement)
+        result = answer.result
+        if awaits_acknowledgement:
+            answer.expect_acknowledgement()
         if stream is not None:
             stream.end(awaits_acknowledgement or ending != Ending.FINISHED)
             ending = Ending.CANCELLED if awaits_acknowledgement else ending
@@ -334,14 +352,22 @@
         if answer.error is not None and answer.error.severity >= errors.MIN_FATAL_SEVERITY:
             self.fail("engine-error", attempt.pending.error_text)
 
-    def _ending(self, attempt, answer: BatchAnswer, acknowledged: bool) -> Ending:
-        if acknowledged:
+    def _ending(self, attempt, answer: BatchAnswer, status: int, is_cancelled: bool) -> Ending:
+        """Returns the ending that a complete answer proves.
+
+        status: of the final DONE; is_cancelled: whether an ATTENTION is sent and not acknowledged yet."""
+        if status & tokens.DONE_ATTN:
+            return Ending.CANCELLED
+        if answer.error is not None:
+            number, _, _, text = answer.error
+            attempt.pending.error_text = f"{number}: {text[:MAX_LOGGED_ERROR_CHARACTERS]}"
+            return self._ending_of_error(attempt, answer)
+        is_failed = bool(status & FAILED_STATUS)
+        # After an ATTENTION, an engine may end the batch early with an ordinary DONE.
+        is_cut_short = is_cancelled and (is_failed or not answer.has_all_rows())
+        if answer.is_incomplete or is_cut_short:
             return Ending.CANCELLED
-        if answer.error is None:
-            return Ending.FINISHED
-        number, _, _, text = answer.error
-        attempt.pending.error_text = f"{number}: {text[:MAX_LOGGED_ERROR_CHARACTERS]}"
-        return self._ending_of_error(attempt, answer)
+        return Ending.ERROR if is_failed else Ending.FINISHED
 
     def _ending_of_error(self, attempt, answer: BatchAnswer) -> Ending:
         text = attempt.pending.body.decode("utf-8", "replace")
--- a/wickvane/net/tds/results.py
+++ b/wickvane/net/tds/results.py
@@ -11,7 +11,7 @@
     nvarchar_info,
 )
 from wickvane.net.tds.token_encoding import encode_colmetadata
-from wickvane.net.tds.tokens import COLMETADATA, ROW, ROW_TOKENS, Column, Token, row_values
+from wickvane.net.tds.tokens import COLMETADATA, DONE_TOKENS, ROW, ROW_TOKENS, Column, Token, row_values
 
 PAGE_COLUMNS = ("column1", "column2", "column3")
 MAX_CELL_SIZE = 2 * MAX_NVARCHAR_CHARACTERS  # octets of an nvarchar that is not nvarchar(max)
@@ -33,6 +33,18 @@
 
     rows = 0
 
+    def rows_of_last_result(self) -> int | None:
+        """Returns the number of rows of the last statement's result set; None if it has no result set."""
+        count = 0
+        for token in reversed(self):
+            if token.type in ROW_TOKENS:
+                count += 1
+            elif token.type == COLMETADATA:
+                return count
+            elif token.type in DONE_TOKENS:
+                return None
+        return None
+
 
 def encode_pages(pages: Sequence[bytes]) -> tuple[bytes, int]:
     """Encodes result pages; returns the octets of all tokens except the final DONE, and the number of rows.
