--- a/tests/test_import_direction.py
+++ b/tests/test_import_direction.py
@@ -8,7 +8,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 # From the bottom up: a module imports from its own package and from lower layers only.
 LAYERS = (
-    {"units"},
+    {"units", "digest"},
     {"errors", "events"},
     {"files", "settings"},
     {"id_registry", "parts", "scheduling"},
--- a/wickvane/__main__.py
+++ b/wickvane/__main__.py
@@ -132,6 +132,8 @@
         raise ConfigError("no configuration: name one with --config or in LB_CONFIG", 2)
     if options["control"]:
         return run_control(path, document, extensions)
+    if options["serve"]:
+        disable_thread_caches()
     service = create_service(options, path, extensions)
     if options["serve"]:
         return service.run(path, document)
@@ -141,6 +143,13 @@
     return 0
 
 
+def disable_thread_caches():
+    """Lets the allocator keep no freed memory for each thread; replaces the program, see process_memory."""
+    from wickvane.net.process_memory import restart_without_thread_caches
+
+    restart_without_thread_caches()
+
+
 def create_service(options, path, extensions):
     """Creates a dispatcher, without starting it."""
     from wickvane.net.service import Service, configuration
--- a/wickvane/errors.py
+++ b/wickvane/errors.py
@@ -17,6 +17,10 @@
     """Bytes that violate the protocol or exceed a limit; codecs raise no other error, whatever they read."""
 
 
+class TlsError(WickvaneError):
+    """A TLS connection failed; the message is the reason that the TLS library gives."""
+
+
 class RequestRejected(WickvaneError):
     """A query that is not admitted; sqlstate and text are the error that is sent to its client."""
 
--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -9,6 +9,7 @@
 
 from wickvane.net.counters import FORWARD, NOBODY, REVERSE
 from wickvane.net.input_tracker import InputReader
+from wickvane.scheduling.memory_limits import input_size
 
 WRITE_TIMEOUT_S, LAST_WRITE_TIMEOUT_S = 5.0, 1.0
 RECEIVE_SIZE = 8_192  # octets per recv(): the buffer is allocated in each of many threads
@@ -44,7 +45,10 @@
     closed to make room. It is busy, as an InputReader, while the client does not read what is sent.
     """
 
+    TOO_MANY = b""  # the message to a client that must leave since there are too many
     octets_ahead = 0  # received octets of messages that were read ahead of their turn
+    query_size = 0  # octets that are counted for the text of the query in flight
+    stream_size = 0  # octets that are reserved for a streamed result, beside what of it is being sent
     first_query_deadline = float("inf")  # time.monotonic() by which the first query must be complete
 
     def __init__(self, sock, service):
@@ -55,6 +59,12 @@
         self.received = self.accounted = self.sent = 0
         self.last_arrival = 0  # in ticks
         self.has_ended = False  # whether nothing that arrives is served any more
+        # Reserved for input and queries, and for results; is_out_of_memory: whether one of them was evicted.
+        self.memory = service.memory.lease(self.evict_input)
+        self.result_memory = service.memory.lease(self.evict_output)
+        self.is_out_of_memory = False
+        # Since when the rest of a message is awaited, in ticks; 0 if it is not. Whether that wait was ended.
+        self.message_since, self.is_stalled_out = 0, False
         self.has_unread = False  # whether the last recv() left input in the kernel, or poll() showed some
         self.input_poll = select.poll()
         self.input_poll.register(sock, select.POLLIN)
@@ -64,18 +74,20 @@
     def put(self, data, key=NOBODY, messages=1, answer_index=0, timeout_s=None):
         """Sends all data within `timeout_s`, by default WRITE_TIMEOUT_S; raises TimeoutError.
 
-        Each octet that the kernel accepted is counted.
+        Each octet that the kernel accepted is counted. Raises Ended if there is no memory for the rest.
 
         key: the resource group and tenant that the data is counted for; answer_index: one of the values of
         counters.ANSWERS, counted if all data is sent; 0 for none."""
         sent = 0
         try:
             sent = self.send_available(data)
-            until = None
+            if sent < len(data):
+                self.require_memory(self.result_memory.reserve(self.stream_size + len(data)))
+                rest = memoryview(data)
+                until = time.monotonic() + (timeout_s or WRITE_TIMEOUT_S)
             while sent < len(data):
-                until = until or time.monotonic() + (timeout_s or WRITE_TIMEOUT_S)
                 self.await_output(until)
-                sent += self.send_available(data[sent:])
+                sent += self.send_available(rest[sent:])
         finally:
             self.sent += sent
             if self.account is not None and sent:
@@ -104,7 +116,11 @@
         if becomes_busy:
             self.begin_busy()
         try:
-            if not poll_until(poll, until):
+            self.result_memory.begin_wait()
+            is_ready = poll_until(poll, until)
+            self.result_memory.end_wait()
+            self.require_memory(not self.is_out_of_memory)
+            if not is_ready:
                 raise TimeoutError
         finally:
             if becomes_busy:
@@ -122,7 +138,7 @@
                 if not data:
                     break
                 self.received += len(data)
-        except OSError:
+        except (OSError, Ended):
             pass
 
     # Reading
@@ -134,6 +150,8 @@
         client closes the connection."""
         if not self.queries:
             until = min(until, self.first_query_deadline)
+        if len(self.buffer) < n and not self.message_since:
+            self.message_since = self.clock.now()
         while len(self.buffer) < n:
             is_late = time.monotonic() > until
             self.receive(until)
@@ -146,6 +164,9 @@
         if not self.has_unread and not self.await_input(self.input_poll, until):
             raise TimeoutError
         data = self.receive_available()
+        self.require_memory(not self.is_out_of_memory)
+        if self.is_stalled_out:
+            raise Ended("made-room", self.TOO_MANY)
         if data is None:
             return
         if not data:
@@ -154,6 +175,7 @@
             )
         self.received += len(data)
         self.buffer += self.decrypt(data)
+        self.require_memory(self.memory.reserve(self.memory_size()))
 
     def receive_available(self):
         """Returns received octets without waiting, none at the end of the input, or None if there are none.
@@ -180,9 +202,11 @@
 
         Everything that was read so far must have been submitted."""
         self.input.deactivate(self)
+        self.memory.begin_wait()
         try:
             ready = poll_until(poll, until)
         finally:
+            self.memory.end_wait()
             self.input.activate(self)
         self.has_unread = bool(ready) and (len(ready) > 1 or ready[0][0] != self.stop_descriptor)
         return self.has_unread
@@ -229,6 +253,40 @@
             self.accounted += octets
             self.accounts.count(self.account, key, self.clock.now(), FORWARD, octets, 1)
 
+    # Memory
+
+    def memory_size(self):
+        """Returns the octets that are counted for input and queries of the connection."""
+        return input_size(len(self.buffer)) + self.octets_ahead + self.query_size
+
+    def require_memory(self, is_available):
+        """Raises Ended, with an error for the client, if there is no memory for what the connection needs."""
+        if not is_available:
+            raise Ended("out-of-memory", self.memory_error())
+
+    def evict_input(self):
+        """Ends the wait for the rest of a message, whose memory is needed; called by other threads."""
+        self.is_out_of_memory = True
+        self.shut_down(socket.SHUT_RD)
+
+    def evict_output(self):
+        """Ends the wait for a client that does not read; called by other threads."""
+        self.is_out_of_memory = True
+        self.shut_down(socket.SHUT_RDWR)
+
+    def shut_down(self, direction):
+        """Shuts the connection down in one or both directions, which ends a wait for it."""
+        try:
+            self.sock.shutdown(direction)
+        except OSError:
+            pass  # it is closed already
+
+    def release_memory(self):
+        """Discards the input that was not processed, and gives up what was reserved."""
+        self.buffer.clear()
+        self.memory.close()
+        self.result_memory.close()
+
     # While the thread waits for something other than input
 
     def begin_busy(self):
@@ -252,6 +310,10 @@
 
     # Implemented by subclasses
 
+    def memory_error(self):
+        """Returns the message to a client whose connection ends for want of memory; none in this class."""
+        return b""
+
     def submit_ahead(self):
         """Submits the queries in the buffer whose order matters to other sessions; none in this class."""
 
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -1,9 +1,9 @@
 """The part of a client session that all client protocols share: it waits for messages, submits queries, waits
 for a query's answer and sends exactly one.
 
-Each protocol is a subclass: serve_client() reads its messages and calls serve_query() with the text of each
-statement; the methods under "Implemented by each protocol" encode the answers. A session waits only for its
-own socket and its own pending query.
+Each protocol is a subclass: serve_client() reads its messages, calls submit_query() with the text of each
+statement, and answer_query(); the methods under "Implemented by each protocol" encode the answers. A session
+waits only for its own socket and its own pending query.
 """
 
 import select
@@ -15,6 +15,7 @@
 from wickvane.net.client_connection import MAX_JIFFY_TICKS, ClientConnection, Ended
 from wickvane.net.counters import ANSWERS, NOBODY, REVERSE
 from wickvane.net.queues import ResultStream
+from wickvane.scheduling.memory_limits import query_size
 
 # A new connection must get an answer or a close within 3 s, so the time up to its first whole query has a
 # lower limit. Without the idle timeout, clients that stay connected would hold descriptors forever.
@@ -25,6 +26,8 @@
 STREAM_CHECK_INTERVAL_S = 1.0  # between checks of the client while a streamed result makes no progress
 # This long after a query's deadline, its session answers it: the decider's thread is stuck or has lost it.
 OVERDUE_TICKS = 300
+NO_MEMORY_SQLSTATE = "53200"
+NO_MEMORY_TEXT = "the memory for requests is used up; it may be sent again"
 STORM_TEXT = "a retry storm lasts: try again only after the time that a deferral tells, one try at a time"
 
 
@@ -72,6 +75,7 @@
             detail = f"{type(failure).__name__}: {failure}"
             last = self.internal_error()
         self.end_reading()
+        self.release_memory()
         if self.pending:
             self.abandon_query()
         self.abandon_queries_ahead()
@@ -103,13 +107,17 @@
         return 1 if self.queries else 2 * (self.since > recent)
 
     def evict(self):
-        """Ends the session, if it is idle, to make room for another connection; called by other threads."""
+        """Ends the session, if it is idle or stalled, to make room for another; called by other threads."""
         self.is_evicted = True
         if self.idle:
-            try:
-                self.sock.shutdown(socket.SHUT_RD)
-            except OSError:
-                pass
+            self.shut_down(socket.SHUT_RD)
+        elif self.message_since:
+            self.is_stalled_out = True
+            self.shut_down(socket.SHUT_RD)
+
+    def is_stalled(self, recent):
+        """Whether the session has waited since before `recent` (ticks) for the rest of a message."""
+        return not self.idle and 0 < self.message_since < recent
 
     # Reading
 
@@ -122,6 +130,7 @@
         Raises Ended after the idle timeout, and `stop` if the dispatcher shuts down; input that arrived
         before the shutdown is read first, since it must be answered."""
         self.since = self.clock.now()
+        self.message_since = 0
         until = time.monotonic() + (self.idle_s or IDLE_TIMEOUT_S)
         if not self.queries:
             until = min(until, self.first_query_deadline)
@@ -132,30 +141,58 @@
 
     # Queries
 
-    def serve_query(self, text, arrived, pending=None, read_lag=None, **reader_options):
-        """Runs a statement and sends its one answer.
+    def submit_query(self, text, arrived, pending=None, read_lag=None, **reader_options):
+        """Submits a statement and returns its query, or answers that it is rejected and returns None.
 
         arrived: in ticks; pending: the query, if it was submitted ahead; read_lag: ticks from its arrival
         until it was read, if that was ahead of its turn; reader_options: for Reader.read(), from protocols
         that can supply the fields of a query without a statement comment."""
         try:
             self.queries += 1
+            self.message_since = 0
             pending = pending or self.read_query(text, arrived, read_lag, **reader_options)
             self.account_received((pending.resource_group, pending.tenant))
+            self.reserve_query_memory(pending)
             self.pending = pending
             self.begin_query(pending)
         except RequestRejected as rejected:
             self.pending = None
             self.counters.add("statements-unusable")
             self.log.line("statement-unusable", peer=self.peer, sqlstate=rejected.sqlstate, why=rejected.text)
+            self.release_query_memory()
             self.put(self.encode_rejection(rejected))
-            return
+            return None
+        return pending
+
+    def answer_query(self, pending):
+        """Waits for the answer to a submitted query, and sends it.
+
+        It is called when nothing holds the query's message any more, since the wait may be long."""
         self.begin_busy()
         try:
             self.await_answer(pending)
             self.send_answer(pending)
         finally:
             self.end_busy()
+            pending.release_client()
+            self.release_query_memory()
+
+    def reserve_query_memory(self, pending):
+        """Reserves what the query needs until it has its answer; raises RequestRejected if it is refused."""
+        self.memory.since = 0  # the message is complete: the session does not wait for its client any more
+        self.query_size = query_size(len(pending.body))
+        if not self.memory.reserve(self.memory_size()):
+            raise RequestRejected(NO_MEMORY_SQLSTATE, NO_MEMORY_TEXT)
+
+    def release_query_memory(self):
+        """Gives up what was reserved for the query and its result."""
+        self.query_size = self.stream_size = 0
+        self.memory.reserve(self.memory_size())
+        self.result_memory.release()
+
+    def reserve_result(self, size):
+        """Reserves memory for the result of the query in flight, from any thread; False if there is none."""
+        return self.result_memory.reserve(size)
 
     def read_query(self, text, arrived, read_lag=None, **reader_options):
         """Returns the query of a statement; raises RequestRejected."""
@@ -204,7 +241,7 @@
             pending.result = None
         try:
             self.put(data, (pending.resource_group, pending.tenant), messages, ANSWERS[kind])
-        except OSError:
+        except (OSError, Ended):
             kind = ex.CLIENT_GONE
             self.account_client_gone(pending)
             raise
@@ -220,6 +257,7 @@
             (pending.resource_group, pending.tenant),
             self.result_writer(pending),
         )
+        self.stream_size = result.reserved_size
         try:
             while (chunk := result.take(STREAM_CHECK_INTERVAL_S)) is not None:
                 if chunk:
@@ -247,6 +285,7 @@
         self.exchange.abandon(pending)
         self.account_client_gone(pending)
         self.record_answer(pending, ex.CLIENT_GONE, 0)
+        pending.release_client()
 
     def account_client_gone(self, pending):
         """Counts a query whose client has disconnected in the flow accounts."""
@@ -298,6 +337,10 @@
         """Returns the message to a client whose session ends by an internal error."""
         raise NotImplementedError
 
+    def memory_error(self):
+        """Returns the message to a client whose session ends for want of memory."""
+        raise NotImplementedError
+
     def encode_rejection(self, rejected):
         """Returns the answer to a query that was rejected instead of submitted."""
         raise NotImplementedError
--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -173,6 +173,7 @@
     def ended(self, attempt, ending, elapsed, complete):
         """Handles the end of an attempt. complete: whether the query has its answer."""
         pending = attempt.pending
+        pending.release_attempt()
         self.registry.attempt_ended(pending.index, attempt.queue.name)
         self.events.append(
             AttemptEnded(
@@ -263,13 +264,14 @@
             self.observer.attempt_started(name)
         deadline = min(pending.deadline, self.now + max_wait) if max_wait else pending.deadline
         queue = self.queues.get(name)
-        pending.attempt = Attempt(pending, pending.attempt_count, engine, queue, self.now, deadline, start_by)
+        attempt = Attempt(pending, pending.attempt_count, engine, queue, self.now, deadline, start_by)
+        pending.attempt = attempt
         pending.attempt_count += 1
         self.registry.attempt_started(query, name)
         pending.stage_times.setdefault("submitted", self.now)
         self.counters.add("submissions")
-        if queue is None or not queue.put(("ask", pending.attempt)):
-            self.exchange.end_attempt(pending.attempt, Ending.NOT_SENT)
+        if queue is None or not queue.put(("ask", attempt)):
+            self.exchange.end_attempt(attempt, Ending.NOT_SENT)
 
     def reject(self, query, retry_after):
         """Writer: answers that the query is rejected and that a retry is harmless."""
--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -10,11 +10,14 @@
 from wickvane.errors import RequestRejected
 from wickvane.events import Ending
 from wickvane.net.input_tracker import InputTracker
+from wickvane.net.memory_budget import MemoryBudget
 from wickvane.net.queues import BoundedQueue, ReadyQueue
+from wickvane.scheduling.memory_limits import MAX_STREAM_SIZE
 
 FINISHED, REJECTED, FAILED, CLIENT_GONE = "finished", "deferred", "killed", "left"
 MAX_INBOX_SIZE = 20_000
 MAX_OPEN_QUERIES = 4_000  # above which no query is submitted ahead of its turn in its session
+NO_RESULT_MEMORY_TEXT = "no memory is left for its result"
 SHUTDOWN_SQLSTATE = "57P03"  # of queries that a dispatcher rejects while it shuts down
 
 
@@ -28,7 +31,7 @@
     error; retry_after: sent to the client, in ticks; answer_ready: held until the query has its answer;
     is_submitted: whether the decider was told of it; is_blocked: whether it was submitted while an earlier
     query of its session was in flight; read_lag: ticks from its arrival until it was read, None if it was
-    submitted as soon as it was read; submitted_at: in ticks.
+    submitted as soon as it was read; submitted_at: in ticks; is_released: whether its session has ended it.
     """
 
     __slots__ = (
@@ -62,6 +65,7 @@
         "is_blocked",
         "read_lag",
         "submitted_at",
+        "is_released",
     )
 
     def __init__(self, arrived_at, limit, **fields):
@@ -78,11 +82,27 @@
         self.answer, self.result, self.stage_times, self.error_text = None, None, {}, ""
         self.retry_after, self.client_address = 0, None
         self.session = None  # knows whether the client is still connected
-        self.is_submitted, self.is_blocked = False, False
+        self.is_submitted, self.is_blocked, self.is_released = False, False, False
         self.read_lag, self.submitted_at = None, arrived_at
         self.answer_ready = Lock()
         self.answer_ready.acquire()
 
+    def text_to_send(self):
+        """Returns the statement, or None if the query has its answer, so that no attempt may start."""
+        text = self.body
+        return text if self.answer is None else None
+
+    def release_client(self):
+        """Discards what only its session needs: timers keep the query up to its deadline."""
+        self.body, self.session, self.is_released = b"", None, True
+        self.release_attempt()
+
+    def release_attempt(self):
+        """Discards the last attempt if nothing needs it any more, so that no reference cycle remains."""
+        attempt = self.attempt
+        if self.is_released and (attempt is None or attempt.has_ended):
+            self.attempt, self.tried_connections = None, []
+
 
 class Attempt:
     """One attempt of a query on one engine; times are ticks.
@@ -119,10 +139,12 @@
 class Exchange:
     """Passes queries and attempts between sessions, the decider and the engines' thread.
 
-    input: knows what has been read by the threads that submit queries and other messages.
+    input: knows what has been read by the threads that submit queries and other messages. memory: the
+    MemoryBudget of the process.
     """
 
-    def __init__(self, clock, counters):
+    def __init__(self, clock, counters, memory=None):
+        self.memory = memory or MemoryBudget(clock, counters)
         self.clock, self.counters, self.lock = clock, counters, Lock()
         self.inbox, self.ready_queue = BoundedQueue(MAX_INBOX_SIZE), ReadyQueue()
         self.input = InputTracker(clock, counters, self.inbox.wake)
@@ -179,7 +201,8 @@
         pending = attempt.pending
         if pending.answer is not None or self.clock.now() >= attempt.start_by:
             return False
-        if pending.session is not None and pending.session.has_disconnected():
+        session = pending.session
+        if session is not None and session.has_disconnected():
             self.counters.add("clients-gone-before-an-attempt")
             self.abandon(pending)
             return False
@@ -240,6 +263,25 @@
 
     # Engines
 
+    def reserve_result(self, pending, size):
+        """Reserves memory for a query's result so far. Returns False if the query already has its answer.
+
+        Without memory it fails, since its client may not read, or many clients at once."""
+        session = pending.session
+        if pending.answer is not None:
+            return False
+        if session is None or session.reserve_result(size):
+            return True
+        self.counters.add("results-without-memory")
+        pending.error_text = NO_RESULT_MEMORY_TEXT
+        self.abandon(pending, FAILED)
+        return False
+
+    def max_stream_size(self):
+        """Returns how many octets of a streamed result wait for its client at most."""
+        limits = self.memory.limits
+        return limits.stream if limits else MAX_STREAM_SIZE
+
     def start_streaming(self, attempt, stream):
         """Answers with a result that is too long to be buffered, as it comes; no further attempt is possible.
 
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -225,6 +225,8 @@
             try:
                 data = self.ENCODERS[kind](self, *arguments)
                 if not data:
+                    if kind == "ask":
+                        ended.append((arguments[0], Ending.NOT_SENT))  # unless it has ended already
                     continue
                 sent = self.send(data)
             except OSError as failure:
@@ -307,8 +309,8 @@
     def encode_ask(self, attempt):
         """The bytes of an attempt; None if it is not sent any more."""
         self.check_idle_close()
-        fields, pending = self.request_fields(attempt), attempt.pending
-        return fields and b"ASK %b %b %d\r\n%b\r\n" % (pending.id, fields, len(pending.body), pending.body)
+        fields, text = self.request_fields(attempt), attempt.pending.text_to_send()
+        return fields and text and b"ASK %b %b %d\r\n%b\r\n" % (attempt.pending.id, fields, len(text), text)
 
     def encode_quit(self, attempt, ending):
         """The bytes that cancel an attempt; None if it has ended."""
@@ -512,7 +514,9 @@
         attempt.memory = parse_number(fields.get(b"room", b"0"), 1e9)
         attempt.pages = [body] + [None] * (page_count - 1)
         attempt.pending.stage_times["hit"] = attempt.answered_at
-        if page_count > 1:
+        if not self.pool.exchange.reserve_result(attempt.pending, len(body)):
+            self.discard_result(attempt)
+        elif page_count > 1:
             self.put(
                 "bytes",
                 b"".join(b"NEXT %b %d\r\n" % (query_id, number) for number in range(1, page_count)),
@@ -522,6 +526,11 @@
         else:
             self.end_attempt(attempt, Ending.FINISHED, attempt.pages)
 
+    def discard_result(self, attempt):
+        """Ends an attempt whose query has its answer already, for instance for want of memory."""
+        self.end_attempt(attempt, Ending.FINISHED)
+        self.put("bytes", b"FREE %b\r\n" % attempt.pending.id, attempt.pending)
+
     def process_further_page(self, attempt, query_id, fields, body):
         """Stores a requested page; the last missing one completes the result. Raises ProtocolError."""
         number = parse_page_number(fields.get(b"sheet", b""))
@@ -531,9 +540,13 @@
             self.pool.counters.add("answers-surplus")
             return
         attempt.pages[number] = body
+        size = sum(len(page) for page in attempt.pages if page is not None)
+        if not self.pool.exchange.reserve_result(attempt.pending, size):
+            self.discard_result(attempt)
+            return
         if None in attempt.pages:
             return
-        if sum(map(len, attempt.pages)) > MAX_RESULT_SIZE:
+        if size > MAX_RESULT_SIZE:
             raise ProtocolError("a result is too long")
         self.end_attempt(attempt, Ending.FINISHED, attempt.pages)
         self.put("bytes", b"FREE %b\r\n" % query_id, attempt.pending)
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -105,27 +105,35 @@
             self.reject(sock, peer, "no-thread")
 
     def make_room(self):
-        """Closes an idle session if the maximum is reached.
+        """Closes a stalled or an idle session if the maximum is reached.
 
         Returns whether the listener is full nevertheless, or None if the spare connections are in use too.
-        This protects against clients that connect and send nothing, or stay connected after a query. Sessions
-        without any query are closed first, then those that have been idle longest. A session that has just
-        been accepted may be about to send a query and is closed last.
+        This protects against clients that connect and send nothing, stop half way through a message, or stay
+        connected after a query. Sessions that have waited longest for the rest of a message are closed first,
+        then those without any query, then those that have been idle longest. A session that has just been
+        accepted may be about to send a query and is closed last.
         """
         for _ in range(MAX_EVICTION_ROUNDS):
             with self.lock:
                 open_count, leaving = len(self.sessions), 0
                 if open_count < self.max_sessions:
                     return False
-                idle = []
+                since = self.service.clock.now() - NEW_SESSION_TIME
+                stalled, idle = [], []
                 for session in self.sessions:
                     if session.is_evicted:
                         leaving += 1
                     elif session.idle:
                         idle.append(session)
-            if idle and open_count - leaving >= self.max_sessions:
-                since = self.service.clock.now() - NEW_SESSION_TIME
-                min(idle, key=lambda session: (session.eviction_rank(since), session.since)).evict()
+                    elif session.is_stalled(since):
+                        stalled.append(session)
+            if (stalled or idle) and open_count - leaving >= self.max_sessions:
+                evicted = (
+                    min(stalled, key=lambda session: session.message_since)
+                    if stalled
+                    else min(idle, key=lambda session: (session.eviction_rank(since), session.since))
+                )
+                evicted.evict()
                 leaving += 1
             if open_count < self.max_sessions + SPARE:
                 return open_count - leaving >= self.max_sessions
--- a/wickvane/net/log.py
+++ b/wickvane/net/log.py
@@ -6,20 +6,23 @@
 
 import orjson
 
-MAX_QUEUED_LINES = 4096
+MAX_QUEUED_LINES = 4096  # unless the service sets another maximum
 BATCH_DELAY_S = 0.05  # the log's thread waits this long for further lines, to wake less often
 
 
 class Log:
-    """Queues lines, up to MAX_QUEUED_LINES, until the log's thread has written them."""
+    """Queues lines, up to max_lines, until the log's thread has written them.
+
+    Only that thread encodes them: the encoder needs much stack, which each session's thread would keep."""
 
     def __init__(self, descriptor, clock):
         self.descriptor, self.clock = descriptor, clock
         self.lines, self.dropped, self.has_thread = SimpleQueue(), 0, False
+        self.max_lines = MAX_QUEUED_LINES
 
     def line(self, event, **fields):
         """Logs an event, from any thread. If the queue is full, the line is dropped and counted."""
-        if self.lines.qsize() >= MAX_QUEUED_LINES:
+        if self.lines.qsize() >= self.max_lines:
             self.dropped += 1
             return
         self.lines.put((self.clock.now(), event, fields))
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -1,6 +1,6 @@
 """A client session by version 3.0 of the PostgreSQL protocol, with simple queries only."""
 
-import secrets
+import os
 import socket
 import time
 from collections import deque
@@ -9,13 +9,21 @@
 
 from wickvane.errors import RequestRejected
 from wickvane.net import exchange as ex
-from wickvane.net.client_connection import Ended
-from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, ClientSession
+from wickvane.net.client_connection import RECEIVE_SIZE, Ended
+from wickvane.net.client_session import (
+    MESSAGE_TIMEOUT_S,
+    NO_MEMORY_SQLSTATE,
+    NO_MEMORY_TEXT,
+    STORM_TEXT,
+    ClientSession,
+)
 from wickvane.net.counters import NOBODY
 from wickvane.net.postgres.rows import result
 from wickvane.net.statement import is_empty
+from wickvane.scheduling.memory_limits import queries_ahead_size
 
 MAX_STARTUP_SIZE, MAX_MESSAGE_SIZE = 8_192, 65_536
+CANCEL_SECRET_SIZE = 4  # octets
 HEADER_SIZE = 5  # of a message: its type and its length
 # Limits of what is read while an earlier query of the session is in flight.
 MAX_OCTETS_AHEAD, MAX_MESSAGES_AHEAD = 65_536, 256
@@ -66,13 +74,15 @@
     """A message of a client.
 
     arrived_at and read_lag, the ticks from then until it was read, are set for a query that was read while an
-    earlier query of its session was in flight; pending is set if it was submitted then, because it has a key.
+    earlier query of its session was in flight. size: of such a message, in octets; pending is set in place of
+    the body if it was submitted then, because it has a key.
     """
 
     kind: bytes
     body: bytes
     arrived_at: int | None = None
     read_lag: int | None = None
+    size: int = 0
     pending: ex.PendingQuery | None = None
 
 
@@ -87,6 +97,7 @@
     def __init__(self, sock, peer, service, full):
         super().__init__(sock, peer, service, full)
         self.messages_ahead, self.octets_ahead, self.waits_to_submit = deque(), 0, False
+        self.is_skipping = False  # after an error in the extended protocol, until the client's Sync
 
     @staticmethod
     def too_fast(retry_after_ms):
@@ -127,21 +138,10 @@
     def serve_client(self):
         """As ClientSession: the startup, then messages until the session ends."""
         self.answer_startup(*self.read_startup())
-        skipping = False  # after an error in the extended protocol, until the client's Sync
         while True:
-            message = self.next_message()
-            kind = message.kind
-            if kind == b"S":
-                skipping = False
-                self.put(READY_FOR_QUERY)
-            elif kind == b"H" or skipping and kind in b"PBEDCFQdcfp":
-                continue
-            elif kind in EXTENDED_QUERY_TYPES:
-                skipping = kind != b"F"
-                refusal = error_response("0A000", "only simple queries are spoken, not the extended protocol")
-                self.put(refusal + (b"" if skipping else READY_FOR_QUERY))
-            else:
-                self.serve_message(message)
+            pending = self.serve_message(self.next_message())
+            if pending is not None:
+                self.answer_query(pending)
 
     def answer_startup(self, minor, body):
         """Answers the startup message; the answer carries the backend key data for CancelRequests."""
@@ -158,7 +158,7 @@
         if minor or unknown:
             names = b"".join(name + b"\0" for name in unknown)
             greeting = encode_message(b"v", pack("!II", 0, len(unknown)) + names)
-        secret = secrets.randbits(32)
+        secret = int.from_bytes(os.urandom(CANCEL_SECRET_SIZE), "big")
         self.pid = self.exchange.add_cancel_key(self, secret)
         self.put(
             greeting
@@ -169,25 +169,35 @@
         )
 
     def serve_message(self, message):
-        """Serves a message that isn't part of the extended protocol."""
+        """Serves a message; returns the query that it has submitted, which is not answered yet, or None."""
         kind = message.kind
-        if kind == b"X":
-            raise Ended("client-terminated")
-        if kind == b"Q":
+        if kind == b"S":
+            self.is_skipping = False
+            self.put(READY_FOR_QUERY)
+        elif kind == b"H" or self.is_skipping and kind in b"PBEDCFQdcfp":
+            pass
+        elif kind in EXTENDED_QUERY_TYPES:
+            self.is_skipping = kind != b"F"
+            refusal = error_response("0A000", "only simple queries are spoken, not the extended protocol")
+            self.put(refusal + (b"" if self.is_skipping else READY_FOR_QUERY))
+        elif kind == b"Q":
             # A client that has sent several queries at once and disconnected needs none of the rest.
             if message.arrived_at is not None and self.has_disconnected():
                 raise Ended("client-closed")
-            self.serve_simple_query(message)
+            return self.submit_simple_query(message)
+        elif kind == b"X":
+            raise Ended("client-terminated")
         elif kind in b"dcfp":
             raise Ended("message-out-of-place", error_response("08P01", "message out of place", b"FATAL"))
         else:
             raise Ended("message-unknown", error_response("08P01", "unknown message type", b"FATAL"))
+        return None
 
     def next_message(self):
         """Reads the next message within its time limits and returns it."""
         if self.messages_ahead:
             message = self.messages_ahead.popleft()
-            self.octets_ahead -= HEADER_SIZE + len(message.body)
+            self.octets_ahead -= message.size
             self.waits_to_submit = self.waits_to_submit and bool(self.messages_ahead)
             return message
         self.account_received(NOBODY)
@@ -225,7 +235,9 @@
             body = self.take(1 + length)[HEADER_SIZE:]
             self.octets_ahead += 1 + length
             pending = self.query_ahead(body, arrived_at, read_lag)
-            self.messages_ahead.append(ClientMessage(b"Q", body, arrived_at, read_lag, pending))
+            kept_body = body if pending is None else b""
+            message = ClientMessage(b"Q", kept_body, arrived_at, read_lag, 1 + length, pending)
+            self.messages_ahead.append(message)
 
     def query_ahead(self, body, arrived_at, read_lag):
         """Submits a query with a key and returns it; None for others and those that cannot be submitted."""
@@ -272,9 +284,15 @@
             self.counters.add("read-ahead-full")
 
     def has_room_ahead(self):
-        """Whether more may be read while a query is in flight."""
+        """Whether more may be read while a query is in flight; reserves memory for it."""
         has_room = self.octets_ahead < MAX_OCTETS_AHEAD and len(self.messages_ahead) < MAX_MESSAGES_AHEAD
-        return has_room and not self.waits_to_submit
+        if not has_room or self.waits_to_submit:
+            return False
+        return self.memory.reserve_ahead(self.memory_size() + RECEIVE_SIZE)
+
+    def memory_size(self):
+        """As ClientConnection."""
+        return super().memory_size() + queries_ahead_size(len(self.messages_ahead))
 
     def abandon_queries_ahead(self):
         """As ClientSession."""
@@ -283,21 +301,26 @@
                 self.exchange.abandon(message.pending)
                 self.account_client_gone(message.pending)
                 self.record_answer(message.pending, ex.CLIENT_GONE, 0)
+                message.pending.release_client()
         self.messages_ahead.clear()
         self.octets_ahead = 0
 
     # Queries
 
-    def serve_simple_query(self, message):
-        """Serves one simple query; the body of its message has a terminating zero byte."""
+    def submit_simple_query(self, message):
+        """Submits one simple query and returns it, or None if it is answered already.
+
+        The body of its message has a terminating zero byte."""
+        if message.pending is not None:
+            return self.submit_query(b"", message.arrived_at, message.pending)
         body = message.body
         if not body.endswith(b"\0") or body.find(b"\0") != len(body) - 1:
             raise Ended("message-malformed", error_response("08P01", "invalid string in message", b"FATAL"))
         if is_empty(body[:-1]):
             self.put(EMPTY_QUERY_RESPONSE)
-            return
+            return None
         arrived_at = message.arrived_at or self.arrival_time()
-        self.serve_query(body[:-1], arrived_at, message.pending, message.read_lag)
+        return self.submit_query(body[:-1], arrived_at, None, message.read_lag)
 
     def add_storm_notice(self):
         """As ClientSession."""
@@ -315,6 +338,10 @@
         """As ClientSession."""
         return error_response(rejected.sqlstate, rejected.text) + READY_FOR_QUERY
 
+    def memory_error(self):
+        """As ClientSession."""
+        return error_response(NO_MEMORY_SQLSTATE, NO_MEMORY_TEXT, b"FATAL")
+
     def internal_error(self):
         """As ClientSession."""
         return error_response("XX000", "internal error", b"FATAL")
@@ -359,8 +386,9 @@
                     + READY_FOR_QUERY
                 )
         elif kind == ex.FAILED:
+            reason = f" ({pending.error_text})" if pending.error_text == ex.NO_RESULT_MEMORY_TEXT else ""
             data = (
-                error_response("58000", "killed: it could not be finished, and may have run")
+                error_response("58000", f"killed: it could not be finished, and may have run{reason}")
                 + READY_FOR_QUERY
             )
         else:
--- a/wickvane/net/queues.py
+++ b/wickvane/net/queues.py
@@ -109,9 +109,11 @@
     """A long result on its way from an engine's thread to a client's, in bounded memory.
 
     The engine's thread waits while the client reads nothing, so that the engine is not read from either.
+    reserved_size: octets that are reserved for it.
     """
 
-    def __init__(self, max_size):
+    def __init__(self, max_size, reserved_size=0):
+        self.reserved_size = reserved_size
         self.max_size, self.size, self.chunks, self.changed = max_size, 0, deque(), Condition(Lock())
         self.ended, self.broken, self.closed = False, False, False
 
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -1,6 +1,5 @@
 """Builds a dispatcher, starts its threads, reloads its configuration, and shuts it down gracefully."""
 
-import ctypes
 import gc
 import importlib
 import os
@@ -9,11 +8,11 @@
 import threading
 import time
 import traceback
-from hashlib import blake2b
 from typing import NamedTuple
 
 import orjson
 
+from wickvane.digest import blake2b
 from wickvane.errors import ConfigError, ProtocolError
 from wickvane.id_registry import IdRegistry
 from wickvane.net.clock import Clock
@@ -24,9 +23,12 @@
 from wickvane.net.lines.links import IoLoop
 from wickvane.net.listener import SPARE, Listener
 from wickvane.net.log import Log
+from wickvane.net.memory_budget import MemoryBudget
 from wickvane.net.postgres.session import Session
+from wickvane.net.process_memory import resident_size, unmap_large_buffers, use_single_arena
 from wickvane.net.statement import Reader
 from wickvane.net.threads import Stopped, Threads
+from wickvane.scheduling.memory_limits import DEFAULT_LIMIT_MB, MEGABYTE, divide_memory
 from wickvane.settings import Section, SettingsError, root_section
 
 THREAD_STACK_SIZE = 128 * 1024
@@ -36,6 +38,7 @@
 SWITCH_INTERVAL_S = 0.5
 DEFAULT_MAX_DESCRIPTORS = 1024  # if the configuration has no limit
 OTHER_DESCRIPTORS = 14  # that belong to neither clients nor engines
+MIN_LISTENER_SESSIONS = 8
 ARRIVAL_GRACE_S = 0.75  # new connections and queries may still arrive for this long after SIGTERM
 # In ticks. SIGKILL is expected KILL_DELAY after the longest queue timeout, which counts up to MAX_TIMEOUT.
 KILL_DELAY, MAX_TIMEOUT = 7_000, 30_000
@@ -44,9 +47,6 @@
 RELOAD_ATTEMPTS, RELOAD_INTERVAL_S = 10, 0.1  # a file may still be being written when its signal arrives
 
 
-M_ARENA_MAX = -8  # of malloc.h
-
-
 def configuration(path):
     """Returns the raw configuration in a file; raises ConfigError if it cannot be read."""
     try:
@@ -66,6 +66,7 @@
     engine_limits: Section  # the settings' limits
     listen: tuple[str, int]
     sockets: int  # maximum number of open descriptors
+    memory: int  # maximum of the resident memory, in octets
     coordinator: tuple[str, int] | None  # None if extensions provide the endpoint list
     known: tuple[int, list]  # the known endpoint list: index of its last event, and its events
 
@@ -88,6 +89,7 @@
             root_section(settings).section("limits"),
             address_of(raw_config["listen"]),
             limits.count("sockets", DEFAULT_MAX_DESCRIPTORS),
+            int(limits.number("memory_mb", DEFAULT_LIMIT_MB) * MEGABYTE),
             coordinator,
             read_known(raw_config.get("known") or {}),
         )
@@ -109,18 +111,6 @@
     }
 
 
-def use_single_arena():
-    """Limits malloc to one arena, if the C library supports it.
-
-    Several arenas are for threads that run at the same time. Here only one does, and each arena keeps the
-    memory of its peak use, so memory would grow with every new set of threads.
-    """
-    try:
-        ctypes.CDLL(None).mallopt(M_ARENA_MAX, 1)
-    except (OSError, AttributeError):
-        pass  # a C library without mallopt
-
-
 def load_extensions(settings):
     """Creates the extensions of a document, in the order of EXTENSION_MODULES; imports no other extension.
 
@@ -155,6 +145,7 @@
         self.stop_descriptor, self.stop_writer = os.pipe2(os.O_CLOEXEC | os.O_NONBLOCK)
         self.log = Log(log_to, self.clock)
         self.threads = Threads(self.log, self.counters)
+        self.memory = MemoryBudget(self.clock, self.counters)
         self.fronts, self.protocols, self.lister, self.accounts = (), None, None, None
         self.decider_class, self.gate, self.listeners = Decider, None, []
         self.parts = load_extensions(parts)
@@ -168,7 +159,7 @@
             restart_digests(raw_config),
         )
         self.reader = Reader(self.registry)
-        self.exchange = Exchange(self.clock, self.counters)
+        self.exchange = Exchange(self.clock, self.counters, self.memory)
         self.exchange.resource_groups = self.registry.deployment.groups
         for extension in self.parts:
             extension.build(self, raw_config)
@@ -207,6 +198,8 @@
             self.threads,
         )
         self.max_clients = max(8, config.sockets - for_engines - SPARE - OTHER_DESCRIPTORS)
+        self.max_memory = config.memory
+        self.max_sessions = self.max_clients + SPARE  # of all listeners, by the limit of descriptors
 
     def make_coordinator(self, config):
         """Returns the Coordinator, or None if the configuration has none."""
@@ -232,6 +225,7 @@
     def start(self):
         """Opens the listeners, and starts all threads."""
         use_single_arena()
+        unmap_large_buffers()
         threading.stack_size(THREAD_STACK_SIZE)
         threading.excepthook = self.log_thread_fault
         sys.setswitchinterval(SWITCH_INTERVAL_S)
@@ -239,6 +233,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
+        self.divide_memory()
         self.listen(self.address, self.max_clients, Session)
         for extension in self.parts:
             extension.open(self)
@@ -255,8 +250,20 @@
             extension.settled(self)
         self.log.line("ready", name=self.name, listen=f"{self.address[0]}:{self.address[1]}", pid=os.getpid())
 
+    def divide_memory(self):
+        """Divides what the process may still use among sessions, messages and the log."""
+        limits = divide_memory(
+            self.max_memory, resident_size(), self.max_sessions, self.links.max_descriptors
+        )
+        self.memory.limits = limits
+        self.log.max_lines = limits.log_lines
+
     def listen(self, address, max_sessions, session):
-        """Adds a listener whose connections have sessions of this class; raises ConfigError."""
+        """Adds a listener whose connections have sessions of this class; raises ConfigError.
+
+        max_sessions: by the limit of descriptors; if memory does not suffice, each listener gets its part."""
+        by_memory = (max_sessions + SPARE) * self.memory.limits.sessions // self.max_sessions - SPARE
+        max_sessions = max(MIN_LISTENER_SESSIONS, min(max_sessions, by_memory))
         try:
             self.listeners.append(Listener(address, self, max_sessions, session, self.gate))
         except OSError as error:
--- a/wickvane/net/statement.py
+++ b/wickvane/net/statement.py
@@ -6,7 +6,7 @@
 from wickvane.events import Effect
 from wickvane.settings import ticks
 
-MAX_FIELD_LENGTH, MAX_LIMIT_MS = 256, 86_400_000
+MAX_FIELDS, MAX_FIELD_LENGTH, MAX_LIMIT_MS = 64, 256, 86_400_000
 
 # Comments and strings, in which names have no meaning, then names; quoted names are a kind of their own.
 TOKEN = re.compile(
@@ -90,9 +90,12 @@
 def parse_fields(inside):
     """Returns the statement comment's fields, text by name.
 
-    Raises RequestRejected if they are malformed, a name is repeated or a value is too long."""
+    Raises RequestRejected if they are malformed or too many, a name is repeated or a value is too long."""
     found = {}
-    for part in inside.decode("utf-8", "replace").split(","):
+    parts = inside.decode("utf-8", "replace").split(",", MAX_FIELDS)
+    if len(parts) > MAX_FIELDS:
+        raise RequestRejected("42601", "the comment has too many fields")
+    for part in parts:
         name, equals, value = part.partition("=")
         name, value = name.strip(), value.strip()
         if not equals or not name or name in found or len(value) > MAX_FIELD_LENGTH:
--- a/wickvane/net/storms.py
+++ b/wickvane/net/storms.py
@@ -131,6 +131,9 @@
 
     def taken(self, pending, again=False):
         """As Decider; records the arrival, and marks the query if it is a repeat."""
+        if pending.answer is not None:
+            super().taken(pending, again)  # cancelled: its text may be gone
+            return
         query_fingerprint = self.fingerprint(pending)
         again = self.storm.record_arrival(self.now, query_fingerprint, pending.client_address, pending.cost)
         super().taken(pending, again)
--- a/wickvane/net/tds/authentication.py
+++ b/wickvane/net/tds/authentication.py
@@ -7,9 +7,9 @@
 
 import os
 from enum import Enum, auto
-from hashlib import blake2b
 from threading import Lock
 
+from wickvane.digest import blake2b
 from wickvane.files import FileError, read_bounded
 
 MAX_FILE_SIZE = 1 << 20  # octets
--- a/wickvane/net/tds/batch_answer.py
+++ b/wickvane/net/tds/batch_answer.py
@@ -10,6 +10,7 @@
 from wickvane.net.tds import errors, tokens
 from wickvane.net.tds.results import GatheredTokens
 from wickvane.net.tds.tokens import DONE_TOKENS, Done, ServerMessage, Token
+from wickvane.scheduling.memory_limits import tokens_size
 
 MAX_GATHERED_SIZE = 48_000  # octets; a longer result is streamed
 DONE_SIZE = 13  # octets of a DONE, DONEPROC or DONEINPROC
@@ -110,6 +111,10 @@
         """Returns whether the result is too long to be gathered."""
         return self.size > MAX_GATHERED_SIZE
 
+    def memory_size(self) -> int:
+        """Returns the octets that are counted for the gathered result."""
+        return tokens_size(len(self.result), self.size)
+
     def is_mid_token(self) -> bool:
         """Returns whether an incomplete token is buffered."""
         return self._reader.is_mid_token()
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -29,8 +29,8 @@
 from wickvane.net.tds.batch_answer import FAILED_STATUS, BatchAnswer, Chunk
 from wickvane.net.tds.batch_text import is_single_statement
 from wickvane.net.tds.sql_batch import encode_sql_batch
+from wickvane.scheduling.memory_limits import tokens_size
 
-STREAM_BUFFER_SIZE = 256 << 10  # octets between the connection's thread and the client session's thread
 RECEIVE_SIZE = 32_768  # octets
 READ_TIMEOUT_S = 5
 MAX_READ_TIMEOUTS_MID_ANSWER = 2
@@ -105,10 +105,10 @@
     def encode_ask(self, attempt) -> bytes | None:
         """Returns the packets of an attempt's batch, or None if the attempt must not be sent any more."""
         fields = self.request_fields(attempt)
-        if not fields:
+        statement = attempt.pending.text_to_send()
+        if not fields or not statement:
             return None
-        pending = attempt.pending
-        text = (b"/* id=%b,%b */ %b" % (pending.id, fields, pending.body)).decode("utf-8", "replace")
+        text = (b"/* id=%b,%b */ %b" % (attempt.pending.id, fields, statement)).decode("utf-8", "replace")
         self.attempt = attempt
         self.answer_reader = BatchAnswer()
         self.stream = None
@@ -301,10 +301,16 @@
     def _forward_result(self, answer: BatchAnswer, chunk: Chunk) -> None:
         """Gathers a chunk of the result, or forwards it to the stream."""
         if self.stream is not None:
-            if chunk.tokens and not self.stream.put(chunk.tokens, chunk.size):
+            size = tokens_size(len(chunk.tokens), chunk.size)
+            if chunk.tokens and not self.stream.put(chunk.tokens, size):
                 self.put("attention", self.attempt, Ending.CANCELLED)  # the client has disconnected
             return
         answer.result.extend(chunk.tokens)
+        if answer.result and not self.pool.exchange.reserve_result(
+            self.attempt.pending, answer.memory_size()
+        ):
+            answer.discard_result()
+            return
         if answer.is_long() and not self._start_stream(answer):
             answer.discard_result()  # the batch was cancelled or failed, so that the result is not needed
 
@@ -313,13 +319,18 @@
         if answer.error is not None or answer.is_incomplete:
             return False
         attempt = self.attempt
-        stream = ResultStream(STREAM_BUFFER_SIZE)
+        exchange = self.pool.exchange
+        stream_size = exchange.max_stream_size()
+        reserved_size = stream_size + answer.memory_size()
+        if not exchange.reserve_result(attempt.pending, reserved_size):
+            return False
+        stream = ResultStream(stream_size, reserved_size)
         stream.put(list(answer.result), 0)
         with self.lock:
             is_open = self.open_attempts.get(attempt.pending.id) is attempt
             if not is_open or self.state is not BatchState.RUNNING:
                 return False
-            if not self.pool.exchange.start_streaming(attempt, stream):
+            if not exchange.start_streaming(attempt, stream):
                 return False
             self.stream = stream
             self._change_state(BatchEvent.STREAM_STARTED)
--- a/wickvane/net/tds/handshake.py
+++ b/wickvane/net/tds/handshake.py
@@ -10,7 +10,6 @@
 from wickvane.net.tds.answers import SPID, error_answer, fatal_error_packets, result_packets
 from wickvane.net.tds.authentication import LoginCheck
 from wickvane.net.tds.session_setup import encode_database_change
-from wickvane.net.tds.tls import TlsLayer
 from wickvane.net.tds.token_encoding import encode_done, encode_envchange, encode_loginack
 from wickvane.net.tds.type_info import COLLATION
 
@@ -27,7 +26,7 @@
 def perform_handshake(session: Session) -> login7.Login7:
     """Receives and checks a login; returns it without having sent the answer.
 
-    Raises ProtocolError, ssl.SSLError, or Ended with the final message for the client if it is rejected."""
+    Raises ProtocolError, TlsError, or Ended with the final message for the client if it is rejected."""
     login = _receive_login(session)
     _check_login(session, login)
     return login
@@ -95,6 +94,8 @@
 
 def _start_tls(session: Session) -> None:
     """Performs the TLS handshake, whose messages are in PRELOGIN packets; later packets are within TLS."""
+    from wickvane.net.tds.tls import TlsLayer  # loads OpenSSL, which listeners without TLS do not need
+
     tls = TlsLayer(session.listener.tls_context)
     for _ in range(MAX_TLS_ROUND_TRIPS):
         done, data = tls.advance_handshake()
--- a/wickvane/net/tds/listener.py
+++ b/wickvane/net/tds/listener.py
@@ -1,11 +1,16 @@
 """The configuration that all sessions of the TDS listener share: encryption, logins and query rules."""
 
+from __future__ import annotations
+
 import re
-import ssl
+from typing import TYPE_CHECKING
 
 from wickvane.net.tds.authentication import Authenticator
 from wickvane.units import TICKS_PER_SECOND
 
+if TYPE_CHECKING:
+    import ssl
+
 
 class ListenerConfig:
     """The values of the extensions document that client sessions need; a reload replaces all of them."""
@@ -42,6 +47,8 @@
     Raises OSError or ValueError if the files cannot be used."""
     if document.encryption == "off":
         return None
+    import ssl  # loads OpenSSL, which listeners without TLS do not need
+
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     # In TDS 7 the TLS handshake must end with a message of the server; TLS 1.3 does not guarantee this.
     context.maximum_version = ssl.TLSVersion.TLSv1_2
--- a/wickvane/net/tds/packets.py
+++ b/wickvane/net/tds/packets.py
@@ -49,8 +49,8 @@
         self.max_message_size = max_message_size
         self.types = types
         self.buffer = bytearray()
-        self._bodies: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._packet_count = 0
         self._type = 0
         self._status = 0
 
@@ -60,7 +60,12 @@
 
     def is_mid_message(self) -> bool:
         """Returns whether an incomplete message is buffered."""
-        return bool(self.buffer or self._bodies)
+        return bool(self.buffer or self._packet_count)
+
+    @property
+    def size(self) -> int:
+        """Octets of the incomplete message, beside those in the buffer."""
+        return len(self._body)
 
     def next_packet(self) -> Message | None:
         """Returns the next packet, or None if it is incomplete."""
@@ -82,28 +87,34 @@
 
         An ATTENTION discards a message of which only some packets were received."""
         while (packet := self.next_packet()) is not None:
-            if not self._bodies:
+            if not self._packet_count:
                 self._type = packet.type
                 self._status = packet.status
             elif packet.type != self._type:
                 if packet.type != ATTENTION:
                     raise ProtocolError("a packet of another type inside a message")
-                self._discard_bodies()
+                self.discard_message()
                 return packet
-            self._bodies.append(packet.body)
-            self._size += len(packet.body)
-            if self._size > self.max_message_size or len(self._bodies) > MAX_PACKETS_PER_MESSAGE:
+            self._packet_count += 1
+            is_last = bool(packet.status & STATUS_EOM)
+            is_only = is_last and self._packet_count == 1
+            if not is_only:
+                self._body += packet.body
+            size = len(packet.body) if is_only else len(self._body)
+            if size > self.max_message_size or self._packet_count > MAX_PACKETS_PER_MESSAGE:
                 raise ProtocolError("a message is too long")
-            if packet.status & STATUS_EOM:
-                body = b"".join(self._bodies)
-                self._discard_bodies()
+            if is_last:
+                body = packet.body if is_only else bytes(self._body)
+                self.discard_message()
                 if not packet.status & STATUS_IGNORE:
                     return Message(self._type, self._status, body)
         return None
 
-    def _discard_bodies(self) -> None:
-        self._bodies = []
-        self._size = 0
+    def discard_message(self) -> None:
+        """Discards the incomplete message."""
+        if self._body:
+            self._body = bytearray()
+        self._packet_count = 0
 
 
 def encode_packets(
--- a/wickvane/net/tds/rpc.py
+++ b/wickvane/net/tds/rpc.py
@@ -6,6 +6,7 @@
 """
 
 import re
+import sys
 from collections.abc import Sequence
 from enum import IntEnum
 from typing import NamedTuple
@@ -73,6 +74,10 @@
     text: str
     declarations: str
 
+    def size(self) -> int:
+        """Returns the octets of the texts in memory."""
+        return sys.getsizeof(self.text) + sys.getsizeof(self.declarations)
+
 
 class StatementToRun(NamedTuple):
     """The result of an RPC call.
@@ -84,20 +89,31 @@
 
 
 class PreparedStatements:
-    """A client session's prepared statements by handle, at most MAX_PREPARED_STATEMENTS."""
+    """A client session's prepared statements by handle, at most MAX_PREPARED_STATEMENTS.
+
+    size: octets of all their texts."""
 
     def __init__(self) -> None:
         self.by_handle: dict[int, PreparedStatement] = {}
+        self.size = 0
         self._last_handle = 0
 
     def add(self, text: str, declarations: str) -> int:
         """Stores a statement and returns its handle; discards the oldest statement if there are too many."""
         self._last_handle += 1
         if len(self.by_handle) >= MAX_PREPARED_STATEMENTS:
-            del self.by_handle[next(iter(self.by_handle))]
-        self.by_handle[self._last_handle] = PreparedStatement(text, declarations)
+            self.remove(next(iter(self.by_handle)))
+        statement = PreparedStatement(text, declarations)
+        self.by_handle[self._last_handle] = statement
+        self.size += statement.size()
         return self._last_handle
 
+    def remove(self, handle: Value) -> None:
+        """Discards a statement, if there is one with this handle."""
+        statement = self.by_handle.pop(handle, None)
+        if statement is not None:
+            self.size -= statement.size()
+
     def get(self, handle: Value) -> PreparedStatement:
         """Returns the statement of a handle; raises ProtocolError if there is none."""
         if handle not in self.by_handle:
@@ -152,7 +168,7 @@
             statement = prepared.get(_handle(request))
             return StatementToRun(_with_literals(statement, request.parameters[1:]))
         case ProcedureId.UNPREPARE:
-            prepared.by_handle.pop(_handle(request), None)
+            prepared.remove(_handle(request))
             return StatementToRun(None)
         case 0 if request.name:
             return StatementToRun(_exec_statement(request))
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -1,15 +1,17 @@
 """One TDS 7.4 client session: a login, then SQL batches and RPC requests, one at a time."""
 
-import secrets
-import ssl
+from __future__ import annotations
+
+import os
 import time
 from enum import Enum, auto
+from typing import TYPE_CHECKING
 
-from wickvane.errors import ProtocolError, RequestRejected
+from wickvane.errors import ProtocolError, RequestRejected, TlsError
 from wickvane.events import Effect
 from wickvane.net import exchange as ex
 from wickvane.net.client_connection import RECEIVE_SIZE, Ended
-from wickvane.net.client_session import MESSAGE_TIMEOUT_S, STORM_TEXT, ClientSession
+from wickvane.net.client_session import MESSAGE_TIMEOUT_S, NO_MEMORY_TEXT, STORM_TEXT, ClientSession
 from wickvane.net.counters import NOBODY
 from wickvane.net.statement import Reader
 from wickvane.net.tds import errors, packets, results, tokens
@@ -29,7 +31,6 @@
 from wickvane.net.tds.rpc import PreparedStatements, read_rpc_request, statement_to_run
 from wickvane.net.tds.session_setup import answer_setup_statement
 from wickvane.net.tds.sql_batch import read_sql_batch
-from wickvane.net.tds.tls import TlsLayer
 from wickvane.net.tds.token_encoding import (
     encode_done,
     encode_envchange,
@@ -38,9 +39,14 @@
 )
 from wickvane.net.tds.transaction import SessionTransaction, TransactionAnswer
 from wickvane.net.tds.transaction_manager import TransactionRequestType, read_transaction_request
+from wickvane.scheduling.memory_limits import TLS_SIZE, input_size
+
+if TYPE_CHECKING:
+    from wickvane.net.tds.tls import TlsLayer
 
 MAX_MESSAGE_SIZE = 192 << 10  # octets: a statement of 64 KiB in UTF-16, with headers and parameters
 MAX_LOGIN_SIZE = 16_384  # octets
+TXN_ID_SIZE = 8  # octets
 NO_DEADLINE = float("inf")
 CLIENT_CHECK_INTERVAL_S = 0.08
 RESET_FLAGS = packets.STATUS_RESET_CONNECTION | packets.STATUS_RESET_CONNECTION_SKIP_TRAN
@@ -125,6 +131,7 @@
         received = bytes(self.buffer)
         self.buffer.clear()
         self.tls = tls
+        self.require_memory(self.memory.reserve(self.memory_size()))
         if received:
             self.buffer += tls.decrypt(received)
 
@@ -145,6 +152,22 @@
         self._answer_prefix = b""
         return data
 
+    # Memory
+
+    def memory_size(self) -> int:
+        """See ClientConnection; counts the incomplete message and prepared statements, too."""
+        size = super().memory_size() + input_size(self.assembler.size) + self.prepared.size
+        return size if self.tls is None else size + TLS_SIZE
+
+    def release_memory(self) -> None:
+        """See ClientConnection."""
+        self.assembler.discard_message()
+        super().release_memory()
+
+    def memory_error(self) -> bytes:
+        """See ClientSession."""
+        return fatal_error_packets(errors.DEFERRED, NO_MEMORY_TEXT)
+
     # Lifecycle
 
     def serve_client(self) -> None:
@@ -155,8 +178,8 @@
         except ProtocolError as error:
             fatal_error = fatal_error_packets(errors.PROTOCOL, str(error))
             raise Ended("message-malformed", fatal_error, str(error)) from None
-        except ssl.SSLError as error:
-            raise Ended("tls-failed", detail=error.reason or type(error).__name__) from None
+        except TlsError as error:
+            raise Ended("tls-failed", detail=str(error)) from None
 
     def _log_in(self) -> None:
         login = perform_handshake(self)
@@ -185,7 +208,10 @@
             if message is None:
                 self._await_request(stop)
                 message = self.next_message(time.monotonic() + MESSAGE_TIMEOUT_S)
-            self._serve_message(message)
+            pending = self._serve_message(message)
+            del message  # it must not be kept while the query waits
+            if pending is not None:
+                self.answer_query(pending)
 
     def _await_request(self, stop: Ended) -> None:
         self.idle = not self.assembler.is_mid_message()
@@ -195,7 +221,8 @@
         finally:
             self.idle = False
 
-    def _serve_message(self, message: packets.Message) -> None:
+    def _serve_message(self, message: packets.Message) -> ex.PendingQuery | None:
+        """Serves a message; returns the query that it has submitted, which is not answered yet, or None."""
         self._answer_prefix = b""
         if message.status & RESET_FLAGS:
             self._answer_prefix = encode_envchange(tokens.ENV_RESET_ACK, b"\0", b"\0")
@@ -205,9 +232,9 @@
             case packets.SQL_BATCH:
                 self._is_rpc = False
                 self._output_values = b""
-                self._serve_statement(read_sql_batch(message.body))
+                return self._submit_statement(read_sql_batch(message.body))
             case packets.RPC:
-                self._serve_rpc(message.body)
+                return self._submit_rpc(message.body)
             case packets.ATTENTION:
                 # The request is already answered completely; the ATTENTION must still be acknowledged.
                 self._reply(encode_done(tokens.DONE_ATTN))
@@ -215,30 +242,32 @@
                 self._serve_transaction_request(message.body)
             case _:
                 raise ProtocolError("a packet of this type is not supported as a request")
+        return None
 
     # Requests
 
-    def _serve_rpc(self, body: bytes) -> None:
+    def _submit_rpc(self, body: bytes) -> ex.PendingQuery | None:
         self._is_rpc = True
         self._output_values = b""
         try:
             statement = statement_to_run(read_rpc_request(body), self.prepared)
         except ProtocolError as error:
             self._reply(error_answer(errors.UNUSABLE, str(error)))
-            return
+            return None
+        self.require_memory(self.memory.reserve(self.memory_size()))
         self._output_values = statement.tokens
-        if statement.text is None:
-            done = encode_done(token_type=tokens.DONEPROC)
-            self._reply(encode_return_status() + statement.tokens + done)
-        else:
-            self._serve_statement(statement.text)
+        if statement.text is not None:
+            return self._submit_statement(statement.text)
+        done = encode_done(token_type=tokens.DONEPROC)
+        self._reply(encode_return_status() + statement.tokens + done)
+        return None
 
-    def _serve_statement(self, text: str) -> None:
+    def _submit_statement(self, text: str) -> ex.PendingQuery | None:
         arrived = self.arrival_time()
         setup = answer_setup_statement(text, self.database)
         if setup is None:
-            self.serve_query(text.encode("utf-8", "replace"), arrived, defaults=self._new_query_defaults())
-            return
+            encoded = text.encode("utf-8", "replace")
+            return self.submit_query(encoded, arrived, defaults=self._new_query_defaults())
         if setup.database is not None:
             self.database = setup.database
         if setup.transaction:
@@ -246,10 +275,11 @@
             self._reply(answer.tokens + self.answer_end(None, answer.status))
         else:
             self._reply(setup.tokens + self.answer_end(setup.rows))
+        return None
 
     def _new_query_defaults(self) -> dict[str, str] | None:
         """Returns the fields for a query without fields of its own, or None if no rule matched the login."""
-        return self.query_defaults and self.query_defaults | {"txn": secrets.token_hex(8)}
+        return self.query_defaults and self.query_defaults | {"txn": os.urandom(TXN_ID_SIZE).hex()}
 
     def _serve_transaction_request(self, body: bytes) -> None:
         request = read_transaction_request(body)
@@ -269,6 +299,8 @@
 
     def has_abandoned_query(self) -> bool:
         """See ClientSession; reads what arrived during the query, such as an ATTENTION or a close."""
+        if not self.memory.reserve_ahead(self.memory_size() + RECEIVE_SIZE):
+            return self.has_disconnected()
         try:
             data = self.sock.recv(RECEIVE_SIZE)
         except BlockingIOError:
@@ -287,7 +319,7 @@
                 self._change_state(
                     SessionEvent.ATTENTION_RECEIVED if complete else SessionEvent.ATTENTION_INCOMPLETE
                 )
-        except (ProtocolError, ssl.SSLError):
+        except (ProtocolError, TlsError):
             return True
         return self._is_cancelled
 
--- a/wickvane/net/tds/transaction.py
+++ b/wickvane/net/tds/transaction.py
@@ -1,6 +1,6 @@
 """A client session's transaction, which is only simulated: each query is a transaction of its own."""
 
-import secrets
+import os
 from typing import NamedTuple
 
 from wickvane.net.tds import errors, tokens
@@ -46,7 +46,7 @@
         return TransactionAnswer(answer, tokens.DONE_ERROR if rollback_fails else 0)
 
     def _begin(self) -> TransactionAnswer:
-        self._descriptor = secrets.token_bytes(DESCRIPTOR_SIZE)
+        self._descriptor = os.urandom(DESCRIPTOR_SIZE)
         self.has_effects = False
         value = bytes((DESCRIPTOR_SIZE,)) + self._descriptor
         return TransactionAnswer(encode_envchange(tokens.ENV_BEGIN_TRANSACTION, value, NO_DESCRIPTOR), 0)
--- a/wickvane/scheduling/placement.py
+++ b/wickvane/scheduling/placement.py
@@ -1,8 +1,8 @@
 """Chooses the engine for a query by the rendezvous hash order of its table group and by the engines' load."""
 
-from hashlib import blake2b
 from random import Random
 
+from wickvane.digest import blake2b
 from wickvane.events import FOREVER, Deployment, Effect, Ending, KeyScope
 from wickvane.scheduling.concurrency import MIN_LOAD_FACTOR_FADE_TICKS, ConcurrencyLimits, LoadTracker
 from wickvane.scheduling.estimates import WorkEstimates
--- a/wickvane/scheduling/retry_storm.py
+++ b/wickvane/scheduling/retry_storm.py
@@ -13,10 +13,10 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import StrEnum
-from hashlib import blake2b
 from math import sqrt
 from typing import Any, NamedTuple
 
+from wickvane.digest import blake2b
 from wickvane.units import TICKS_PER_SECOND, to_seconds
 
 STEP_TICKS = TICKS_PER_SECOND // 2
