--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -19,6 +19,7 @@
 import time
 from collections.abc import Callable
 from multiprocessing import get_context
+from random import Random
 from threading import Thread
 from typing import NamedTuple
 
@@ -181,6 +182,14 @@
     return (packets.HEADER.pack(packets.SQL_BATCH, 0, packets.HEADER.size + 1, 0, 1, 0) + b"x") * 4000
 
 
+def mixed(number: int) -> bytes:
+    """One of the others, and a part of it, by a seeded choice."""
+    choice = Random(number)
+    others = (half_a_statement, short_fields, many_statements, whole_statements, unread_results)
+    message = choice.choice(others)(number)
+    return message[: choice.randrange(1, len(message) + 1)]
+
+
 class Picture(NamedTuple):
     """What all clients send; is_tds: by TDS; blocks_log: whether the dispatcher's log is not read."""
 
@@ -198,6 +207,7 @@
     "many-statements": Picture(many_statements),
     "keyed-statements": Picture(many_keyed_statements),
     "unread-results": Picture(unread_results),
+    "mixed": Picture(mixed),
     "blocked-log": Picture(many_statements, blocks_log=True),
     "tds-half-batches": Picture(half_a_tds_batch, is_tds=True),
     "tds-whole-batches": Picture(whole_tds_batches, is_tds=True),
@@ -280,7 +290,7 @@
     def __init__(self, port: int) -> None:
         super().__init__(daemon=True)
         self.port, self.stopped = port, False
-        self.served = self.asked = 0
+        self.served = self.asked = self.other_errors = 0
         self.slowest_s = 0.0
         self.start()
 
@@ -304,7 +314,9 @@
             if answer is None:
                 raise ConnectionResetError
             self.asked += 1
-            self.served += b"SELECT 1\0" in answer
+            is_served = b"SELECT 1\0" in answer
+            self.served += is_served
+            self.other_errors += not is_served and b"C53" not in answer
             self.slowest_s = max(self.slowest_s, time.monotonic() - began)
             time.sleep(0.05)
 
@@ -402,7 +414,9 @@
         self.process.wait()
 
 
-def measure_picture(tree: str, name: str, memory_mb: int, count: int, engines: list[str]) -> dict:
+def measure_picture(
+    tree: str, name: str, memory_mb: int, count: int, engines: list[str], seconds: float = SECONDS
+) -> dict:
     """Returns the figures of one picture at one limit."""
     picture = PICTURES[name]
     with tempfile.TemporaryDirectory() as folder:
@@ -411,9 +425,9 @@
             time.sleep(0.3)
             probes = [Probe(program.port) for _ in range(PROBES)]
             if picture.message is None:
-                time.sleep(SECONDS)
+                time.sleep(seconds)
             else:
-                Clients(program.tds_port if picture.is_tds else program.port, count, picture).run(SECONDS)
+                Clients(program.tds_port if picture.is_tds else program.port, count, picture).run(seconds)
             for probe in probes:
                 probe.stopped = True
             for probe in probes:
@@ -422,6 +436,8 @@
             return {
                 "peak_mb": round(program.peak_mb(), 1),
                 "asked": asked,
+                "served": sum(probe.served for probe in probes),
+                "other_errors": sum(probe.other_errors for probe in probes),
                 "served_part": round(sum(probe.served for probe in probes) / max(1, asked), 3),
                 "slowest_ms": round(1000 * max(probe.slowest_s for probe in probes)),
             }
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -115,6 +115,10 @@
             self.is_stalled_out = True
             self.shut_down(socket.SHUT_RD)
 
+    def is_active(self, recent):
+        """Whether the session has had an answer since `recent` (ticks); newcomers must not displace it."""
+        return bool(self.queries) and self.since > recent
+
     def is_stalled(self, recent):
         """Whether the session has waited since before `recent` (ticks) for the rest of a message."""
         return not self.idle and 0 < self.message_since < recent
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -8,6 +8,7 @@
 from threading import Lock
 
 from wickvane.net.input_tracker import InputReader
+from wickvane.scheduling.session_eviction import choose_session
 
 BACKLOG = 256
 # Connections beyond the maximum: for the error that rejects a connection, and for cancel requests, which are
@@ -29,11 +30,12 @@
 
     accepts_connections = True
 
-    def __init__(self, address, service, max_sessions, session, gate=None):
+    def __init__(self, address, service, max_sessions, session, gate=None, is_memory_short=False):
         """Opens the listening socket; raises OSError.
 
         session: the class of the sessions, one per protocol. gate: limits the rate of new connections; None:
-        every connection is admitted while there are fewer than max_sessions.
+        every connection is admitted while there are fewer than max_sessions. is_memory_short: whether memory,
+        not the number of descriptors, limits the sessions.
         """
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.create_server(address, family=family, backlog=BACKLOG)
@@ -41,7 +43,7 @@
         self.input = service.exchange.input
         self.service, self.max_sessions, self.session = service, max_sessions, session
         self.lock, self.sessions, self.closed = Lock(), set(), False
-        self.gate, self.lingering = gate, deque()
+        self.gate, self.lingering, self.is_memory_short = gate, deque(), is_memory_short
 
     def run(self):
         """The thread: accepts connections until the listener is closed."""
@@ -109,34 +111,23 @@
 
         Returns whether the listener is full nevertheless, or None if the spare connections are in use too.
         This protects against clients that connect and send nothing, stop half way through a message, or stay
-        connected after a query. Sessions that have waited longest for the rest of a message are closed first,
-        then those without any query, then those that have been idle longest. A session that has just been
-        accepted may be about to send a query and is closed last.
+        connected after a query.
         """
         for _ in range(MAX_EVICTION_ROUNDS):
             with self.lock:
-                open_count, leaving = len(self.sessions), 0
-                if open_count < self.max_sessions:
-                    return False
-                since = self.service.clock.now() - NEW_SESSION_TIME
-                stalled, idle = [], []
-                for session in self.sessions:
-                    if session.is_evicted:
-                        leaving += 1
-                    elif session.idle:
-                        idle.append(session)
-                    elif session.is_stalled(since):
-                        stalled.append(session)
-            if (stalled or idle) and open_count - leaving >= self.max_sessions:
-                evicted = (
-                    min(stalled, key=lambda session: session.message_since)
-                    if stalled
-                    else min(idle, key=lambda session: (session.eviction_rank(since), session.since))
-                )
-                evicted.evict()
-                leaving += 1
+                sessions = list(self.sessions)
+            open_count = len(sessions)
+            if open_count < self.max_sessions:
+                return False
+            staying = [session for session in sessions if not session.is_evicted]
+            if len(staying) >= self.max_sessions:
+                recent = self.service.clock.now() - NEW_SESSION_TIME
+                evicted = choose_session(staying, recent, self.is_memory_short)
+                if evicted is not None:
+                    evicted.evict()
+                    staying.remove(evicted)
             if open_count < self.max_sessions + SPARE:
-                return open_count - leaving >= self.max_sessions
+                return len(staying) >= self.max_sessions
             with self.unable_to_accept():
                 time.sleep(POLL_INTERVAL_S)  # the threads of the closed sessions are about to end
         return None
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -263,9 +263,12 @@
 
         max_sessions: by the limit of descriptors; if memory does not suffice, each listener gets its part."""
         by_memory = (max_sessions + SPARE) * self.memory.limits.sessions // self.max_sessions - SPARE
-        max_sessions = max(MIN_LISTENER_SESSIONS, min(max_sessions, by_memory))
+        is_memory_short = by_memory < max_sessions
+        if is_memory_short:
+            max_sessions = max(MIN_LISTENER_SESSIONS, by_memory)
         try:
-            self.listeners.append(Listener(address, self, max_sessions, session, self.gate))
+            listener = Listener(address, self, max_sessions, session, self.gate, is_memory_short)
+            self.listeners.append(listener)
         except OSError as error:
             address_text = f"{address[0]}:{address[1]}"
             raise ConfigError(f"cannot listen on {address_text}: {error.strerror}", 1) from None
