A client whose requests need no engine is answered at a bounded pace

What callers saw: one client sent 29,000 unusable statements a second on one connection; others' look-ups took up to 1.4 s and some were deferred.

Cause: its thread gives the interpreter lock up for system calls only, and takes it again before a waiting thread wakes; the switch interval is 0.5 s. Late answers then made engines look slow, and the scheduler deferred queries.

Change: a session pauses after such requests, 100 at once and then one every 2 ms; the decider reads ahead for it meanwhile.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -292,6 +292,7 @@
         self.port, self.stopped = port, False
         self.served = self.asked = self.other_errors = 0
         self.slowest_s = 0.0
+        self.times_s: list[float] = []
         self.start()
 
     def run(self) -> None:
@@ -317,7 +318,8 @@
             is_served = b"SELECT 1\0" in answer
             self.served += is_served
             self.other_errors += not is_served and b"C53" not in answer
-            self.slowest_s = max(self.slowest_s, time.monotonic() - began)
+            self.times_s.append(time.monotonic() - began)
+            self.slowest_s = max(self.slowest_s, self.times_s[-1])
             time.sleep(0.05)
 
     @staticmethod
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -2,8 +2,8 @@
 for a query's answer and sends exactly one.
 
 Each protocol is a subclass: serve_client() reads its messages, calls submit_query() with the text of each
-statement, and answer_query(); the methods under "Implemented by each protocol" encode the answers. A session
-waits only for its own socket and its own pending query.
+statement, and answer_or_pause(); the methods under "Implemented by each protocol" encode the answers. A
+session waits only for its own socket and its own pending query.
 """
 
 import select
@@ -15,7 +15,9 @@
 from wickvane.net.client_connection import MAX_JIFFY_TICKS, ClientConnection, Ended
 from wickvane.net.counters import ANSWERS, NOBODY, REVERSE
 from wickvane.net.queues import ResultStream
+from wickvane.scheduling.answer_pacing import AnswerPacing
 from wickvane.scheduling.memory_limits import query_size
+from wickvane.units import TICKS_PER_SECOND
 
 # A new connection must get an answer or a close within 3 s, so the time up to its first whole query has a
 # lower limit. Without the idle timeout, clients that stay connected would hold descriptors forever.
@@ -52,6 +54,7 @@
         self.message_poll = select.poll()
         self.message_poll.register(sock, select.POLLIN)
         self.message_poll.register(self.stop_descriptor, select.POLLIN)
+        self.pacing = AnswerPacing()
         self.cancelled_until = 0  # queries that arrived until then were cancelled before they were read
         self.storm_notified = 0  # the number of the last retry storm that the client was notified of
 
@@ -181,6 +184,19 @@
             pending.release_client()
             self.release_query_memory()
 
+    def answer_or_pause(self, pending):
+        """Answers the query of a message, None if it had none; pauses if too many need no engine."""
+        if pending is not None:
+            self.answer_query(pending)
+            if pending.attempt_count:
+                return
+        pause = self.pacing.pause_after(self.clock.now())
+        if pause:
+            self.counters.add("sessions-paced")
+            self.begin_busy()
+            self.stopping.wait(pause / TICKS_PER_SECOND)
+            self.end_busy()
+
     def reserve_query_memory(self, pending):
         """Reserves what the query needs until it has its answer; raises RequestRejected if it is refused."""
         self.memory.since = 0  # the message is complete: the session does not wait for its client any more
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -139,9 +139,7 @@
         """As ClientSession: the startup, then messages until the session ends."""
         self.answer_startup(*self.read_startup())
         while True:
-            pending = self.serve_message(self.next_message())
-            if pending is not None:
-                self.answer_query(pending)
+            self.answer_or_pause(self.serve_message(self.next_message()))
 
     def answer_startup(self, minor, body):
         """Answers the startup message; the answer carries the backend key data for CancelRequests."""
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -210,8 +210,7 @@
                 message = self.next_message(time.monotonic() + MESSAGE_TIMEOUT_S)
             pending = self._serve_message(message)
             del message  # it must not be kept while the query waits
-            if pending is not None:
-                self.answer_query(pending)
+            self.answer_or_pause(pending)
 
     def _await_request(self, stop: Ended) -> None:
         self.idle = not self.assembler.is_mid_message()
