A mutating id that may have run is rejected when it comes again after its client left

What callers saw: a client left while its mutating query ran, the query was cancelled, and the same id on a new connection ran a second time.

Cause: ids were known only while their queries were open.

Change: the id of a mutating query that may have run and has no result is rejected with 55000 until its deadline; at most 2,048 are kept.

--- a/wickvane/net/exchange.py
+++ b/wickvane/net/exchange.py
@@ -5,10 +5,11 @@
 ended. Nothing in this module waits for a peer, and every queue is bounded.
 """
 
+from collections import OrderedDict
 from threading import Lock
 
 from wickvane.errors import RequestRejected
-from wickvane.events import Ending
+from wickvane.events import Effect, Ending
 from wickvane.net.input_tracker import InputTracker
 from wickvane.net.memory_budget import MemoryBudget
 from wickvane.net.queues import BoundedQueue, ReadyQueue
@@ -16,6 +17,7 @@
 
 FINISHED, REJECTED, FAILED, CLIENT_GONE = "finished", "deferred", "killed", "left"
 MAX_INBOX_SIZE = 20_000
+MAX_IDS_WITHOUT_RESULT = 2_048
 MAX_OPEN_QUERIES = 4_000  # above which no query is submitted ahead of its turn in its session
 NO_RESULT_MEMORY_TEXT = "no memory is left for its result"
 SHUTDOWN_SQLSTATE = "57P03"  # of queries that a dispatcher rejects while it shuts down
@@ -149,6 +151,7 @@
         self.inbox, self.ready_queue = BoundedQueue(MAX_INBOX_SIZE), ReadyQueue()
         self.input = InputTracker(clock, counters, self.inbox.wake)
         self.cancel_keys, self.open_ids, self.next_pid, self.resource_groups = {}, set(), 0, []
+        self.ids_without_result = OrderedDict()  # until when each is rejected, in ticks
         self.storm_number = 0  # of the current retry storm; 0: there is none
         self.closed = False
 
@@ -162,6 +165,8 @@
             if pending.id in self.open_ids:
                 # Not of class 53, which says that a retry is harmless: the open query may be running.
                 raise RequestRejected("55000", "a query with this txn is open")
+            if self.ids_without_result.get(pending.id, 0) > pending.arrived_at:
+                raise RequestRejected("55000", "a query with this txn may have run; its result is not known")
             self.open_ids.add(pending.id)
         pending.submitted_at = self.clock.now()
         if pending.read_lag is None:
@@ -257,9 +262,18 @@
         return True
 
     def release_id(self, pending):
-        """Lets clients use the query's id again."""
+        """Lets clients use the query's id again, unless it must not run twice and its result is not known.
+
+        Such an id is rejected until the query's deadline: a client that left and comes again would otherwise
+        repeat it unknowingly."""
+        groups = self.resource_groups
+        is_mutating = bool(groups) and groups[pending.resource_group].effect == Effect.MUTATING
         with self.lock:
             self.open_ids.discard(pending.id)
+            if is_mutating and pending.attempt_count and pending.answer in (CLIENT_GONE, FAILED):
+                self.ids_without_result[pending.id] = pending.deadline
+                if len(self.ids_without_result) > MAX_IDS_WITHOUT_RESULT:
+                    self.ids_without_result.popitem(last=False)
 
     # Engines
 
