A new engine at the address of a listed one takes its place

What was seen: until the end of the former engine was told, its work went to the new process at its address.

Cause: engines are known by name, and nothing compared addresses.

Change: a new name at the address of a listed engine ends that one as if its end had been told. A whole list that has both keeps both.

--- a/wickvane/net/decider.py
+++ b/wickvane/net/decider.py
@@ -214,11 +214,26 @@
             for event in gone:
                 self.change_queue(event.wire_id.decode(), EngineState.GONE, None, 0)
         for name, address, state, zone, kind, cell, started, weight in entries:
+            if not is_complete and state == EngineState.READY and name not in self.queues:
+                self.end_predecessor(name, address)
             event = self.registry.update_engine(name, state, zone, kind, cell, started, weight)
             if event:
                 self.events.append(event)
                 self.change_queue(name, state, address, event.started, self.protocols.get(kind))
 
+    def end_predecessor(self, name, address):
+        """Removes the engine that is listed at a new engine's address: its process has gone.
+
+        Attempts for it would reach the new process, which knows nothing of what the former one ran."""
+        for former, queue in list(self.queues.items()):
+            if queue.address != address or queue.gone or former not in self.registry.listed_engines:
+                continue
+            self.counters.add("engines-replaced")
+            self.log.line("engine-replaced", engine=former, by=name)
+            listed = self.registry.listed_engines[former]
+            self.events.append(self.registry.update_engine(former, EngineState.GONE, *listed))
+            self.change_queue(former, EngineState.GONE, None, 0)
+
     def change_queue(self, name, state, address, started, protocol=None):
         """Opens, drains or replaces the queue of an engine whose state or address has changed."""
         queue = self.queues.get(name)
