A request that crosses the eviction of its idle session is served

Cause: the listener ends the input of an idle session; a request that had just arrived was served, but the end of the input was then taken for the client's.

--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -1,13 +1,21 @@
-"""Tests of requests whose client has gone: none is sent afterwards, and none that may have run runs again."""
+"""Tests of requests whose client has gone, or seems to have: what is sent, and what may come again."""
+
+import time
 
 import pytest
 from bench_free import Client, Dispatcher, Engine, group, hit, rows, sqlstate, statement, until
+from standins.tds_engine import TdsEngine, result
+from tds.helpers import Dispatcher as TdsDispatcher
+from tds.helpers import RawClient
 from test_ends import DISCONNECTS, await_count, close, first_asked, ids_asked, no_answer
 from test_readers import StoppedClock
 
 from wickvane.events import Effect
+from wickvane.net.client_session import ClientSession
 from wickvane.net.counters import Counters
 from wickvane.net.exchange import CLIENT_GONE, MAX_IDS_WITHOUT_RESULT, Exchange, PendingQuery
+from wickvane.net.tds import tokens
+from wickvane.net.tds.session import CLIENT_CHECK_INTERVAL_S
 
 
 def answer_asks(txn, words):
@@ -70,3 +78,33 @@
     engine.answers = answer_asks
     assert rows(Client(dispatcher).ask(statement(n=1_000)))
     assert ids_asked(engine) == [1_000]
+
+
+@pytest.mark.parametrize("protocol", ["postgres", "tds"])
+def test_a_request_that_crosses_the_eviction_of_its_idle_session_is_served(monkeypatch, protocol):
+    """It was answered as cancelled by its client: the end of the input was taken for a disconnect."""
+    await_input = ClientSession.await_input
+
+    def await_input_and_evict(session, poll, until_time):
+        has_input = await_input(session, poll, until_time)
+        if session.queries:
+            session.evict()
+        return has_input
+
+    monkeypatch.setattr(ClientSession, "await_input", await_input_and_evict)
+    if protocol == "tds":
+        client = RawClient(TdsDispatcher(TdsEngine(slow_result)).port)
+        for _ in range(2):
+            client.batch("SELECT 1 FROM sales_1.t")
+            assert any(token == tokens.ROW for token, _ in client.tokens())
+        return
+    client = Client(Dispatcher(Engine(answer_asks)))
+    for n in (1, 2):
+        assert rows(client.ask(statement(n=n)))
+    assert client.message() is None
+
+
+def slow_result(query):
+    """Answers after the session has looked at its client."""
+    time.sleep(3 * CLIENT_CHECK_INTERVAL_S)
+    return result((1, "a"))
--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -15,7 +15,8 @@
 RECEIVE_SIZE = 8_192  # octets per recv(): the buffer is allocated in each of many threads
 # Limits for all input that is read and discarded after the last message to a client.
 DISCARD_INPUT_S, MAX_DISCARDED_OCTETS = 0.25, 1 << 20
-DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+END_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
+DISCONNECT_EVENTS = select.POLLRDHUP | END_EVENTS
 LAST_DATA_RECV_OFFSET = 52  # of tcpi_last_data_recv in struct tcp_info: milliseconds since data last arrived
 MAX_JIFFY_TICKS = 100  # the error of a time of arrival, which the kernel counts in jiffies
 MAX_CLOCK_GAP_TICKS = 20  # between two readings of the clock; more if the process was suspended between them
@@ -58,6 +59,7 @@
         self.buffer, self.queries, self.is_evicted = bytearray(), 0, False
         self.received = self.accounted = self.sent = 0
         self.last_arrival = 0  # in ticks
+        self.is_input_shut = False  # whether the input was ended by shut_down()
         self.has_ended = False  # whether nothing that arrives is served any more
         # Reserved for input and queries, and for results; is_out_of_memory: whether one of them was evicted.
         self.memory = service.memory.lease(self.evict_input)
@@ -242,7 +244,9 @@
         try:
             poll = select.poll()
             poll.register(self.sock, select.POLLRDHUP)
-            return any(events & DISCONNECT_EVENTS for _, events in poll.poll(0))
+            # POLLRDHUP does not tell who has ended the input.
+            disconnect_events = END_EVENTS if self.is_input_shut else DISCONNECT_EVENTS
+            return any(events & disconnect_events for _, events in poll.poll(0))
         except (OSError, ValueError):
             return True  # the session has closed the socket
 
@@ -276,6 +280,7 @@
 
     def shut_down(self, direction):
         """Shuts the connection down in one or both directions, which ends a wait for it."""
+        self.is_input_shut = True
         try:
             self.sock.shutdown(direction)
         except OSError:
--- a/wickvane/net/postgres/session.py
+++ b/wickvane/net/postgres/session.py
@@ -346,8 +346,8 @@
 
     def has_abandoned_query(self):
         """As ClientSession."""
-        if self.buffer or self.messages_ahead:
-            return self.has_disconnected()  # MSG_PEEK would show the next command, not the end
+        if self.buffer or self.messages_ahead or self.is_input_shut:
+            return self.has_disconnected()  # MSG_PEEK would show the next command, or an end of our own
         try:
             return self.sock.recv(1, socket.MSG_PEEK) in (b"", b"X") or self.has_disconnected()
         except BlockingIOError:
