A client that reads nothing for a second makes room ahead of one that has just had an answer

At the limit of connections, sessions that were blocked on a client that does not read were never closed for others before their five seconds were over.

--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -67,6 +67,7 @@
         self.is_out_of_memory = False
         # Since when the rest of a message is awaited, in ticks; 0 if it is not. Whether that wait was ended.
         self.message_since, self.is_stalled_out = 0, False
+        self.output_since = 0  # since when the client has not read what is sent, in ticks; 0 if it has
         self.has_unread = False  # whether the last recv() left input in the kernel, or poll() showed some
         self.input_poll = select.poll()
         self.input_poll.register(sock, select.POLLIN)
@@ -87,10 +88,12 @@
                 self.require_memory(self.result_memory.reserve(self.stream_size + len(data)))
                 rest = memoryview(data)
                 until = time.monotonic() + (timeout_s or WRITE_TIMEOUT_S)
+                self.output_since = self.clock.now()
             while sent < len(data):
                 self.await_output(until)
                 sent += self.send_available(rest[sent:])
         finally:
+            self.output_since = 0
             self.sent += sent
             if self.account is not None and sent:
                 self.accounts.count(
@@ -122,6 +125,8 @@
             is_ready = poll_until(poll, until)
             self.result_memory.end_wait()
             self.require_memory(not self.is_out_of_memory)
+            if self.is_stalled_out:
+                raise Ended("made-room")
             if not is_ready:
                 raise TimeoutError
         finally:
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -110,13 +110,16 @@
         return 1 if self.queries else 2 * (self.since > recent)
 
     def evict(self):
-        """Ends the session, if it is idle or stalled, to make room for another; called by other threads."""
+        """Ends the session, if it waits for its client, to make room for another; called by other threads."""
         self.is_evicted = True
         if self.idle:
             self.shut_down(socket.SHUT_RD)
         elif self.message_since:
             self.is_stalled_out = True
             self.shut_down(socket.SHUT_RD)
+        elif self.output_since:
+            self.is_stalled_out = True
+            self.shut_down(socket.SHUT_RDWR)
 
     def is_active(self, recent):
         """Whether the session has had an answer since `recent` (ticks); newcomers must not displace it."""
--- a/wickvane/net/listener.py
+++ b/wickvane/net/listener.py
@@ -121,8 +121,8 @@
                 return False
             staying = [session for session in sessions if not session.is_evicted]
             if len(staying) >= self.max_sessions:
-                recent = self.service.clock.now() - NEW_SESSION_TIME
-                evicted = choose_session(staying, recent, self.is_memory_short)
+                now = self.service.clock.now()
+                evicted = choose_session(staying, now, now - NEW_SESSION_TIME, self.is_memory_short)
                 if evicted is not None:
                     evicted.evict()
                     staying.remove(evicted)
