Half-received answers of engines are counted for the memory limit, too

An incomplete token of a TDS engine may have 2 MB, whatever the limit; an incomplete page of the line protocol 22 KB. Without memory for it the engine connection ends, as its own fault, not the engine's.

Also: a reservation that was given up is not chosen for eviction, where it would free nothing; sessions read what comes during a TDS query as long as what they hold is reserved; the log tells when memory limits the sessions.

--- a/tests/tds/test_memory.py
+++ b/tests/tds/test_memory.py
@@ -8,7 +8,9 @@
 from tds.helpers import Dispatcher, RawClient, ask
 from wickvane.net.tds import errors, packets, tokens
 from wickvane.net.tds.batch_answer import BatchAnswer
+from wickvane.net.tds.encoding import NVARCHAR_MAX_INFO, encode_nvarchar_max
 from wickvane.net.tds.sql_batch import encode_sql_batch
+from wickvane.net.tds.token_encoding import encode_colmetadata
 
 LARGE_BATCH = packets.encode_packets(packets.SQL_BATCH, encode_sql_batch("SELECT '" + "x" * 40_000 + "'"))
 
@@ -97,3 +99,23 @@
     assert other.reserve(180_000)
     until(lambda: dispatcher.service.counters.shown().get("client-connections-ended-out-of-memory") == 1)
     until(lambda: dispatcher.service.memory.evicted == 0)
+
+
+def test_an_incomplete_answer_without_memory_ends_the_engine_connection_only():
+    """A row of up to 2 MB was buffered for each engine connection, whatever the limit."""
+    engine = TdsEngine(send_half_of_a_large_row)
+    dispatcher = with_little_memory(engine, messages=60_000)
+    client = RawClient(dispatcher.port)
+    client.batch("SELECT * FROM sales_1.t")
+    assert first_error(client) in (errors.KILLED, errors.DEFERRED)
+    shown = dispatcher.service.counters.shown
+    until(lambda: shown().get("engine-connections-ended-out-of-memory"))
+    engine.answers = lambda query: result((3, "c"))
+    client.batch("SELECT 1 FROM sales_1.t")
+    assert any(token == tokens.ROW for token, _ in client.tokens())
+
+
+def send_half_of_a_large_row(query):
+    columns = encode_colmetadata([("text", NVARCHAR_MAX_INFO)])
+    body = columns + bytes((tokens.ROW,)) + encode_nvarchar_max("x" * 200_000)
+    query.conn.send(packets.encode_packets(packets.TABULAR_RESULT, body)[:200_000])
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,6 +1,7 @@
 """Tests of the memory limit: what connections may hold, who is closed at the bound, and a real process."""
 
 import gc
+import select
 import struct
 import weakref
 from multiprocessing import get_context
@@ -97,6 +98,15 @@
     assert told == [10] and not untold and memory.used + memory.evicted <= 100_000 + 50_000
 
 
+def test_a_connection_that_holds_nothing_any_more_is_not_evicted():
+    """Its eviction would free nothing, and close a connection for that."""
+    memory = budget()
+    lease, untold = waiting_lease(memory, 10, 45_000)
+    assert lease.reserve(0)
+    assert not memory.lease(None).reserve(FREE_SIZE + 100_001) and not untold
+    lease.end_wait()
+
+
 def test_what_is_read_ahead_takes_a_part_only_and_evicts_nobody():
     memory = budget()
     _, untold = waiting_lease(memory, 10, 30_000)
@@ -215,4 +225,5 @@
     until(lambda: all(0 < session.message_since < now() - 2_500 for session in sessions.copy()))
     newcomer = Client(dispatcher)
     assert rows(newcomer.ask(statement(n=1)))
-    assert sqlstate([stalled[0].message()]) == "53300"
+    readable, _, _ = select.select([client.sock for client in stalled], [], [], 1.0)
+    assert [sqlstate([client.message()]) for client in stalled if client.sock in readable] == ["53300"]
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -159,7 +159,6 @@
         that can supply the fields of a query without a statement comment."""
         try:
             self.queries += 1
-            self.message_since = 0
             pending = pending or self.read_query(text, arrived, read_lag, **reader_options)
             self.account_received((pending.resource_group, pending.tenant))
             self.reserve_query_memory(pending)
@@ -189,6 +188,7 @@
 
     def answer_or_pause(self, pending):
         """Answers the query of a message, None if it had none; pauses if too many need no engine."""
+        self.message_since = 0
         if pending is not None:
             self.answer_query(pending)
             if pending.attempt_count:
--- a/wickvane/net/lines/connection.py
+++ b/wickvane/net/lines/connection.py
@@ -27,7 +27,7 @@
 # Reasons and OS errors that come from this dispatcher or its machine: they are no fault of the engine, and a
 # query of which nothing was sent did not run.
 LOCAL_REASONS = frozenset(
-    ("stop", "engine-restarted", "engine-gone", "no-thread", "no-descriptor", "made-room")
+    ("stop", "engine-restarted", "engine-gone", "no-thread", "no-descriptor", "made-room", "out-of-memory")
 )
 LOCAL_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -113,6 +113,7 @@
         # The time of the connection's timer in the I/O loop, and whether a check was requested.
         self.next_check_at, self.check_requested = None, False
         self.accounts, self.account = pool.io_loop.accounts, None
+        self.memory = pool.exchange.memory.lease(None)  # it is never evicted
         # Octets received; those of them already counted for a query; octets sent.
         self.received = self.received_counted = self.sent = 0
 
@@ -453,6 +454,12 @@
         self.receive_buffer += data
         self.received += len(data)
         self.read_answers()
+        self.reserve_memory(len(self.receive_buffer))
+
+    def reserve_memory(self, size):
+        """Reserves what an incomplete answer takes, in octets; ends the connection if there is no memory."""
+        if not self.dead and not self.memory.reserve(size):
+            self.fail("out-of-memory")
 
     def finish_connecting(self):
         """Handles the result of connecting; raises OSError if it failed."""
@@ -637,6 +644,7 @@
                 if attempt.written
                 else unwritten_ending,
             )
+        self.memory.release()
         pool.remove(self)
         pool.counters.add(f"engine-connections-ended-{reason}")
         pool.log.line(
--- a/wickvane/net/memory_budget.py
+++ b/wickvane/net/memory_budget.py
@@ -46,7 +46,7 @@
 
     def end_wait(self) -> None:
         """Lets the connection not be evicted any more."""
-        if self.size:
+        if self.since:
             self.budget.end_wait(self)
 
     def release(self) -> None:
@@ -124,6 +124,7 @@
         lease.size = size
         if not size:
             lease.since = 0
+            self._waiting.pop(lease, None)
 
     def _make_room(self, lease: MemoryLease, grown: int) -> bool:
         limits = self.limits
@@ -137,7 +138,6 @@
         return True
 
     def _evict(self, victim: MemoryLease) -> None:
-        del self._waiting[victim]
         victim.is_evicted = True
         self._sizes_of_evicted[victim] = victim.size
         self.evicted += victim.size
--- a/wickvane/net/service.py
+++ b/wickvane/net/service.py
@@ -256,6 +256,8 @@
             self.max_memory, resident_size(), self.max_sessions, self.links.max_descriptors
         )
         self.memory.limits = limits
+        if limits.sessions < self.max_sessions:
+            self.log.line("sessions-limited-by-memory", sessions=limits.sessions, of=self.max_sessions)
         self.log.max_lines = limits.log_lines
 
     def listen(self, address, max_sessions, session):
--- a/wickvane/net/tds/batch_answer.py
+++ b/wickvane/net/tds/batch_answer.py
@@ -115,6 +115,10 @@
         """Returns the octets that are counted for the gathered result."""
         return tokens_size(len(self.result), self.size)
 
+    def incomplete_size(self) -> int:
+        """Returns the octets of the incomplete token that is buffered."""
+        return len(self._reader.buffer)
+
     def is_mid_token(self) -> bool:
         """Returns whether an incomplete token is buffered."""
         return self._reader.is_mid_token()
--- a/wickvane/net/tds/connection.py
+++ b/wickvane/net/tds/connection.py
@@ -276,6 +276,8 @@
         self.assembler.feed(data)
         while not self.dead and (packet := self.assembler.next_packet()) is not None:
             self._process_packet(packet)
+        answer = self.answer_reader
+        self.reserve_memory(len(self.assembler.buffer) + (answer.incomplete_size() if answer else 0))
 
     def _process_packet(self, packet: packets.Message) -> None:
         answer = self.answer_reader
--- a/wickvane/net/tds/session.py
+++ b/wickvane/net/tds/session.py
@@ -298,7 +298,7 @@
 
     def has_abandoned_query(self) -> bool:
         """See ClientSession; reads what arrived during the query, such as an ATTENTION or a close."""
-        if self.is_input_shut or not self.memory.reserve_ahead(self.memory_size() + RECEIVE_SIZE):
+        if self.is_input_shut or not self.memory.reserve_ahead(self.memory_size()):
             return self.has_disconnected()
         try:
             data = self.sock.recv(RECEIVE_SIZE)
