A refusal for want of memory never concerns a query that has run or is submitted

Found by reading the change again. A session whose answer had no memory ended with 53200, "it may be sent again", though a mutating query had run; and a query submitted ahead of its turn was refused, but stayed in the scheduler and kept its key up to its deadline.

Change: an answer that cannot be kept ends its session without such an error; a query submitted ahead keeps the memory that was reserved for it then.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -2,14 +2,16 @@
 
 import gc
 import select
+import socket
 import struct
 import weakref
 from multiprocessing import get_context
 
 import pytest
-from bench_free import Client, Dispatcher, Engine, rows, sqlstate, statement, until
+from bench_free import Client, Dispatcher, Engine, hit, rows, sqlstate, statement, until
 
 from benchmarks import memory as benchmark
+from wickvane.net.client_connection import ClientConnection, Ended
 from wickvane.net.counters import Counters
 from wickvane.net.memory_budget import MemoryBudget
 from wickvane.scheduling.memory_limits import (
@@ -227,3 +229,35 @@
     assert rows(newcomer.ask(statement(n=1)))
     readable, _, _ = select.select([client.sock for client in stalled], [], [], 1.0)
     assert [sqlstate([client.message()]) for client in stalled if client.sock in readable] == ["53300"]
+
+
+def test_a_query_that_was_submitted_ahead_is_not_refused_for_memory():
+    """It stayed in the scheduler without its session, and kept its key up to its deadline."""
+    engine = Engine(lambda txn, words: b"")
+    dispatcher = Dispatcher(engine)
+    client = Client(dispatcher)
+    client.send(statement(n=1, limit=20_000))
+    fields = dict(verb="load", item="k", unique="t", limit=20_000)
+    client.send(statement(f"INSERT INTO sales_1.t VALUES ('{'x' * 5_000}')", n=2, **fields))
+    until(lambda: dispatcher.service.counters.shown().get("taken") == 2)
+    memory = dispatcher.service.memory
+    memory.limits = memory.limits._replace(messages=0, evicted=0)
+    engine.answers = lambda txn, words: hit(txn) if words[0] == b"ASK" else b""
+    _, words, _, connection = engine.next("ASK")
+    connection.sendall(hit(words[0]))
+    assert rows(client.until_ready()) and rows(client.until_ready())
+
+
+def test_an_answer_without_memory_is_never_followed_by_an_error_that_allows_a_retry():
+    """A mutating query that had run was followed by 53200, "it may be sent again"."""
+    service = Dispatcher().service
+    local, peer = socket.socketpair()
+    local.setblocking(False)
+    connection = ClientConnection(local, service)
+    connection.memory_error = lambda: b"53200"
+    connection.send_available = lambda data: 0
+    service.memory.limits = service.memory.limits._replace(messages=0, evicted=0)
+    with pytest.raises(Ended) as ended:
+        connection.put(bytes(50_000))
+    assert ended.value.reason == "out-of-memory" and not ended.value.last
+    peer.close()
--- a/wickvane/net/client_connection.py
+++ b/wickvane/net/client_connection.py
@@ -85,7 +85,8 @@
         try:
             sent = self.send_available(data)
             if sent < len(data):
-                self.require_memory(self.result_memory.reserve(self.stream_size + len(data)))
+                if not self.result_memory.reserve(self.stream_size + len(data)):
+                    raise Ended("out-of-memory")  # no error that allows a retry: the query may have run
                 rest = memoryview(data)
                 until = time.monotonic() + (timeout_s or WRITE_TIMEOUT_S)
                 self.output_since = self.clock.now()
@@ -124,9 +125,8 @@
             self.result_memory.begin_wait()
             is_ready = poll_until(poll, until)
             self.result_memory.end_wait()
-            self.require_memory(not self.is_out_of_memory)
-            if self.is_stalled_out:
-                raise Ended("made-room")
+            if self.is_out_of_memory or self.is_stalled_out:
+                raise Ended("out-of-memory" if self.is_out_of_memory else "made-room")
             if not is_ready:
                 raise TimeoutError
         finally:
--- a/wickvane/net/client_session.py
+++ b/wickvane/net/client_session.py
@@ -201,10 +201,12 @@
             self.end_busy()
 
     def reserve_query_memory(self, pending):
-        """Reserves what the query needs until it has its answer; raises RequestRejected if it is refused."""
+        """Reserves what the query needs until it has its answer; raises RequestRejected if it is refused.
+
+        One that was submitted ahead is not: its memory was reserved then, and its key waits for it."""
         self.memory.since = 0  # the message is complete: the session does not wait for its client any more
         self.query_size = query_size(len(pending.body))
-        if not self.memory.reserve(self.memory_size()):
+        if not self.memory.reserve(self.memory_size()) and not pending.is_submitted:
             raise RequestRejected(NO_MEMORY_SQLSTATE, NO_MEMORY_TEXT)
 
     def release_query_memory(self):
