Drains and lists reach proxies across numberings: versions carry tombstones, not an order

Cause: an index orders the events of one numbering, and the list is numbered from 1 at each start of a reader. The same index stood in the versions that proxies hold: an instance with a shorter numbering (restarted, or started later) held every endpoint back from a proxy with a higher number, drains too. Removals were forgotten by lowest index, after a restart the newest first. Numbers of a coordinator's stream, below the generation in the number of a list with overrides, were compared in the same way.

Change: what is compared is what stays true across numberings, the start of each process. An instance that is told of a tombstone that its list lacks sends that proxy its clusters placed without these endpoints (a view), and all else as usual, drains first. Drains by documents hold their generation, so that newer documents revoke them; without a stated generation they are in no version.

--- a/wickvane/endpoints/effects.py
+++ b/wickvane/endpoints/effects.py
@@ -4,8 +4,7 @@
 
 from wickvane.endpoints.records import Record
 
-# Widths of the rollout step and of the stream event in an update's number, below the generation;
-# wickvane.xds.catalog splits the number again.
+# Widths of the rollout step and of the stream event in an update's number, below the generation.
 STEP_BITS = 14
 STREAM_BITS = 29
 
@@ -42,11 +41,16 @@
 def make_update_number(generation: int, step: int, stream_event: int) -> int:
     """Returns the number of an update.
 
-    It grows with each update, and is the same at instances that have the same generation, rollout step and
-    event of the coordinator's stream.
+    It grows with each update of one process. The parts of generation and rollout step are the same at
+    instances whose documents state the same generation; each process numbers the stream's events anew.
     """
     file_part = generation << STEP_BITS | min(step, (1 << STEP_BITS) - 1)
     return file_part << STREAM_BITS | stream_event % (1 << STREAM_BITS)
 
 
+def document_index_of(update_number: int) -> int:
+    """The part of an update's number that is from the documents: generation and rollout step."""
+    return update_number >> STREAM_BITS
+
+
 Effect = AppendRecord | PublishUpdate | WriteLogEvent
--- a/wickvane/endpoints/endpoint_list.py
+++ b/wickvane/endpoints/endpoint_list.py
@@ -72,6 +72,7 @@
         self.overlay = CoordinatorOverlay(policy.overrides_coordinator)
         self.last_rejection: Rejection | None = None
         self.is_stale = False  # recovered from the journal, and no file has agreed with it since
+        self.has_stated_generation = False  # the last document states its generation
         self._effects: list[Effect] = []
 
     # State
@@ -112,6 +113,7 @@
         document. load: number of threads that the pool's queries occupy, None if unknown.
         """
         findings = list(findings)
+        self.has_stated_generation = generation is not None
         if highest_severity(findings) == Severity.REJECT:
             self._reject(now, document, generation, findings, author)
             return
--- a/wickvane/xds/catalog.py
+++ b/wickvane/xds/catalog.py
@@ -1,7 +1,7 @@
 """The current resources by type and name, with their versions. The module does no I/O."""
 
 from collections import deque
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -10,8 +10,6 @@
 from wickvane.xds.resource_types import ResourceType
 from wickvane.xds.resource_version import DIGEST_BYTES, ResourceVersion, digest_of, parse_version
 
-# In an index with two sources, the lower bits are the coordinator's number, the upper ones that of the files.
-STREAM_INDEX_BITS = 29
 MAX_LOGGED_CHANGES = 4096  # for each type; a stream that is further behind compares all resources
 
 
@@ -37,43 +35,19 @@
     """The resources of all types.
 
     generation: grows by one with each set of changes; index: index of the newest endpoint event that the
-    resources are derived from; has_two_sources: the index combines the numbers of a coordinator and of
-    watched files.
+    resources are derived from.
     """
 
     def __init__(self, epoch: str = "0") -> None:
         self.epoch = epoch
         self.index = 0
         self.generation = 0
-        self.has_two_sources = False
         self.resources: list[Map] = [Map() for _ in ResourceType]
         self.name_changes = [0 for _ in ResourceType]  # how often names were added or removed
         self._change_logs: list[deque[_Change]] = [deque() for _ in ResourceType]
         self._truncated_generations = [0 for _ in ResourceType]  # newest generation dropped from the log
         self._type_versions: dict[tuple[ResourceType, frozenset[str]], str] = {}
 
-    def _source_indexes(self, index: int) -> tuple[int, ...]:
-        """The index of each source.
-
-        If files override the coordinator's list, one instance may be ahead by the files and another by the
-        coordinator's stream; then neither list is the newer one.
-        """
-        return divmod(index, 1 << STREAM_INDEX_BITS) if self.has_two_sources else (index,)
-
-    def is_behind(self, index: int) -> bool:
-        """Whether a list with this index includes an event that the catalog does not include."""
-        other_indexes = self._source_indexes(index)
-        own_indexes = self._source_indexes(self.index)
-        return any(other_index > own_index for other_index, own_index in zip(other_indexes, own_indexes))
-
-    def merged_index(self, first: int, second: int) -> int:
-        """The smallest index that is behind neither of two indexes."""
-        if not self.has_two_sources:
-            return max(first, second)
-        first_file, first_stream = self._source_indexes(first)
-        second_file, second_stream = self._source_indexes(second)
-        return max(first_file, second_file) << STREAM_INDEX_BITS | max(first_stream, second_stream)
-
     def update(
         self,
         index: int,
@@ -85,7 +59,7 @@
 
         drained: names of EDS resources from which a drain removed an endpoint.
         """
-        self.index = max(self.index, index)
+        self.index = index
         self._type_versions.clear()
         generation = self.generation + 1
         has_changed = False
@@ -164,14 +138,22 @@
 
     def _compute_type_version(self, resource_type: ResourceType, names: frozenset[str]) -> str:
         resources = self.resources[resource_type]
+        existing = [name for name in names if name in resources]
+        return self.version_of(resource_type, existing, resources.__getitem__)
+
+    def version_of(
+        self,
+        resource_type: ResourceType,
+        names: Collection[str],
+        resource_of: Callable[[str], CachedResource],
+    ) -> str:
+        """The version of a state-of-the-world response with these resources; it is computed at each call."""
         newest_index = 0
         content = blake2b(digest_size=DIGEST_BYTES)
         for name in sorted(names):
-            resource = resources.get(name)
-            if resource is not None:
-                version = parse_version(resource.version)
-                newest_index = max(newest_index, version.index)
-                content.update(f"{name}={version.digest}\n".encode())
+            version = parse_version(resource_of(name).version)
+            newest_index = max(newest_index, version.index)
+            content.update(f"{name}={version.digest}\n".encode())
         # The index of an endpoint list is that of its newest event, whichever resources that event changed.
         index = self.index if resource_type == ResourceType.EDS else newest_index
         return str(ResourceVersion(self.epoch, index, content.hexdigest()))
--- a/wickvane/xds/control_plane.py
+++ b/wickvane/xds/control_plane.py
@@ -12,12 +12,15 @@
 from wickvane.xds.catalog import Catalog
 from wickvane.xds.endpoint_snapshot import (
     DEFAULT_REMOVAL_LIMIT,
+    DocumentSource,
     EndpointSnapshot,
     RemovalLimit,
     apply_event,
+    as_baseline,
     next_removal_time,
     remove_overdue,
 )
+from wickvane.xds.endpoint_view import EndpointState, EndpointViews
 from wickvane.xds.errors import StreamRejectedError
 from wickvane.xds.load_reports import LoadKey, LoadReports
 from wickvane.xds.log_events import LogEvent, OnStream, SnapshotRestored
@@ -87,8 +90,8 @@
     """The discovery decisions of one instance.
 
     resource_builder: encodes the placement as resources; drain_grace: ticks within which proxies must
-    acknowledge a drain; ttl: time to live of endpoints in ticks, 0 for none; epoch: epoch of the endpoint
-    lists' numbering.
+    acknowledge a drain; ttl: time to live of endpoints in ticks, 0 for none; epoch: content of different
+    epochs counts as different.
     """
 
     def __init__(
@@ -105,10 +108,12 @@
         self.removal_limit = removal_limit
         self.snapshot = EndpointSnapshot()
         self.catalog = Catalog(epoch)
+        self.views = EndpointViews(self.catalog)
         self.streams: dict[int, DiscoveryStream] = {}
         self.ready_streams: set[int] = set()
         self.is_serving = False  # resources have been published
         self.retirement: Retirement | None = None
+        self._documents: DocumentSource | None = None
         self._resource_builder = resource_builder
         self._drain_grace = drain_grace
         self._access = access
@@ -128,11 +133,13 @@
         is_complete: bool,
         entries: Iterable[tuple],
         readmitted: Collection[str] = (),
+        documents: DocumentSource | None = None,
     ) -> None:
         """Applies an event of the endpoint list (see wickvane.xds.endpoint_snapshot.apply_event)."""
         self._counters.endpoint_events += 1
+        self._documents = documents
         snapshot, events = apply_event(
-            self.snapshot, now, index, is_complete, entries, self.removal_limit, readmitted
+            self.snapshot, now, index, is_complete, entries, self.removal_limit, readmitted, documents
         )
         self._log_events += events
         self._apply_snapshot(now, snapshot)
@@ -141,7 +148,7 @@
         """Applies a stored snapshot; must be called before any event is applied."""
         if snapshot.index > self.snapshot.index:
             self._log_events.append(SnapshotRestored(snapshot.index, len(snapshot.endpoints)))
-            self._apply_snapshot(now, snapshot)
+            self._apply_snapshot(now, as_baseline(snapshot))
 
     def _apply_snapshot(self, now: int, snapshot: EndpointSnapshot) -> None:
         self.snapshot = snapshot
@@ -165,10 +172,19 @@
             self._counters.updates += 1
             self._counters.drains += bool(drained)
             self.ready_streams.update(self.streams)
+        self._update_views()
+
+    def _update_views(self) -> None:
+        """Passes the endpoint list to the views, and wakes the streams that they concern."""
+        state = EndpointState(
+            self.snapshot, self._documents, self.placement, self._resource_builder.build_assignment
+        )
+        if self.views.update(state):
+            self.ready_streams.update(self.streams)
         else:
-            # Only the index has changed: streams whose proxies were ahead of this instance are checked again.
+            # Streams whose proxies are ahead of this instance are checked again, even if nothing has changed.
             self.ready_streams.update(
-                number for number, stream in self.streams.items() if stream.endpoints.newer_index is not None
+                number for number, stream in self.streams.items() if stream.endpoints.holds_tombstones()
             )
 
     @staticmethod
@@ -238,6 +254,7 @@
         if obsolete:
             self.retirement = Retirement(now + MAX_RETIREMENT_TICKS, obsolete)
         self.catalog.update(self.snapshot.index, bodies)
+        self._update_views()
         self.ready_streams.update(self.streams)
 
     def change_access(self, access: NodeAccess) -> None:
@@ -262,6 +279,7 @@
             obsolete = self.retirement.resources
             self.retirement = None
             self.catalog.update(self.snapshot.index, {}, obsolete)
+            self._update_views()
             self.ready_streams.update(self.streams)
 
     # streams
@@ -275,7 +293,7 @@
         self._counters.streams += 1
         number = self._last_stream
         self.streams[number] = DiscoveryStream(
-            number, variant, now, self.catalog, self._is_visible, self._drain_grace, self._ttl
+            number, variant, now, self.catalog, self._is_visible, self._drain_grace, self._ttl, self.views
         )
         return number
 
--- a/wickvane/xds/encoder.py
+++ b/wickvane/xds/encoder.py
@@ -10,6 +10,7 @@
 from wickvane.xds.catalog import CachedResource, Catalog
 from wickvane.xds.messages import DiscoveryResponse, Variant
 from wickvane.xds.resource_types import ResourceType
+from wickvane.xds.resource_version import with_tombstones
 from wickvane.xds.resources import set_duration
 
 MAX_CACHED_RESPONSES = 512
@@ -45,9 +46,8 @@
     def _encode_sotw(self, response: DiscoveryResponse, ttl: int) -> bytes:
         type_url = response.resource_type.type_url
         message = discovery_pb2.DiscoveryResponse(version_info=response.version, type_url=type_url)
-        resources = self._catalog.resources[response.resource_type]
         for name in response.names:
-            resource = resources[name]
+            resource = sent_resource(self._catalog, response, name)
             if ttl:
                 wrapped = _resource_message(response, name, resource, ttl)
                 message.resources.add().Pack(wrapped, deterministic=True)
@@ -61,12 +61,23 @@
             type_url=response.resource_type.type_url,
             removed_resources=response.removed,
         )
-        resources = self._catalog.resources[response.resource_type]
         for name in response.names:
-            message.resources.append(_resource_message(response, name, resources[name], ttl))
+            resource = sent_resource(self._catalog, response, name)
+            message.resources.append(_resource_message(response, name, resource, ttl))
         return message.SerializeToString()
 
 
+def sent_resource(catalog: Catalog, response: DiscoveryResponse, name: str) -> CachedResource:
+    """A resource as a response sends it: from its view, and the first one with the tombstones' text."""
+    if response.view is not None:
+        resource = response.view.resource(name)
+    else:
+        resource = catalog.resources[response.resource_type][name]
+    if response.tombstones and name == response.names[0]:
+        return resource._replace(version=with_tombstones(resource.version, response.tombstones))
+    return resource
+
+
 def _resource_message(
     response: DiscoveryResponse, name: str, resource: CachedResource, ttl: int
 ) -> discovery_pb2.Resource:
--- a/wickvane/xds/endpoint_snapshot.py
+++ b/wickvane/xds/endpoint_snapshot.py
@@ -1,7 +1,12 @@
 """The endpoint list that is published to proxies, and the changes that one event may make to it.
 
 The module does no I/O. A snapshot is immutable and shares unchanged parts with the previous one (persistent
-maps). A drained endpoint becomes ready again only if a later event lists it with a later process start.
+maps). A drained endpoint becomes ready again only if a later event lists it with a later process start, or if
+newer documents than those that drained it list it as ready.
+
+The index of an event orders the events that one process receives, since the list is numbered anew for each
+start of a reader. A snapshot from disk is therefore a baseline without an index: any first event is applied
+to it, and decides for each endpoint by the start of its process.
 
 A complete list that omits more ready endpoints than the limit allows is more often a mistake (an empty
 answer, a lost list) than correct, so its removals are limited. An endpoint that is listed as draining or gone
@@ -62,19 +67,37 @@
 
 
 class Removal(NamedTuple):
-    """An endpoint that has been removed: the event's index, and when its process started."""
+    """A process that drains or has ended: the event's index, and when the process started."""
 
     index: int
     started_at: int
 
 
+class DocumentSource(NamedTuple):
+    """The documents from which an event of the endpoint list results.
+
+    index: their generation and rollout step, which grows; has_stated_generation: the documents state their
+    generation, so that instances agree on it; coordinator_ready: names of the endpoints that the coordinator
+    lists as ready, None if the documents are the complete list.
+    """
+
+    index: int
+    has_stated_generation: bool = False
+    coordinator_ready: Collection[str] | None = None
+
+    def has_ended(self, name: str) -> bool:
+        """Whether an endpoint that drains or is gone does so by the documents alone."""
+        return self.coordinator_ready is None or name in self.coordinator_ready
+
+
 class EndpointSnapshot(NamedTuple):
     """All endpoints as of one event.
 
-    index: index of the newest event applied; removed: Removal by name, which prevents their readmission;
-    missing: names of ready endpoints that a complete list omitted and that are kept for now, with the time
-    until which they are kept; is_restored: the snapshot was read from disk, and no event has confirmed it
-    since.
+    index: index of the newest event applied; removed: Removal by name, of endpoints that drain or are gone,
+    which prevents their readmission; missing: names of ready endpoints that a complete list omitted and that
+    are kept for now, with the time until which they are kept; is_restored: the snapshot was read from disk,
+    and no event has confirmed it since; ended_by_documents: by name, the index of the documents that drained
+    or removed an endpoint, which newer documents may revoke.
     """
 
     index: int = 0
@@ -82,6 +105,7 @@
     removed: Map = Map()
     missing: Map = Map()
     is_restored: bool = False
+    ended_by_documents: Map = Map()
 
     def ready(self) -> list[Endpoint]:
         """The endpoints to which new requests may be sent."""
@@ -116,16 +140,19 @@
     entries: Iterable[tuple],
     limit: RemovalLimit,
     readmitted: Collection[str] = (),
+    documents: DocumentSource | None = None,
 ) -> tuple[EndpointSnapshot, list[SnapshotEvent]]:
     """Returns the snapshot after an event of the endpoint list, and the events to log.
 
     entries: tuples (name, address, state, zone, kind, cell, started, weight) as read from coordinator events,
     started in milliseconds; readmitted: names of endpoints that an operator has drained and that may be ready
-    again.
+    again; documents: those from which the event results, None if it is the coordinator's own.
     """
-    if index <= snapshot.index and not (snapshot.is_restored and index == snapshot.index):
+    if index <= snapshot.index and not snapshot.is_restored:
         return snapshot, [StaleEventIgnored(index, snapshot.index)]
-    change = _SnapshotChange(snapshot, now, index)
+    change = _SnapshotChange(snapshot, now, index, documents)
+    if snapshot.is_restored and is_complete:
+        change.has_authoritative_starts = True
     for entry in entries:
         change.apply_entry(entry, readmitted)
     if is_complete:
@@ -136,14 +163,20 @@
 class _SnapshotChange:
     """The change of a snapshot by one event."""
 
-    def __init__(self, snapshot: EndpointSnapshot, now: int, index: int) -> None:
+    def __init__(
+        self, snapshot: EndpointSnapshot, now: int, index: int, documents: DocumentSource | None
+    ) -> None:
         self._now = now
         self._index = index
+        self._documents = documents
         self._endpoints = snapshot.endpoints.mutate()
         self._removed = snapshot.removed
         self._missing = snapshot.missing
+        self._ended_by_documents = snapshot.ended_by_documents
         self._listed: set[str] = set()
         self.log_events: list[SnapshotEvent] = []
+        # A list that begins anew may tell of its past first: then its starts replace later known ones.
+        self.has_authoritative_starts = False
 
     def apply_entry(self, entry: tuple, readmitted: Collection[str]) -> None:
         """Applies the event's entry for one endpoint."""
@@ -154,30 +187,65 @@
         if state == EngineState.GONE:
             if known is not None:
                 del self._endpoints[name]
-                self._removed = self._removed.set(name, Removal(self._index, known.started_at))
+                self._record_end(name, known.started_at)
             self._missing = _without(self._missing, name)
             return
         is_ready = state == EngineState.READY
         if is_ready and name not in readmitted and not self._may_be_ready(name, started_at, known):
             self.log_events.append(EndpointNotReadmitted(name, self._index))
             return
+        if known is not None and known.is_ready and not self.has_authoritative_starts:
+            started_at = max(started_at, known.started_at)
         if is_ready:
+            self._record_start(name, started_at, known)
             draining_since = 0
-        elif known is not None and known.draining_since:
-            draining_since = known.draining_since
         else:
-            draining_since = self._now
+            self._record_end(name, started_at)
+            draining_since = (known and known.draining_since) or self._now
         self._endpoints[name] = Endpoint(
             name, address, state, zone, kind, cell, started_at, weight, self._index, draining_since
         )
         self._missing = _without(self._missing, name)
 
     def _may_be_ready(self, name: str, started_at: int, known: Endpoint | None) -> bool:
-        """Whether the endpoint is new, already ready, or a later process of a drained endpoint's name."""
-        if known is not None:
-            return known.is_ready or started_at > known.started_at
+        """Whether the endpoint is new, already ready, or a later process than the one that has ended.
+
+        Newer documents may also revoke the drain of the same process by earlier ones.
+        """
+        if known is not None and known.is_ready:
+            return True
         removal = self._removed.get(name)
-        return removal is None or started_at > removal[1]
+        if removal is None or started_at > removal.started_at:
+            return True
+        ended_by = self._ended_by_documents.get(name)
+        documents = self._documents
+        if documents is None or ended_by is None:
+            return False
+        return documents.has_ended(name) and documents.index > ended_by
+
+    def _record_start(self, name: str, started_at: int, known: Endpoint | None) -> None:
+        """Records that a process is ready, and that the one before it has ended."""
+        if known is not None and known.is_ready and started_at > known.started_at:
+            self._removed = self._removed.set(name, Removal(self._index, known.started_at))
+            self._ended_by_documents = _without(self._ended_by_documents, name)
+            return
+        removal = self._removed.get(name)
+        if removal is not None and removal.started_at >= started_at:
+            self._removed = self._removed.delete(name)
+            self._ended_by_documents = _without(self._ended_by_documents, name)
+
+    def _record_end(self, name: str, started_at: int) -> None:
+        """Records that a process and all earlier ones of its endpoint must be sent no new requests."""
+        removal = self._removed.get(name)
+        has_ended_before = removal is not None and removal.started_at >= started_at
+        if has_ended_before:
+            started_at = removal.started_at
+        self._removed = self._removed.set(name, Removal(self._index, started_at))
+        is_final = has_ended_before and name not in self._ended_by_documents
+        if self._documents is not None and self._documents.has_ended(name) and not is_final:
+            self._ended_by_documents = self._ended_by_documents.set(name, self._documents.index)
+        else:
+            self._ended_by_documents = _without(self._ended_by_documents, name)
 
     def remove_unlisted(self, limit: RemovalLimit) -> None:
         """Removes the endpoints that a complete list omits, ready ones only within the limit."""
@@ -190,7 +258,7 @@
         kept = self._keep_over_limit(unlisted_ready, ready_count, limit)
         self._endpoints = endpoints.mutate()
         for name in unlisted_draining + [name for name in unlisted_ready if name not in kept]:
-            self._removed = self._removed.set(name, Removal(self._index, endpoints[name].started_at))
+            self._record_end(name, endpoints[name].started_at)
             del self._endpoints[name]
             self._missing = _without(self._missing, name)
 
@@ -213,10 +281,38 @@
 
     def finish(self) -> EndpointSnapshot:
         """Returns the snapshot after the event."""
-        removed = self._removed
-        while len(removed) > MAX_REMEMBERED_REMOVALS:
-            removed = removed.delete(min(removed, key=removed.get))
-        return EndpointSnapshot(self._index, self._endpoints.finish(), removed, self._missing, False)
+        while len(self._removed) > MAX_REMEMBERED_REMOVALS:
+            oldest = min(self._removed, key=self._removed.get)
+            self._removed = self._removed.delete(oldest)
+            self._ended_by_documents = _without(self._ended_by_documents, oldest)
+        return EndpointSnapshot(
+            self._index,
+            self._endpoints.finish(),
+            self._removed,
+            self._missing,
+            False,
+            self._ended_by_documents,
+        )
+
+
+def as_baseline(snapshot: EndpointSnapshot) -> EndpointSnapshot:
+    """Returns a snapshot from disk as the baseline of a new numbering.
+
+    Its removals keep their order and are older than all that follow. Draining endpoints of earlier versions'
+    files, which have no removal, get one. Any documents of the new process may revoke a drain by documents,
+    since documents without a stated generation are numbered anew, too.
+    """
+    removals = dict(snapshot.removed)
+    for name, endpoint in snapshot.endpoints.items():
+        if not endpoint.is_ready and name not in removals:
+            removals[name] = Removal(endpoint.index, endpoint.started_at)
+    oldest_first = sorted(removals, key=lambda name: (removals[name].index, name))
+    removed = {
+        name: Removal(position - len(oldest_first), removals[name].started_at)
+        for position, name in enumerate(oldest_first)
+    }
+    ended_by_documents = Map(dict.fromkeys(snapshot.ended_by_documents, 0))
+    return snapshot._replace(removed=Map(removed), is_restored=True, ended_by_documents=ended_by_documents)
 
 
 def remove_overdue(snapshot: EndpointSnapshot, now: int) -> tuple[EndpointSnapshot, list[SnapshotEvent]]:
--- a/wickvane/xds/messages.py
+++ b/wickvane/xds/messages.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from wickvane.xds.endpoint_view import EndpointView
 from wickvane.xds.resource_types import ResourceType
 
 
@@ -39,7 +40,9 @@
     """A response to send.
 
     names: names of the resources in it, sent with their bodies unless it is a heartbeat; removed: names of
-    removed resources (incremental variant only); is_drain: a drain removes an endpoint from the proxy.
+    removed resources (incremental variant only); is_drain: a drain removes an endpoint from the proxy;
+    tombstones: text of the tombstones that the first resource's version carries (incremental variant only);
+    view: the source of the endpoint resources, None for the catalog.
     """
 
     resource_type: ResourceType
@@ -49,6 +52,8 @@
     removed: tuple[str, ...] = ()
     is_drain: bool = False
     is_heartbeat: bool = False
+    tombstones: str = ""
+    view: EndpointView | None = None
 
 
 class SentResponse(NamedTuple):
--- a/wickvane/xds/placement.py
+++ b/wickvane/xds/placement.py
@@ -15,7 +15,7 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from wickvane.events import Deployment, EngineState, ResourceGroup
@@ -323,7 +323,14 @@
                     drained.add(name)
         return changed, drained
 
-    def _place(self, engine_class: str, table_group: int) -> tuple[PlacedEndpoint, ...]:
+    def place(self, cluster: str, excluded: Collection[str]) -> tuple[PlacedEndpoint, ...]:
+        """The endpoints that a cluster would have without the excluded ones."""
+        engine_class, _, table_group = cluster.rpartition("/")
+        return self._place(engine_class, int(table_group), excluded)
+
+    def _place(
+        self, engine_class: str, table_group: int, excluded: Collection[str] = ()
+    ) -> tuple[PlacedEndpoint, ...]:
         """A cluster's endpoints, those of priority 0 first."""
         placed: list[PlacedEndpoint] = []
         first_count = 0
@@ -334,7 +341,7 @@
             # that health status. Proxies complete their requests on it and send no new ones.
             if endpoint is None or endpoint.state != EngineState.READY or endpoint.address is None:
                 continue
-            if not self._is_allowed(engine_class, endpoint):
+            if name in excluded or not self._is_allowed(engine_class, endpoint):
                 continue
             is_backup = (
                 capacity_sum > FIRST_ENGINES - CAPACITY_SUM_TOLERANCE or first_count >= MAX_FIRST_ENDPOINTS
--- a/wickvane/xds/server.py
+++ b/wickvane/xds/server.py
@@ -8,6 +8,7 @@
 import signal
 import threading
 import time
+from collections.abc import Collection
 from typing import Any
 
 import grpc
@@ -20,6 +21,7 @@
 from wickvane.net.threads import Threads
 from wickvane.units import TICKS_PER_MILLISECOND, to_seconds
 from wickvane.xds.control_plane import ControlPlane
+from wickvane.xds.endpoint_snapshot import DocumentSource
 from wickvane.xds.extension import ControlSettings
 from wickvane.xds.log_events import to_log_record
 from wickvane.xds.placement import Placement
@@ -93,7 +95,6 @@
             settings.epoch,
         )
         if members:
-            self.control_plane.catalog.has_two_sources = members.policy.overrides_coordinator
             self.members = self.file_source(config.registry, members)
         self._snapshot_writer = SnapshotWriter(
             settings.snapshot_folder, lambda: self.control_plane.snapshot, self.log, self.counters
@@ -123,7 +124,7 @@
         return FileSource(
             settings,
             topology_of(registry),
-            self.on_endpoint_event,
+            self.on_document_event,
             self.clock,
             self.log,
             self.counters,
@@ -133,17 +134,39 @@
         )
 
     def on_endpoint_event(
-        self, index: int, is_complete: bool, entries: list[tuple], readmitted: Any = ()
+        self,
+        index: int,
+        is_complete: bool,
+        entries: list[tuple],
+        readmitted: Collection[str] = (),
+        documents: DocumentSource | None = None,
     ) -> None:
         """Schedules an endpoint event on the event loop.
 
         It is called from the thread of the coordinator or of the watched files.
         """
-        self.loop.call_soon_threadsafe(self._apply_event, index, is_complete, entries, readmitted)
+        self.loop.call_soon_threadsafe(self._apply_event, index, is_complete, entries, readmitted, documents)
+
+    def on_document_event(
+        self, index: int, is_complete: bool, entries: list[tuple], readmitted: Collection[str]
+    ) -> None:
+        """Schedules an endpoint event that results from watched files; it is called under their lock."""
+        self.on_endpoint_event(
+            index, is_complete, entries, readmitted, document_source(self.members.endpoint_list, index)
+        )
 
-    def _apply_event(self, index: int, is_complete: bool, entries: list[tuple], readmitted: Any = ()) -> None:
+    def _apply_event(
+        self,
+        index: int,
+        is_complete: bool,
+        entries: list[tuple],
+        readmitted: Collection[str] = (),
+        documents: DocumentSource | None = None,
+    ) -> None:
         before = self.control_plane.snapshot
-        self.control_plane.apply_endpoint_event(self.clock.now(), index, is_complete, entries, readmitted)
+        self.control_plane.apply_endpoint_event(
+            self.clock.now(), index, is_complete, entries, readmitted, documents
+        )
         self._after_change(has_new_snapshot=self.control_plane.snapshot is not before)
 
     def _after_change(self, has_new_snapshot: bool) -> None:
@@ -337,6 +360,19 @@
     )
 
 
+def document_source(endpoint_list: Any, update_number: int) -> DocumentSource:
+    """The source of an update of an endpoint list from watched files, which may override a coordinator's."""
+    from wickvane.endpoints.effects import document_index_of
+
+    overlay = endpoint_list.overlay
+    coordinator_ready = None
+    if overlay.is_enabled:
+        coordinator_ready = frozenset(name for name, listed in overlay.endpoints.items() if listed.is_ready)
+    return DocumentSource(
+        document_index_of(update_number), endpoint_list.has_stated_generation, coordinator_ready
+    )
+
+
 def _drain_grace_of(config_json: dict[str, Any]) -> int:
     """Ticks within which proxies must acknowledge a drain."""
     obligations = config_json["settings"].get("obligations", {})
--- a/wickvane/xds/snapshot_store.py
+++ b/wickvane/xds/snapshot_store.py
@@ -91,6 +91,7 @@
         "engines": [list(endpoint) for _, endpoint in sorted(snapshot.endpoints.items())],
         "gone": [[name, *removal] for name, removal in sorted(snapshot.removed.items())],
         "missing": [[name, until] for name, until in sorted(snapshot.missing.items())],
+        "documents": [[name, index] for name, index in sorted(snapshot.ended_by_documents.items())],
     }
 
 
@@ -106,6 +107,7 @@
             removed=Map({name: Removal(index, started_at) for name, index, started_at in document["gone"]}),
             missing=Map({name: until for name, until in document["missing"]}),
             is_restored=True,
+            ended_by_documents=Map({name: index for name, index in document.get("documents", ())}),
         )
     except (KeyError, TypeError, IndexError) as error:
         raise ValueError(f"not an endpoint snapshot: {error}") from None
--- a/wickvane/xds/stream.py
+++ b/wickvane/xds/stream.py
@@ -20,6 +20,7 @@
 from wickvane.units import to_seconds
 from wickvane.xds.catalog import Catalog
 from wickvane.xds.delta import DeltaSubscription
+from wickvane.xds.endpoint_view import EndpointViews
 from wickvane.xds.errors import StreamProtocolError
 from wickvane.xds.log_events import DrainUnacknowledged, StreamEvent
 from wickvane.xds.messages import DeltaDiscoveryRequest, DiscoveryRequest, DiscoveryResponse, Variant
@@ -60,7 +61,8 @@
     """One proxy's stream.
 
     is_visible(node, type, name): whether a node may see a resource; drain_grace: ticks within which the proxy
-    must acknowledge a drain; ttl: time to live of endpoints in ticks, 0 for none.
+    must acknowledge a drain; ttl: time to live of endpoints in ticks, 0 for none; views: of proxies that know
+    of drains which the catalog lacks.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         is_visible: Callable[[str | None, ResourceType, str], bool],
         drain_grace: int,
         ttl: int = 0,
+        views: EndpointViews | None = None,
     ) -> None:
         self.number = number
         self.variant = variant
@@ -87,7 +90,12 @@
         self._log_events: list[StreamEvent] = []
         self.subscriptions: list[Subscription] = [
             SUBSCRIPTION_CLASSES[variant](
-                resource_type, catalog, self._is_visible, self.metrics, self._log_events.append
+                resource_type,
+                catalog,
+                self._is_visible,
+                self.metrics,
+                self._log_events.append,
+                views if resource_type == ResourceType.EDS else None,
             )
             for resource_type in ResourceType
         ]
@@ -130,7 +138,7 @@
             change = pending_endpoints if is_endpoints else subscription.pending()
             if change.names or change.removed or subscription.lacks_first_response():
                 return subscription.make_response(now, self._next_nonce(), change)
-            if subscription.is_subscribed and not subscription.is_proxy_ahead():
+            if subscription.is_subscribed:
                 subscription.mark_up_to_date()
         return self._heartbeat(now)
 
@@ -183,7 +191,7 @@
         endpoints = self.endpoints
         if not self.ttl or not endpoints.is_subscribed or endpoints.in_flight:
             return None
-        if now < endpoints.next_heartbeat(self.ttl) or endpoints.is_proxy_ahead():
+        if now < endpoints.next_heartbeat(self.ttl):
             return None
         names = endpoints.heartbeat_names()
         if not names:
--- a/wickvane/xds/subscription.py
+++ b/wickvane/xds/subscription.py
@@ -12,11 +12,13 @@
 
 from wickvane.units import to_milliseconds
 from wickvane.xds.catalog import CachedResource, Catalog
+from wickvane.xds.endpoint_view import EndpointView, EndpointViews
 from wickvane.xds.errors import StreamProtocolError
 from wickvane.xds.log_events import ProxyAhead, ProxyAheadResolved, ResponseNacked, StreamEvent
 from wickvane.xds.messages import DiscoveryResponse, SentResponse
 from wickvane.xds.resource_types import ResourceType
-from wickvane.xds.resource_version import parse_version
+from wickvane.xds.resource_version import parse_version, with_tombstones
+from wickvane.xds.tombstones import Tombstone, parse_tombstones
 
 MAX_RESOURCE_NAMES = 10_000
 MAX_REASON_CHARACTERS = 512
@@ -85,6 +87,7 @@
         is_visible: Callable[[ResourceType, str], bool],
         metrics: StreamMetrics,
         report: Callable[[StreamEvent], None],
+        views: EndpointViews | None = None,
     ) -> None:
         self.resource_type = resource_type
         self.is_subscribed = False
@@ -94,12 +97,18 @@
         self.in_flight: list[SentResponse] = []  # oldest first
         self.needs_full_check = False  # compare all resources, not only changed ones
         self.nack_reason: str | None = None
-        self.newer_index: int | None = None  # index of a newer endpoint list whose content the proxy holds
+        self.view: EndpointView | None = None  # what is sent instead of the catalog's endpoints
         self.unacknowledged_drain: UnacknowledgedDrain | None = None
         self._catalog = catalog
         self._is_visible = is_visible
         self._metrics = metrics
         self._report = report
+        self._views = views  # of endpoint resources only
+        self._view_revision = 0
+        self._held_tombstones: frozenset[Tombstone] = frozenset()  # when the stream began
+        self._held_index = 0
+        self._excluded: frozenset[str] = frozenset()  # endpoints that are not sent, as of the last check
+        self._may_withhold = False  # the proxy knows of all drains that the instance's list includes
         self._is_wildcard = False
         self._names: set[str] = set()
         self._acknowledged_generation = -1
@@ -115,11 +124,11 @@
         """Records the version of a resource that the proxy holds from an earlier stream."""
         self._had_resources = True
         version = parse_version(text)
-        catalog = self._catalog
-        if version is None or version.epoch != catalog.epoch or not catalog.is_behind(version.index):
+        if version is None or self._views is None:
             return
-        self.newer_index = catalog.merged_index(self.newer_index or 0, version.index)
-        self._report(ProxyAhead(self.resource_type, version.index, catalog.index))
+        self._held_index = max(self._held_index, version.index)
+        if version.tombstones:
+            self._held_tombstones |= parse_tombstones(version.tombstones)
 
     def handle_ack_or_nack(self, now: int, nonce: str, error: str | None) -> None:
         """Processes an ACK, or a NACK with its reason (error).
@@ -186,27 +195,69 @@
         return self._visible_names.names
 
     def type_version(self) -> str:
-        """The version of all visible resources of the type."""
-        return self._catalog.type_version(self.resource_type, self.visible_names())
+        """The version of all visible resources of the type, with the tombstones that the proxy learns of."""
+        names = self.visible_names()
+        if self.view is None:
+            version = self._catalog.type_version(self.resource_type, names)
+        else:
+            names = [name for name in names if not self._is_withheld(name)]
+            version = self._catalog.version_of(self.resource_type, names, self.view.resource)
+        return with_tombstones(version, self._tombstones())
 
     def is_proxy_ahead(self) -> bool:
-        """Whether the proxy holds content of a newer endpoint list than this instance's list.
+        """Whether the proxy knows of drains of endpoints that this instance's list has as ready.
 
-        Then nothing is sent, because the older list could restore an endpoint that has drained.
+        It is sent all but these endpoints, because the older list must not restore them.
         """
-        if self.newer_index is None or self.resource_type != ResourceType.EDS:
-            return False
-        if not self._catalog.is_behind(self.newer_index):
-            self.newer_index = None
+        return bool(self._excluded)
+
+    def holds_tombstones(self) -> bool:
+        """Whether the proxy held tombstones when the stream began, so that each change may concern it."""
+        return bool(self._held_tombstones)
+
+    def refresh_view(self) -> None:
+        """Finds out anew what the proxy knows that the instance's list lacks, after the list has changed."""
+        views = self._views
+        if views is None or not self._held_tombstones or self._view_revision == views.revision:
+            return
+        self._view_revision = views.revision
+        could_withhold = self._may_withhold
+        excluded_before = self._excluded
+        view = views.view(views.lacking(self._held_tombstones))
+        excluded = view.excluded if view else frozenset()
+        has_other_view = view is not self.view
+        self.view = view
+        self._excluded = excluded
+        self._may_withhold = views.published <= self._held_tombstones
+        if has_other_view and excluded != excluded_before or self._may_withhold != could_withhold:
             self.needs_full_check = True
+        if excluded and not excluded_before:
+            self._report(ProxyAhead(self.resource_type, self._held_index, self._catalog.index))
+        elif excluded_before and not excluded:
             self._report(ProxyAheadResolved(self._catalog.index))
-        return self.newer_index is not None
+
+    def _resource(self, name: str) -> CachedResource:
+        if self.view is not None:
+            return self.view.resource(name)
+        return self._catalog.resources[self.resource_type][name]
+
+    def _is_withheld(self, name: str) -> bool:
+        """Whether the proxy keeps what it holds, because there is no endpoint that it may be sent."""
+        return self._may_withhold and self.view is not None and name in self.view.never_placed
+
+    def _changed_names(self) -> Collection[str] | None:
+        """The names that changed since the last response; None if all resources must be compared."""
+        changed = self._catalog.changed_since(self.resource_type, self.sent_generation)
+        if changed is None or self.view is None:
+            return changed
+        return self.view.changed_since(self.sent_generation, changed)
 
     def pending(self) -> PendingChange:
         """The change that the proxy has not been sent yet."""
-        if not self.is_subscribed or self.is_proxy_ahead():
+        if not self.is_subscribed:
             return NO_CHANGE
-        changed = self._catalog.changed_since(self.resource_type, self.sent_generation)
+        self.refresh_view()
+        changed = self._changed_names()
         is_unchanged = changed is not None and not changed
         if is_unchanged and not self.needs_full_check and not self._has_new_names():
             return NO_CHANGE
@@ -214,7 +265,8 @@
             names, removed = self._compare_all()
         else:
             names, removed = self._compare(changed)
-        return PendingChange(tuple(sorted(names)), tuple(sorted(removed)), self._takes_endpoint(names))
+        names = sorted(name for name in names if not self._is_withheld(name))
+        return PendingChange(tuple(names), tuple(sorted(removed)), self._takes_endpoint(names))
 
     @abstractmethod
     def _has_new_names(self) -> bool:
@@ -231,8 +283,7 @@
     def _takes_endpoint(self, names: Collection[str]) -> bool:
         if self.resource_type != ResourceType.EDS or not (self.sent_generation or self._had_resources):
             return False
-        resources = self._catalog.resources[self.resource_type]
-        return any(resources[name].drained_at > self.sent_generation for name in names)
+        return any(self._resource(name).drained_at > self.sent_generation for name in names)
 
     def lacks_first_response(self) -> bool:
         """Whether the proxy waits for a first response although there is no resource for it."""
@@ -257,8 +308,7 @@
         is_complete: the response contains the complete change; otherwise the rest is sent later.
         """
         catalog = self._catalog
-        resources: dict[str, CachedResource] = catalog.resources[self.resource_type]
-        resource_versions = tuple(resources[name].version for name in change.names)
+        resource_versions = tuple(self._resource(name).version for name in change.names)
         if change.is_drain and self.unacknowledged_drain is None:
             self.unacknowledged_drain = UnacknowledgedDrain(catalog.generation, now)
         version = self._record_sent(nonce, change, resource_versions)
@@ -274,9 +324,22 @@
         self._heartbeat_at = now
         self._metrics.sent += 1
         return DiscoveryResponse(
-            self.resource_type, nonce, version, change.names, change.removed, change.is_drain
+            self.resource_type,
+            nonce,
+            version,
+            change.names,
+            change.removed,
+            change.is_drain,
+            tombstones=self._tombstones(),
+            view=self.view,
         )
 
+    def _tombstones(self) -> str:
+        """The text of the tombstones that the proxy learns of by a response."""
+        if self._views is None:
+            return ""
+        return self.view.tombstones if self.view is not None else self._views.tombstones
+
     @abstractmethod
     def _record_sent(self, nonce: str, change: PendingChange, resource_versions: tuple[str, ...]) -> str:
         """Records what the proxy will hold, and returns the response's version."""
@@ -306,7 +369,15 @@
         version = self._record_heartbeat(nonce)
         resources = self._catalog.resources[self.resource_type]
         existing = tuple(name for name in names if name in resources)
-        return DiscoveryResponse(self.resource_type, nonce, version, existing, is_heartbeat=True)
+        return DiscoveryResponse(
+            self.resource_type,
+            nonce,
+            version,
+            existing,
+            is_heartbeat=True,
+            tombstones=self._tombstones(),
+            view=self.view,
+        )
 
     @abstractmethod
     def _record_heartbeat(self, nonce: str) -> str:
@@ -330,6 +401,6 @@
             "version": self._acknowledged_version,
             "synced": self.is_fully_answered() and self.nack_reason is None,
             "refused": self.nack_reason,
-            "ahead": self.newer_index is not None,
+            "ahead": self.is_proxy_ahead(),
             "behind_ms": to_milliseconds(self.unacknowledged_time(now)) if self.in_flight else 0.0,
         }
