--- a/tests/xds_service/test_stream_digest.py
+++ b/tests/xds_service/test_stream_digest.py
@@ -1,6 +1,7 @@
 """The responses on generated discovery streams are byte for byte the recorded ones.
 
-They were those of commit c5b2902 until versions got tombstones. An intended change of a decision changes digests: record them again, and say why in the commit message.
+They were those of commit c5b2902 until versions got tombstones. An intended change of a decision changes
+digests: record them again, and say why in the commit message.
 """
 
 import pytest
