--- a/wickvane/xds/endpoint_snapshot.py
+++ b/wickvane/xds/endpoint_snapshot.py
@@ -187,7 +187,8 @@
         if state == EngineState.GONE:
             if known is not None:
                 del self._endpoints[name]
-                self._record_end(name, known.started_at)
+                started_at = max(started_at, known.started_at)
+            self._record_end(name, started_at)
             self._missing = _without(self._missing, name)
             return
         is_ready = state == EngineState.READY
--- a/wickvane/xds/subscription.py
+++ b/wickvane/xds/subscription.py
@@ -229,7 +229,8 @@
         self.view = view
         self._excluded = excluded
         self._may_withhold = views.published <= self._held_tombstones
-        if has_other_view and excluded != excluded_before or self._may_withhold != could_withhold:
+        is_withholding_changed = self._may_withhold != could_withhold and view and view.never_placed
+        if is_withholding_changed or (has_other_view and excluded != excluded_before):
             self.needs_full_check = True
         if excluded and not excluded_before:
             self._report(ProxyAhead(self.resource_type, self._held_index, self._catalog.index))
