Repeated events of the coordinator are counted; the status table shows versions in short

Events that a coordinator numbers up to the last one are dropped, as repeats; nothing told operators so. The counter is list-events-repeated.

--- a/wickvane/net/coordinator.py
+++ b/wickvane/net/coordinator.py
@@ -157,10 +157,15 @@
         self.last = max(self.last, index)
 
     def deliver(self, event):
-        """Passes an event to on_event, unless its index shows that it was delivered before."""
+        """Passes an event to on_event, unless its index shows that it was delivered before.
+
+        The numbering of this process continues when another coordinator takes over. One that numbered anew
+        could not be told from one that repeats itself, so that its events are ignored up to the last index.
+        """
         index, is_complete, entries = event
         with self.lock:
             if index <= self.last:
+                self.counters.add("list-events-repeated")
                 return
             self.last = index
             self.on_event(index, is_complete, entries)
--- a/wickvane/xds/command.py
+++ b/wickvane/xds/command.py
@@ -12,6 +12,7 @@
 from google.protobuf.json_format import MessageToDict
 
 from wickvane.xds.resource_types import RESOURCE_TYPE_BY_URL, ResourceType
+from wickvane.xds.resource_version import parse_version
 
 FETCH_TIMEOUT_S = 5.0
 METHOD = "/envoy.service.status.v3.ClientStatusDiscoveryService/FetchClientStatus"
@@ -80,6 +81,11 @@
     return 0
 
 
+def _without_tombstones(version: str) -> str:
+    parsed = parse_version(version)
+    return str(parsed._replace(tombstones="")) if parsed else version
+
+
 def _print_table(rows: list[dict[str, Any]], out: TextIO) -> None:
     from rich.console import Console
     from rich.table import Table
@@ -92,5 +98,6 @@
     for column in columns:
         table.add_column(column)
     for row in sorted(rows, key=lambda row: (row["node"], ResourceType[row["type"]])):
-        table.add_row(*(str(row.get(column, "")) for column in columns))
+        shown = row | {"version": _without_tombstones(row["version"])}
+        table.add_row(*(str(shown.get(column, "")) for column in columns))
     Console(file=out, width=None if out.isatty() else DEFAULT_WIDTH).print(table)
