--- a/wickvane/endpoints/endpoint_list.py
+++ b/wickvane/endpoints/endpoint_list.py
@@ -327,6 +327,10 @@
         self._effects.append(PublishUpdate(self.update_number, is_full, entries, readmitted))
         self.rollout.is_announced = True
 
+    def complete_update(self) -> PublishUpdate:
+        """Returns the published list as one update, with the number of the last one."""
+        return PublishUpdate(self.update_number, True, self.rollout.entries(), [])
+
     # Records
 
     def _log(self, event: str, **fields: object) -> None:
--- a/wickvane/endpoints/file_source.py
+++ b/wickvane/endpoints/file_source.py
@@ -80,6 +80,7 @@
         self._is_stopping = False
         self._submitted_at = 0
         self._has_submitted = False
+        self._is_holding_updates = False
         self._watcher: DirectoryWatcher | None = None
         self._written_status: dict | None = None
         if config.state_folder:
@@ -88,23 +89,33 @@
 
     # Start and stop
 
-    def start(self, known: Iterable[tuple] = ()) -> None:
+    def start(self, known: Iterable[tuple] = (), is_published_once: bool = False) -> None:
         """Publishes the recovered list, then the current files, and starts the thread.
 
         Returns after the first document was submitted, or after MAX_START_SETTLE_TIMES settle times. known:
-        events of the coordinator's stream that the configuration contains.
+        events of the coordinator's stream that the configuration contains; is_published_once: all that is to
+        be published by then is published as one complete list at the end.
         """
+        self._is_holding_updates = is_published_once
         with self._lock:
             self.endpoint_list.start(self.clock.now())
             self._carry_out_effects()
         for event in known:
             self.apply_stream_event(*event)
         self._submit_first_document()
+        if is_published_once:
+            self._publish_held_updates()
         if self.config.watch == WATCH_EVENTS:
             self._watcher = DirectoryWatcher(self._watched_folders(), self._woken, self._fall_back_to_polling)
             self._watcher.start()
         Threads(self.log, self.counters).needed(self._run, "members")
 
+    def _publish_held_updates(self) -> None:
+        with self._lock:
+            self._is_holding_updates = False
+            if self.endpoint_list.rollout.is_announced:
+                self._carry_out_effect(self.endpoint_list.complete_update())
+
     def _submit_first_document(self) -> None:
         settle_time = self.config.settle_time
         deadline = self.clock.now() + MAX_START_SETTLE_TIMES * settle_time
@@ -220,6 +231,8 @@
             case AppendRecord(record):
                 if self.journal is not None:
                     self.journal.append(record)
+            case PublishUpdate() if self._is_holding_updates:
+                pass  # it is part of the complete list that follows
             case PublishUpdate(number, is_full, entries, readmitted):
                 self.counters.add("members-told")
                 self.counters.add("members-entries-told", len(entries))
--- a/wickvane/xds/server.py
+++ b/wickvane/xds/server.py
@@ -262,7 +262,9 @@
             )
             self._coordinator.last = max([known_index, *(event[0] for event in known_events)], default=0)
         if self.members:
-            await asyncio.to_thread(self.members.start, known_events if self._coordinator_address else ())
+            # As one list, since the coordinator lists engines as ready that documents drain.
+            known = known_events if self._coordinator_address else ()
+            await asyncio.to_thread(self.members.start, known, is_published_once=True)
         else:
             for index, is_complete, entries in known_events:
                 self._apply_event(index, is_complete, entries)
