What a proxy knows stands in a class of its own; views end with their streams

Each subscription had passed 30 attributes, the most for which instances share the keys of their dictionaries. Four subscriptions a stream paid, though only that of endpoints needs them.

A stream that ends forgets its view.

--- a/wickvane/xds/control_plane.py
+++ b/wickvane/xds/control_plane.py
@@ -184,7 +184,9 @@
         else:
             # Streams whose proxies are ahead of this instance are checked again, even if nothing has changed.
             self.ready_streams.update(
-                number for number, stream in self.streams.items() if stream.endpoints.holds_tombstones()
+                number
+                for number, stream in self.streams.items()
+                if stream.endpoints.knowledge.holds_tombstones()
             )
 
     @staticmethod
@@ -324,6 +326,7 @@
         stream = self.streams.pop(number, None)
         self.ready_streams.discard(number)
         if stream is not None:
+            stream.endpoints.knowledge.forget()
             self._log_events += [OnStream(event, stream.node, None) for event in stream.take_log_events()]
 
     def next_response(self, number: int, now: int) -> DiscoveryResponse | None:
--- a/wickvane/xds/delta.py
+++ b/wickvane/xds/delta.py
@@ -92,7 +92,8 @@
     ) -> tuple[Collection[str], Collection[str]]:
         resources = self._catalog.resources[self.resource_type]
         visible = self.visible_names()
-        names = [name for name in candidates if self._is_outdated(name, self._resource(name))]
+        resource_of = self._resource_getter()
+        names = [name for name in candidates if self._is_outdated(name, resource_of(name))]
         removed = {name for name in held_names if name not in visible}
         removed |= {name for name in self._unresolved_names if name not in resources}
         return names, removed
@@ -108,7 +109,8 @@
 
     def drained_names(self, pending: PendingChange) -> tuple[str, ...]:
         """The resources from which a drain removed an endpoint; the rest of the change is sent later."""
-        return tuple(name for name in pending.names if self._resource(name).drained_at > self.sent_generation)
+        resource_of = self._resource_getter()
+        return tuple(name for name in pending.names if resource_of(name).drained_at > self.sent_generation)
 
     def _record_sent(self, nonce: str, change: PendingChange, resource_versions: tuple[str, ...]) -> str:
         self._held_versions.update(zip(change.names, resource_versions))
--- a/wickvane/xds/sotw.py
+++ b/wickvane/xds/sotw.py
@@ -66,7 +66,7 @@
 
         If it does, the current content is recorded as acknowledged.
         """
-        self.refresh_view()
+        self.refresh_knowledge()
         if content_of(version) != content_of(self.type_version()):
             return False
         self._acknowledged_version = version
--- a/wickvane/xds/subscription.py
+++ b/wickvane/xds/subscription.py
@@ -16,9 +16,9 @@
 from wickvane.xds.errors import StreamProtocolError
 from wickvane.xds.log_events import ProxyAhead, ProxyAheadResolved, ResponseNacked, StreamEvent
 from wickvane.xds.messages import DiscoveryResponse, SentResponse
+from wickvane.xds.proxy_knowledge import ProxyKnowledge
 from wickvane.xds.resource_types import ResourceType
 from wickvane.xds.resource_version import parse_version, with_tombstones
-from wickvane.xds.tombstones import Tombstone, parse_tombstones
 
 MAX_RESOURCE_NAMES = 10_000
 MAX_REASON_CHARACTERS = 512
@@ -97,18 +97,12 @@
         self.in_flight: list[SentResponse] = []  # oldest first
         self.needs_full_check = False  # compare all resources, not only changed ones
         self.nack_reason: str | None = None
-        self.view: EndpointView | None = None  # what is sent instead of the catalog's endpoints
         self.unacknowledged_drain: UnacknowledgedDrain | None = None
         self._catalog = catalog
         self._is_visible = is_visible
         self._metrics = metrics
         self._report = report
-        self._views = views  # of endpoint resources only
-        self._view_revision = 0
-        self._held_tombstones: frozenset[Tombstone] = frozenset()  # when the stream began
-        self._held_index = 0
-        self._excluded: frozenset[str] = frozenset()  # endpoints that are not sent, as of the last check
-        self._may_withhold = False  # the proxy knows of all drains that the instance's list includes
+        self.knowledge = ProxyKnowledge(views) if views is not None else None  # of endpoint resources only
         self._is_wildcard = False
         self._names: set[str] = set()
         self._acknowledged_generation = -1
@@ -124,11 +118,8 @@
         """Records the version of a resource that the proxy holds from an earlier stream."""
         self._had_resources = True
         version = parse_version(text)
-        if version is None or self._views is None:
-            return
-        self._held_index = max(self._held_index, version.index)
-        if version.tombstones:
-            self._held_tombstones |= parse_tombstones(version.tombstones)
+        if version is not None and self.knowledge is not None:
+            self.knowledge.record_version(version)
 
     def handle_ack_or_nack(self, now: int, nonce: str, error: str | None) -> None:
         """Processes an ACK, or a NACK with its reason (error).
@@ -197,67 +188,59 @@
     def type_version(self) -> str:
         """The version of all visible resources of the type, with the tombstones that the proxy learns of."""
         names = self.visible_names()
-        if self.view is None:
+        view = self._view()
+        if view is None:
             version = self._catalog.type_version(self.resource_type, names)
         else:
-            names = [name for name in names if not self._is_withheld(name)]
-            version = self._catalog.version_of(self.resource_type, names, self.view.resource)
+            names = [name for name in names if not self.knowledge.is_withheld(name)]
+            version = self._catalog.version_of(self.resource_type, names, view.resource)
         return with_tombstones(version, self._tombstones())
 
+    def _view(self) -> EndpointView | None:
+        return self.knowledge.view if self.knowledge is not None else None
+
+    def _tombstones(self) -> str:
+        return self.knowledge.tombstones() if self.knowledge is not None else ""
+
     def is_proxy_ahead(self) -> bool:
         """Whether the proxy knows of drains of endpoints that this instance's list has as ready.
 
         It is sent all but these endpoints, because the older list must not restore them.
         """
-        return bool(self._excluded)
+        return self.knowledge is not None and bool(self.knowledge.excluded)
 
-    def holds_tombstones(self) -> bool:
-        """Whether the proxy held tombstones when the stream began, so that each change may concern it."""
-        return bool(self._held_tombstones)
-
-    def refresh_view(self) -> None:
-        """Finds out anew what the proxy knows that the instance's list lacks, after the list has changed."""
-        views = self._views
-        if views is None or not self._held_tombstones or self._view_revision == views.revision:
+    def refresh_knowledge(self) -> None:
+        """Finds out anew what the proxy knows that the instance's list lacks, if the list has changed."""
+        knowledge = self.knowledge
+        if knowledge is None or not knowledge.is_outdated():
             return
-        self._view_revision = views.revision
-        could_withhold = self._may_withhold
-        excluded_before = self._excluded
-        view = views.view(views.lacking(self._held_tombstones))
-        excluded = view.excluded if view else frozenset()
-        has_other_view = view is not self.view
-        self.view = view
-        self._excluded = excluded
-        self._may_withhold = views.published <= self._held_tombstones
-        is_withholding_changed = self._may_withhold != could_withhold and view and view.never_placed
-        if is_withholding_changed or (has_other_view and excluded != excluded_before):
+        was_ahead = self.is_proxy_ahead()
+        if knowledge.refresh():
             self.needs_full_check = True
-        if excluded and not excluded_before:
-            self._report(ProxyAhead(self.resource_type, self._held_index, self._catalog.index))
-        elif excluded_before and not excluded:
+        is_ahead = self.is_proxy_ahead()
+        if is_ahead and not was_ahead:
+            self._report(ProxyAhead(self.resource_type, knowledge.held_index, self._catalog.index))
+        elif was_ahead and not is_ahead:
             self._report(ProxyAheadResolved(self._catalog.index))
 
-    def _resource(self, name: str) -> CachedResource:
-        if self.view is not None:
-            return self.view.resource(name)
-        return self._catalog.resources[self.resource_type][name]
-
-    def _is_withheld(self, name: str) -> bool:
-        """Whether the proxy keeps what it holds, because there is no endpoint that it may be sent."""
-        return self._may_withhold and self.view is not None and name in self.view.never_placed
+    def _resource_getter(self) -> Callable[[str], CachedResource]:
+        """Returns the function that finds the resource to send by its name."""
+        view = self._view()
+        return view.resource if view is not None else self._catalog.resources[self.resource_type].__getitem__
 
     def _changed_names(self) -> Collection[str] | None:
         """The names that changed since the last response; None if all resources must be compared."""
         changed = self._catalog.changed_since(self.resource_type, self.sent_generation)
-        if changed is None or self.view is None:
+        view = self._view()
+        if changed is None or view is None:
             return changed
-        return self.view.changed_since(self.sent_generation, changed)
+        return view.changed_since(self.sent_generation, changed)
 
     def pending(self) -> PendingChange:
         """The change that the proxy has not been sent yet."""
         if not self.is_subscribed:
             return NO_CHANGE
-        self.refresh_view()
+        self.refresh_knowledge()
         changed = self._changed_names()
         is_unchanged = changed is not None and not changed
         if is_unchanged and not self.needs_full_check and not self._has_new_names():
@@ -266,8 +249,9 @@
             names, removed = self._compare_all()
         else:
             names, removed = self._compare(changed)
-        names = sorted(name for name in names if not self._is_withheld(name))
-        return PendingChange(tuple(names), tuple(sorted(removed)), self._takes_endpoint(names))
+        if self._view() is not None:
+            names = [name for name in names if not self.knowledge.is_withheld(name)]
+        return PendingChange(tuple(sorted(names)), tuple(sorted(removed)), self._takes_endpoint(names))
 
     @abstractmethod
     def _has_new_names(self) -> bool:
@@ -284,7 +268,8 @@
     def _takes_endpoint(self, names: Collection[str]) -> bool:
         if self.resource_type != ResourceType.EDS or not (self.sent_generation or self._had_resources):
             return False
-        return any(self._resource(name).drained_at > self.sent_generation for name in names)
+        resource_of = self._resource_getter()
+        return any(resource_of(name).drained_at > self.sent_generation for name in names)
 
     def lacks_first_response(self) -> bool:
         """Whether the proxy waits for a first response although there is no resource for it."""
@@ -309,7 +294,8 @@
         is_complete: the response contains the complete change; otherwise the rest is sent later.
         """
         catalog = self._catalog
-        resource_versions = tuple(self._resource(name).version for name in change.names)
+        resource_of = self._resource_getter()
+        resource_versions = tuple(resource_of(name).version for name in change.names)
         if change.is_drain and self.unacknowledged_drain is None:
             self.unacknowledged_drain = UnacknowledgedDrain(catalog.generation, now)
         version = self._record_sent(nonce, change, resource_versions)
@@ -332,15 +318,9 @@
             change.removed,
             change.is_drain,
             tombstones=self._tombstones(),
-            view=self.view,
+            view=self._view(),
         )
 
-    def _tombstones(self) -> str:
-        """The text of the tombstones that the proxy learns of by a response."""
-        if self._views is None:
-            return ""
-        return self.view.tombstones if self.view is not None else self._views.tombstones
-
     @abstractmethod
     def _record_sent(self, nonce: str, change: PendingChange, resource_versions: tuple[str, ...]) -> str:
         """Records what the proxy will hold, and returns the response's version."""
@@ -377,7 +357,7 @@
             existing,
             is_heartbeat=True,
             tombstones=self._tombstones(),
-            view=self.view,
+            view=self._view(),
         )
 
     @abstractmethod
