A query that may have run is deferred only while engines know its key

Cause: RetryPolicy.is_safe_to_reject() took a query with an idempotency key for safe to send again whatever time had passed. Engines know a key for its window only. Ruled out by the engine's record: a repeat by the dispatcher; the second run came with a new id.

Change: after the window such a query fails (58000).

--- a/tests/scheduling/rules_model.py
+++ b/tests/scheduling/rules_model.py
@@ -221,6 +221,9 @@
             and resource_group.key_scope == KeyScope.ANY_ENGINE
         )
         self.check(not may_have_run or is_harmless, "2 rejection")
+        if may_have_run and resource_group.effect == Effect.IDEMPOTENCY_KEY:
+            window_end = may_have_run[0].sent_at + resource_group.idempotency_window
+            self.check(self.now < window_end, "2 rejection within the window")
         super().reject(query, retry_after)
 
     def fail(self, query: int) -> None:
--- a/tests/scheduling/test_retries.py
+++ b/tests/scheduling/test_retries.py
@@ -211,3 +211,23 @@
     dispatcher.end(query, ending=Ending.ERROR)
     assert len(dispatcher.sent[query]) == 2 and dispatcher.final[query] == "deferred"
     assert dispatcher.scheduler.engines.failure_rate[0] == 0.0
+
+
+@pytest.mark.parametrize("is_in_flight", [True, False])
+@pytest.mark.parametrize("hung_for,answer", [(110_000, "deferred"), (130_000, "killed")])
+def test_a_query_with_a_key_that_may_have_run_is_deferred_only_while_engines_know_its_key(
+    is_in_flight, hung_for, answer
+):
+    """Guards against a client that is told to send again what engines have forgotten, and so run twice."""
+    keyed = group(effect=Effect.IDEMPOTENCY_KEY, key_scope=KeyScope.ANY_ENGINE, timeout=300_000)
+    assert keyed.idempotency_window == 120_000
+    dispatcher = Gateways(site([keyed], max_attempts=1))
+    dispatcher.engines(1)
+    query = dispatcher.take(left=hung_for + 2_000 if is_in_flight else 300_000)
+    if is_in_flight:
+        dispatcher.let_pass(dispatcher.now + hung_for + 4_000)
+    else:
+        dispatcher.let_pass(dispatcher.now + hung_for)
+        dispatcher.end(query, ending=Ending.RESET)
+        dispatcher.let_pass(dispatcher.now + 1_000)
+    assert dispatcher.final[query] == answer
--- a/wickvane/scheduling/retries.py
+++ b/wickvane/scheduling/retries.py
@@ -144,13 +144,18 @@
             return False
         return now < min(self.start_by(query), self._deadlines.latest_start(query))
 
-    def is_safe_to_reject(self, query: Query) -> bool:
-        """Returns whether the client may retry the query without harm; if not, the query fails."""
+    def is_safe_to_reject(self, query: Query, now: int) -> bool:
+        """Returns whether the client may retry the query without harm; if not, the query fails.
+
+        After its window, engines no longer know the idempotency key of an attempt that may have run.
+        """
         group = self.groups[query.resource_group]
         if query.ran_at is None and not query.in_flight:
             return True
-        has_key = group.effect == Effect.IDEMPOTENCY_KEY and group.key_scope == KeyScope.ANY_ENGINE
-        return group.effect == Effect.READ_ONLY or has_key
+        if group.effect == Effect.IDEMPOTENCY_KEY and group.key_scope == KeyScope.ANY_ENGINE:
+            may_have_run_since = query.sent_at if query.ran_at is None else query.ran_at
+            return now < may_have_run_since + group.idempotency_window
+        return group.effect == Effect.READ_ONLY
 
     def is_lost(self, query: Query, now: int) -> bool:
         """Returns whether an attempt without progress has run too long: it is lost, hung or badly planned."""
--- a/wickvane/scheduling/scheduler.py
+++ b/wickvane/scheduling/scheduler.py
@@ -170,7 +170,7 @@
 
     def _give_up(self, query: Query) -> None:
         """Rejects or fails a query, as its final answer."""
-        if self.retries.is_safe_to_reject(query):
+        if self.retries.is_safe_to_reject(query, self._now):
             queued_cost = self.estimates.overall_mean_cost * len(self.fair_queue)
             self._writer.reject(query.index, self.retry_after.next(query, queued_cost, self._now))
         else:
