Proxies that reconnect with the same tombstones share what is read of them

Each stream parsed and kept the 256 tombstones of its versions on its own. The text is the same for proxies that come from one instance; the result is shared now, for texts of up to 128 KB.

--- a/wickvane/xds/proxy_knowledge.py
+++ b/wickvane/xds/proxy_knowledge.py
@@ -30,7 +30,8 @@
         """Records the version of a resource that the proxy holds from an earlier stream."""
         self.held_index = max(self.held_index, version.index)
         if version.tombstones:
-            self._held |= parse_tombstones(version.tombstones)
+            tombstones = parse_tombstones(version.tombstones)
+            self._held = self._held | tombstones if self._held else tombstones
 
     def holds_tombstones(self) -> bool:
         """Whether the proxy held tombstones, so that each change of the list may concern it."""
--- a/wickvane/xds/tombstones.py
+++ b/wickvane/xds/tombstones.py
@@ -21,6 +21,8 @@
 ENGINE_DIGEST_CHARACTERS = 8
 MAX_NUMBER_DIGITS = 16
 MAX_CACHED_DIGESTS = 16_384
+MAX_CACHED_TEXTS = 16
+MAX_CACHED_TEXT_CHARACTERS = 1 << 17
 SEPARATOR = "~"
 DOCUMENT_SEPARATOR = ":"
 HEXADECIMAL = 16
@@ -57,12 +59,24 @@
 
 
 def parse_tombstones(text: str) -> frozenset[Tombstone]:
-    """The tombstones in a text, at most MAX_TOMBSTONES; parts that are no tombstones are ignored."""
+    """The tombstones in a text, at most MAX_TOMBSTONES; parts that are no tombstones are ignored.
+
+    Proxies that reconnect at once hold the same text, and then share the result.
+    """
+    if len(text) > MAX_CACHED_TEXT_CHARACTERS:
+        return _parse_tombstones(text)
+    return _parse_cached(text)
+
+
+def _parse_tombstones(text: str) -> frozenset[Tombstone]:
     parts = text.split(SEPARATOR, MAX_TOMBSTONES)[:MAX_TOMBSTONES]
     tombstones = map(_parse_tombstone, parts)
     return frozenset(tombstone for tombstone in tombstones if tombstone is not None)
 
 
+_parse_cached = lru_cache(MAX_CACHED_TEXTS)(_parse_tombstones)
+
+
 def _parse_tombstone(text: str) -> Tombstone | None:
     engine = text[:ENGINE_DIGEST_CHARACTERS]
     started_at, separator, document_index = text[ENGINE_DIGEST_CHARACTERS:].partition(DOCUMENT_SEPARATOR)
