Control programs of a failed test end with it

Eight processes of the control service outlived the run of these tests on, where they fail. The program is a fixture now, which kills what it started.

--- a/tests/xds_service/test_numbering_service.py
+++ b/tests/xds_service/test_numbering_service.py
@@ -98,16 +98,23 @@
         self.process.stdout.close()
 
 
+@pytest.fixture
+def program(tmp_path):
+    """A control service on an empty folder; its process ends with the test."""
+    made = ControlProgram(tmp_path)
+    yield made
+    made.coordinator.end()
+    if made.process is not None and made.process.poll() is None:
+        made.end(signal.SIGKILL)
+
+
 @pytest.mark.parametrize("variant", ["sotw", "delta"])
-@pytest.mark.parametrize(
-    "number,epoch",
-    [(signal.SIGTERM, "0"), (signal.SIGTERM, "1"), (signal.SIGKILL, "0"), (signal.SIGKILL, "1")],
-)
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
+@pytest.mark.parametrize("epoch", ["0", "1"])
 def test_drains_reach_a_proxy_over_restarts_that_number_the_list_anew(
-    proxy_loop, tmp_path, variant, number, epoch
+    proxy_loop, program, tmp_path, variant, number, epoch
 ):
     """Guards against drains that are not told after a restart, and against those told before it."""
-    program = ControlProgram(tmp_path)
     entries = [endpoint(n) for n in range(6)]
     program.start(entries)
     proxy = proxy_loop.start(Proxy("p", variant), program.port)
@@ -131,12 +138,10 @@
     assert proxy.sends_to() == {"e2", "e3", "e4", "e7"}
     proxy_loop.stop(proxy)
     program.end(signal.SIGTERM)
-    program.coordinator.end()
 
 
-def test_program_starts_before_a_damaged_snapshot_and_counts_it(tmp_path):
+def test_program_starts_before_a_damaged_snapshot_and_counts_it(program, tmp_path):
     """Guards against a start that fails, or goes unnoticed, with a snapshot that is cut off."""
-    program = ControlProgram(tmp_path)
     program.start([endpoint(n) for n in range(3)])
     until(lambda: load_snapshot(tmp_path) is not None)
     program.end(signal.SIGKILL)
@@ -147,7 +152,6 @@
     program.process.send_signal(signal.SIGTERM)
     counters = json.loads(program.process.communicate(timeout=10)[0].splitlines()[-1])
     assert counters["counters"]["snapshots-unreadable"] == 1 and counters["ready"] == 3
-    program.coordinator.end()
 
 
 @pytest.mark.parametrize("variant", ["sotw", "delta"])
