--- a/wickvane/xds/snapshot_writer.py
+++ b/wickvane/xds/snapshot_writer.py
@@ -1,6 +1,7 @@
 """Writes the endpoint snapshot to disk in a thread, so that the event loop does not wait for the disk."""
 
 import asyncio
+import threading
 import time
 from collections.abc import Callable
 
@@ -28,6 +29,7 @@
         self._counters = counters
         self._pending: asyncio.TimerHandle | None = None
         self._saved_at = 0.0
+        self._lock = threading.Lock()  # one write at a time
 
     def schedule(self, loop: asyncio.AbstractEventLoop) -> None:
         """Schedules a write of the snapshot, MIN_SAVE_INTERVAL_S after the previous one at the earliest."""
@@ -38,16 +40,18 @@
     def _save_in_thread(self, loop: asyncio.AbstractEventLoop) -> None:
         self._pending = None
         self._saved_at = time.monotonic()
-        loop.run_in_executor(None, self._save, self._current())
+        loop.run_in_executor(None, self._save)
 
     def save_now(self) -> None:
         """Writes the snapshot and returns after it is written."""
         if self._folder:
-            self._save(self._current())
+            self._save()
 
-    def _save(self, snapshot: EndpointSnapshot) -> None:
+    def _save(self) -> None:
+        """Writes the snapshot that is current when its turn comes, so that no older one replaces a newer."""
         try:
-            save_snapshot(self._folder, snapshot)
+            with self._lock:
+                save_snapshot(self._folder, self._current())
         except OSError as error:
             self._counters.add("snapshots-failed")
             self._log.line("snapshot-failed", why=error.strerror)
