A first list from before an engine's restart no longer makes its process an old one

If the list merely lagged, a cold engine got full weight, and the end of its earlier process was forgotten.

Change: the later known start stays, and the name is noted as one of which the list lags. A drain there takes effect at once, but ends only the process that it names, so that the later one is ready again when the list tells of it.

--- a/tests/xds_service/test_numbering.py
+++ b/tests/xds_service/test_numbering.py
@@ -251,6 +251,40 @@
     assert after.snapshot.endpoints["e0"].started_at == 1_000 * TICKS_PER_MILLISECOND
 
 
+@BOTH
+def test_first_list_that_lags_behind_an_engines_restart_does_not_make_its_process_an_old_one(variant):
+    """Guards against a cold engine at full weight, and its ended process, by a list from before its start."""
+    before = instance(rows(*range(4)), rows(0, state=DRAINING), rows(0, started=1_000))
+    after = restarted(before, rows(*range(4)))
+    assert after.snapshot.endpoints["e0"].started_at == 1_000 * TICKS_PER_MILLISECOND
+    assert after.snapshot.removed["e0"].started_at == 0
+    proxy, now = connected(after, variant)
+    # The list catches up step by step; a drain takes effect at once, of whichever process it tells.
+    after.apply_endpoint_event(now, 2, False, rows(0, state=DRAINING))
+    now = settle(proxy, now)
+    assert "e0" not in proxy.sends_to()
+    after.apply_endpoint_event(now, 3, False, rows(0, started=1_000))
+    now = settle(proxy, now)
+    assert "e0" in proxy.sends_to() and not after.snapshot.lagging
+    after.apply_endpoint_event(now, 4, False, rows(0, state=DRAINING))
+    after.apply_endpoint_event(now, 5, False, rows(0, started=1_000))
+    settle(proxy, now)
+    assert "e0" not in proxy.sends_to()
+
+
+def test_later_start_under_a_known_name_during_a_stop_is_taken_and_the_earlier_one_stays_out():
+    """Guards against an engine that was replaced while the service was down and counts as the old one."""
+    before = instance(rows(*range(4)), rows(1, state=DRAINING))
+    after = restarted(before, [*rows(0, 1, started=2_000), *rows(2, 3)])
+    assert ready_names(after) == ["e0", "e1", "e2", "e3"]
+    assert {name: removal.started_at for name, removal in after.snapshot.removed.items()} == {
+        "e0": 0,
+        "e1": 0,
+    }
+    after.apply_endpoint_event(0, 2, False, rows(0, 1))
+    assert after.snapshot.endpoints["e0"].started_at == 2_000 * TICKS_PER_MILLISECOND
+
+
 def test_oldest_removals_are_forgotten_first_across_numberings():
     """Guards against new removals that are forgotten for their low numbers, while old ones stay."""
     old = {f"e{number}": Removal(1_000 + number, 0) for number in range(MAX_REMEMBERED_REMOVALS)}
--- a/wickvane/xds/endpoint_snapshot.py
+++ b/wickvane/xds/endpoint_snapshot.py
@@ -97,7 +97,8 @@
     which prevents their readmission; missing: names of ready endpoints that a complete list omitted and that
     are kept for now, with the time until which they are kept; is_restored: the snapshot was read from disk,
     and no event has confirmed it since; ended_by_documents: by name, the index of the documents that drained
-    or removed an endpoint, which newer documents may revoke.
+    or removed an endpoint, which newer documents may revoke; lagging: names of endpoints of which the list
+    that followed a restored snapshot tells an earlier process than the snapshot has.
     """
 
     index: int = 0
@@ -106,6 +107,7 @@
     missing: Map = Map()
     is_restored: bool = False
     ended_by_documents: Map = Map()
+    lagging: frozenset[str] = frozenset()
 
     def ready(self) -> list[Endpoint]:
         """The endpoints to which new requests may be sent."""
@@ -151,8 +153,7 @@
     if index <= snapshot.index and not snapshot.is_restored:
         return snapshot, [StaleEventIgnored(index, snapshot.index)]
     change = _SnapshotChange(snapshot, now, index, documents)
-    if snapshot.is_restored and is_complete:
-        change.has_authoritative_starts = True
+    change.may_find_lagging = snapshot.is_restored and is_complete
     for entry in entries:
         change.apply_entry(entry, readmitted)
     if is_complete:
@@ -175,8 +176,8 @@
         self._ended_by_documents = snapshot.ended_by_documents
         self._listed: set[str] = set()
         self.log_events: list[SnapshotEvent] = []
-        # A list that begins anew may tell of its past first: then its starts replace later known ones.
-        self.has_authoritative_starts = False
+        self._lagging = set(snapshot.lagging)
+        self.may_find_lagging = False
 
     def apply_entry(self, entry: tuple, readmitted: Collection[str]) -> None:
         """Applies the event's entry for one endpoint."""
@@ -187,7 +188,7 @@
         if state == EngineState.GONE:
             if known is not None:
                 del self._endpoints[name]
-                started_at = max(started_at, known.started_at)
+                started_at = self._ended_start(name, started_at, known)
             self._record_end(name, started_at)
             self._missing = _without(self._missing, name)
             return
@@ -195,12 +196,15 @@
         if is_ready and name not in readmitted and not self._may_be_ready(name, started_at, known):
             self.log_events.append(EndpointNotReadmitted(name, self._index))
             return
-        if known is not None and known.is_ready and not self.has_authoritative_starts:
-            started_at = max(started_at, known.started_at)
+        if self.may_find_lagging and known is not None and started_at < known.started_at:
+            self._lagging.add(name)
         if is_ready:
+            started_at = self._ready_start(name, started_at, known)
             self._record_start(name, started_at, known)
             draining_since = 0
         else:
+            if known is not None and known.is_ready:
+                started_at = self._ended_start(name, started_at, known)
             self._record_end(name, started_at)
             draining_since = (known and known.draining_since) or self._now
         self._endpoints[name] = Endpoint(
@@ -224,6 +228,21 @@
             return False
         return documents.has_ended(name) and documents.index > ended_by
 
+    def _ready_start(self, name: str, started_at: int, known: Endpoint | None) -> int:
+        """The start of a process that is listed as ready: never before that of a known ready one."""
+        if known is not None and known.is_ready and started_at < known.started_at:
+            return known.started_at
+        self._lagging.discard(name)
+        return started_at
+
+    def _ended_start(self, name: str, started_at: int, known: Endpoint) -> int:
+        """The start up to which an entry ends the processes of a known endpoint.
+
+        An entry without the start means the known process, unless the list lags behind that process. Then
+        the endpoint is taken out of service too, until the list tells of the later process.
+        """
+        return started_at if name in self._lagging else max(started_at, known.started_at)
+
     def _record_start(self, name: str, started_at: int, known: Endpoint | None) -> None:
         """Records that a process is ready, and that the one before it has ended."""
         if known is not None and known.is_ready and started_at > known.started_at:
@@ -293,6 +312,7 @@
             self._missing,
             False,
             self._ended_by_documents,
+            frozenset(self._lagging),
         )
 
 
